--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Both targets set up all they need on a fresh machine with python3.11 or later.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test check setup soak slopes bench
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -e ".[dev]"
+	touch $@
+
+demo: setup
+	$(BIN)/granitetrestle-demo
+
+test: setup
+	$(BIN)/python -m behave --format progress --no-capture
+
+check: setup
+	$(BIN)/ruff format --check src features
+	$(BIN)/ruff check src features
+	$(BIN)/mypy
--- /dev/null
+++ b/src/granitetrestle/access.py
@@ -0,0 +1,71 @@
+"""Who is calling: an account by its bearer token, an operator by another, a peer
+process by the shared secret. Only hashes of tokens are kept, and all comparisons
+take constant time."""
+
+import enum
+import hashlib
+import hmac
+import typing as t
+
+from .errors import AccessDenied
+from .settings import Settings
+from .table import Table
+
+__all__ = ["Access", "Role"]
+
+OPERATOR: t.Final = "operator"
+BEARER: t.Final = "Bearer "
+
+
+class Role(enum.Enum):
+    """What a caller may do."""
+
+    ACCOUNT = "account"
+    OPERATOR = "operator"
+
+
+class Caller(t.NamedTuple):
+    """A proven caller; ``account`` is empty for an operator."""
+
+    role: Role
+    account: str
+
+
+class Access:
+    """Checks tokens of the form ``ACCOUNT.SECRET`` or ``operator.SECRET``."""
+
+    def __init__(self, settings: Settings, table: Table) -> None:
+        self._operator = settings.operator_token_sha256
+        self._peer = settings.peer_token.encode()
+        self._table = table
+
+    def caller(self, authorization: str) -> Caller:
+        """Return who sent the ``Authorization`` header.
+
+        :raises AccessDenied: if the token is missing or wrong.
+        """
+        if not authorization.startswith(BEARER):
+            raise AccessDenied("no bearer token", "send Authorization: Bearer TOKEN")
+        name, _, secret = authorization[len(BEARER) :].partition(".")
+        given = hashlib.sha256(secret.encode()).hexdigest()
+        if name == OPERATOR:
+            if hmac.compare_digest(given, self._operator):
+                return Caller(Role.OPERATOR, "")
+            raise AccessDenied("wrong token", "check the operators' token")
+        expected = str(self._table.cell(name, "token_sha256").value)
+        # An account without a token compares against a value no hash can have.
+        if hmac.compare_digest(given, expected or "-" * len(given)):
+            return Caller(Role.ACCOUNT, name)
+        raise AccessDenied("wrong token", "check the account's token")
+
+    def operator(self, authorization: str) -> None:
+        """Let only operators pass.
+
+        :raises AccessDenied: for everybody else.
+        """
+        if self.caller(authorization).role is not Role.OPERATOR:
+            raise AccessDenied("only operators may do this", "use their token")
+
+    def is_peer(self, token: bytes) -> bool:
+        """Say whether a request comes from another process of the system."""
+        return bool(token) and hmac.compare_digest(token, self._peer)
--- /dev/null
+++ b/src/granitetrestle/borrowing.py
@@ -0,0 +1,204 @@
+"""The entry's side of lent slots: which endpoints this process may use now, how
+many slots of each are taken, and which one a request should go to. A loan ends
+by this process's own monotonic clock, counted from before it asked."""
+
+import dataclasses
+import typing as t
+
+from .lending import LendingTerms
+from .messages import Loan
+from .messages import LoansGranted
+from .messages import LoansHeld
+
+__all__ = ["Borrowed", "Borrower"]
+
+SLOW_START_S = 10.0
+PROBE_AFTER_S = 2.0
+MAX_PROBE_AFTER_S = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class Borrowed:
+    """One endpoint as this process sees it.
+
+    :param since: monotonic time of its first loan, for a slow start.
+    :param set_aside_until: monotonic time before which it is not used, having
+        failed or refused.
+    """
+
+    loan: Loan
+    until: float
+    since: float
+    in_use: int = 0
+    failures: int = 0
+    set_aside_until: float = -1e18
+
+    def room(self, now: float) -> int:
+        """Return the slots that may still be taken."""
+        if now >= self.until or now < self.set_aside_until:
+            return 0
+        allowed = self.loan.slots
+        if self.failures:
+            allowed = 1
+        elif now - self.since < SLOW_START_S:
+            allowed = max(1, round(allowed * (0.25 + (now - self.since) / 10.0)))
+        return min(allowed, self.loan.slots) - self.in_use
+
+
+@dataclasses.dataclass(slots=True)
+class _ShardLoans:
+    epoch: int = 0
+    applied: int = 0
+    number: int = 0
+    sent: dict[int, float] = dataclasses.field(default_factory=dict)
+    asked_at: float = -1e18
+
+
+class Borrower:
+    """All loans of this process."""
+
+    def __init__(self, terms: LendingTerms) -> None:
+        self._terms = terms
+        self._shards: dict[int, _ShardLoans] = {}
+        self._shard_of: dict[str, int] = {}
+        self._endpoints: dict[str, Borrowed] = {}
+        self._services: dict[str, dict[str, Borrowed]] = {}
+
+    @property
+    def endpoints(self) -> t.Mapping[str, Borrowed]:
+        """Endpoint name -> its loan, also after it ended while still in use."""
+        return self._endpoints
+
+    def ask(
+        self,
+        shard: int,
+        epoch: int,
+        demand: dict[str, int],
+        supports: bool,
+        now: float,
+    ) -> LoansHeld:
+        """Return the next message to the shard's owner.
+
+        From here on no grant of an epoch before ``epoch`` is taken.
+        """
+        state = self._shards.setdefault(shard, _ShardLoans())
+        if epoch > state.epoch:
+            state.epoch = epoch
+            state.applied = 0
+        state.number += 1
+        state.asked_at = now
+        state.sent[state.number] = now
+        state.sent.pop(state.number - 16, None)
+        return LoansHeld(
+            shard,
+            state.epoch,
+            state.number,
+            state.applied,
+            supports,
+            self._held(shard),
+            demand,
+        )
+
+    def ask_due(self, shard: int, epoch: int, now: float) -> bool:
+        """Say whether the shard's owner should be asked now."""
+        state = self._shards.get(shard)
+        if state is None or epoch != state.epoch:
+            return True
+        return now - state.asked_at >= self._terms.ask_s
+
+    def _held(self, shard: int) -> dict[str, int]:
+        held: dict[str, int] = {}
+        for name, borrowed in self._endpoints.items():
+            slots = max(borrowed.loan.slots, borrowed.in_use)
+            if self._shard_of[name] == shard and slots:
+                held[name] = slots
+        return held
+
+    def granted(self, message: LoansGranted, now: float) -> bool:
+        """Apply a grant; says whether it counted."""
+        state = self._shards.setdefault(message.shard, _ShardLoans())
+        sent = state.sent.get(message.answers)
+        if sent is None or message.epoch != state.epoch:
+            return False
+        if message.serial <= state.applied:
+            return False
+        state.applied = message.serial
+        until = sent + message.term_s
+        granted = {loan.endpoint: loan for loan in message.loans}
+        for name in [n for n, s in self._shard_of.items() if s == message.shard]:
+            if name not in granted:
+                self._shrink(name)
+        for name, loan in granted.items():
+            self._extend(name, loan, message.shard, until, now)
+        return True
+
+    def _shrink(self, name: str) -> None:
+        borrowed = self._endpoints[name]
+        borrowed.loan = Loan(name, borrowed.loan.service, borrowed.loan.address, 0)
+        self._drop_unused(name)
+
+    def _drop_unused(self, name: str) -> None:
+        borrowed = self._endpoints[name]
+        if borrowed.loan.slots or borrowed.in_use:
+            return
+        del self._endpoints[name]
+        del self._shard_of[name]
+        service = self._services[borrowed.loan.service]
+        del service[name]
+        if not service:
+            del self._services[borrowed.loan.service]
+
+    def _extend(
+        self, name: str, loan: Loan, shard: int, until: float, now: float
+    ) -> None:
+        known = self._endpoints.get(name)
+        if known is not None:
+            known.loan = loan
+            known.until = until
+            return
+        since = now if self._services.get(loan.service) else now - SLOW_START_S
+        borrowed = Borrowed(loan, until, since)
+        self._endpoints[name] = borrowed
+        self._shard_of[name] = shard
+        self._services.setdefault(loan.service, {})[name] = borrowed
+
+    def pick(self, service: str, now: float, avoid: t.Container[str]) -> str | None:
+        """Return the endpoint with the largest free part of its loan."""
+        best: tuple[float, str] | None = None
+        for name, borrowed in self._services.get(service, {}).items():
+            room = borrowed.room(now)
+            if room <= 0 or name in avoid:
+                continue
+            load = borrowed.in_use / borrowed.loan.slots
+            if best is None or (load, name) < best:
+                best = (load, name)
+        return best[1] if best else None
+
+    def take(self, endpoint: str) -> Borrowed:
+        """Take one slot."""
+        borrowed = self._endpoints[endpoint]
+        borrowed.in_use += 1
+        return borrowed
+
+    def give_back(self, endpoint: str, now: float, failed: bool) -> None:
+        """Return a slot; a failure puts the endpoint aside for a while."""
+        borrowed = self._endpoints.get(endpoint)
+        if borrowed is None:
+            return
+        borrowed.in_use -= 1
+        if failed:
+            wait = min(MAX_PROBE_AFTER_S, PROBE_AFTER_S * 2.0**borrowed.failures)
+            borrowed.failures += 1
+            borrowed.set_aside_until = now + wait
+        else:
+            borrowed.failures = 0
+        self._drop_unused(endpoint)
+
+    def slots(self, service: str, now: float) -> int:
+        """Return how many slots of a service this process may use."""
+        borrowed = self._services.get(service, {}).values()
+        return sum(b.loan.slots for b in borrowed if b.until > now)
+
+    def services(self) -> list[str]:
+        """Return the services with a loan here."""
+        return list(self._services)
--- /dev/null
+++ b/src/granitetrestle/callpath.py
@@ -0,0 +1,264 @@
+"""The hot path of the HTTP API: ``POST /v1/services/NAME/call``. A plain ASGI
+function, since every step here is paid by each unlock and booking."""
+
+import contextlib
+import time
+import typing as t
+import uuid
+
+import anyio
+import msgspec
+from opentelemetry import trace
+
+from .access import Access
+from .access import Role
+from .calls import Reply
+from .engine import DEADLINE_MS
+from .engine import HOPS
+from .engine import KEY_GRANTED
+from .engine import OUTCOME
+from .engine import PEER_TOKEN
+from .engine import REQUEST_ID
+from .engine import CallBody
+from .engine import Engine
+from .errors import AccessDenied
+from .errors import GranitetrestleError
+from .errors import InvalidInput
+from .events import RequestArrived
+from .jobs import SERVICE_PATTERN
+from .outcomes import Answered
+from .outcomes import NotRun
+from .outcomes import Outcome
+from .outcomes import Rejected
+from .outcomes import Unknown
+from .telemetry import PROPAGATOR
+
+__all__ = ["CallPath", "error_body"]
+
+Scope: t.TypeAlias = t.MutableMapping[str, t.Any]
+Receive: t.TypeAlias = t.Callable[[], t.Awaitable[t.MutableMapping[str, t.Any]]]
+Send: t.TypeAlias = t.Callable[[t.MutableMapping[str, t.Any]], t.Awaitable[None]]
+
+MAX_BODY = 64 * 1024
+MAX_KEY = 128
+DEFAULT_DEADLINE_S = 2.0
+PASSED_ON: t.Final = frozenset(
+    {b"content-type", b"idempotency-key", b"idempotency-issued-at", b"x-repeatable"}
+)
+ACCOUNT: t.Final = b"x-granitetrestle-account"
+
+
+def error_body(error: GranitetrestleError) -> bytes:
+    """Return the JSON body of an error answer."""
+    return msgspec.json.encode(
+        {
+            "error": error.code,
+            "message": error.message,
+            "next_step": error.next_step,
+        }
+    )
+
+
+class CallPath:
+    """ASGI application for calls of services."""
+
+    def __init__(self, engine: Engine, access: Access) -> None:
+        self._engine = engine
+        self._access = access
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        headers = dict(scope["headers"])
+        carrier = {"traceparent": headers.get(b"traceparent", b"").decode("latin-1")}
+        telemetry = self._engine.telemetry
+        started = time.perf_counter()
+        with telemetry.tracer.start_as_current_span(
+            "entry request",
+            context=PROPAGATOR.extract(carrier),
+            kind=trace.SpanKind.SERVER,
+        ) as span:
+            try:
+                body = await _read_body(receive)
+                event = self._event(scope, headers)
+                if span.is_recording():
+                    span.set_attribute("account", event.account)
+                    span.set_attribute("request", event.request)
+                passed = _passed_on(headers, event.account)
+                call = CallBody(scope["path"], passed, body)
+                outcome, reply = await self._serve(event, call, receive)
+            except GranitetrestleError as error:
+                request_id = headers.get(REQUEST_ID, b"")
+                await _answer_error(send, error, request_id, b"rejected")
+                return
+        await self._answer(send, event.request, outcome, reply)
+        telemetry.metrics.timing("request", time.perf_counter() - started)
+
+    async def _serve(
+        self, event: RequestArrived, call: CallBody, receive: Receive
+    ) -> tuple[Outcome, Reply | None]:
+        result: list[tuple[Outcome, Reply | None]] = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch, receive, tasks.cancel_scope)
+            result.append(await self._engine.call(event, call))
+            tasks.cancel_scope.cancel()
+        if not result:
+            raise InvalidInput("the caller hung up")
+        return result[0]
+
+    @staticmethod
+    async def _watch(receive: Receive, scope: anyio.CancelScope) -> None:
+        """Cancel the call when its caller hangs up."""
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
+    def _event(self, scope: Scope, headers: dict[bytes, bytes]) -> RequestArrived:
+        service = scope["path"].split("/")[3]
+        if not SERVICE_PATTERN.fullmatch(service):
+            raise InvalidInput("bad service name")
+        peer = self._access.is_peer(headers.get(PEER_TOKEN, b""))
+        now = time.monotonic()
+        key = headers.get(b"idempotency-key", b"").decode("latin-1")
+        if len(key) > MAX_KEY:
+            raise InvalidInput(f"a key has up to {MAX_KEY} characters")
+        issued_at = _number(headers, b"idempotency-issued-at", 0.0)
+        if key and not issued_at:
+            raise InvalidInput(
+                "a key needs Idempotency-Issued-At",
+                "send the time (seconds since 1970) at which the key was made",
+            )
+        return RequestArrived(
+            now=now,
+            wall=time.time(),
+            request=_request_id(headers, peer),
+            account=self._account(headers, peer),
+            service=service,
+            deadline=now + self._deadline_s(headers),
+            repeatable=headers.get(b"x-repeatable", b"") == b"yes" and not key,
+            key=key,
+            issued_at=issued_at,
+            hops=int(_number(headers, HOPS, 0.0)) if peer else 0,
+            key_granted=peer and headers.get(KEY_GRANTED, b"") == b"yes",
+        )
+
+    def _deadline_s(self, headers: dict[bytes, bytes]) -> float:
+        asked = _number(headers, DEADLINE_MS, DEFAULT_DEADLINE_S * 1000.0) / 1000.0
+        return min(asked, self._engine.reducer.max_request_s)
+
+    def _account(self, headers: dict[bytes, bytes], peer: bool) -> str:
+        if peer:
+            return headers.get(ACCOUNT, b"").decode("latin-1")
+        authorization = headers.get(b"authorization", b"").decode("latin-1")
+        caller = self._access.caller(authorization)
+        if caller.role is not Role.ACCOUNT:
+            raise AccessDenied("services are called by accounts")
+        return caller.account
+
+    async def _answer(
+        self, send: Send, request: str, outcome: Outcome, reply: Reply | None
+    ) -> None:
+        request_id = request.encode()
+        self._engine.telemetry.metrics.count(f"outcome.{type(outcome).__name__}")
+        match outcome:
+            case Answered():
+                assert reply is not None
+                content_type = reply.header(b"content-type") or b"text/plain"
+                headers = [(b"content-type", content_type), (OUTCOME, b"answered")]
+                await _send(send, reply.status, headers, request_id, reply.body)
+            case NotRun():
+                status = 429 if outcome.reason.value == "account_limit" else 503
+                headers = [
+                    (OUTCOME, b"not_run"),
+                    (b"retry-after", f"{outcome.retry_after_s:.3f}".encode()),
+                ]
+                body = _outcome_body("not_run", outcome)
+                await _send(send, status, headers, request_id, body)
+            case Unknown():
+                body = _outcome_body("unknown", outcome)
+                await _send(send, 504, [(OUTCOME, b"unknown")], request_id, body)
+            case Rejected():
+                body = _outcome_body("rejected", outcome)
+                await _send(send, 400, [(OUTCOME, b"rejected")], request_id, body)
+            case _:
+                raise AssertionError(outcome)
+
+
+def _outcome_body(kind: str, outcome: NotRun | Unknown | Rejected) -> bytes:
+    retry = outcome.retry_after_s if isinstance(outcome, NotRun) else None
+    return msgspec.json.encode(
+        {
+            "outcome": kind,
+            "reason": outcome.reason.value,
+            "detail": outcome.detail,
+            "retry_after_s": retry,
+        }
+    )
+
+
+def _request_id(headers: dict[bytes, bytes], peer: bool) -> str:
+    given = headers.get(REQUEST_ID, b"").decode("latin-1")
+    # A caller's own id could collide with another account's; a peer's can't.
+    return given if peer and given else uuid.uuid4().hex
+
+
+def _passed_on(
+    headers: dict[bytes, bytes], account: str
+) -> tuple[tuple[bytes, bytes], ...]:
+    kept = [(name, headers[name]) for name in PASSED_ON if name in headers]
+    return ((ACCOUNT, account.encode()), *kept)
+
+
+def _number(headers: dict[bytes, bytes], name: bytes, default: float) -> float:
+    text = headers.get(name)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e12:
+        raise InvalidInput(f"header {name.decode()} is not a number in range")
+    return value
+
+
+async def _read_body(receive: Receive) -> bytes:
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise InvalidInput("the caller hung up")
+        chunk = message.get("body", b"")
+        size += len(chunk)
+        if size > MAX_BODY:
+            raise InvalidInput(f"a body has up to {MAX_BODY} bytes")
+        chunks.append(chunk)
+        if not message.get("more_body", False):
+            return b"".join(chunks)
+
+
+async def _send(
+    send: Send,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    request_id: bytes,
+    body: bytes,
+) -> None:
+    headers = [
+        *headers,
+        (REQUEST_ID, request_id),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    # The caller may be gone; there is nobody left to tell.
+    with contextlib.suppress(OSError):
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+async def _answer_error(
+    send: Send, error: GranitetrestleError, request_id: bytes, outcome: bytes
+) -> None:
+    headers = [(b"content-type", b"application/json"), (OUTCOME, outcome)]
+    await _send(send, error.http_status, headers, request_id, error_body(error))
--- /dev/null
+++ b/src/granitetrestle/capacity.py
@@ -0,0 +1,228 @@
+"""What boxes have, what has been handed out of it, and an index that finds a box
+with room without looking at all of them. Everything that may still occupy a box
+counts as handed out: a start without an answer as much as a running task."""
+
+import dataclasses
+import math
+import typing as t
+
+from .errors import InvariantViolated
+from .events import BoxInfo
+from .events import Command
+from .records import JobSpec
+
+__all__ = ["Assignment", "BoxState", "CapacityIndex", "Vector"]
+
+EPSILON: t.Final = 1e-9
+
+
+class Vector(t.NamedTuple):
+    """An amount of each resource: cores, GB of memory, accelerators."""
+
+    cores: float
+    memory_gb: float
+    accelerators: int
+
+    def fits(self, room: "Vector") -> bool:
+        """Say whether this amount can be taken out of ``room``."""
+        return (
+            self.cores <= room.cores + EPSILON
+            and self.memory_gb <= room.memory_gb + EPSILON
+            and self.accelerators <= room.accelerators
+        )
+
+    def plus(self, other: "Vector", sign: int = 1) -> "Vector":
+        """Return the sum, or with ``sign`` -1 the difference."""
+        return Vector(
+            self.cores + sign * other.cores,
+            self.memory_gb + sign * other.memory_gb,
+            self.accelerators + sign * other.accelerators,
+        )
+
+    def share_of(self, total: "Vector") -> float:
+        """Return the dominant share of ``total``, 0 to 1."""
+        return max(
+            self.cores / total.cores if total.cores else 0.0,
+            self.memory_gb / total.memory_gb if total.memory_gb else 0.0,
+            self.accelerators / total.accelerators if total.accelerators else 0.0,
+        )
+
+    @classmethod
+    def of(cls, spec: JobSpec) -> "Vector":
+        """Return what one task of ``spec`` takes."""
+        return cls(spec.cores, spec.memory_gb, spec.accelerators)
+
+
+NOTHING: t.Final = Vector(0.0, 0.0, 0)
+
+AssignmentState: t.TypeAlias = t.Literal[
+    "starting", "running", "draining", "stopping", "evicting", "ending"
+]
+
+
+@dataclasses.dataclass(slots=True)
+class Assignment:
+    """An attempt of a task that occupies a box, or may.
+
+    :param not_after: wall time (s) after which a start no longer counts.
+    :param expires: wall time (s) at which the last lease granted lapses.
+    :param stop_reason: ending to record once the box proves the stop.
+    """
+
+    task: str
+    attempt: int
+    epoch: int
+    account: str
+    job: str
+    spec: JobSpec
+    box: str
+    state: AssignmentState
+    not_after: float
+    expires: float
+    stop_reason: t.Literal["evicted", "cancelled"] = "cancelled"
+    reason: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class BoxState:
+    """A box of an owned shard, with all that may occupy it.
+
+    :param settled: has reported since no older epoch's start can arrive.
+    """
+
+    info: BoxInfo
+    shard: int
+    free: Vector
+    tasks: dict[str, Assignment] = dataclasses.field(default_factory=dict)
+    starts: dict[str, Assignment] = dataclasses.field(default_factory=dict)
+    cleanup: dict[tuple[str, int], Command] = dataclasses.field(default_factory=dict)
+    in_exchange: bool = False
+    next_exchange: float = 0.0
+    heard_wall: float = 0.0
+    drained: bool = False
+    settled: bool = False
+    quarantined_until: float = 0.0
+    failures_in_row: int = 0
+    failed_accounts: set[str] = dataclasses.field(default_factory=set)
+
+    def open_for_work(self, now: float) -> bool:
+        """Say whether new tasks may be placed here."""
+        closed = self.drained or self.info.leaving or not self.settled
+        return not closed and now >= self.quarantined_until
+
+    @property
+    def total(self) -> Vector:
+        """All that the box has."""
+        return self.total_of(self.info)
+
+    @staticmethod
+    def total_of(info: BoxInfo) -> Vector:
+        """Return all that a listed box has."""
+        return Vector(info.cores, info.memory_gb, info.accelerators)
+
+
+class CapacityIndex:
+    """Boxes by whole free cores, so that a fit is found in near constant time."""
+
+    def __init__(self) -> None:
+        self._boxes: dict[str, BoxState] = {}
+        self._levels: dict[int, dict[str, BoxState]] = {}
+        self._top = 0
+        self._total = NOTHING
+        self._racks: dict[str, dict[str, int]] = {}
+
+    @property
+    def boxes(self) -> t.Mapping[str, BoxState]:
+        """Box name -> state."""
+        return self._boxes
+
+    @property
+    def total(self) -> Vector:
+        """What all indexed boxes have."""
+        return self._total
+
+    def racks_of(self, job: str) -> t.Mapping[str, int]:
+        """Return rack -> how many tasks of ``job`` it holds."""
+        return self._racks.get(job, {})
+
+    def add(self, box: BoxState) -> None:
+        """Index a box that is not indexed yet."""
+        self._boxes[box.info.box] = box
+        self._total = self._total.plus(box.total)
+        self._enter(box)
+
+    def remove(self, name: str) -> None:
+        """Drop a box and all that was booked on it."""
+        box = self._boxes[name]
+        for task in list(box.tasks):
+            self.release(box, task)
+        del self._boxes[name]
+        self._total = self._total.plus(box.total, -1)
+        self._leave(box)
+
+    def take(self, box: BoxState, assignment: Assignment) -> None:
+        """Book an attempt that this process decided to start.
+
+        :raises InvariantViolated: if the box has not enough left (promise 1).
+        """
+        if not Vector.of(assignment.spec).fits(box.free):
+            raise InvariantViolated(f"{assignment.task} does not fit {box.info.box}")
+        self.adopt(box, assignment)
+
+    def adopt(self, box: BoxState, assignment: Assignment) -> None:
+        """Book an attempt that already runs, even if the box is now too full."""
+        if assignment.task in box.tasks:
+            raise InvariantViolated(f"{assignment.task} is booked twice")
+        self._leave(box)
+        box.tasks[assignment.task] = assignment
+        box.free = box.free.plus(Vector.of(assignment.spec), -1)
+        self._enter(box)
+        self._count_rack(box, assignment.job, 1)
+
+    def release(self, box: BoxState, task: str) -> Assignment:
+        """Give back what a task that provably stopped had taken."""
+        self._leave(box)
+        assignment = box.tasks.pop(task)
+        box.free = box.free.plus(Vector.of(assignment.spec))
+        self._enter(box)
+        self._count_rack(box, assignment.job, -1)
+        return assignment
+
+    def _count_rack(self, box: BoxState, job: str, change: int) -> None:
+        racks = self._racks.setdefault(job, {})
+        count = racks.get(box.info.rack, 0) + change
+        if count:
+            racks[box.info.rack] = count
+            return
+        racks.pop(box.info.rack, None)
+        if not racks:
+            del self._racks[job]
+
+    def candidates(
+        self, need: Vector, now: float, limit: int, spread: bool
+    ) -> list[BoxState]:
+        """Return up to ``limit`` boxes with room.
+
+        :param spread: from the emptiest down, instead of the fullest up.
+        """
+        found: list[BoxState] = []
+        lowest = math.floor(need.cores + EPSILON)
+        levels: t.Iterable[int] = range(lowest, self._top + 1)
+        for level in reversed(range(lowest, self._top + 1)) if spread else levels:
+            for box in self._levels.get(level, {}).values():
+                if need.fits(box.free) and box.open_for_work(now):
+                    found.append(box)
+                    if len(found) >= limit:
+                        return found
+        return found
+
+    def _level(self, box: BoxState) -> int:
+        return max(-1, math.floor(box.free.cores + EPSILON))
+
+    def _enter(self, box: BoxState) -> None:
+        level = self._level(box)
+        self._top = max(self._top, level)
+        self._levels.setdefault(level, {})[box.info.box] = box
+
+    def _leave(self, box: BoxState) -> None:
+        self._levels[self._level(box)].pop(box.info.box, None)
--- /dev/null
+++ b/src/granitetrestle/cli.py
@@ -0,0 +1,358 @@
+"""``granitetrestle``: the command line for accounts and operators. Every command
+prints a table for people, or with ``--json`` the answer itself, and exits with a
+code that tells the kind of failure."""
+
+import os
+import sys
+import time
+import typing as t
+
+import msgspec
+from absl import flags
+
+from .client import Client
+from .errors import GranitetrestleError
+from .errors import InvalidInput
+from .errors import UnreachableError
+
+__all__ = ["main"]
+
+ENV_PREFIX = "GRANITETRESTLE_"
+WAIT_S = 20.0
+POLL_S = 0.1
+Rows: t.TypeAlias = list[list[t.Any]]
+
+
+class Result(t.NamedTuple):
+    """What a command prints: the answer, and the same as a table."""
+
+    answer: t.Any
+    header: list[str]
+    rows: Rows
+
+
+class Command(t.NamedTuple):
+    """One command: its words, arguments, meaning, flags and function."""
+
+    words: tuple[str, ...]
+    arguments: tuple[str, ...]
+    meaning: str
+    define: t.Callable[[flags.FlagValues], None]
+    run: t.Callable[[Client, list[str], t.Any], Result]
+
+
+def _no_flags(values: flags.FlagValues) -> None:
+    return
+
+
+def _table_show(client: Client, args: list[str], options: t.Any) -> Result:
+    answer = client.call("GET", "/v1/table")
+    rows = [
+        [account, column, cell["value"], cell["version"]]
+        for account, cells in answer["rows"].items()
+        for column, cell in cells.items()
+    ]
+    return Result(answer, ["ACCOUNT", "COLUMN", "VALUE", "VERSION"], rows)
+
+
+def _table_flags(values: flags.FlagValues) -> None:
+    flags.DEFINE_integer(
+        "version", None, "version you saw; default: read now", flag_values=values
+    )
+    flags.DEFINE_bool("wait", True, "wait until in force", flag_values=values)
+
+
+def _table_set(client: Client, args: list[str], options: t.Any) -> Result:
+    account, column, text = args
+    version = options.version
+    if version is None:
+        rows = client.call("GET", "/v1/table")["rows"]
+        version = rows.get(account, {}).get(column, {}).get("version", 0)
+    edit = {
+        "account": account,
+        "column": column,
+        "value": _number_or_text(text),
+        "seen_version": version,
+    }
+    answer = client.call("PATCH", "/v1/table", {"edits": [edit]})
+    answer |= _in_force(client, answer["offset"], options.wait)
+    header = ["ACCEPTED AT", "IN FORCE", "NOT YET", "UNREACHABLE HALLS"]
+    row = [
+        answer["offset"],
+        len(answer["in_force"]),
+        ",".join(answer["pending"]) or "-",
+        ",".join(answer["unreachable"]) or "-",
+    ]
+    return Result(answer, header, [row])
+
+
+def _number_or_text(text: str) -> float | str:
+    try:
+        return float(text)
+    except ValueError:
+        return text
+
+
+def _in_force(client: Client, offset: int, wait: bool) -> dict[str, list[str]]:
+    """Ask where the change is in force until it is, wherever it can be."""
+    give_up = time.monotonic() + WAIT_S
+    while True:
+        status = client.call("GET", "/v1/status")
+        nodes = [n for hall in status["halls"] for n in hall["nodes"]]
+        done = [n["node"] for n in nodes if (n["offset"] or 0) >= offset]
+        late = [n["node"] for n in nodes if (n["offset"] or 0) < offset]
+        dead = {n["node"] for n in nodes if not n["live"]}
+        halls = [h["hall"] for h in status["halls"] if not h["reachable"]]
+        if not wait or set(late) <= dead or time.monotonic() > give_up:
+            return {"in_force": done, "pending": late, "unreachable": halls}
+        time.sleep(POLL_S)
+
+
+def _job_flags(values: flags.FlagValues) -> None:
+    flags.DEFINE_float("cores", 1.0, "processors of a task", flag_values=values)
+    flags.DEFINE_float("memory_gb", 1.0, "memory of a task", flag_values=values)
+    flags.DEFINE_integer(
+        "accelerators", 0, "accelerators of a task", flag_values=values
+    )
+    flags.DEFINE_integer("tasks", 1, "number of tasks", flag_values=values)
+    flags.DEFINE_float("run_s", 0.0, "declared run time", flag_values=values)
+    flags.DEFINE_bool("urgent", False, "start ahead of others", flag_values=values)
+
+
+def _submit(client: Client, options: t.Any, kind: str, service: str) -> Result:
+    spec = {
+        "kind": kind,
+        "service": service,
+        "cores": options.cores,
+        "memory_gb": options.memory_gb,
+        "accelerators": options.accelerators,
+        "tasks": options.tasks,
+        "run_s": options.run_s,
+        "urgent": options.urgent,
+    }
+    answer = client.call("POST", "/v1/jobs", spec)
+    return Result(answer, ["JOB", "OFFSET"], [[answer["subject"], answer["offset"]]])
+
+
+def _job_submit(client: Client, args: list[str], options: t.Any) -> Result:
+    return _submit(client, options, "batch", "")
+
+
+def _service_create(client: Client, args: list[str], options: t.Any) -> Result:
+    return _submit(client, options, "service", args[0])
+
+
+def _job_show(client: Client, args: list[str], options: t.Any) -> Result:
+    answer = client.call("GET", f"/v1/jobs/{args[0]}")
+    rows = [
+        [x["task"], x["attempt"], _state(x), x["evictions"], x["failures"]]
+        for x in answer["tasks"]
+    ]
+    header = ["TASK", "ATTEMPT", "STATE", "EVICTIONS", "FAILURES"]
+    return Result(answer, header, rows)
+
+
+def _state(task: dict[str, t.Any]) -> str:
+    return str(task["last_ending"]) if task["ended"] else "open"
+
+
+def _job_list(client: Client, args: list[str], options: t.Any) -> Result:
+    status = client.call("GET", "/v1/status")
+    answer: dict[str, t.Any] = {"jobs": [], "unreachable": []}
+    for hall in [h["hall"] for h in status["halls"]]:
+        try:
+            answer["jobs"] += client.call("GET", f"/v1/jobs?hall={hall}")
+        except UnreachableError:
+            answer["unreachable"].append(hall)
+    rows = [
+        [x["job"], x["account"], x["kind"], x["state"], len(x["tasks"])]
+        for x in answer["jobs"]
+    ]
+    rows += [
+        [f"(hall {hall})", "-", "-", "unreachable", "-"]
+        for hall in answer["unreachable"]
+    ]
+    return Result(answer, ["JOB", "ACCOUNT", "KIND", "STATE", "TASKS"], rows)
+
+
+def _job_cancel(client: Client, args: list[str], options: t.Any) -> Result:
+    answer = client.call("DELETE", f"/v1/jobs/{args[0]}")
+    return Result(answer, ["JOB", "OFFSET"], [[answer["subject"], answer["offset"]]])
+
+
+def _service_list(client: Client, args: list[str], options: t.Any) -> Result:
+    answer = client.call("GET", "/v1/services")
+    rows = [
+        [x["service"], x["slots_here"], ",".join(x["halls"]) or "-"] for x in answer
+    ]
+    return Result(answer, ["SERVICE", "SLOTS HERE", "OTHER HALLS"], rows)
+
+
+def _box_flags(values: flags.FlagValues) -> None:
+    flags.DEFINE_string("hall", "", "data hall; default: all", flag_values=values)
+
+
+def _box_list(client: Client, args: list[str], options: t.Any) -> Result:
+    halls = [options.hall] if options.hall else _halls(client)
+    answer: list[dict[str, t.Any]] = []
+    for hall in halls:
+        answer += client.call("GET", f"/v1/boxes?hall={hall}")
+    rows = [
+        [x["box"], x["rack"], x["state"], x["owner"], x["cores"], x["free_cores"]]
+        for x in answer
+    ]
+    header = ["BOX", "RACK", "STATE", "OWNER", "CORES", "FREE (owner only)"]
+    return Result(answer, header, rows)
+
+
+def _halls(client: Client) -> list[str]:
+    return [h["hall"] for h in client.call("GET", "/v1/status")["halls"]]
+
+
+def _drain_flags(values: flags.FlagValues) -> None:
+    flags.DEFINE_bool("undo", False, "give the box back", flag_values=values)
+
+
+def _box_drain(client: Client, args: list[str], options: t.Any) -> Result:
+    body = {"drained": not options.undo}
+    answer = client.call("PATCH", f"/v1/boxes/{args[0]}", body)
+    return Result(answer, ["BOX", "OFFSET"], [[answer["subject"], answer["offset"]]])
+
+
+def _status(client: Client, args: list[str], options: t.Any) -> Result:
+    answer = client.call("GET", "/v1/status")
+    rows: Rows = []
+    for hall in answer["halls"]:
+        owners = ",".join(f"{s}:{o or '-'}" for s, o in hall["owners"].items())
+        for node in hall["nodes"]:
+            state = "live" if node["live"] else "not heard"
+            if not hall["reachable"]:
+                state = "hall unreachable"
+            rows.append(
+                [hall["hall"], node["node"], state, node["offset"], owners or "-"]
+            )
+    header = ["HALL", "NODE", "STATE", "TABLE OFFSET", "SHARD OWNERS"]
+    return Result(answer, header, rows)
+
+
+def _explain(client: Client, args: list[str], options: t.Any) -> Result:
+    answer = client.call("GET", f"/v1/jobs/{args[0]}/explain")
+    return Result(answer, ["TASK", "WHY"], [[k, v] for k, v in answer.items()])
+
+
+COMMANDS: t.Final = (
+    Command(("table", "show"), (), "show the table", _no_flags, _table_show),
+    Command(
+        ("table", "set"),
+        ("ACCOUNT", "COLUMN", "VALUE"),
+        "change a cell",
+        _table_flags,
+        _table_set,
+    ),
+    Command(("job", "submit"), (), "submit a batch job", _job_flags, _job_submit),
+    Command(("job", "show"), ("JOB",), "show a job", _no_flags, _job_show),
+    Command(("job", "list"), (), "list jobs of all halls", _no_flags, _job_list),
+    Command(("job", "cancel"), ("JOB",), "cancel a job", _no_flags, _job_cancel),
+    Command(
+        ("service", "create"),
+        ("SERVICE",),
+        "run replicas of a service",
+        _job_flags,
+        _service_create,
+    ),
+    Command(("service", "list"), (), "list services", _no_flags, _service_list),
+    Command(("box", "list"), (), "list boxes", _box_flags, _box_list),
+    Command(("box", "drain"), ("BOX",), "empty a box", _drain_flags, _box_drain),
+    Command(("status",), (), "halls, owners, offsets", _no_flags, _status),
+    Command(("explain",), ("JOB",), "why a job is where it is", _no_flags, _explain),
+)
+
+
+def _find(words: list[str]) -> Command | None:
+    for command in COMMANDS:
+        if tuple(words[: len(command.words)]) == command.words:
+            return command
+    return None
+
+
+def _usage() -> str:
+    lines = ["usage: granitetrestle COMMAND [ARGUMENTS] [--json] [--help]", ""]
+    for command in COMMANDS:
+        words = " ".join((*command.words, *command.arguments))
+        lines.append(f"  {words:40} {command.meaning}")
+    lines += [
+        "",
+        "  --entries IP:PORT,...   (GRANITETRESTLE_ENTRIES) entries or the balancer",
+        "  --token NAME.SECRET     (GRANITETRESTLE_TOKEN) account or operator",
+        "",
+        "exit codes: 0 done, 2 bad input, 3 access denied, 4 not found, 5 conflict,",
+        "            6 not run (repeat later), 7 unknown (look first), 8 unreachable",
+    ]
+    return "\n".join(lines)
+
+
+def _parse(command: Command, argv: list[str]) -> tuple[list[str], t.Any]:
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    entries = os.environ.get(f"{ENV_PREFIX}ENTRIES", "127.0.0.1:8080")
+    token = os.environ.get(f"{ENV_PREFIX}TOKEN", "")
+    flags.DEFINE_list("entries", entries, "entry addresses", flag_values=values)
+    flags.DEFINE_string("token", token, "bearer token", flag_values=values)
+    flags.DEFINE_bool("json", False, "print the answer as JSON", flag_values=values)
+    command.define(values)
+    if {"--help", "-h"} & set(argv):
+        words = " ".join((*command.words, *command.arguments))
+        print(f"usage: granitetrestle {words}\n{command.meaning}\n")
+        print(values.main_module_help())
+        raise SystemExit(0)
+    try:
+        rest = values(["granitetrestle", *argv])
+    except flags.Error as error:
+        raise InvalidInput(str(error)) from error
+    args = rest[1:]
+    if len(args) != len(command.arguments):
+        wanted = " ".join(command.arguments) or "none"
+        raise InvalidInput(f"arguments of {' '.join(command.words)}: {wanted}")
+    return args, values
+
+
+def _print(result: Result, as_json: bool) -> None:
+    if as_json:
+        print(msgspec.json.encode(result.answer).decode())
+        return
+    table = [result.header, *([_text(cell) for cell in row] for row in result.rows)]
+    widths = [max(len(row[i]) for row in table) for i in range(len(result.header))]
+    for row in table:
+        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        print("  ".join(cells).rstrip())
+
+
+def _text(cell: t.Any) -> str:
+    if cell is None:
+        return "-"
+    return f"{cell:g}" if isinstance(cell, float) else str(cell)
+
+
+def run(argv: list[str]) -> int:
+    """Run one command; returns the exit code."""
+    command = _find(argv)
+    if command is None:
+        print(_usage())
+        return 0 if not argv or argv[0] in ("--help", "-h", "help") else 2
+    try:
+        args, options = _parse(command, argv[len(command.words) :])
+        client = Client(options.entries, options.token)
+        _print(command.run(client, args, options), options.json)
+    except GranitetrestleError as error:
+        step = f"\n  next: {error.next_step}" if error.next_step else ""
+        print(f"granitetrestle: {error.code}: {error.message}{step}", file=sys.stderr)
+        return error.exit_code
+    return 0
+
+
+def main() -> None:
+    """Entry point of the command line."""
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/granitetrestle/client.py
@@ -0,0 +1,90 @@
+"""The command line's HTTP client: tries the entries in turn, and turns error
+bodies back into the package's typed errors."""
+
+import typing as t
+
+import httpcore
+import msgspec
+
+from . import errors
+from .errors import GranitetrestleError
+from .errors import UnreachableError
+
+__all__ = ["Client"]
+
+TIMEOUT_S = 10.0
+TYPES: t.Final[dict[str, type[GranitetrestleError]]] = {
+    kind.code: kind
+    for kind in (
+        errors.InvalidInput,
+        errors.AccessDenied,
+        errors.NotFound,
+        errors.ConflictError,
+        errors.OutcomeUnknown,
+        errors.UnreachableError,
+    )
+}
+
+
+class Client:
+    """Calls the administration API.
+
+    :param entries: addresses (IP:PORT) of entry processes or of the balancer.
+    :param token: bearer token, ``NAME.SECRET``.
+    """
+
+    def __init__(self, entries: t.Sequence[str], token: str) -> None:
+        self._entries = list(entries)
+        self._token = token
+        self._pool = httpcore.ConnectionPool()
+
+    def call(self, method: str, path: str, body: t.Any = None) -> t.Any:
+        """Make a call and return the decoded answer.
+
+        :raises GranitetrestleError: the typed error that was answered, or
+            :class:`UnreachableError` if no entry took the connection.
+        """
+        problem = "no entries given"
+        for entry in self._entries:
+            try:
+                response = self._send(entry, method, path, body)
+            except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+                problem = f"{entry}: {error}"
+                continue
+            except (httpcore.TimeoutException, httpcore.NetworkError) as error:
+                if method == "GET":
+                    problem = f"{entry}: {error!r}"
+                    continue
+                raise errors.OutcomeUnknown(
+                    f"{entry} did not answer", "look before you repeat it"
+                ) from error
+            return self._decode(response)
+        raise UnreachableError(problem, "set --entries to processes that run")
+
+    def _send(
+        self, entry: str, method: str, path: str, body: t.Any
+    ) -> httpcore.Response:
+        names = ("connect", "read", "write", "pool")
+        headers = [("Authorization", f"Bearer {self._token}")]
+        return self._pool.request(
+            method,
+            f"http://{entry}{path}",
+            headers=headers,
+            content=None if body is None else msgspec.json.encode(body),
+            extensions={"timeout": dict.fromkeys(names, TIMEOUT_S)},
+        )
+
+    @staticmethod
+    def _decode(response: httpcore.Response) -> t.Any:
+        try:
+            answer = msgspec.json.decode(response.content)
+        except msgspec.DecodeError as error:
+            raise UnreachableError(f"not our answer ({response.status})") from error
+        if response.status < 300:
+            return answer
+        code = answer.get("error", "") if isinstance(answer, dict) else ""
+        if code == errors.NotRunError.code:
+            after = float(dict(response.headers).get(b"retry-after", b"1"))
+            raise errors.NotRunError(answer["message"], after)
+        kind = TYPES.get(code, GranitetrestleError)
+        raise kind(answer.get("message", ""), answer.get("next_step", ""))
--- /dev/null
+++ b/src/granitetrestle/daemon.py
@@ -0,0 +1,127 @@
+"""``granitetrestled``: one entry process. The same program runs on every entry
+box; it learns its name, hall and addresses from its settings and keeps nothing
+that the platform's log does not."""
+
+import contextlib
+import os
+import signal
+import sys
+import time
+import typing as t
+import uuid
+
+import anyio
+import uvicorn
+
+from .access import Access
+from .api import make_app
+from .engine import Engine
+from .errors import SettingsError
+from .ownership import OwnershipTerms
+from .placement import PlacementTerms
+from .reducer import Reducer
+from .reducer import Setup
+from .settings import Settings
+from .settings import load_from_process
+from .settings import usage
+from .telemetry import start_telemetry
+
+__all__ = ["main"]
+
+KEEP_ALIVE_S = 5
+MAX_CONCURRENT = 8192
+READY_POLL_S = 0.1
+
+
+class _Server(uvicorn.Server):
+    """uvicorn inside this process; signals are the daemon's own business."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> t.Iterator[None]:
+        """Leave signals alone."""
+        yield
+
+
+def _setup(settings: Settings) -> Setup:
+    halls: dict[str, tuple[str, ...]] = {}
+    for peer in settings.peers:
+        halls[peer.hall] = (*halls.get(peer.hall, ()), peer.node)
+    return Setup(
+        node=settings.node,
+        incarnation=f"{settings.node}-{uuid.uuid4().hex[:8]}",
+        hall=settings.hall,
+        halls=halls,
+        shards=settings.shards,
+        ownership=OwnershipTerms(term_s=settings.term_s),
+        placement=PlacementTerms(
+            lease_s=settings.lease_s, exchange_s=settings.exchange_s
+        ),
+    )
+
+
+async def _run(settings: Settings) -> None:
+    telemetry = start_telemetry(settings)
+    setup = _setup(settings)
+    reducer = Reducer(setup)
+    engine = Engine(settings, setup.incarnation, reducer, telemetry)
+    access = Access(settings, reducer.table)
+    config = uvicorn.Config(
+        make_app(engine, access),
+        host=settings.http.ip,
+        port=settings.http.port,
+        loop="asyncio",
+        http="h11",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        limit_concurrency=MAX_CONCURRENT,
+        server_header=False,
+    )
+    server = _Server(config)
+    telemetry.log.info("started", incarnation=setup.incarnation, pid=os.getpid())
+    async with anyio.create_task_group() as tasks:
+        await engine.run(tasks)
+        tasks.start_soon(_serve, server, tasks)
+        await _wait_for_signal()
+        await engine.stop()
+        server.should_exit = True
+        await anyio.sleep(READY_POLL_S)
+        tasks.cancel_scope.cancel()
+    engine.close()
+    telemetry.provider.shutdown()
+
+
+async def _serve(server: _Server, tasks: anyio.abc.TaskGroup) -> None:
+    try:
+        await server.serve()
+    except SystemExit as stop:
+        # uvicorn exits so when it can't bind; end this process the same way.
+        raise RuntimeError("the HTTP address can't be bound") from stop
+
+
+async def _wait_for_signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+def main() -> None:
+    """Run the daemon until a signal asks it to stop."""
+    if {"--help", "-h"} & set(sys.argv[1:]):
+        print(usage())
+        return
+    try:
+        settings = load_from_process(sys.argv)
+    except SettingsError as error:
+        for problem in error.problems:
+            print(f"granitetrestled: {problem}", file=sys.stderr)
+        sys.exit(error.exit_code)
+    started = time.monotonic()
+    anyio.run(_run, settings, backend="asyncio")
+    elapsed = time.monotonic() - started
+    print(f'{{"event": "exited", "uptime_s": {elapsed:.1f}}}', file=sys.stderr)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/granitetrestle/engine.py
@@ -0,0 +1,416 @@
+"""Runs the reducer among the adapters: turns what happens into events, carries
+out the effects, and keeps what the reducer need not see (bodies, trace
+contexts). A broken invariant ends the process: leases bound the harm, and a
+process that replaces it starts from the log."""
+
+import time
+import typing as t
+
+import anyio
+import anyio.abc
+from opentelemetry import context as otel_context
+from opentelemetry import trace
+
+from .boxlink import BoxLink
+from .calls import Caller
+from .calls import CallFailure
+from .calls import Reply
+from .errors import LogGapError
+from .errors import LogUnavailable
+from .events import AnswerArrived
+from .events import AnswerFailed
+from .events import AppendFacts
+from .events import BoxListRead
+from .events import CallerLeft
+from .events import CommandBox
+from .events import Conclude
+from .events import Dispatch
+from .events import Effect
+from .events import Event
+from .events import FactsWithdrawn
+from .events import Forward
+from .events import LogRead
+from .events import Note
+from .events import PeerMessage
+from .events import Proof
+from .events import RequestArrived
+from .events import SendPeer
+from .events import StopAsked
+from .events import Tick
+from .events import Withdraw
+from .loglink import LogClient
+from .loglink import LogWriter
+from .loglink import backoffs
+from .messages import Message
+from .outcomes import Answered
+from .outcomes import Outcome
+from .peerlink import PeerLink
+from .reducer import CONFIG_STREAM
+from .reducer import Reducer
+from .reducer import hall_stream
+from .settings import Settings
+from .telemetry import PROPAGATOR
+from .telemetry import Telemetry
+
+__all__ = ["CallBody", "Engine"]
+
+TICK_S = 0.05
+LIST_EVERY_S = 2.0
+PRUNE_EVERY_S = 0.5
+PEER_TOKEN = b"x-granitetrestle-peer"
+HOPS = b"x-granitetrestle-hops"
+KEY_GRANTED = b"x-granitetrestle-key-granted"
+OUTCOME = b"x-granitetrestle-outcome"
+REQUEST_ID = b"x-request-id"
+DEADLINE_MS = b"x-deadline-ms"
+
+
+class CallBody(t.NamedTuple):
+    """What the reducer need not see of a request."""
+
+    path: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class _Waiter:
+    """Somebody waiting for the outcome of a request."""
+
+    __slots__ = ("body", "context", "done", "outcome", "reply")
+
+    def __init__(self, body: CallBody | None) -> None:
+        self.body = body
+        self.context = otel_context.get_current()
+        self.done = anyio.Event()
+        self.outcome: Outcome | None = None
+        self.reply: Reply | None = None
+
+
+class Engine:
+    """One process: the reducer, its adapters, and the tasks between them."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: str,
+        reducer: Reducer,
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._reducer = reducer
+        self._telemetry = telemetry
+        self._log_client = LogClient(str(settings.platform))
+        self._boxes = BoxLink(str(settings.platform))
+        self._caller = Caller()
+        self._peers = PeerLink(settings, incarnation)
+        self._http = {peer.node: str(peer.http) for peer in settings.peers}
+        self._own_stream = hall_stream(settings.hall)
+        self._writers = {
+            stream: self._make_writer(stream)
+            for stream in (CONFIG_STREAM, self._own_stream)
+        }
+        self._waiters: dict[str, _Waiter] = {}
+        self._append_contexts: dict[str, otel_context.Context] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    def _make_writer(self, stream: str) -> LogWriter:
+        return LogWriter(
+            self._log_client, stream, self._incarnation, self._appended, time.time_ns
+        )
+
+    @property
+    def reducer(self) -> Reducer:
+        """The decisions."""
+        return self._reducer
+
+    @property
+    def settings(self) -> Settings:
+        """The settings of this process."""
+        return self._settings
+
+    @property
+    def telemetry(self) -> Telemetry:
+        """Logger, metrics and tracer."""
+        return self._telemetry
+
+    @property
+    def caller(self) -> Caller:
+        """HTTP calls to peers."""
+        return self._caller
+
+    def http_address(self, node: str) -> str | None:
+        """Return where a process of the system listens for HTTP."""
+        return self._http.get(node)
+
+    async def run(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start everything that runs beside the HTTP server."""
+        self._tasks = tasks
+        tasks.start_soon(self._tick_loop)
+        tasks.start_soon(self._peer_loop)
+        tasks.start_soon(self._list_loop)
+        tasks.start_soon(self._prune_loop)
+        for stream, writer in self._writers.items():
+            tasks.start_soon(self._read_loop, stream)
+            tasks.start_soon(writer.run)
+
+    def close(self) -> None:
+        """Close sockets."""
+        self._peers.close()
+
+    def dispatch(self, event: Event) -> None:
+        """Apply an event and carry out its effects."""
+        for effect in self._reducer.step(event):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case AppendFacts():
+                self._keep_context(effect.request)
+                self._writers[effect.stream].put(effect)
+            case SendPeer():
+                self._send_peer(effect.node, effect.message)
+            case CommandBox():
+                self._start(self._exchange, effect)
+            case Dispatch():
+                self._start(self._call_endpoint, effect)
+            case Forward():
+                self._start(self._call_peer, effect)
+            case Conclude():
+                self._conclude(effect)
+            case Withdraw():
+                unsent = self._writers[effect.stream].withdraw(effect.request)
+                if unsent:
+                    self._append_contexts.pop(effect.request, None)
+                now = time.monotonic()
+                self.dispatch(FactsWithdrawn(now, effect.request, unsent))
+            case Note():
+                self._note(effect)
+
+    def _start(
+        self, function: t.Callable[..., t.Coroutine[t.Any, t.Any, None]], *args: t.Any
+    ) -> None:
+        assert self._tasks is not None
+        self._tasks.start_soon(function, *args)
+
+    def _send_peer(self, node: str, message: Message) -> None:
+        if node == self._settings.node:
+            self._start(self._loop_back, message)
+        else:
+            self._peers.send(node, message)
+
+    async def _loop_back(self, message: Message) -> None:
+        self._peer_event(self._settings.node, self._incarnation, message)
+
+    def _peer_event(self, sender: str, incarnation: str, message: Message) -> None:
+        now, wall = time.monotonic(), time.time()
+        self.dispatch(PeerMessage(now, wall, sender, incarnation, message))
+
+    def _note(self, note: Note) -> None:
+        self._telemetry.log.info(
+            note.event, subject=note.subject, detail=note.detail, epoch=note.epoch
+        )
+        self._telemetry.metrics.count(f"decision.{note.event}")
+
+    def _conclude(self, effect: Conclude) -> None:
+        waiter = self._waiters.get(effect.request)
+        if waiter is not None:
+            waiter.outcome = effect.outcome
+            waiter.done.set()
+
+    async def ask(self, request: str, event: Event) -> Outcome:
+        """Apply a change and wait for its outcome."""
+        outcome, _ = await self._wait(request, event, None)
+        return outcome
+
+    async def call(
+        self, event: RequestArrived, body: CallBody
+    ) -> tuple[Outcome, Reply | None]:
+        """Serve a caller's request; a reply comes with ``Answered`` alone."""
+        return await self._wait(event.request, event, body)
+
+    async def _wait(
+        self, request: str, event: Event, body: CallBody | None
+    ) -> tuple[Outcome, Reply | None]:
+        waiter = self._waiters[request] = _Waiter(body)
+        try:
+            self.dispatch(event)
+            await waiter.done.wait()
+        finally:
+            del self._waiters[request]
+            if not waiter.done.is_set():
+                self.dispatch(CallerLeft(time.monotonic(), request))
+        assert waiter.outcome is not None
+        return waiter.outcome, waiter.reply
+
+    async def _call_endpoint(self, effect: Dispatch) -> None:
+        waiter = self._waiters.get(effect.request)
+        if waiter is None or waiter.body is None:
+            return
+        service = waiter.body.path.split("/")[3]
+        headers = [(REQUEST_ID, effect.request.encode()), *waiter.body.headers]
+        await self._call(
+            effect.request,
+            effect.serial,
+            effect.address,
+            f"/v1/serve/{service}",
+            headers,
+            effect.deadline,
+            effect.fresh,
+            ("runner call", effect.endpoint),
+        )
+
+    async def _call_peer(self, effect: Forward) -> None:
+        waiter = self._waiters.get(effect.request)
+        address = self._http.get(effect.node)
+        if waiter is None or waiter.body is None or address is None:
+            proof = Proof(False, f"no address of {effect.node}")
+            self._failed(effect.request, effect.serial, proof)
+            return
+        left_ms = max(1, int((effect.deadline - time.monotonic()) * 1000))
+        headers = [
+            (REQUEST_ID, effect.request.encode()),
+            (PEER_TOKEN, self._settings.peer_token.encode()),
+            (HOPS, str(effect.hops).encode()),
+            (DEADLINE_MS, str(left_ms).encode()),
+            *waiter.body.headers,
+        ]
+        if effect.key_granted:
+            headers.append((KEY_GRANTED, b"yes"))
+        await self._call(
+            effect.request,
+            effect.serial,
+            address,
+            waiter.body.path,
+            headers,
+            effect.deadline,
+            True,
+            ("peer call", effect.node),
+        )
+
+    async def _call(
+        self,
+        request: str,
+        serial: int,
+        address: str,
+        path: str,
+        headers: list[tuple[bytes, bytes]],
+        deadline: float,
+        fresh: bool,
+        hop: tuple[str, str],
+    ) -> None:
+        waiter = self._waiters[request]
+        assert waiter.body is not None
+        with self._telemetry.tracer.start_as_current_span(
+            hop[0], context=waiter.context, kind=trace.SpanKind.CLIENT
+        ) as span:
+            if span.is_recording():
+                span.set_attribute("peer", hop[1])
+                span.set_attribute("request", request)
+            carrier: dict[str, str] = {}
+            PROPAGATOR.inject(carrier)
+            headers += [(k.encode(), v.encode()) for k, v in carrier.items()]
+            timeout_s = deadline - time.monotonic()
+            outcome = await self._caller.call(
+                address, path, headers, waiter.body.body, timeout_s, fresh
+            )
+        self._called(request, serial, waiter, outcome)
+
+    def _called(
+        self, request: str, serial: int, waiter: _Waiter, outcome: Reply | CallFailure
+    ) -> None:
+        if isinstance(outcome, CallFailure):
+            self._failed(request, serial, outcome.proof)
+            return
+        if outcome.header(REQUEST_ID) != request.encode():
+            self._failed(request, serial, Proof(True, "answer to another request"))
+            return
+        verdict = outcome.header(OUTCOME)
+        if verdict in (b"not_run", b"unknown"):
+            text = outcome.body.decode(errors="replace")[:300]
+            self._failed(request, serial, Proof(verdict == b"unknown", text))
+            return
+        waiter.reply = outcome
+        self.dispatch(AnswerArrived(time.monotonic(), request, serial))
+
+    def _failed(self, request: str, serial: int, proof: Proof) -> None:
+        self._telemetry.metrics.count("call.failed")
+        self.dispatch(AnswerFailed(time.monotonic(), request, serial, proof))
+
+    async def _exchange(self, effect: CommandBox) -> None:
+        self.dispatch(await self._boxes.exchange(effect))
+
+    def _keep_context(self, request: str) -> None:
+        # The read-back may conclude a request before its append is answered.
+        waiter = self._waiters.get(request)
+        if waiter is not None:
+            self._append_contexts[request] = waiter.context
+
+    def _appended(self, names: t.Sequence[str], started_ns: int) -> None:
+        for name in names:
+            context = self._append_contexts.pop(name, None)
+            if context is None:
+                continue
+            span = self._telemetry.tracer.start_span(
+                "log append",
+                context=context,
+                start_time=started_ns,
+                kind=trace.SpanKind.PRODUCER,
+            )
+            span.end()
+
+    async def _tick_loop(self) -> None:
+        while True:
+            self.dispatch(Tick(time.monotonic(), time.time()))
+            await anyio.sleep(TICK_S)
+
+    async def _peer_loop(self) -> None:
+        async for envelope in self._peers.receive():
+            self._peer_event(envelope.sender, envelope.incarnation, envelope.message)
+
+    async def _list_loop(self) -> None:
+        while True:
+            boxes = await self._boxes.listed(self._settings.hall)
+            if boxes is not None:
+                self.dispatch(BoxListRead(time.monotonic(), boxes))
+            await anyio.sleep(LIST_EVERY_S)
+
+    async def _prune_loop(self) -> None:
+        while True:
+            await anyio.sleep(PRUNE_EVERY_S)
+            await self._caller.prune()
+
+    async def _read_loop(self, stream: str) -> None:
+        waits = backoffs()
+        offset = 1
+        while True:
+            try:
+                page = await self._log_client.read(stream, offset)
+            except LogUnavailable as error:
+                self._telemetry.log.warning("log_unavailable", detail=error.message)
+                await anyio.sleep(next(waits))
+                continue
+            except LogGapError as error:
+                # Without a snapshot, a gap can't be closed; say so and read on.
+                self._telemetry.log.error("log_gap", detail=error.message)
+                offset = error.first
+                continue
+            waits = backoffs()
+            offset = page.next_offset
+            self.dispatch(
+                LogRead(time.monotonic(), stream, page.records, offset, page.tail)
+            )
+            self._writers[stream].noticed(page.records, page.tail)
+
+    async def stop(self) -> None:
+        """Hand over and finish, for as long as the settings allow."""
+        self.dispatch(StopAsked(time.monotonic()))
+        with anyio.move_on_after(self._settings.stop_grace_s):
+            while not self._reducer.stopped:
+                await anyio.sleep(TICK_S)
+        self._telemetry.log.info("stopped", clean=self._reducer.stopped)
+
+
+def answered(outcome: Outcome) -> t.TypeGuard[Answered]:
+    """Say whether the outcome comes with a reply."""
+    return isinstance(outcome, Answered)
--- /dev/null
+++ b/src/granitetrestle/events.py
@@ -0,0 +1,378 @@
+"""Events that the reducer takes and effects that it gives back, as plain data.
+Time, randomness and I/O reach the decisions only through these types, so any
+run can be replayed, and every fault is just another order of events."""
+
+import typing as t
+
+from .messages import Message
+from .outcomes import Outcome
+from .records import CellEdit
+from .records import Fact
+from .records import JobSpec
+from .records import LogRecord
+
+__all__ = [
+    "AnswerArrived",
+    "AnswerFailed",
+    "AppendFacts",
+    "BoxAnswered",
+    "BoxDrainAsked",
+    "BoxFailed",
+    "BoxInfo",
+    "BoxListRead",
+    "BoxReport",
+    "CallerLeft",
+    "Command",
+    "CommandBox",
+    "CommandResult",
+    "Conclude",
+    "Dispatch",
+    "Effect",
+    "Event",
+    "FactsWithdrawn",
+    "Forward",
+    "JobCancelAsked",
+    "JobSubmitAsked",
+    "LogRead",
+    "Note",
+    "PeerMessage",
+    "Proof",
+    "RequestArrived",
+    "SendPeer",
+    "StopAsked",
+    "TableEditAsked",
+    "TaskReport",
+    "Tick",
+    "Withdraw",
+]
+
+
+class BoxInfo(t.NamedTuple):
+    """A line of the platform's lagging list of boxes.
+
+    :param address: takes exchanges; ``endpoint_address`` takes requests.
+    """
+
+    box: str
+    hall: str
+    rack: str
+    address: str
+    endpoint_address: str
+    leaving: bool
+    cores: float
+    memory_gb: float
+    accelerators: int
+    slots: int
+
+
+class Command(t.NamedTuple):
+    """One order to a box.
+
+    :param speed: for throttle, the share of its cores that a task may use.
+
+    :param not_after: wall time (s) after which a start is dead on arrival.
+    :param expires: wall time (s) at which the box drops the task by itself.
+    """
+
+    op: t.Literal["start", "renew", "stop", "checkpoint", "forget", "throttle"]
+    task: str
+    attempt: int
+    epoch: int
+    not_after: float = 0.0
+    expires: float = 0.0
+    spec: JobSpec | None = None
+    checkpoint: str = ""
+    speed: float = 1.0
+
+
+class CommandResult(t.NamedTuple):
+    """A box's answer to one command; ``error`` is empty if it was obeyed."""
+
+    task: str
+    attempt: int
+    op: str
+    error: str
+
+
+class TaskReport(t.NamedTuple):
+    """One task on a box: running, finished, failed, stopped or evicted."""
+
+    task: str
+    attempt: int
+    epoch: int
+    state: str
+    checkpoint: str = ""
+    cores_used: float = 0.0
+
+
+class BoxReport(t.NamedTuple):
+    """All that a box holds, taken after it obeyed the commands it came with."""
+
+    tasks: tuple[TaskReport, ...]
+
+
+class Tick(t.NamedTuple):
+    """Time passes. ``now`` is monotonic, ``wall`` is wall time; both seconds."""
+
+    now: float
+    wall: float
+
+
+class LogRead(t.NamedTuple):
+    """Records of one stream in order; ``tail`` if the read reached its end."""
+
+    now: float
+    stream: str
+    records: tuple[LogRecord, ...]
+    next_offset: int
+    tail: bool
+
+
+class FactsWithdrawn(t.NamedTuple):
+    """Answer to :class:`Withdraw`. ``unsent`` proves that nothing was sent."""
+
+    now: float
+    request: str
+    unsent: bool
+
+
+class PeerMessage(t.NamedTuple):
+    """A message from another process of the system."""
+
+    now: float
+    wall: float
+    sender: str
+    incarnation: str
+    message: Message
+
+
+class BoxListRead(t.NamedTuple):
+    """The platform's list of boxes, of this hall only."""
+
+    now: float
+    boxes: tuple[BoxInfo, ...]
+
+
+class BoxAnswered(t.NamedTuple):
+    """A box answered an exchange that was sent at wall time ``sent_wall``."""
+
+    now: float
+    wall: float
+    box: str
+    sent_wall: float
+    results: tuple[CommandResult, ...]
+    report: BoxReport
+
+
+class BoxFailed(t.NamedTuple):
+    """An exchange failed; unless ``unsent``, its commands may have arrived."""
+
+    now: float
+    wall: float
+    box: str
+    commands: tuple[Command, ...]
+    unsent: bool
+
+
+class JobSubmitAsked(t.NamedTuple):
+    """An account submits a job."""
+
+    now: float
+    request: str
+    job: str
+    account: str
+    spec: JobSpec
+
+
+class JobCancelAsked(t.NamedTuple):
+    """An account (or, with ``account`` empty, an operator) cancels a job."""
+
+    now: float
+    request: str
+    job: str
+    account: str
+
+
+class TableEditAsked(t.NamedTuple):
+    """An operator changes cells of the table."""
+
+    now: float
+    request: str
+    edits: tuple[CellEdit, ...]
+
+
+class BoxDrainAsked(t.NamedTuple):
+    """An operator drains a box or gives it back."""
+
+    now: float
+    request: str
+    box: str
+    drained: bool
+
+
+class RequestArrived(t.NamedTuple):
+    """A caller's request. ``deadline`` is monotonic seconds.
+
+    :param repeatable: may run more than once without harm.
+    :param key: names work that must run at most once.
+    :param issued_at: wall time (s) at which the caller made the key.
+    :param hops: how often another process has sent it on.
+    :param key_granted: the key's decider has already said ``run``.
+    """
+
+    now: float
+    wall: float
+    request: str
+    account: str
+    service: str
+    deadline: float
+    repeatable: bool = False
+    key: str = ""
+    issued_at: float = 0.0
+    hops: int = 0
+    key_granted: bool = False
+
+
+class Proof(t.NamedTuple):
+    """What is known of a failed try: whether the work can have begun."""
+
+    may_have_run: bool
+    detail: str
+
+
+class AnswerArrived(t.NamedTuple):
+    """A whole answer came back for try ``serial`` of a request."""
+
+    now: float
+    request: str
+    serial: int
+
+
+class AnswerFailed(t.NamedTuple):
+    """Try ``serial`` of a request failed."""
+
+    now: float
+    request: str
+    serial: int
+    proof: Proof
+
+
+class CallerLeft(t.NamedTuple):
+    """The caller hung up before its answer."""
+
+    now: float
+    request: str
+
+
+class StopAsked(t.NamedTuple):
+    """A planned stop: hand over, finish what is in flight, exit."""
+
+    now: float
+
+
+Event: t.TypeAlias = (
+    Tick
+    | LogRead
+    | FactsWithdrawn
+    | PeerMessage
+    | BoxListRead
+    | BoxAnswered
+    | BoxFailed
+    | JobSubmitAsked
+    | JobCancelAsked
+    | TableEditAsked
+    | BoxDrainAsked
+    | RequestArrived
+    | AnswerArrived
+    | AnswerFailed
+    | CallerLeft
+    | StopAsked
+)
+
+
+class AppendFacts(t.NamedTuple):
+    """Put facts on a stream.
+
+    :param request: name by which :class:`Withdraw` can take them back.
+    :param latest_only: a newer append of the same name replaces a waiting one.
+    """
+
+    stream: str
+    facts: tuple[Fact, ...]
+    request: str = ""
+    latest_only: bool = False
+
+
+class Withdraw(t.NamedTuple):
+    """Take back facts that were not yet sent."""
+
+    stream: str
+    request: str
+
+
+class SendPeer(t.NamedTuple):
+    """Send a message to a process by name; it may be dropped."""
+
+    node: str
+    message: Message
+
+
+class CommandBox(t.NamedTuple):
+    """Exchange commands for a report with a box."""
+
+    box: str
+    address: str
+    commands: tuple[Command, ...]
+
+
+class Conclude(t.NamedTuple):
+    """Give a caller or operator the one final outcome."""
+
+    request: str
+    outcome: Outcome
+
+
+class Dispatch(t.NamedTuple):
+    """Send a request to an endpoint as its try ``serial``.
+
+    :param fresh: use a connection just known good (non-repeatable work).
+    """
+
+    request: str
+    serial: int
+    endpoint: str
+    address: str
+    deadline: float
+    fresh: bool
+
+
+class Forward(t.NamedTuple):
+    """Send a request on to a process of another hall as its try ``serial``."""
+
+    request: str
+    serial: int
+    node: str
+    deadline: float
+    hops: int
+    key_granted: bool
+
+
+class Note(t.NamedTuple):
+    """A decision worth a log line; ``epoch`` is 0 where none applies."""
+
+    event: str
+    subject: str
+    detail: str = ""
+    epoch: int = 0
+
+
+Effect: t.TypeAlias = (
+    AppendFacts
+    | Withdraw
+    | SendPeer
+    | CommandBox
+    | Conclude
+    | Dispatch
+    | Forward
+    | Note
+)
--- /dev/null
+++ b/src/granitetrestle/heartbeat.py
@@ -0,0 +1,81 @@
+"""Signs of life. Each process numbers its beats; one process of the hall, the
+gatherer, puts all of them on the log in one small append, so that renewing the
+terms of a whole hall costs about one append a second. A process whose beat does
+not show up in time appends its own."""
+
+import typing as t
+
+from .events import AppendFacts
+from .events import Effect
+from .events import SendPeer
+from .messages import BeatSent
+from .ownership import Ownership
+from .records import Beat
+from .records import Renewed
+
+__all__ = ["Heartbeat"]
+
+BEAT_S = 0.8
+OWN_APPEND_AFTER_S = 1.5
+
+
+class Heartbeat:
+    """This process's beats, and those it gathers for others."""
+
+    def __init__(
+        self, stream: str, node: str, incarnation: str, ownership: Ownership
+    ) -> None:
+        self._stream = stream
+        self._node = node
+        self._incarnation = incarnation
+        self._ownership = ownership
+        self._number = 0
+        self._beat_at = -1e18
+        self._gathered: dict[str, Beat] = {}
+
+    def gather(self, beat: Beat) -> None:
+        """Keep another process's beat for the next append."""
+        known = self._gathered.get(beat.node)
+        if (
+            known is None
+            or known.incarnation != beat.incarnation
+            or known.number < beat.number
+        ):
+            self._gathered[beat.node] = beat
+
+    def read_back(self, beats: t.Iterable[Beat]) -> None:
+        """Drop gathered beats that now stand on the log."""
+        for beat in beats:
+            known = self._gathered.get(beat.node)
+            if known is not None and known.number <= beat.number:
+                del self._gathered[beat.node]
+
+    def tick(self, now: float, config_offset: int, stopping: bool) -> list[Effect]:
+        """Return what the next beat takes, if it is due."""
+        if now - self._beat_at < BEAT_S:
+            return []
+        self._beat_at = now
+        self._number += 1
+        beat = Beat(
+            self._node, self._incarnation, self._number, config_offset, stopping
+        )
+        self._ownership.beat_sent(self._number, now)
+        gatherer = self._ownership.gatherer(now)
+        if gatherer == self._node:
+            return [self._append(beat)]
+        effects: list[Effect] = [SendPeer(gatherer, BeatSent(beat))]
+        self._gathered.clear()
+        if self._overlooked(now):
+            effects.append(self._append(beat))
+        return effects
+
+    def _overlooked(self, now: float) -> bool:
+        own = self._ownership.members.get(self._node)
+        if own is None or own.beat.incarnation != self._incarnation:
+            return True
+        return now - own.heard_at > OWN_APPEND_AFTER_S
+
+    def _append(self, beat: Beat) -> Effect:
+        others = [b for b in self._gathered.values() if b.node != self._node]
+        beats = (beat, *sorted(others, key=lambda b: b.node))
+        return AppendFacts(self._stream, (Renewed(beats),), "beats", latest_only=True)
--- /dev/null
+++ b/src/granitetrestle/keys.py
@@ -0,0 +1,72 @@
+"""Keys of requests that must not be repeated. One process per epoch decides on a
+key, and says ``run`` to exactly one asker; what an earlier epoch may have let
+run is answered as too old, never run (promise 6)."""
+
+import typing as t
+import zlib
+
+__all__ = ["KeyLedger", "Verdict", "key_hall", "key_shard"]
+
+Verdict: t.TypeAlias = t.Literal["run", "seen", "too_old", "not_owner"]
+HORIZON_S = 600.0
+MAX_KEYS = 200_000
+
+
+def _score(*parts: str) -> int:
+    return zlib.crc32("\0".join(parts).encode())
+
+
+def key_hall(account: str, key: str, halls: t.Sequence[str]) -> str:
+    """Return the data hall that decides on a key; the same everywhere."""
+    return max(sorted(halls), key=lambda hall: _score(hall, account, key))
+
+
+def key_shard(account: str, key: str, shards: int) -> int:
+    """Return the shard whose owner decides on a key."""
+    return _score(account, key) % shards
+
+
+class KeyLedger:
+    """Decisions of one epoch.
+
+    :param since_wall: wall time (s) before which keys may have been decided by
+        an earlier epoch; includes the clock margin.
+    """
+
+    def __init__(self, since_wall: float) -> None:
+        self._since_wall = since_wall
+        self._decided: dict[tuple[str, str], tuple[float, str]] = {}
+
+    def __len__(self) -> int:
+        return len(self._decided)
+
+    def decide(
+        self, account: str, key: str, issued_at: float, wall: float, request: str
+    ) -> Verdict:
+        """Decide on a key, once.
+
+        :param issued_at: wall time (s) at which the caller made the key.
+        :returns: ``run`` the first time, then ``seen``; ``too_old`` for keys
+            from before this epoch or beyond the horizon; ``not_owner`` when the
+            ledger is full.
+        """
+        if (account, key) in self._decided:
+            return "seen"
+        if issued_at <= max(self._since_wall, wall - HORIZON_S):
+            return "too_old"
+        if len(self._decided) >= MAX_KEYS:
+            return "not_owner"
+        self._decided[(account, key)] = (issued_at, request)
+        return "run"
+
+    def returned(self, account: str, key: str, request: str) -> None:
+        """Free a key whose one asker has proof that it did not run."""
+        decided = self._decided.get((account, key))
+        if decided is not None and decided[1] == request:
+            del self._decided[(account, key)]
+
+    def prune(self, wall: float) -> None:
+        """Drop keys that the horizon alone now refuses."""
+        for name, (issued_at, _) in list(self._decided.items()):
+            if issued_at <= wall - HORIZON_S:
+                del self._decided[name]
--- /dev/null
+++ b/src/granitetrestle/lending.py
@@ -0,0 +1,213 @@
+"""Slots of endpoints, lent by the shard's owner to the entry processes with a
+term, so that what all of them together may use never passes what an endpoint
+has. The owner counts a loan until its term ends or the borrower says that it
+holds less; the borrower counts the term from before it asked."""
+
+import dataclasses
+import typing as t
+
+from .errors import InvariantViolated
+from .messages import EndpointInfo
+from .messages import Loan
+from .messages import LoansGranted
+from .messages import LoansHeld
+
+__all__ = ["Lendable", "Lender", "LendingTerms"]
+
+
+class LendingTerms(t.NamedTuple):
+    """Durations in seconds.
+
+    :param loan_s: how long a loan holds after the borrower asked.
+    :param ask_s: time between two askings of a borrower.
+    """
+
+    loan_s: float = 8.0
+    ask_s: float = 1.0
+
+
+class Lendable(t.NamedTuple):
+    """An endpoint with its slots.
+
+    :param ours: started under the current epoch, so no older loan exists.
+    """
+
+    info: EndpointInfo
+    slots: int
+    ours: bool
+
+
+class _Grant(t.NamedTuple):
+    serial: int
+    until: float
+    loans: dict[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Borrower:
+    """A borrower's last word and the grants it may not have seen yet."""
+
+    number: int = 0
+    serial: int = 0
+    asked_at: float = -1e18
+    held: dict[str, int] = dataclasses.field(default_factory=dict)
+    held_until: float = -1e18
+    pending: list[_Grant] = dataclasses.field(default_factory=list)
+    sent: dict[int, float] = dataclasses.field(default_factory=dict)
+    demand: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def may_use(self, endpoint: str, now: float) -> int:
+        """Return the most that the borrower may be using."""
+        held = self.held.get(endpoint, 0) if self.held_until > now else 0
+        sent = [g.loans.get(endpoint, 0) for g in self.pending if g.until > now]
+        return max([held, *sent])
+
+
+class Lender:
+    """The owner's ledger of one shard.
+
+    :param locked_until: monotonic time until which loans of an older epoch that
+        nobody has reported may still be in use.
+    """
+
+    def __init__(
+        self, shard: int, epoch: int, locked_until: float, terms: LendingTerms
+    ) -> None:
+        self._shard = shard
+        self._epoch = epoch
+        self._locked_until = locked_until
+        self._terms = terms
+        self._lendable: dict[str, Lendable] = {}
+        self._borrowers: dict[tuple[str, str], _Borrower] = {}
+
+    @property
+    def lendable(self) -> t.Mapping[str, Lendable]:
+        """Endpoint name -> what may be lent of it."""
+        return self._lendable
+
+    def set_lendable(self, lendable: dict[str, Lendable]) -> None:
+        """Replace the endpoints that may be lent."""
+        self._lendable = lendable
+
+    def older_owner_gone(self, now: float) -> None:
+        """Shorten the lock: nobody renews older loans any more."""
+        self._locked_until = min(self._locked_until, now + self._terms.loan_s)
+
+    def outstanding(self, endpoint: str, now: float) -> int:
+        """Return the slots of ``endpoint`` that borrowers may be using."""
+        return sum(b.may_use(endpoint, now) for b in self._borrowers.values())
+
+    def asked(
+        self, node: str, incarnation: str, message: LoansHeld, now: float
+    ) -> LoansGranted | None:
+        """Take a borrower's report and return what it may use from now on.
+
+        :returns: ``None`` for a message of another epoch, or a late or doubled
+            one.
+        """
+        borrower = self._borrowers.setdefault((node, incarnation), _Borrower())
+        if message.epoch != self._epoch or message.number <= borrower.number:
+            return None
+        self._note_report(borrower, message, now)
+        grant = self._grant(borrower, now)
+        borrower.pending.append(grant)
+        loans = tuple(
+            Loan(name, info.service, info.address, slots)
+            for name, slots in grant.loans.items()
+            if (info := self._lendable[name].info)
+        )
+        return LoansGranted(
+            self._shard,
+            self._epoch,
+            grant.serial,
+            message.number,
+            self._terms.loan_s,
+            loans,
+        )
+
+    def _note_report(self, borrower: _Borrower, message: LoansHeld, now: float) -> None:
+        borrower.number = message.number
+        borrower.asked_at = now
+        borrower.demand = message.demand
+        borrower.held = message.loans
+        borrower.held_until = now + self._terms.loan_s
+        borrower.pending = [
+            grant
+            for grant in borrower.pending
+            if grant.serial > message.applied and grant.until > now
+        ]
+
+    @property
+    def epoch(self) -> int:
+        """The epoch under which this ledger lends."""
+        return self._epoch
+
+    def grant_sent_at(self, node: str, incarnation: str, serial: int) -> float | None:
+        """Return when the grant that a borrower echoes was sent, if known."""
+        borrower = self._borrowers.get((node, incarnation))
+        return borrower.sent.get(serial) if borrower is not None else None
+
+    def _grant(self, borrower: _Borrower, now: float) -> _Grant:
+        active = self._active(now)
+        borrower.serial += 1
+        borrower.sent[borrower.serial] = now
+        borrower.sent.pop(borrower.serial - 16, None)
+        loans: dict[str, int] = {}
+        for name, entry in self._lendable.items():
+            slots = min(
+                self._room(name, entry, borrower, now),
+                _fair_part(name, entry, borrower, active),
+            )
+            if slots > 0:
+                loans[name] = slots
+        return _Grant(borrower.serial, now + self._terms.loan_s, loans)
+
+    def _active(self, now: float) -> list[_Borrower]:
+        fresh = now - self._terms.loan_s
+        return [
+            borrower
+            for _, borrower in sorted(self._borrowers.items())
+            if borrower.asked_at > fresh
+        ]
+
+    def _room(self, name: str, entry: Lendable, borrower: _Borrower, now: float) -> int:
+        own = borrower.may_use(name, now)
+        if not entry.ours and now < self._locked_until:
+            return own
+        return entry.slots - (self.outstanding(name, now) - own)
+
+    def check(self, now: float) -> None:
+        """Assert that no endpoint is lent beyond its slots.
+
+        :raises InvariantViolated: naming the endpoint (promise 1).
+        """
+        for name, entry in self._lendable.items():
+            used = self.outstanding(name, now)
+            if used > entry.slots:
+                text = f"{used} of {entry.slots} slots of {name} are lent"
+                raise InvariantViolated(text)
+
+    def forget_silent(self, now: float) -> None:
+        """Drop borrowers whose every loan has lapsed."""
+        limit = now - 2 * self._terms.loan_s
+        for key, borrower in list(self._borrowers.items()):
+            if borrower.asked_at < limit:
+                del self._borrowers[key]
+
+
+def _fair_part(
+    name: str, entry: Lendable, borrower: _Borrower, active: list[_Borrower]
+) -> int:
+    """Split an endpoint's slots by demand; odd slots rotate with the name."""
+    service = entry.info.service
+    weights = [1.0 + other.demand.get(service, 0) for other in active]
+    exact = [entry.slots * weight / sum(weights) for weight in weights]
+    parts = [int(share) for share in exact]
+    turn = sum(name.encode()) % len(active)
+    order = sorted(
+        range(len(active)),
+        key=lambda i: (parts[i] - round(exact[i], 6), (i - turn) % len(active)),
+    )
+    for lucky in order[: entry.slots - sum(parts)]:
+        parts[lucky] += 1
+    return parts[next(i for i, other in enumerate(active) if other is borrower)]
--- /dev/null
+++ b/src/granitetrestle/loglink.py
@@ -0,0 +1,253 @@
+"""Adapter to the platform's append-only log: one reader for each stream, and one
+writer that puts many facts into an append. After a lost answer the writer first
+reads on for its own record id, and only then sends the same batch again."""
+
+import collections
+import math
+import typing as t
+
+import anyio
+import httpcore
+import msgspec
+
+from .errors import FrameError
+from .errors import LogGapError
+from .errors import LogUnavailable
+from .events import AppendFacts
+from .records import Batch
+from .records import Fact
+from .records import LogRecord
+from .records import decode_batch
+from .records import encode_batch
+
+__all__ = ["LogClient", "LogPage", "LogWriter"]
+
+READ_LIMIT = 500
+READ_WAIT_S = 1.0
+READ_TIMEOUT_S = 3.0
+APPEND_TIMEOUT_S = 2.0
+BATCH_FACTS = 256
+BACKOFF_S = 0.1
+MAX_BACKOFF_S = 1.0
+SETTLE_S = 1.5
+STATUS_OK = 200
+STATUS_GONE = 410
+
+
+class _WireRecord(msgspec.Struct):
+    offset: int
+    at: float
+    data: str
+
+
+class _WirePage(msgspec.Struct):
+    first: int
+    next: int
+    records: list[_WireRecord] = []
+
+
+class _WireAppended(msgspec.Struct):
+    offset: int
+
+
+class LogPage(t.NamedTuple):
+    """A read of a stream.
+
+    :param next_offset: where to read on.
+    :param tail: whether the read reached the stream's end.
+    """
+
+    records: tuple[LogRecord, ...]
+    next_offset: int
+    tail: bool
+
+
+def _timeouts(seconds: float) -> dict[str, t.Any]:
+    names = ("connect", "read", "write", "pool")
+    return {"timeout": dict.fromkeys(names, seconds)}
+
+
+class LogClient:
+    """HTTP client of the platform's log."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}/v1/streams"
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=16, keepalive_expiry=2.0
+        )
+
+    async def _call(
+        self, method: str, url: str, seconds: float, body: bytes | None = None
+    ) -> httpcore.Response:
+        try:
+            with anyio.fail_after(seconds):
+                return await self._pool.request(
+                    method, url, content=body, extensions=_timeouts(seconds)
+                )
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+            TimeoutError,
+        ) as error:
+            raise LogUnavailable(f"the log did not answer: {error!r}") from error
+
+    async def read(self, stream: str, offset: int) -> LogPage:
+        """Read on from ``offset``, waiting up to a second for news.
+
+        :raises LogUnavailable: if there is no good answer.
+        :raises LogGapError: if ``offset`` has expired.
+        """
+        url = (
+            f"{self._base}/{stream}/records?from={offset}"
+            f"&limit={READ_LIMIT}&wait_ms={READ_WAIT_S * 1000:.0f}"
+        )
+        response = await self._call("GET", url, READ_TIMEOUT_S)
+        if response.status not in (STATUS_OK, STATUS_GONE):
+            raise LogUnavailable(f"the log answered {response.status}")
+        try:
+            page = msgspec.json.decode(response.content, type=_WirePage)
+        except msgspec.DecodeError as error:
+            raise LogUnavailable(f"the log's answer is malformed: {error}") from error
+        if response.status == STATUS_GONE:
+            raise LogGapError(stream, page.first)
+        return _page(page, offset)
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append a record; returns its offset.
+
+        :raises LogUnavailable: if there is no good answer; the record may or
+            may not stand on the log.
+        """
+        url = f"{self._base}/{stream}/records"
+        response = await self._call("POST", url, APPEND_TIMEOUT_S, data)
+        if response.status != STATUS_OK:
+            raise LogUnavailable(f"the log answered {response.status}")
+        try:
+            return msgspec.json.decode(response.content, type=_WireAppended).offset
+        except msgspec.DecodeError as error:
+            raise LogUnavailable(f"the log's answer is malformed: {error}") from error
+
+
+def _page(page: _WirePage, offset: int) -> LogPage:
+    records: list[LogRecord] = []
+    next_offset = offset
+    for wire in page.records:
+        next_offset = wire.offset + 1
+        try:
+            batch = decode_batch(wire.data)
+        except FrameError:
+            # Somebody else's record; every reader skips it alike.
+            continue
+        records.append(LogRecord(wire.offset, wire.at, batch))
+    return LogPage(tuple(records), next_offset, next_offset >= page.next)
+
+
+class LogWriter:
+    """Writes one stream, one append at a time.
+
+    :param writer: this process's incarnation, the first half of a record id.
+    :param appended: called with the requests of a batch and its start time
+        (wall ns) when the batch is known to stand on the log.
+    """
+
+    def __init__(
+        self,
+        client: LogClient,
+        stream: str,
+        writer: str,
+        appended: t.Callable[[t.Sequence[str], int], None],
+        clock_ns: t.Callable[[], int],
+    ) -> None:
+        self._client = client
+        self._stream = stream
+        self._writer = writer
+        self._appended = appended
+        self._clock_ns = clock_ns
+        self._waiting: collections.OrderedDict[str, tuple[Fact, ...]] = (
+            collections.OrderedDict()
+        )
+        self._unnamed = 0
+        self._seq = 0
+        self._seen = 0
+        self._tail_reads = 0
+        self._news = anyio.Event()
+        self._read = anyio.Event()
+
+    @property
+    def waiting(self) -> int:
+        """Appends that were not sent yet."""
+        return len(self._waiting)
+
+    def put(self, effect: AppendFacts) -> None:
+        """Queue facts for the next append."""
+        name = effect.request
+        if not name:
+            self._unnamed += 1
+            name = f"#{self._unnamed}"
+        if name in self._waiting and not effect.latest_only:
+            self._unnamed += 1
+            name = f"{name}#{self._unnamed}"
+        self._waiting[name] = effect.facts
+        self._news.set()
+
+    def withdraw(self, request: str) -> bool:
+        """Take facts back; ``True`` proves that they were not sent."""
+        return self._waiting.pop(request, None) is not None
+
+    def noticed(self, records: t.Sequence[LogRecord], tail: bool) -> None:
+        """Learn from the reader which of our own batches stand on the log."""
+        for record in records:
+            if record.batch.writer == self._writer:
+                self._seen = max(self._seen, record.batch.seq)
+        if records or tail:
+            self._tail_reads += tail
+            self._read.set()
+            self._read = anyio.Event()
+
+    async def run(self) -> t.NoReturn:
+        """Send what is queued, forever."""
+        while True:
+            await self._news.wait()
+            self._news = anyio.Event()
+            while self._waiting:
+                names, facts = self._next_batch()
+                self._seq += 1
+                batch = Batch(self._writer, self._seq, tuple(facts))
+                started = self._clock_ns()
+                await self._send(batch)
+                self._appended(names, started)
+
+    def _next_batch(self) -> tuple[list[str], list[Fact]]:
+        names: list[str] = []
+        facts: list[Fact] = []
+        while self._waiting and len(facts) < BATCH_FACTS:
+            name, some = self._waiting.popitem(last=False)
+            names.append(name)
+            facts += some
+        return names, facts
+
+    async def _send(self, batch: Batch) -> None:
+        data = encode_batch(batch)
+        backoff = BACKOFF_S
+        while self._seen < batch.seq:
+            try:
+                await self._client.append(self._stream, data)
+                return
+            except LogUnavailable:
+                await self._settle(batch.seq)
+            await anyio.sleep(backoff)
+            backoff = min(MAX_BACKOFF_S, backoff * 2)
+
+    async def _settle(self, seq: int) -> None:
+        """Read on to the tail, to see whether the batch took effect."""
+        reads = self._tail_reads
+        with anyio.move_on_after(SETTLE_S):
+            while self._seen < seq and self._tail_reads < reads + 2:
+                await self._read.wait()
+
+
+def backoffs() -> t.Iterator[float]:
+    """Yield the waits (s) between failed reads."""
+    for power in range(1000):
+        yield min(MAX_BACKOFF_S, BACKOFF_S * math.pow(2.0, min(power, 10)))
--- /dev/null
+++ b/src/granitetrestle/messages.py
@@ -0,0 +1,179 @@
+"""Messages between the system's own processes. All may be lost, late, doubled
+or crossed: each is either repeated on a tick or answered with its own id, and
+none carries a right that outlives the term written in it."""
+
+import typing as t
+
+import msgspec
+
+from .errors import FrameError
+from .records import Beat
+
+__all__ = [
+    "BeatSent",
+    "EndpointInfo",
+    "Envelope",
+    "HallDigest",
+    "HallDigests",
+    "KeyAsked",
+    "KeyReturned",
+    "KeyVerdict",
+    "Loan",
+    "LoansGranted",
+    "LoansHeld",
+    "Message",
+    "decode_envelope",
+    "encode_envelope",
+]
+
+
+class BeatSent(msgspec.Struct, frozen=True, tag=True):
+    """A process's sign of life, for the hall's gatherer to put on the log."""
+
+    beat: Beat
+
+
+class EndpointInfo(msgspec.Struct, frozen=True, array_like=True):
+    """Where a running task of a service answers."""
+
+    endpoint: str
+    service: str
+    address: str
+
+
+class Loan(msgspec.Struct, frozen=True, array_like=True):
+    """Slots of one endpoint that one process may use."""
+
+    endpoint: str
+    service: str
+    address: str
+    slots: int
+
+
+class LoansGranted(msgspec.Struct, frozen=True, tag=True):
+    """All that a shard's owner lends the receiver, replacing what it lent before.
+
+    :param serial: number of this grant; the term runs from when the receiver
+        sent the :class:`LoansHeld` that ``answers`` names.
+    :param term_s: seconds.
+    """
+
+    shard: int
+    epoch: int
+    serial: int
+    answers: int
+    term_s: float
+    loans: tuple[Loan, ...]
+
+
+class LoansHeld(msgspec.Struct, frozen=True, tag=True):
+    """What the sender may still use of a shard, and how much it would like.
+
+    :param epoch: the shard's epoch as the sender knows it; the sender takes no
+        grant of an older one any more.
+    :param number: number of this message; an answer's term runs from its sending.
+    :param applied: serial of the last grant of ``epoch`` that it applied, or 0.
+    :param loans: endpoint -> slots granted or in use, whichever is more.
+    :param demand: service -> slots in use and waiting.
+    :param supports: the sender will not claim the shard for a while.
+    """
+
+    shard: int
+    epoch: int
+    number: int
+    applied: int
+    supports: bool
+    loans: dict[str, int]
+    demand: dict[str, int]
+
+
+class KeyAsked(msgspec.Struct, frozen=True, tag=True):
+    """May the sender run the request with this key? (non-repeatable work)
+
+    :param issued_at: wall time (seconds) at which the caller made the key.
+    """
+
+    request: str
+    account: str
+    key: str
+    issued_at: float
+
+
+class KeyVerdict(msgspec.Struct, frozen=True, tag=True):
+    """The one decision on a key.
+
+    :param verdict: ``run`` goes to exactly one asker, ever.
+    """
+
+    request: str
+    verdict: t.Literal["run", "seen", "too_old", "not_owner"]
+
+
+class KeyReturned(msgspec.Struct, frozen=True, tag=True):
+    """The asker was told ``run`` and has proof that it did not run."""
+
+    request: str
+    account: str
+    key: str
+
+
+class HallDigest(msgspec.Struct, frozen=True, tag=True):
+    """One hall in brief, for the others.
+
+    :param version: grows with each digest of the hall.
+    :param nodes: node -> config offset in force there.
+    :param owners: shard -> node.
+    :param services: service -> slots that its endpoints have.
+    """
+
+    hall: str
+    version: int
+    nodes: dict[str, int]
+    owners: dict[int, str]
+    services: dict[str, int]
+
+
+class HallDigests(msgspec.Struct, frozen=True, tag=True):
+    """What the sender knows of all halls, newest digest of each."""
+
+    digests: tuple[HallDigest, ...]
+
+
+Message: t.TypeAlias = (
+    BeatSent
+    | LoansGranted
+    | LoansHeld
+    | KeyAsked
+    | KeyVerdict
+    | KeyReturned
+    | HallDigests
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A message, its sender, and the trace it belongs to (may be empty)."""
+
+    sender: str
+    incarnation: str
+    message: Message
+    trace: str = ""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return the bytes of ``envelope`` as they go between processes."""
+    return _encoder.encode(envelope)
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Return the envelope in ``data``.
+
+    :raises FrameError: if ``data`` is not an envelope.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise FrameError(f"not an envelope: {error}") from error
--- /dev/null
+++ b/src/granitetrestle/ownership.py
@@ -0,0 +1,323 @@
+"""Who decides for a shard of a hall's boxes, worked out from the hall's stream
+alone, plus the terms that each process keeps by its own monotonic clock. The
+lowest claim that names the current epoch wins; nobody votes and nothing but the
+platform's log is asked (see docs/ownership.md for the ways weighed)."""
+
+import dataclasses
+import typing as t
+
+from .records import Beat
+from .records import Renewed
+from .records import ShardClaimed
+from .records import ShardReleased
+
+__all__ = ["Ownership", "OwnershipTerms", "Member", "ShardState"]
+
+
+class OwnershipTerms(t.NamedTuple):
+    """Durations in seconds.
+
+    :param term_s: how long a read-back renewal lets an owner start work.
+    :param margin_s: allowance for clock rate and scheduling pauses.
+    :param promise_s: how long a member that supports an owner will not claim.
+    :param support_s: silence of an owner after which a member that can read the
+        log supports it no longer.
+    :param forget_s: silence after which a member is dropped from the view.
+    """
+
+    term_s: float = 2.5
+    margin_s: float = 0.3
+    promise_s: float = 2.0
+    support_s: float = 1.4
+    forget_s: float = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class ShardState:
+    """What the log says of a shard. All fields follow from a prefix of it."""
+
+    epoch: int = 0
+    holder: str = ""
+    holder_incarnation: str = ""
+    renewal: int = 0
+    released: bool = True
+    heir: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """A process of the hall as its renewals on the log show it.
+
+    ``heard_at`` and ``silent_s`` are by this process's monotonic clock: the
+    time of the reading, and for how long reads at the tail found nothing newer.
+    """
+
+    beat: Beat
+    offset: int
+    heard_at: float
+
+
+class Ownership:
+    """The hall's shards, members, and this process's own terms.
+
+    :param node: this process's name.
+    :param incarnation: differs each time a process starts.
+    :param shards: how many shards the hall has.
+    :param nodes: every process that the settings name for this hall; only one
+        of them can ever claim.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: str,
+        shards: int,
+        nodes: t.Collection[str],
+        terms: OwnershipTerms,
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._terms = terms
+        self._shards = {number: ShardState() for number in range(shards)}
+        self._members: dict[str, Member] = {}
+        self._sent: dict[int, float] = {}
+        self._renewed_from = -1e18
+        self._tail_read_at = -1e18
+        self._tail_since = 1e18
+        self._won_at: dict[int, tuple[float, float]] = {}
+        self._nodes = frozenset(nodes)
+        self._promised: dict[int, float] = {}
+        self._support: dict[int, dict[str, float]] = {}
+
+    @property
+    def shards(self) -> t.Mapping[int, ShardState]:
+        """Shard number -> state by the log."""
+        return self._shards
+
+    @property
+    def members(self) -> t.Mapping[str, Member]:
+        """Node -> last renewal read."""
+        return self._members
+
+    def beat_sent(self, number: int, now: float) -> None:
+        """Remember when a sign of life left, so that its term can start there."""
+        self._sent[number] = now
+        for old in [n for n in self._sent if n < number - 64]:
+            del self._sent[old]
+
+    def read_reached_tail(self, now: float) -> None:
+        """Note a successful read up to the stream's end.
+
+        Silence counts only while reads succeed: an outage of the platform
+        must not look like the death of every owner.
+        """
+        if now - self._tail_read_at > self._terms.term_s / 2:
+            self._tail_since = now
+        self._tail_read_at = now
+
+    def apply_renewed(self, offset: int, fact: Renewed, now: float) -> None:
+        """Apply a record of renewals."""
+        for beat in fact.beats:
+            self._apply_beat(offset, beat, now)
+
+    def _apply_beat(self, offset: int, beat: Beat, now: float) -> None:
+        known = self._members.get(beat.node)
+        same_life = known is not None and known.beat.incarnation == beat.incarnation
+        if known is not None and same_life and known.beat.number >= beat.number:
+            return
+        self._members[beat.node] = Member(beat, offset, now)
+        for shard in self._shards.values():
+            if shard.holder_incarnation == beat.incarnation:
+                shard.renewal = offset
+        if beat.incarnation == self._incarnation and beat.number in self._sent:
+            self._renewed_from = max(self._renewed_from, self._sent[beat.number])
+
+    def apply_claim(self, offset: int, fact: ShardClaimed, now: float) -> bool:
+        """Apply a claim.
+
+        :returns: whether it won and so changed the epoch to ``offset``.
+        """
+        shard = self._shards.get(fact.shard)
+        if shard is None or fact.previous_epoch != shard.epoch:
+            return False
+        if not shard.released and shard.renewal > fact.seen_renewal:
+            return False
+        self._support.pop(fact.shard, None)
+        if fact.incarnation == self._incarnation:
+            self._won_at[fact.shard] = (now, self._quiet_from(shard, now))
+        self._shards[fact.shard] = ShardState(
+            epoch=offset,
+            holder=fact.node,
+            holder_incarnation=fact.incarnation,
+            renewal=offset,
+            released=False,
+        )
+        return True
+
+    def _quiet_from(self, previous: ShardState, now: float) -> float:
+        """Return when the previous owner can have started its last work."""
+        if previous.epoch == 0 or previous.released:
+            return now
+        member = self._members.get(previous.holder)
+        if member is None or member.beat.incarnation != previous.holder_incarnation:
+            return now + self._terms.term_s + self._terms.margin_s
+        return max(now, member.heard_at + self._terms.term_s + self._terms.margin_s)
+
+    def apply_released(self, offset: int, fact: ShardReleased) -> bool:
+        """Apply a release; returns whether it counted."""
+        shard = self._shards.get(fact.shard)
+        if shard is None or fact.epoch != shard.epoch:
+            return False
+        shard.released = True
+        shard.heir = fact.heir
+        shard.renewal = offset
+        return True
+
+    def owned(self) -> list[int]:
+        """Return the shards whose current epoch this process holds."""
+        return [
+            number
+            for number, shard in self._shards.items()
+            if shard.holder_incarnation == self._incarnation and not shard.released
+        ]
+
+    def term_ends(self) -> float:
+        """Return when this process's own term ends (monotonic seconds)."""
+        return self._renewed_from + self._terms.term_s
+
+    def may_start(self, shard: int, now: float) -> bool:
+        """Say whether this process may start new work in ``shard`` now."""
+        return now < self.right_ends(shard, now)
+
+    def right_ends(self, shard: int, now: float) -> float:
+        """Return until when this process may start new work in ``shard``.
+
+        That is the end of its term or, when the log is out of reach, of the
+        promises that every process of the hall has made not to claim.
+        """
+        state = self._shards[shard]
+        won = self._won_at.get(shard)
+        if state.holder_incarnation != self._incarnation or state.released:
+            return -1e18
+        if won is None or now < won[1]:
+            return -1e18
+        return max(self.term_ends(), self._support_ends(shard))
+
+    def _support_ends(self, shard: int) -> float:
+        support = self._support.get(shard, {})
+        others = self._nodes - {self._node}
+        if not others <= support.keys():
+            return -1e18
+        since = min((support[node] for node in others), default=-1e18)
+        return since + self._terms.promise_s - self._terms.margin_s
+
+    def supported(self, shard: int, node: str, since: float) -> None:
+        """Note a member's promise, made no earlier than ``since``."""
+        known = self._support.setdefault(shard, {})
+        known[node] = max(since, known.get(node, -1e18))
+
+    def promise(self, shard: int, now: float) -> bool:
+        """Decide whether to support the owner of ``shard``; remember if so.
+
+        A member that reads the log and misses the owner's renewals there stops
+        supporting it; one that can't read the log could not claim anyway.
+        """
+        state = self._shards[shard]
+        reading = now - self._tail_read_at < self._terms.support_s
+        member = self._members.get(state.holder)
+        heard = member is not None and (
+            member.beat.incarnation == state.holder_incarnation
+            and now - member.heard_at < self._terms.support_s
+        )
+        if reading and not heard:
+            return False
+        self._promised[shard] = now
+        return True
+
+    def quiet_from(self, shard: int) -> float:
+        """Return when the previous owner's last start can have been sent."""
+        return self._won_at.get(shard, (0.0, 0.0))[1]
+
+    def holder_gone(self, before: ShardState) -> bool:
+        """Say whether an earlier owner's process has provably been replaced.
+
+        The platform never runs two processes under one node's name.
+        """
+        member = self._members.get(before.holder)
+        return (
+            member is not None and member.beat.incarnation != before.holder_incarnation
+        )
+
+    def live(self, now: float) -> list[str]:
+        """Return the members heard within a term, sorted; for choosing only."""
+        limit = self._terms.term_s + self._terms.margin_s
+        return sorted(
+            name
+            for name, member in self._members.items()
+            if now - member.heard_at < limit and not member.beat.stopping
+        )
+
+    def gatherer(self, now: float) -> str:
+        """Return the member that puts the hall's beats on the log."""
+        live = self.live(now)
+        return live[0] if live else self._node
+
+    def claims_due(self, now: float) -> list[ShardClaimed]:
+        """Return the claims that this process should append now."""
+        return [
+            ShardClaimed(
+                shard=number,
+                previous_epoch=shard.epoch,
+                seen_renewal=shard.renewal,
+                node=self._node,
+                incarnation=self._incarnation,
+            )
+            for number, shard in self._shards.items()
+            if self._free(number, now) and self._preferred(number, now) == self._node
+        ]
+
+    def _free(self, number: int, now: float) -> bool:
+        shard = self._shards[number]
+        if shard.released:
+            return True
+        if now < self._promised.get(number, -1e18) + self._terms.promise_s:
+            return False
+        limit = self._terms.term_s + self._terms.margin_s
+        if now - self._tail_read_at > limit or now - self._tail_since < limit:
+            return False
+        member = self._members.get(shard.holder)
+        if member is None or member.beat.incarnation != shard.holder_incarnation:
+            return True
+        return now - member.heard_at >= limit
+
+    def _preferred(self, number: int, now: float) -> str:
+        """Spread shards: the live member with fewest, ties by name."""
+        shard = self._shards[number]
+        live = self.live(now)
+        if shard.heir in live:
+            return shard.heir
+        if not live:
+            return ""
+        counts = dict.fromkeys(live, 0)
+        for other in self._shards.values():
+            if other.holder in counts and not other.released:
+                counts[other.holder] += 1
+        order = sorted(live, key=lambda name: (counts[name], name))
+        free = [n for n in self._shards if self._free(n, now)]
+        return order[free.index(number) % len(order)]
+
+    def forget_old(self, now: float) -> None:
+        """Drop members that have been silent for long."""
+        for name, member in list(self._members.items()):
+            if now - member.heard_at > self._terms.forget_s:
+                del self._members[name]
+
+    def snapshot(self) -> dict[int, ShardState]:
+        """Return the part of the state that follows from the log alone."""
+        return self._shards
+
+    def restore(self, shards: t.Mapping[int, ShardState]) -> None:
+        """Take up a snapshot."""
+        for number, state in shards.items():
+            if number in self._shards:
+                self._shards[number] = state
--- /dev/null
+++ b/src/granitetrestle/placement.py
@@ -0,0 +1,471 @@
+"""Keeps an owner's books true to its boxes: exchanges orders for reports,
+renews leases, proves stops, and records the end of every attempt on the log. An
+attempt counts as occupying its box until a report or a lapsed lease proves that
+it does not, whatever was answered or lost on the way."""
+
+import typing as t
+import zlib
+
+from .books import ShardBook
+from .capacity import Assignment
+from .capacity import BoxState
+from .errors import InvariantViolated
+from .events import AppendFacts
+from .events import BoxAnswered
+from .events import BoxFailed
+from .events import BoxInfo
+from .events import Command
+from .events import CommandBox
+from .events import Effect
+from .events import Note
+from .events import TaskReport
+from .jobs import Job
+from .jobs import Jobs
+from .jobs import Task
+from .ownership import Ownership
+from .ownership import ShardState
+from .records import AttemptEnded
+from .records import Ending
+
+__all__ = ["Placement", "PlacementTerms", "shard_of"]
+
+ENDINGS: t.Final[dict[str, Ending]] = {
+    "finished": "finished",
+    "failed": "failed",
+    "evicted": "evicted",
+    "lapsed": "lost",
+}
+FAILURES_TO_QUARANTINE = 3
+ACCOUNTS_TO_QUARANTINE = 2
+QUARANTINE_S = 30.0
+MAX_QUARANTINE_S = 960.0
+
+
+class PlacementTerms(t.NamedTuple):
+    """Durations in seconds.
+
+    :param lease_s: how long a box runs a task without a renewal.
+    :param start_window_s: how old a start may be when it arrives.
+    :param clock_margin_s: how far wall clocks of two machines may differ.
+    :param exchange_s: time between two exchanges with a quiet box.
+    :param orphan_s: how long an owner past its term renews what runs.
+    """
+
+    lease_s: float = 10.0
+    start_window_s: float = 1.0
+    clock_margin_s: float = 0.3
+    exchange_s: float = 1.0
+    orphan_s: float = 600.0
+
+
+def shard_of(box: str, shards: int) -> int:
+    """Return the shard of a box; the same in every process, for good."""
+    return zlib.crc32(box.encode()) % shards
+
+
+class Placement:
+    """The books of all shards that this process owns.
+
+    :param stream: the hall's stream, for the ends of attempts.
+    """
+
+    def __init__(
+        self,
+        stream: str,
+        shards: int,
+        terms: PlacementTerms,
+        jobs: Jobs,
+        ownership: Ownership,
+    ) -> None:
+        self._stream = stream
+        self._shards = shards
+        self._terms = terms
+        self._jobs = jobs
+        self._ownership = ownership
+        self._books: dict[int, ShardBook] = {}
+        self._listed: dict[str, BoxInfo] | None = None
+        self._drained: set[str] = set()
+
+    @property
+    def books(self) -> t.Mapping[int, ShardBook]:
+        """Owned shard -> its book."""
+        return self._books
+
+    @property
+    def listed(self) -> t.Mapping[str, BoxInfo] | None:
+        """The hall's boxes by the platform's list; ``None`` before a read."""
+        return self._listed
+
+    @property
+    def drained(self) -> t.AbstractSet[str]:
+        """Boxes that operators have drained."""
+        return self._drained
+
+    def shard_won(
+        self, shard: int, before: ShardState, now: float, wall: float
+    ) -> list[Effect]:
+        """Open a book for a shard whose claim this process won."""
+        state = self._ownership.shards[shard]
+        quiet = self._ownership.quiet_from(shard) - now + wall
+        if before.epoch:
+            quiet += self._terms.clock_margin_s
+        orphan = 0.0 if before.released else self._terms.orphan_s
+        ends = quiet + orphan + self._terms.lease_s + self._terms.clock_margin_s
+        book = ShardBook(shard, state.epoch, quiet, ends)
+        self._books[shard] = book
+        self._enter_list(book)
+        book.open_jobs(self._jobs)
+        if before.epoch == 0:
+            book.quiet_wall = 0.0
+        doubts = f"{len(book.doubts)} tasks in doubt, {len(book.waiting)} waiting"
+        return [Note("shard_won", f"shard {shard}", doubts, state.epoch)]
+
+    def shard_lost(self, shard: int) -> list[Effect]:
+        """Close the book; the boxes keep what runs until its leases lapse."""
+        if self._books.pop(shard, None) is None:
+            return []
+        return [Note("shard_lost", f"shard {shard}")]
+
+    def boxes_listed(self, boxes: t.Sequence[BoxInfo]) -> None:
+        """Take up a reading of the platform's list."""
+        self._listed = {info.box: info for info in boxes}
+        for book in self._books.values():
+            self._enter_list(book)
+
+    def _enter_list(self, book: ShardBook) -> None:
+        if self._listed is None:
+            return
+        for info in self._listed.values():
+            if shard_of(info.box, self._shards) != book.shard:
+                continue
+            known = book.index.boxes.get(info.box)
+            if known is None:
+                book.add_box(info, info.box in self._drained)
+            elif known.info != info:
+                book.update_box(known, info)
+        gone = [n for n, b in book.index.boxes.items() if self._is_gone(n, b)]
+        for name in gone:
+            book.index.remove(name)
+            book.unheard.discard(name)
+        book.listed = True
+        book.dirty = True
+        book.settle_doubts(self._jobs)
+
+    def _is_gone(self, name: str, box: BoxState) -> bool:
+        assert self._listed is not None
+        return name not in self._listed and not box.tasks and not box.in_exchange
+
+    def box_drained(self, box: str, drained: bool) -> None:
+        """Apply an operator's drain."""
+        if drained:
+            self._drained.add(box)
+        else:
+            self._drained.discard(box)
+        for book in self._books.values():
+            if box in book.index.boxes:
+                book.index.boxes[box].drained = drained
+                book.dirty = True
+
+    def job_submitted(self, job: Job) -> None:
+        """Enter a new job if its shard is owned here."""
+        book = self._books.get(job.shard)
+        if book is None:
+            return
+        for task in job.tasks.values():
+            book.enter_task(job, task)
+
+    def job_cancelled(self, job: Job) -> list[Effect]:
+        """Stop what runs of a job, and end what has not begun."""
+        book = self._books.get(job.shard)
+        if book is None:
+            return []
+        return self._cancel_tasks(book, job)
+
+    def _cancel_tasks(self, book: ShardBook, job: Job) -> list[Effect]:
+        facts: list[AttemptEnded] = []
+        for task in job.tasks.values():
+            if book.waiting.discard(task.task):
+                facts.append(self._ended(book, task.task, task.attempt, "cancelled"))
+                continue
+            assignment = self._assignment(book, task.task)
+            if assignment is not None and assignment.state != "ending":
+                assignment.state = "stopping"
+                assignment.stop_reason = "cancelled"
+        if not facts:
+            return []
+        return [AppendFacts(self._stream, tuple(facts), f"cancel/{job.job}")]
+
+    def _assignment(self, book: ShardBook, task: str) -> Assignment | None:
+        name = book.where.get(task)
+        return book.index.boxes[name].tasks[task] if name is not None else None
+
+    def task_ended(
+        self, job: Job, task: Task, fact: AttemptEnded, now: float
+    ) -> list[Effect]:
+        """Follow a counted end: give back the room, let the next attempt wait."""
+        book = self._books.get(job.shard)
+        if book is None:
+            return []
+        name = book.where.get(task.task)
+        assignment = book.unbook(task.task)
+        if assignment is not None and name is not None:
+            self._order_cleanup(
+                book.index.boxes[name], task.task, fact.attempt, "forget"
+            )
+            _note_health(book.index.boxes[name], job.account, fact.ending, now)
+        book.doubts.discard(task.task)
+        book.evicting_for.pop(task.task, None)
+        if not task.ended:
+            book.push(job, task)
+        return [Note("attempt_ended", fact.task, fact.ending, fact.epoch)]
+
+    def _order_cleanup(
+        self,
+        box: BoxState,
+        task: str,
+        attempt: int,
+        op: t.Literal["forget", "stop"],
+    ) -> None:
+        box.cleanup[(task, attempt)] = Command(op, task, attempt, 0)
+
+    def _ended(
+        self,
+        book: ShardBook,
+        task: str,
+        attempt: int,
+        ending: Ending,
+        checkpoint: str = "",
+    ) -> AttemptEnded:
+        return AttemptEnded(task, attempt, book.shard, book.epoch, ending, checkpoint)
+
+    def _record_end(
+        self,
+        book: ShardBook,
+        assignment: Assignment,
+        ending: Ending,
+        checkpoint: str = "",
+    ) -> Effect:
+        assignment.state = "ending"
+        fact = self._ended(
+            book, assignment.task, assignment.attempt, ending, checkpoint
+        )
+        name = f"end/{assignment.task}/{assignment.attempt}"
+        return AppendFacts(self._stream, (fact,), name)
+
+    @staticmethod
+    def exchange_due(box: BoxState, now: float) -> bool:
+        """Say whether an exchange with ``box`` should leave now."""
+        if box.in_exchange:
+            return False
+        return bool(box.starts) or now >= box.next_exchange
+
+    def exchange(
+        self, book: ShardBook, box: BoxState, now: float, wall: float
+    ) -> Effect:
+        """Return the next exchange with ``box``; starts leave within the term."""
+        commands = list(box.cleanup.values())
+        box.cleanup.clear()
+        commands += self._starts(book, box, now, wall)
+        if now < self._ownership.term_ends() + self._terms.orphan_s:
+            commands += self._renewals(book, box, wall)
+        box.in_exchange = True
+        box.next_exchange = now + self._terms.exchange_s
+        return CommandBox(box.info.box, box.info.address, tuple(commands))
+
+    def _starts(
+        self, book: ShardBook, box: BoxState, now: float, wall: float
+    ) -> list[Command]:
+        starts, box.starts = box.starts, {}
+        if not starts:
+            return []
+        left = self._ownership.right_ends(book.shard, now) - now
+        if left <= 0.0:
+            for assignment in starts.values():
+                self._start_unsent(book, assignment)
+            return []
+        not_after = wall + min(self._terms.start_window_s, left)
+        commands = []
+        for assignment in starts.values():
+            assignment.not_after = not_after
+            assignment.expires = not_after + self._terms.lease_s
+            commands.append(self._start_command(assignment))
+        return commands
+
+    def _start_command(self, assignment: Assignment) -> Command:
+        found = self._jobs.find_task(assignment.task)
+        return Command(
+            "start",
+            assignment.task,
+            assignment.attempt,
+            assignment.epoch,
+            not_after=assignment.not_after,
+            expires=assignment.expires,
+            spec=assignment.spec,
+            checkpoint=found[1].checkpoint if found else "",
+        )
+
+    def _start_unsent(self, book: ShardBook, assignment: Assignment) -> None:
+        book.unbook(assignment.task)
+        found = self._jobs.find_task(assignment.task)
+        if found is not None and not found[1].ended:
+            book.push(*found)
+
+    def _renewals(self, book: ShardBook, box: BoxState, wall: float) -> list[Command]:
+        commands: list[Command] = []
+        expires = wall + self._terms.lease_s
+        for assignment in box.tasks.values():
+            if assignment.state in ("starting", "ending"):
+                continue
+            if assignment.state == "stopping":
+                op: t.Literal["stop", "checkpoint", "renew"] = "stop"
+            else:
+                op = "checkpoint" if assignment.state == "evicting" else "renew"
+                assignment.expires = max(assignment.expires, expires)
+            order = Command(
+                op, assignment.task, assignment.attempt, book.epoch, expires=expires
+            )
+            commands.append(order)
+        return commands
+
+    def box_answered(self, event: BoxAnswered) -> list[Effect]:
+        """Bring the books in line with a report."""
+        book = self._book_of(event.box)
+        if book is None:
+            return []
+        box = book.index.boxes[event.box]
+        box.in_exchange = False
+        box.heard_wall = event.sent_wall
+        effects: list[Effect] = []
+        seen: set[tuple[str, int]] = set()
+        for report in event.report.tasks:
+            seen.add((report.task, report.attempt))
+            effects += self._reported(book, box, report, event.wall)
+        for assignment in list(box.tasks.values()):
+            if (assignment.task, assignment.attempt) not in seen:
+                effects += self._missing(book, assignment, event.sent_wall)
+        book.heard(event.box, event.sent_wall, self._jobs)
+        return effects
+
+    def _book_of(self, box: str) -> ShardBook | None:
+        book = self._books.get(shard_of(box, self._shards))
+        return book if book is not None and box in book.index.boxes else None
+
+    def _reported(
+        self, book: ShardBook, box: BoxState, report: TaskReport, wall: float
+    ) -> list[Effect]:
+        assignment = box.tasks.get(report.task)
+        if assignment is None or assignment.attempt != report.attempt:
+            assignment = self._adopt(book, box, report, wall)
+        if assignment is None or assignment.state == "ending":
+            return []
+        if report.state == "running":
+            if assignment.state == "starting":
+                assignment.state = "running"
+            return []
+        ending = ENDINGS.get(report.state, assignment.stop_reason)
+        return [self._record_end(book, assignment, ending, report.checkpoint)]
+
+    def _adopt(
+        self, book: ShardBook, box: BoxState, report: TaskReport, wall: float
+    ) -> Assignment | None:
+        found = self._jobs.find_task(report.task)
+        if found is None or not self._is_current(book, found, report):
+            op: t.Literal["stop", "forget"] = "forget"
+            if report.state == "running":
+                op = "stop"
+            self._order_cleanup(box, report.task, report.attempt, op)
+            return None
+        job, task = found
+        if task.task in book.where or task.task in book.waiting:
+            raise InvariantViolated(f"{task.task} runs in two places")
+        assignment = Assignment(
+            task.task,
+            task.attempt,
+            report.epoch,
+            job.account,
+            job.job,
+            job.spec,
+            box.info.box,
+            "stopping" if job.cancelled else "running",
+            not_after=0.0,
+            expires=wall + self._terms.lease_s,
+            reason="adopted from the box's report",
+        )
+        book.book(box, assignment, adopted=True)
+        return assignment
+
+    @staticmethod
+    def _is_current(
+        book: ShardBook, found: tuple[Job, Task], report: TaskReport
+    ) -> bool:
+        job, task = found
+        if job.shard != book.shard or task.ended:
+            return False
+        return task.attempt == report.attempt
+
+    def _missing(
+        self, book: ShardBook, assignment: Assignment, sent_wall: float
+    ) -> list[Effect]:
+        if assignment.state == "ending":
+            return []
+        if assignment.state != "starting":
+            ending: Ending = "lost"
+            if assignment.state == "stopping":
+                ending = assignment.stop_reason
+            return [self._record_end(book, assignment, ending)]
+        dead_on_arrival = assignment.not_after + self._terms.clock_margin_s
+        if assignment.not_after and sent_wall > dead_on_arrival:
+            self._start_unsent(book, assignment)
+        return []
+
+    def box_failed(self, event: BoxFailed) -> None:
+        """Note a failed exchange; only what never left is given back."""
+        book = self._book_of(event.box)
+        if book is None:
+            return
+        book.index.boxes[event.box].in_exchange = False
+        if not event.unsent:
+            return
+        for command in event.commands:
+            assignment = self._assignment(book, command.task)
+            if command.op != "start" or assignment is None:
+                continue
+            if assignment.attempt == command.attempt:
+                self._start_unsent(book, assignment)
+
+    def lapse(self, book: ShardBook, wall: float) -> list[Effect]:
+        """End what a silent box must have dropped, its leases having lapsed."""
+        if book.doubts and wall >= book.doubt_ends_wall:
+            book.settle_doubts(self._jobs, lapsed=True)
+        effects: list[Effect] = []
+        for box in book.index.boxes.values():
+            if wall - box.heard_wall < self._terms.lease_s / 2:
+                continue
+            for assignment in box.tasks.values():
+                if self._has_lapsed(assignment, wall):
+                    effects.append(self._record_end(book, assignment, "lost"))
+        return effects
+
+    def _has_lapsed(self, assignment: Assignment, wall: float) -> bool:
+        if assignment.state == "ending" or assignment.expires == 0.0:
+            return False
+        return wall > assignment.expires + self._terms.clock_margin_s
+
+
+def _note_health(box: BoxState, account: str, ending: Ending, now: float) -> None:
+    """Quarantine a box that fails the work of several accounts in a row.
+
+    One account's failing jobs alone must not take boxes from the others.
+    """
+    if ending == "finished":
+        box.failures_in_row = 0
+        box.failed_accounts.clear()
+        return
+    if ending != "failed":
+        return
+    box.failures_in_row += 1
+    box.failed_accounts.add(account)
+    excess = box.failures_in_row - FAILURES_TO_QUARANTINE
+    if excess < 0 or len(box.failed_accounts) < ACCOUNTS_TO_QUARANTINE:
+        return
+    box.quarantined_until = now + min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0**excess)
--- /dev/null
+++ b/src/granitetrestle/reducer.py
@@ -0,0 +1,510 @@
+"""The one reducer: ``step(event) -> effects``. It composes the parts by subject,
+reads no clock, draws no random numbers and does no I/O, so that the same events
+always give the same state and effects."""
+
+import typing as t
+import zlib
+
+from . import events as ev
+from .borrowing import Borrower
+from .capacity import Vector
+from .events import AppendFacts
+from .events import Conclude
+from .events import Effect
+from .events import Event
+from .events import LogRead
+from .events import Note
+from .events import SendPeer
+from .events import Tick
+from .halls import Halls
+from .heartbeat import Heartbeat
+from .jobs import Job
+from .jobs import Jobs
+from .keys import key_shard
+from .lending import LendingTerms
+from .messages import BeatSent
+from .messages import HallDigest
+from .messages import HallDigests
+from .messages import KeyAsked
+from .messages import KeyReturned
+from .messages import KeyVerdict
+from .messages import LoansGranted
+from .messages import LoansHeld
+from .messages import Message
+from .outcomes import Accepted
+from .outcomes import Outcome
+from .outcomes import Reason
+from .outcomes import Rejected
+from .ownership import Ownership
+from .ownership import OwnershipTerms
+from .placement import PlacementTerms
+from .placement import shard_of
+from .policy import Policy
+from .policy import RackSpread
+from .records import AttemptEnded
+from .records import BoxDrained
+from .records import Fact
+from .records import JobCancelled
+from .records import JobSubmitted
+from .records import LogRecord
+from .records import Renewed
+from .records import ShardClaimed
+from .records import ShardReleased
+from .records import TableEdited
+from .requests import Requests
+from .requests import RequestTerms
+from .shards import ShardOwner
+from .starts import never_fits
+from .submissions import Submissions
+from .table import Table
+
+__all__ = ["CONFIG_STREAM", "Reducer", "Setup", "hall_stream"]
+
+CONFIG_STREAM: t.Final = "config"
+RECLAIM_S = 1.0
+WRITERS_KEPT = 512
+
+
+def hall_stream(hall: str) -> str:
+    """Return the name of a hall's stream on the platform's log."""
+    return f"hall-{hall}"
+
+
+class Setup(t.NamedTuple):
+    """What a process is told at its start.
+
+    :param incarnation: differs each time a process starts.
+    :param halls: hall -> nodes, this process included.
+    """
+
+    node: str
+    incarnation: str
+    hall: str
+    halls: t.Mapping[str, tuple[str, ...]]
+    shards: int = 1
+    ownership: OwnershipTerms = OwnershipTerms()
+    placement: PlacementTerms = PlacementTerms()
+    lending: LendingTerms = LendingTerms()
+    requests: RequestTerms = RequestTerms()
+
+
+class Reducer:
+    """State of one process and its step function."""
+
+    def __init__(self, setup: Setup, policy: Policy | None = None) -> None:
+        self._setup = setup
+        self._stream = hall_stream(setup.hall)
+        self._wall = 0.0
+        self._stopping = False
+        self._table = Table()
+        self._jobs = Jobs()
+        self._offsets: dict[str, int] = {}
+        self._writers: dict[str, dict[str, int]] = {}
+        self._tail_seen: set[str] = set()
+        self._claimed: dict[int, tuple[int, float]] = {}
+        self._ownership = Ownership(
+            setup.node,
+            setup.incarnation,
+            setup.shards,
+            setup.halls[setup.hall],
+            setup.ownership,
+        )
+        self._heartbeat = Heartbeat(
+            self._stream, setup.node, setup.incarnation, self._ownership
+        )
+        self._owner = ShardOwner(
+            self._stream,
+            setup.shards,
+            setup.placement,
+            setup.lending,
+            policy or RackSpread(),
+            self._table,
+            self._jobs,
+            self._ownership,
+        )
+        self._halls = Halls(setup.hall, setup.halls)
+        self._borrower = Borrower(setup.lending)
+        self._submissions = Submissions()
+        self._requests = Requests(
+            setup.hall,
+            sorted(setup.halls),
+            setup.shards,
+            setup.requests,
+            self._table,
+            self._ownership,
+            self._borrower,
+            self._halls,
+        )
+        self._handlers: dict[type, t.Callable[[t.Any], list[Effect]]] = {
+            Tick: self._tick,
+            LogRead: self._log_read,
+            ev.FactsWithdrawn: self._submissions.withdrawn,
+            ev.PeerMessage: self._peer_message,
+            ev.BoxListRead: self._boxes_listed,
+            ev.BoxAnswered: self._box_answered,
+            ev.BoxFailed: self._box_failed,
+            ev.JobSubmitAsked: self._job_submit,
+            ev.JobCancelAsked: self._job_cancel,
+            ev.TableEditAsked: self._table_edit,
+            ev.BoxDrainAsked: self._box_drain,
+            ev.RequestArrived: self._requests.arrived,
+            ev.AnswerArrived: self._requests.answered,
+            ev.AnswerFailed: self._requests.failed,
+            ev.CallerLeft: self._requests.caller_left,
+            ev.StopAsked: self._stop,
+        }
+
+    @property
+    def table(self) -> Table:
+        """The table in force here."""
+        return self._table
+
+    @property
+    def jobs(self) -> Jobs:
+        """The hall's jobs."""
+        return self._jobs
+
+    @property
+    def ownership(self) -> Ownership:
+        """Shards, members and terms of the hall."""
+        return self._ownership
+
+    @property
+    def owner(self) -> ShardOwner:
+        """What this process does as owner."""
+        return self._owner
+
+    @property
+    def borrower(self) -> Borrower:
+        """The slots lent to this process."""
+        return self._borrower
+
+    @property
+    def halls(self) -> Halls:
+        """What is known of the other halls."""
+        return self._halls
+
+    @property
+    def requests(self) -> Requests:
+        """Requests without an outcome."""
+        return self._requests
+
+    @property
+    def offsets(self) -> t.Mapping[str, int]:
+        """Stream -> next offset to read."""
+        return self._offsets
+
+    @property
+    def max_request_s(self) -> float:
+        """Longest deadline of a request, in seconds."""
+        return self._setup.requests.max_request_s
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here: both streams were read once."""
+        read = {self._stream, CONFIG_STREAM} <= self._tail_seen
+        return read and not self._stopping
+
+    @property
+    def stopped(self) -> bool:
+        """Whether a planned stop has nothing left to finish or hand over."""
+        idle = not self._requests.unanswered and not len(self._submissions)
+        return self._stopping and idle and not self._ownership.owned()
+
+    def step(self, event: Event) -> list[Effect]:
+        """Apply one event.
+
+        :returns: the effects, in the order in which they are to be carried out.
+        :raises InvariantViolated: if a promise no longer holds: a bug.
+        """
+        return self._handlers[type(event)](event)
+
+    def _tick(self, event: Tick) -> list[Effect]:
+        now = event.now
+        self._wall = event.wall
+        effects = self._requests.tick(now)
+        effects += self._submissions.tick(now)
+        if self._stream in self._tail_seen:
+            offset = self._table.offset
+            effects += self._heartbeat.tick(now, offset, self._stopping)
+            effects += self._claims(now)
+        heirs = [n for n in self._ownership.live(now) if n != self._setup.node]
+        effects += self._owner.tick(now, event.wall, heirs)
+        effects += self._ask_for_loans(now)
+        effects += self._digests(now, event.wall)
+        self._ownership.forget_old(now)
+        return effects
+
+    def _claims(self, now: float) -> list[Effect]:
+        if self._stopping:
+            return []
+        effects: list[Effect] = []
+        for claim in self._ownership.claims_due(now):
+            epoch, at = self._claimed.get(claim.shard, (-1, 0.0))
+            if epoch == claim.previous_epoch and now - at < RECLAIM_S:
+                continue
+            self._claimed[claim.shard] = (claim.previous_epoch, now)
+            name = f"claim/{claim.shard}"
+            effects.append(AppendFacts(self._stream, (claim,), name, latest_only=True))
+        return effects
+
+    def _ask_for_loans(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        demand: dict[str, int] | None = None
+        for shard, state in self._ownership.shards.items():
+            if not state.epoch:
+                continue
+            if not self._borrower.ask_due(shard, state.epoch, now):
+                continue
+            if demand is None:
+                demand = self._requests.demand()
+            supports = self._ownership.promise(shard, now)
+            message = self._borrower.ask(shard, state.epoch, demand, supports, now)
+            effects.append(SendPeer(state.holder, message))
+        return effects
+
+    def _digests(self, now: float, wall: float) -> list[Effect]:
+        if self._ownership.gatherer(now) != self._setup.node:
+            return []
+        if not self._halls.due(now):
+            return []
+        own = self._own_digest(wall)
+        for_others = HallDigests((own,))
+        effects: list[Effect] = [
+            SendPeer(node, for_others) for node in self._halls.targets()
+        ]
+        everything = self._halls.all_with(own)
+        members = [n for n in self._ownership.members if n != self._setup.node]
+        return effects + [SendPeer(node, everything) for node in sorted(members)]
+
+    def _own_digest(self, wall: float) -> HallDigest:
+        nodes = {n: m.beat.config_offset for n, m in self._ownership.members.items()}
+        owners = {
+            number: shard.holder for number, shard in self._ownership.shards.items()
+        }
+        services: dict[str, int] = {}
+        for borrowed in self._borrower.endpoints.values():
+            name = borrowed.loan.service
+            services[name] = services.get(name, 0) + borrowed.loan.slots
+        version = self._halls.next_version(wall)
+        return HallDigest(self._setup.hall, version, nodes, owners, services)
+
+    def _log_read(self, event: LogRead) -> list[Effect]:
+        effects: list[Effect] = []
+        for record in event.records:
+            effects += self._record(event.stream, record, event.now)
+        self._offsets[event.stream] = event.next_offset
+        if event.stream == CONFIG_STREAM:
+            self._table.advance(event.next_offset - 1)
+        if event.tail:
+            self._tail_seen.add(event.stream)
+            if event.stream == self._stream:
+                self._ownership.read_reached_tail(event.now)
+        return effects
+
+    def _record(self, stream: str, record: LogRecord, now: float) -> list[Effect]:
+        writers = self._writers.setdefault(stream, {})
+        batch = record.batch
+        if batch.seq <= writers.get(batch.writer, 0):
+            return []
+        writers.pop(batch.writer, None)
+        writers[batch.writer] = batch.seq
+        while len(writers) > WRITERS_KEPT:
+            del writers[next(iter(writers))]
+        effects: list[Effect] = []
+        for fact in batch.facts:
+            effects += self._fact(record.offset, fact, now)
+        return effects
+
+    def _fact(self, offset: int, fact: Fact, now: float) -> list[Effect]:
+        match fact:
+            case Renewed():
+                self._ownership.apply_renewed(offset, fact, now)
+                self._heartbeat.read_back(fact.beats)
+                return []
+            case AttemptEnded():
+                return self._attempt_ended(offset, fact, now)
+            case JobSubmitted():
+                return self._submitted(offset, fact)
+            case JobCancelled():
+                return self._cancelled(offset, fact)
+            case ShardClaimed():
+                return self._claimed_on_log(offset, fact, now)
+            case ShardReleased():
+                return self._released_on_log(offset, fact)
+            case TableEdited():
+                outcome = self._table.apply(offset, fact)
+                return self._submissions.read_back(fact.request, outcome)
+            case BoxDrained():
+                self._owner.placement.box_drained(fact.box, fact.drained)
+                done = Accepted(fact.box, offset)
+                return self._submissions.read_back(fact.request, done)
+            case _:
+                return []
+
+    def _attempt_ended(
+        self, offset: int, fact: AttemptEnded, now: float
+    ) -> list[Effect]:
+        shard = self._ownership.shards.get(fact.shard)
+        if shard is None:
+            return []
+        task = self._jobs.apply_ended(offset, fact, shard.epoch)
+        if task is None:
+            return []
+        job = self._jobs.jobs.get(fact.task.rpartition("/")[0])
+        if job is None:
+            return []
+        return self._owner.placement.task_ended(job, task, fact, now)
+
+    def _submitted(self, offset: int, fact: JobSubmitted) -> list[Effect]:
+        job = self._jobs.apply_submitted(offset, fact)
+        if job is not None:
+            self._owner.placement.job_submitted(job)
+        return self._submissions.read_back(fact.request, Accepted(fact.job, offset))
+
+    def _cancelled(self, offset: int, fact: JobCancelled) -> list[Effect]:
+        job = self._jobs.apply_cancelled(fact)
+        effects: list[Effect] = []
+        if job is not None:
+            effects += self._owner.placement.job_cancelled(job)
+        done = Accepted(fact.job, offset)
+        return effects + self._submissions.read_back(fact.request, done)
+
+    def _claimed_on_log(
+        self, offset: int, fact: ShardClaimed, now: float
+    ) -> list[Effect]:
+        before = self._ownership.shards.get(fact.shard)
+        if before is None or not self._ownership.apply_claim(offset, fact, now):
+            return []
+        effects = self._owner.lost(fact.shard)
+        if fact.incarnation == self._setup.incarnation:
+            effects += self._owner.won(fact.shard, before, now, self._wall)
+        return effects
+
+    def _released_on_log(self, offset: int, fact: ShardReleased) -> list[Effect]:
+        if not self._ownership.apply_released(offset, fact):
+            return []
+        return self._owner.lost(fact.shard)
+
+    def _peer_message(self, event: ev.PeerMessage) -> list[Effect]:
+        message = event.message
+        match message:
+            case BeatSent():
+                self._heartbeat.gather(message.beat)
+                return []
+            case HallDigests():
+                self._halls.heard(event.sender, message, event.now)
+                return []
+            case LoansGranted():
+                self._borrower.granted(message, event.now)
+                return self._requests.serve_waiting(event.now)
+            case KeyVerdict():
+                return self._requests.verdict(message, event.now)
+            case KeyReturned():
+                self._owner.key_returned(message)
+                return []
+            case LoansHeld() | KeyAsked():
+                return self._answer_peer(event, message)
+
+    def _answer_peer(
+        self, event: ev.PeerMessage, message: LoansHeld | KeyAsked
+    ) -> list[Effect]:
+        answer: Message | None
+        if isinstance(message, KeyAsked):
+            answer = self._owner.decide_key(message, event.now, event.wall)
+        else:
+            answer = self._owner.asked_for_loans(
+                event.sender, event.incarnation, message, event.now
+            )
+        return [SendPeer(event.sender, answer)] if answer is not None else []
+
+    def _boxes_listed(self, event: ev.BoxListRead) -> list[Effect]:
+        self._owner.placement.boxes_listed(event.boxes)
+        return []
+
+    def _box_answered(self, event: ev.BoxAnswered) -> list[Effect]:
+        return self._owner.box_answered(event)
+
+    def _box_failed(self, event: ev.BoxFailed) -> list[Effect]:
+        self._owner.placement.box_failed(event)
+        return []
+
+    def _job_submit(self, event: ev.JobSubmitAsked) -> list[Effect]:
+        spec = event.spec
+        need = Vector.of(spec)
+        listed = self._owner.placement.listed or {}
+        totals = {
+            name: Vector(b.cores, b.memory_gb, b.accelerators)
+            for name, b in listed.items()
+        }
+        if never_fits(need, totals.values()):
+            text = "no box of this hall is large enough for one task"
+            return [_reject(event.request, Reason.CAN_NEVER_RUN, text)]
+        limit = self._table.number(event.account, "max_cores") / self._setup.shards
+        if spec.cores > limit:
+            text = f"one task takes {spec.cores:g} cores, the limit is {limit:g}"
+            return [_reject(event.request, Reason.CAN_NEVER_RUN, text)]
+        shard = self._shard_for(event.job, need, totals)
+        fact = JobSubmitted(event.request, event.job, event.account, spec, shard)
+        return self._submissions.submit(event.request, self._stream, fact, event.now)
+
+    def _shard_for(self, job: str, need: Vector, totals: t.Mapping[str, Vector]) -> int:
+        """Pick a shard by the job's name, in proportion to fitting cores."""
+        shards = self._setup.shards
+        sizes = [0.0] * shards
+        for box, total in totals.items():
+            if need.fits(total):
+                sizes[shard_of(box, shards)] += total.cores
+        whole = sum(sizes)
+        draw = zlib.crc32(job.encode()) / 2**32
+        if not whole:
+            return int(draw * shards)
+        point = draw * whole
+        for shard, size in enumerate(sizes):
+            point -= size
+            if point < 0:
+                return shard
+        return shards - 1
+
+    def _job_cancel(self, event: ev.JobCancelAsked) -> list[Effect]:
+        job = self._jobs.jobs.get(event.job)
+        if job is None or event.account not in ("", job.account):
+            text = f"no job {event.job}"
+            return [_reject(event.request, Reason.NOT_FOUND, text)]
+        fact = JobCancelled(event.request, event.job)
+        return self._submissions.submit(event.request, self._stream, fact, event.now)
+
+    def _table_edit(self, event: ev.TableEditAsked) -> list[Effect]:
+        fact = TableEdited(event.request, event.edits)
+        return self._submissions.submit(event.request, CONFIG_STREAM, fact, event.now)
+
+    def _box_drain(self, event: ev.BoxDrainAsked) -> list[Effect]:
+        if event.box not in (self._owner.placement.listed or {}):
+            text = f"no box {event.box} in this hall"
+            return [_reject(event.request, Reason.NOT_FOUND, text)]
+        fact = BoxDrained(event.request, event.box, event.drained)
+        return self._submissions.submit(event.request, self._stream, fact, event.now)
+
+    def _stop(self, event: ev.StopAsked) -> list[Effect]:
+        self._stopping = True
+        self._requests.stop()
+        self._owner.begin_release()
+        return [Note("stopping", self._setup.node)]
+
+    def explain(self, job: Job) -> dict[str, str] | None:
+        """Return task -> reason; ``None`` if another process owns the shard."""
+        return self._owner.explain(job)
+
+    def shard_of_box(self, box: str) -> int:
+        """Return the shard of a box of this hall."""
+        return shard_of(box, self._setup.shards)
+
+    def key_owner(self, account: str, key: str) -> str:
+        """Return the process of this hall that decides on a key."""
+        shard = key_shard(account, key, self._setup.shards)
+        return self._ownership.shards[shard].holder
+
+
+def _reject(request: str, reason: Reason, detail: str) -> Effect:
+    outcome: Outcome = Rejected(reason, detail)
+    return Conclude(request, outcome)
--- /dev/null
+++ b/src/granitetrestle/requests.py
@@ -0,0 +1,395 @@
+"""Requests of callers from arrival to their one final outcome: admission, fair
+waiting, routing to a lent slot or to another hall, retries, and the rule that
+``not run`` is said only with proof. What is given up on is answered at once."""
+
+import dataclasses
+import heapq
+import typing as t
+
+from .borrowing import Borrower
+from .events import AnswerArrived
+from .events import AnswerFailed
+from .events import CallerLeft
+from .events import Conclude
+from .events import Dispatch
+from .events import Effect
+from .events import Forward
+from .events import RequestArrived
+from .events import SendPeer
+from .fairqueue import FairQueue
+from .halls import Halls
+from .keys import key_hall
+from .keys import key_shard
+from .messages import KeyAsked
+from .messages import KeyReturned
+from .messages import KeyVerdict
+from .outcomes import Answered
+from .outcomes import NotRun
+from .outcomes import Outcome
+from .outcomes import Reason
+from .outcomes import Unknown
+from .ownership import Ownership
+from .table import Table
+
+__all__ = ["RequestTerms", "Requests"]
+
+RETRY_SHARE = 0.1
+RETRY_BURST = 20.0
+SMOOTHING = 0.05
+FIRST_GUESS_S = 0.01
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 30.0
+NO_ENDPOINT_RETRY_S = 1.0
+MAX_HOPS = 2
+
+
+class RequestTerms(t.NamedTuple):
+    """Limits on requests at one entry process.
+
+    :param max_request_s: longest deadline in seconds; below the loans' term.
+    :param max_waiting: requests that may wait, over all accounts.
+    """
+
+    max_request_s: float = 5.0
+    max_waiting: int = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    event: RequestArrived
+    state: t.Literal["key", "waiting", "sent", "forwarded"]
+    serial: int = 0
+    endpoint: str = ""
+    sent_at: float = 0.0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    key_granted: bool = False
+
+
+class Requests:
+    """All requests that this process has not yet answered."""
+
+    def __init__(
+        self,
+        hall: str,
+        hall_names: t.Sequence[str],
+        shards: int,
+        terms: RequestTerms,
+        table: Table,
+        ownership: Ownership,
+        borrower: Borrower,
+        halls: Halls,
+    ) -> None:
+        self._hall = hall
+        self._hall_names = tuple(hall_names)
+        self._shards = shards
+        self._terms = terms
+        self._table = table
+        self._ownership = ownership
+        self._borrower = borrower
+        self._halls = halls
+        self._pending: dict[str, _Pending] = {}
+        self._queues: dict[str, FairQueue] = {}
+        self._in_flight: dict[str, int] = {}
+        self._deadlines: list[tuple[float, str]] = []
+        self._service_s: dict[str, float] = {}
+        self._retry_tokens = RETRY_BURST
+        self._waiting = 0
+        self._stopping = False
+
+    @property
+    def unanswered(self) -> int:
+        """Requests without a final outcome."""
+        return len(self._pending)
+
+    def stop(self) -> None:
+        """Refuse new requests from now on; finish what is here."""
+        self._stopping = True
+
+    def demand(self) -> dict[str, int]:
+        """Return service -> slots in use and requests waiting."""
+        demand = {name: len(queue) for name, queue in self._queues.items() if queue}
+        for borrowed in self._borrower.endpoints.values():
+            service = borrowed.loan.service
+            if borrowed.in_use:
+                demand[service] = demand.get(service, 0) + borrowed.in_use
+        return demand
+
+    def arrived(self, event: RequestArrived) -> list[Effect]:
+        """Admit, route, queue or refuse a request."""
+        if self._stopping:
+            return [_conclude(event.request, NotRun(Reason.STOPPING, 0.1))]
+        if event.deadline <= event.now:
+            return [_conclude(event.request, NotRun(Reason.DEADLINE, 0.0))]
+        self._retry_tokens = min(RETRY_BURST, self._retry_tokens + RETRY_SHARE)
+        pending = _Pending(event, "waiting", key_granted=event.key_granted)
+        self._pending[event.request] = pending
+        heapq.heappush(self._deadlines, (event.deadline, event.request))
+        if event.key and not event.key_granted:
+            return self._ask_for_key(pending, event.now)
+        return self._route(pending, event.now)
+
+    def _ask_for_key(self, pending: _Pending, now: float) -> list[Effect]:
+        event = pending.event
+        hall = key_hall(event.account, event.key, self._hall_names)
+        if hall != self._hall:
+            return self._forward_key(pending, hall, now)
+        shard = key_shard(event.account, event.key, self._shards)
+        state = self._ownership.shards[shard]
+        if not state.holder or state.released:
+            return self._finish(
+                pending, NotRun(Reason.KEY_OWNER_MISSING, NO_ENDPOINT_RETRY_S)
+            )
+        pending.state = "key"
+        ask = KeyAsked(event.request, event.account, event.key, event.issued_at)
+        return [SendPeer(state.holder, ask)]
+
+    def _forward_key(self, pending: _Pending, hall: str, now: float) -> list[Effect]:
+        reason = Reason.HALL_UNREACHABLE
+        refusal = NotRun(reason, NO_ENDPOINT_RETRY_S, f"the key belongs to {hall}")
+        if pending.event.hops or not self._halls.reachable(hall, now):
+            return self._finish(pending, refusal)
+        node = self._halls.node_in(hall, now, pending.tried)
+        if node is None:
+            return self._finish(pending, refusal)
+        return self._forward(pending, node)
+
+    def verdict(self, message: KeyVerdict, now: float) -> list[Effect]:
+        """Go on with a request whose key was decided."""
+        pending = self._pending.get(message.request)
+        if pending is None or pending.state != "key":
+            return []
+        if message.verdict == "run":
+            pending.key_granted = True
+            pending.state = "waiting"
+            return self._route(pending, now)
+        if message.verdict == "not_owner":
+            missing = NotRun(Reason.KEY_OWNER_MISSING, NO_ENDPOINT_RETRY_S)
+            return self._finish(pending, missing)
+        reason = Reason.KEY_SEEN if message.verdict == "seen" else Reason.KEY_TOO_OLD
+        return self._finish(pending, Unknown(reason))
+
+    def _route(self, pending: _Pending, now: float) -> list[Effect]:
+        event = pending.event
+        queue = self._queues.get(event.service)
+        if not queue and self._account_allows(event.account):
+            endpoint = self._borrower.pick(event.service, now, pending.tried)
+            if endpoint is not None:
+                return self._dispatch(pending, endpoint, now)
+        if not self._borrower.slots(event.service, now):
+            return self._elsewhere(pending, now)
+        return self._wait(pending, now)
+
+    def _account_allows(self, account: str) -> bool:
+        limit = self._table.number(account, "max_in_flight")
+        return self._in_flight.get(account, 0) < limit
+
+    def _dispatch(self, pending: _Pending, endpoint: str, now: float) -> list[Effect]:
+        event = pending.event
+        borrowed = self._borrower.take(endpoint)
+        self._in_flight[event.account] = self._in_flight.get(event.account, 0) + 1
+        pending.state = "sent"
+        pending.serial += 1
+        pending.endpoint = endpoint
+        pending.sent_at = now
+        return [
+            Dispatch(
+                event.request,
+                pending.serial,
+                endpoint,
+                borrowed.loan.address,
+                min(event.deadline, borrowed.until),
+                fresh=not event.repeatable,
+            )
+        ]
+
+    def _elsewhere(self, pending: _Pending, now: float) -> list[Effect]:
+        event = pending.event
+        refusal = NotRun(Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_S)
+        if event.hops >= MAX_HOPS:
+            return self._finish(pending, refusal)
+        for hall in self._halls.serving(event.service, now):
+            node = self._halls.node_in(hall, now, pending.tried)
+            if node is not None:
+                return self._forward(pending, node)
+        return self._finish(pending, refusal)
+
+    def _forward(self, pending: _Pending, node: str) -> list[Effect]:
+        event = pending.event
+        pending.state = "forwarded"
+        pending.serial += 1
+        pending.endpoint = node
+        return [
+            Forward(
+                event.request,
+                pending.serial,
+                node,
+                event.deadline,
+                event.hops + 1,
+                pending.key_granted,
+            )
+        ]
+
+    def _wait(self, pending: _Pending, now: float) -> list[Effect]:
+        event = pending.event
+        queue = self._queues.setdefault(event.service, FairQueue())
+        wait_s = self._expected_wait(queue, event, now)
+        if queue.waiting(event.account) >= self._table.number(
+            event.account, "max_queued"
+        ):
+            return self._finish(
+                pending, NotRun(Reason.ACCOUNT_LIMIT, _retry_after(wait_s))
+            )
+        if now + wait_s > event.deadline or self._waiting >= self._terms.max_waiting:
+            return self._finish(
+                pending, NotRun(Reason.OVERLOADED, _retry_after(wait_s))
+            )
+        pending.state = "waiting"
+        queue.push(event.account, event.request)
+        self._waiting += 1
+        return []
+
+    def _expected_wait(
+        self, queue: FairQueue, event: RequestArrived, now: float
+    ) -> float:
+        slots = max(1, self._borrower.slots(event.service, now))
+        ahead = queue.share_ahead(event.account, self._weight)
+        mean_s = self._service_s.get(event.service, FIRST_GUESS_S)
+        return (ahead + 1.0) * mean_s / slots
+
+    def _weight(self, account: str) -> float:
+        return self._table.number(account, "weight")
+
+    def answered(self, event: AnswerArrived) -> list[Effect]:
+        """Pass a whole answer on; late and doubled ones are dropped."""
+        pending = self._current(event.request, event.serial)
+        if pending is None:
+            return []
+        if pending.state == "sent":
+            self._observe(pending, event.now)
+        endpoint = pending.endpoint
+        self._give_back(pending, event.now, failed=False)
+        effects = self._finish(pending, Answered(endpoint))
+        return effects + self.serve_waiting(event.now)
+
+    def _observe(self, pending: _Pending, now: float) -> None:
+        service = pending.event.service
+        took = now - pending.sent_at
+        mean = self._service_s.get(service, took)
+        self._service_s[service] = mean + SMOOTHING * (took - mean)
+
+    def _current(self, request: str, serial: int) -> _Pending | None:
+        pending = self._pending.get(request)
+        if pending is None or pending.serial != serial:
+            return None
+        return pending if pending.state in ("sent", "forwarded") else None
+
+    def _give_back(self, pending: _Pending, now: float, failed: bool) -> None:
+        if pending.state != "sent":
+            return
+        account = pending.event.account
+        self._in_flight[account] -= 1
+        if not self._in_flight[account]:
+            del self._in_flight[account]
+        self._borrower.give_back(pending.endpoint, now, failed)
+
+    def failed(self, event: AnswerFailed) -> list[Effect]:
+        """Retry what is proved not run or repeatable, else say what is known."""
+        pending = self._current(event.request, event.serial)
+        if pending is None:
+            return []
+        refused = not event.proof.may_have_run
+        self._give_back(pending, event.now, failed=True)
+        pending.tried.add(pending.endpoint)
+        if self._may_retry(pending, refused, event.now):
+            self._retry_tokens -= 1.0
+            pending.state = "waiting"
+            effects = self._retry(pending, event.now)
+        elif refused:
+            detail = event.proof.detail
+            outcome: Outcome = NotRun(Reason.REFUSED, MIN_RETRY_AFTER_S, detail)
+            effects = self._finish(pending, outcome)
+        else:
+            outcome = Unknown(Reason.CONNECTION_LOST, event.proof.detail)
+            effects = self._finish(pending, outcome)
+        return effects + self.serve_waiting(event.now)
+
+    def _may_retry(self, pending: _Pending, refused: bool, now: float) -> bool:
+        if self._retry_tokens < 1.0 or now >= pending.event.deadline:
+            return False
+        return refused or pending.event.repeatable
+
+    def _retry(self, pending: _Pending, now: float) -> list[Effect]:
+        event = pending.event
+        if event.key and not pending.key_granted:
+            return self._ask_for_key(pending, now)
+        return self._route(pending, now)
+
+    def caller_left(self, event: CallerLeft) -> list[Effect]:
+        """Free all that a request held whose caller hung up."""
+        pending = self._pending.get(event.request)
+        if pending is None:
+            return []
+        self._give_back(pending, event.now, failed=False)
+        self._drop(pending)
+        return self.serve_waiting(event.now)
+
+    def serve_waiting(self, now: float) -> list[Effect]:
+        """Give free slots to waiting requests in fair order."""
+        effects: list[Effect] = []
+        for service, queue in list(self._queues.items()):
+            while queue:
+                endpoint = self._borrower.pick(service, now, ())
+                if endpoint is None:
+                    break
+                request = queue.pop(self._weight, self._account_allows)
+                if request is None:
+                    break
+                self._waiting -= 1
+                effects += self._dispatch(self._pending[request], endpoint, now)
+            if not queue:
+                del self._queues[service]
+        return effects
+
+    def tick(self, now: float) -> list[Effect]:
+        """Give up on what can't be served in time, at once."""
+        effects: list[Effect] = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request = heapq.heappop(self._deadlines)
+            pending = self._pending.get(request)
+            # What was sent is ended by its adapter, which knows what left.
+            if pending is not None and pending.state in ("key", "waiting"):
+                wait_s = self._service_s.get(pending.event.service, FIRST_GUESS_S)
+                late = NotRun(Reason.DEADLINE, _retry_after(wait_s))
+                effects += self._finish(pending, late)
+        return effects + self.serve_waiting(now)
+
+    def _finish(self, pending: _Pending, outcome: Outcome) -> list[Effect]:
+        self._drop(pending)
+        effects: list[Effect] = [_conclude(pending.event.request, outcome)]
+        if pending.key_granted and isinstance(outcome, NotRun):
+            effects += self._return_key(pending.event)
+        return effects
+
+    def _return_key(self, event: RequestArrived) -> list[Effect]:
+        """Let the caller use its key again, since nothing ran under it."""
+        if event.key_granted:
+            return []
+        shard = key_shard(event.account, event.key, self._shards)
+        holder = self._ownership.shards[shard].holder
+        message = KeyReturned(event.request, event.account, event.key)
+        return [SendPeer(holder, message)] if holder else []
+
+    def _drop(self, pending: _Pending) -> None:
+        event = pending.event
+        queue = self._queues.get(event.service)
+        if queue is not None and queue.discard(event.account, event.request):
+            self._waiting -= 1
+        self._pending.pop(event.request, None)
+
+
+def _conclude(request: str, outcome: Outcome) -> Conclude:
+    return Conclude(request, outcome)
+
+
+def _retry_after(wait_s: float) -> float:
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
--- /dev/null
+++ b/src/granitetrestle/shards.py
@@ -0,0 +1,270 @@
+"""Everything that this process does as owner of shards: books, starts, lent
+slots and decisions on keys, opened and closed together with the epoch."""
+
+import typing as t
+
+from .books import ShardBook
+from .capacity import Assignment
+from .events import AppendFacts
+from .events import BoxAnswered
+from .events import Effect
+from .events import Note
+from .jobs import Job
+from .jobs import Jobs
+from .keys import KeyLedger
+from .keys import key_shard
+from .lending import Lendable
+from .lending import Lender
+from .lending import LendingTerms
+from .messages import EndpointInfo
+from .messages import KeyAsked
+from .messages import KeyReturned
+from .messages import KeyVerdict
+from .messages import LoansGranted
+from .messages import LoansHeld
+from .ownership import Ownership
+from .ownership import ShardState
+from .placement import Placement
+from .placement import PlacementTerms
+from .policy import Policy
+from .records import ShardReleased
+from .starts import Starter
+from .table import Table
+
+__all__ = ["ShardOwner"]
+
+
+class ShardOwner:
+    """The owner's side of every shard that this process holds."""
+
+    def __init__(
+        self,
+        stream: str,
+        shards: int,
+        placement_terms: PlacementTerms,
+        lending_terms: LendingTerms,
+        policy: Policy,
+        table: Table,
+        jobs: Jobs,
+        ownership: Ownership,
+    ) -> None:
+        self._stream = stream
+        self._shards = shards
+        self._terms = placement_terms
+        self._lending_terms = lending_terms
+        self._ownership = ownership
+        self._placement = Placement(stream, shards, placement_terms, jobs, ownership)
+        self._starter = Starter(stream, shards, policy, table, jobs)
+        self._lenders: dict[int, Lender] = {}
+        self._keys: dict[int, KeyLedger] = {}
+        self._before: dict[int, ShardState] = {}
+        self._releasing: set[int] = set()
+        self._released: set[int] = set()
+
+    @property
+    def placement(self) -> Placement:
+        """The books of the owned shards."""
+        return self._placement
+
+    @property
+    def lenders(self) -> t.Mapping[int, Lender]:
+        """Owned shard -> ledger of lent slots."""
+        return self._lenders
+
+    def won(
+        self, shard: int, before: ShardState, now: float, wall: float
+    ) -> list[Effect]:
+        """Open all that goes with an epoch that this process won."""
+        effects = self._placement.shard_won(shard, before, now, wall)
+        epoch = self._ownership.shards[shard].epoch
+        locked = now
+        if before.epoch:
+            orphan = 0.0 if before.released else self._terms.orphan_s
+            quiet = self._ownership.quiet_from(shard)
+            locked = quiet + orphan + self._lending_terms.loan_s
+        self._lenders[shard] = Lender(shard, epoch, locked, self._lending_terms)
+        since = wall + self._terms.clock_margin_s if before.epoch else 0.0
+        self._keys[shard] = KeyLedger(since)
+        self._before[shard] = before
+        self._releasing.discard(shard)
+        self._released.discard(shard)
+        return effects
+
+    def lost(self, shard: int) -> list[Effect]:
+        """Close all that goes with an epoch that is over."""
+        self._lenders.pop(shard, None)
+        self._keys.pop(shard, None)
+        self._before.pop(shard, None)
+        return self._placement.shard_lost(shard)
+
+    def begin_release(self) -> None:
+        """Stop deciding (a planned stop); what was sent is seen to its end."""
+        self._releasing |= set(self._ownership.owned())
+
+    def _release(
+        self, book: ShardBook, heirs: t.Sequence[str], wall: float
+    ) -> list[Effect]:
+        """Hand a shard over once no start of this process can still arrive."""
+        if book.shard in self._released or not self._is_quiet(book, wall):
+            return []
+        self._released.add(book.shard)
+        heir = heirs[book.shard % len(heirs)] if heirs else ""
+        fact = ShardReleased(book.shard, book.epoch, heir)
+        return [AppendFacts(self._stream, (fact,), f"release/{book.shard}")]
+
+    def _is_quiet(self, book: ShardBook, wall: float) -> bool:
+        boxes = book.index.boxes.values()
+        if any(box.in_exchange for box in boxes):
+            return False
+        limit = wall - self._terms.clock_margin_s
+        return all(
+            assignment.not_after < limit
+            for assignment in book.assignments()
+            if assignment.state == "starting"
+        )
+
+    def _may_decide(self, shard: int, now: float) -> bool:
+        return shard not in self._releasing and self._ownership.may_start(shard, now)
+
+    def decide_key(self, message: KeyAsked, now: float, wall: float) -> KeyVerdict:
+        """Answer whether a request with a key may run."""
+        shard = key_shard(message.account, message.key, self._shards)
+        ledger = self._keys.get(shard)
+        if ledger is None or not self._may_decide(shard, now):
+            return KeyVerdict(message.request, "not_owner")
+        verdict = ledger.decide(
+            message.account, message.key, message.issued_at, wall, message.request
+        )
+        return KeyVerdict(message.request, verdict)
+
+    def key_returned(self, message: KeyReturned) -> None:
+        """Free a key under which nothing ran."""
+        shard = key_shard(message.account, message.key, self._shards)
+        if shard in self._keys:
+            self._keys[shard].returned(message.account, message.key, message.request)
+
+    def asked_for_loans(
+        self, node: str, incarnation: str, message: LoansHeld, now: float
+    ) -> LoansGranted | None:
+        """Answer a borrower; its promise may prolong this owner's right."""
+        lender = self._lenders.get(message.shard)
+        if lender is None or message.shard in self._releasing:
+            return None
+        if message.supports and message.epoch == lender.epoch:
+            since = lender.grant_sent_at(node, incarnation, message.applied)
+            if since is not None:
+                self._ownership.supported(message.shard, node, since)
+        if now > self._ownership.term_ends() + self._terms.orphan_s:
+            return None
+        return lender.asked(node, incarnation, message, now)
+
+    def box_answered(self, event: BoxAnswered) -> list[Effect]:
+        """Take in a box's report."""
+        return self._placement.box_answered(event)
+
+    def tick(self, now: float, wall: float, heirs: t.Sequence[str]) -> list[Effect]:
+        """Run a round of every owned shard.
+
+        :param heirs: other live processes of the hall, for a planned stop.
+        """
+        effects: list[Effect] = []
+        for shard, book in list(self._placement.books.items()):
+            self._check_older_owner(shard, book, now, wall)
+            effects += self._placement.lapse(book, wall)
+            effects += self._drain(book, now)
+            if self._may_decide(shard, now):
+                effects += self._starter.place(book, now)
+            if shard in self._releasing:
+                effects += self._release(book, heirs, wall)
+            else:
+                effects += self._exchange(book, now, wall)
+            self._lend(book, now)
+            self._keys[shard].prune(wall)
+        return effects
+
+    def _check_older_owner(
+        self, shard: int, book: ShardBook, now: float, wall: float
+    ) -> None:
+        before = self._before.get(shard)
+        if before is None or not before.epoch:
+            return
+        if not self._ownership.holder_gone(before):
+            return
+        del self._before[shard]
+        margin = self._terms.lease_s + self._terms.clock_margin_s
+        book.doubt_ends_wall = min(book.doubt_ends_wall, wall + margin)
+        self._lenders[shard].older_owner_gone(now)
+
+    def _exchange(self, book: ShardBook, now: float, wall: float) -> list[Effect]:
+        return [
+            self._placement.exchange(book, box, now, wall)
+            for box in book.index.boxes.values()
+            if self._placement.exchange_due(box, now)
+        ]
+
+    def _drain(self, book: ShardBook, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for box in book.index.boxes.values():
+            if not (box.drained or box.info.leaving):
+                continue
+            for assignment in box.tasks.values():
+                if assignment.state == "running":
+                    effects.append(self._begin_drain(assignment, book.epoch))
+                elif assignment.state == "draining":
+                    self._finish_drain(book, assignment, now)
+        return effects
+
+    @staticmethod
+    def _begin_drain(assignment: Assignment, epoch: int) -> Effect:
+        service = assignment.spec.kind == "service"
+        assignment.state = "draining" if service else "evicting"
+        assignment.stop_reason = "evicted"
+        assignment.reason = f"{assignment.box} is draining"
+        return Note("draining", assignment.task, assignment.reason, epoch)
+
+    def _finish_drain(
+        self, book: ShardBook, assignment: Assignment, now: float
+    ) -> None:
+        lender = self._lenders[book.shard]
+        if not lender.outstanding(endpoint_name(assignment), now):
+            assignment.state = "stopping"
+
+    def _lend(self, book: ShardBook, now: float) -> None:
+        lendable: dict[str, Lendable] = {}
+        for box in book.index.boxes.values():
+            if box.drained or box.info.leaving:
+                continue
+            for assignment in box.tasks.values():
+                if assignment.spec.kind != "service" or assignment.state != "running":
+                    continue
+                name = endpoint_name(assignment)
+                info = EndpointInfo(
+                    name, assignment.spec.service, box.info.endpoint_address
+                )
+                ours = assignment.epoch == book.epoch
+                lendable[name] = Lendable(info, box.info.slots, ours)
+        lender = self._lenders[book.shard]
+        lender.set_lendable(lendable)
+        lender.forget_silent(now)
+        lender.check(now)
+
+    def explain(self, job: Job) -> dict[str, str] | None:
+        """Return task -> why it is where it is; ``None`` if not owned here."""
+        book = self._placement.books.get(job.shard)
+        if book is None:
+            return None
+        return {
+            task.task: self._explain_task(book, job, task.task)
+            for task in job.tasks.values()
+        }
+
+    def _explain_task(self, book: ShardBook, job: Job, name: str) -> str:
+        task = job.tasks[name]
+        if task.ended:
+            return f"ended: {task.last_ending}"
+        return self._starter.explain(book, name)
+
+
+def endpoint_name(assignment: Assignment) -> str:
+    """Return the name of the endpoint that a running service task is."""
+    return f"{assignment.task}#{assignment.attempt}"
--- /dev/null
+++ b/src/granitetrestle/submissions.py
@@ -0,0 +1,82 @@
+"""Changes that a caller or operator waits for: acknowledged only once their
+record was read back from the log, refused as not run only while it provably
+never left, and unknown otherwise."""
+
+import typing as t
+
+from .events import AppendFacts
+from .events import Conclude
+from .events import Effect
+from .events import FactsWithdrawn
+from .events import Withdraw
+from .outcomes import NotRun
+from .outcomes import Outcome
+from .outcomes import Reason
+from .outcomes import Unknown
+from .records import Fact
+
+__all__ = ["Submissions"]
+
+PATIENCE_S = 5.0
+RETRY_AFTER_S = 2.0
+MAX_WAITING = 5000
+
+
+class _Waiting(t.NamedTuple):
+    stream: str
+    gives_up_at: float
+
+
+class Submissions:
+    """Changes whose record has not been read back yet."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, _Waiting] = {}
+        self._withdrawing: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._waiting) + len(self._withdrawing)
+
+    def submit(self, request: str, stream: str, fact: Fact, now: float) -> list[Effect]:
+        """Put a change on its way to the log."""
+        if len(self) >= MAX_WAITING:
+            busy = NotRun(Reason.OVERLOADED, RETRY_AFTER_S)
+            return [Conclude(request, busy)]
+        self._waiting[request] = _Waiting(stream, now + PATIENCE_S)
+        return [AppendFacts(stream, (fact,), request)]
+
+    def read_back(self, request: str, outcome: Outcome) -> list[Effect]:
+        """Conclude a change whose record stands on the log."""
+        if not self._take(request):
+            return []
+        return [Conclude(request, outcome)]
+
+    def _take(self, request: str) -> bool:
+        if request in self._withdrawing:
+            self._withdrawing.discard(request)
+            return True
+        return self._waiting.pop(request, None) is not None
+
+    def tick(self, now: float) -> list[Effect]:
+        """Take back what has waited too long."""
+        effects: list[Effect] = []
+        for request, waiting in list(self._waiting.items()):
+            if now < waiting.gives_up_at:
+                # In order of arrival, so the first that may wait ends the look.
+                break
+            del self._waiting[request]
+            self._withdrawing.add(request)
+            effects.append(Withdraw(waiting.stream, request))
+        return effects
+
+    def withdrawn(self, event: FactsWithdrawn) -> list[Effect]:
+        """Conclude a change that was taken back, or could not be."""
+        if not self._take(event.request):
+            return []
+        if event.unsent:
+            refused = NotRun(Reason.LOG_UNAVAILABLE, RETRY_AFTER_S)
+            return [Conclude(event.request, refused)]
+        detail = "its record may still reach the log"
+        return [
+            Conclude(event.request, Unknown(Reason.LOG_UNAVAILABLE, detail)),
+        ]
