--- a/src/granitetrestle/engine.py
+++ b/src/granitetrestle/engine.py
@@ -35,12 +35,14 @@
 from .events import Proof
 from .events import RequestArrived
 from .events import SendPeer
+from .events import SnapshotRead
 from .events import StopAsked
 from .events import Tick
 from .events import Withdraw
 from .loglink import LogClient
 from .loglink import LogWriter
 from .loglink import backoffs
+from .loglink import newest_snapshot
 from .messages import Message
 from .outcomes import Answered
 from .outcomes import Outcome
@@ -49,6 +51,7 @@
 from .reducer import Reducer
 from .reducer import hall_stream
 from .settings import Settings
+from .snapshot import snapshot_stream
 from .telemetry import PROPAGATOR
 from .telemetry import Telemetry
 
@@ -106,9 +109,11 @@
         self._peers = PeerLink(settings, incarnation)
         self._http = {peer.node: str(peer.http) for peer in settings.peers}
         self._own_stream = hall_stream(settings.hall)
+        self._streams = (CONFIG_STREAM, self._own_stream)
         self._writers = {
-            stream: self._make_writer(stream)
-            for stream in (CONFIG_STREAM, self._own_stream)
+            name: self._make_writer(name)
+            for stream in self._streams
+            for name in (stream, snapshot_stream(stream))
         }
         self._waiters: dict[str, _Waiter] = {}
         self._append_contexts: dict[str, otel_context.Context] = {}
@@ -150,8 +155,9 @@
         tasks.start_soon(self._peer_loop)
         tasks.start_soon(self._list_loop)
         tasks.start_soon(self._prune_loop)
-        for stream, writer in self._writers.items():
+        for stream in self._streams:
             tasks.start_soon(self._read_loop, stream)
+        for writer in self._writers.values():
             tasks.start_soon(writer.run)
 
     def close(self) -> None:
@@ -383,8 +389,9 @@
 
     async def _read_loop(self, stream: str) -> None:
         waits = backoffs()
-        offset = 1
+        await self._restore(stream)
         while True:
+            offset = self._reducer.offsets.get(stream, 1)
             try:
                 page = await self._log_client.read(stream, offset)
             except LogUnavailable as error:
@@ -392,17 +399,32 @@
                 await anyio.sleep(next(waits))
                 continue
             except LogGapError as error:
-                # Without a snapshot, a gap can't be closed; say so and read on.
                 self._telemetry.log.error("log_gap", detail=error.message)
-                offset = error.first
+                await self._restore(stream)
+                await anyio.sleep(next(waits))
                 continue
             waits = backoffs()
-            offset = page.next_offset
+            now = time.monotonic()
             self.dispatch(
-                LogRead(time.monotonic(), stream, page.records, offset, page.tail)
+                LogRead(now, stream, page.records, page.next_offset, page.tail)
             )
             self._writers[stream].noticed(page.records, page.tail)
 
+    async def _restore(self, stream: str) -> None:
+        """Take up the newest snapshot, if it is newer than what is known."""
+        waits = backoffs()
+        while True:
+            try:
+                newest = await newest_snapshot(self._log_client, stream)
+                break
+            except LogUnavailable:
+                await anyio.sleep(next(waits))
+        if newest is None:
+            return
+        upto, payload = newest
+        self._telemetry.log.info("snapshot_read", stream=stream, upto=upto)
+        self.dispatch(SnapshotRead(time.monotonic(), stream, upto, payload))
+
     async def stop(self) -> None:
         """Hand over and finish, for as long as the settings allow."""
         self.dispatch(StopAsked(time.monotonic()))
--- a/src/granitetrestle/events.py
+++ b/src/granitetrestle/events.py
@@ -39,6 +39,7 @@
     "Proof",
     "RequestArrived",
     "SendPeer",
+    "SnapshotRead",
     "StopAsked",
     "TableEditAsked",
     "TaskReport",
@@ -128,6 +129,15 @@
     tail: bool
 
 
+class SnapshotRead(t.NamedTuple):
+    """A whole snapshot of ``stream`` that covers the records up to ``upto``."""
+
+    now: float
+    stream: str
+    upto: int
+    payload: bytes
+
+
 class FactsWithdrawn(t.NamedTuple):
     """Answer to :class:`Withdraw`. ``unsent`` proves that nothing was sent."""
 
@@ -274,6 +284,7 @@
 Event: t.TypeAlias = (
     Tick
     | LogRead
+    | SnapshotRead
     | FactsWithdrawn
     | PeerMessage
     | BoxListRead
--- a/src/granitetrestle/halls.py
+++ b/src/granitetrestle/halls.py
@@ -97,6 +97,11 @@
         known = self._known.get(hall)
         return known is not None and now - known.heard_at < STALE_S
 
+    def first_reachable(self, now: float) -> str:
+        """Return the first hall by name that this one can reach, or itself."""
+        halls = [hall for hall in self._known if self.reachable(hall, now)]
+        return min([self._hall, *halls])
+
     def node_in(self, hall: str, now: float, avoid: t.Container[str]) -> str | None:
         """Return a process of ``hall`` to send a request to."""
         known = self._known.get(hall)
--- a/src/granitetrestle/loglink.py
+++ b/src/granitetrestle/loglink.py
@@ -17,8 +17,11 @@
 from .records import Batch
 from .records import Fact
 from .records import LogRecord
+from .records import SnapshotChunk
 from .records import decode_batch
 from .records import encode_batch
+from .snapshot import SnapshotAssembly
+from .snapshot import snapshot_stream
 
 __all__ = ["LogClient", "LogPage", "LogWriter"]
 
@@ -92,15 +95,17 @@
         ) as error:
             raise LogUnavailable(f"the log did not answer: {error!r}") from error
 
-    async def read(self, stream: str, offset: int) -> LogPage:
-        """Read on from ``offset``, waiting up to a second for news.
+    async def read(
+        self, stream: str, offset: int, wait_s: float = READ_WAIT_S
+    ) -> LogPage:
+        """Read on from ``offset``, waiting up to ``wait_s`` seconds for news.
 
         :raises LogUnavailable: if there is no good answer.
         :raises LogGapError: if ``offset`` has expired.
         """
         url = (
             f"{self._base}/{stream}/records?from={offset}"
-            f"&limit={READ_LIMIT}&wait_ms={READ_WAIT_S * 1000:.0f}"
+            f"&limit={READ_LIMIT}&wait_ms={wait_s * 1000:.0f}"
         )
         response = await self._call("GET", url, READ_TIMEOUT_S)
         if response.status not in (STATUS_OK, STATUS_GONE):
@@ -143,6 +148,27 @@
     return LogPage(tuple(records), next_offset, next_offset >= page.next)
 
 
+async def newest_snapshot(client: LogClient, stream: str) -> tuple[int, bytes] | None:
+    """Return the newest whole snapshot of a stream, if there is one.
+
+    :returns: the offset that it covers, and its bytes.
+    :raises LogUnavailable: if the log can't be read.
+    """
+    assembly = SnapshotAssembly()
+    source = snapshot_stream(stream)
+    offset = 1
+    while True:
+        try:
+            page = await client.read(source, offset, wait_s=0.0)
+        except LogGapError as error:
+            offset = error.first
+            continue
+        assembly.add(page.records)
+        offset = page.next_offset
+        if page.tail:
+            return assembly.newest
+
+
 class LogWriter:
     """Writes one stream, one append at a time.
 
@@ -225,6 +251,9 @@
             name, some = self._waiting.popitem(last=False)
             names.append(name)
             facts += some
+            if any(isinstance(fact, SnapshotChunk) for fact in some):
+                # A chunk fills an append by itself.
+                break
         return names, facts
 
     async def _send(self, batch: Batch) -> None:
--- a/src/granitetrestle/ownership.py
+++ b/src/granitetrestle/ownership.py
@@ -312,12 +312,11 @@
             if now - member.heard_at > self._terms.forget_s:
                 del self._members[name]
 
-    def snapshot(self) -> dict[int, ShardState]:
-        """Return the part of the state that follows from the log alone."""
-        return self._shards
-
     def restore(self, shards: t.Mapping[int, ShardState]) -> None:
-        """Take up a snapshot."""
-        for number, state in shards.items():
-            if number in self._shards:
-                self._shards[number] = state
+        """Take up the shards of a snapshot; members are heard anew."""
+        self._members.clear()
+        self._won_at.clear()
+        self._support.clear()
+        self._tail_read_at = -1e18
+        for number in self._shards:
+            self._shards[number] = shards.get(number, ShardState())
--- a/src/granitetrestle/placement.py
+++ b/src/granitetrestle/placement.py
@@ -166,6 +166,10 @@
                 book.index.boxes[box].drained = drained
                 book.dirty = True
 
+    def restore_drained(self, drained: t.Collection[str]) -> None:
+        """Take up the drained boxes of a snapshot."""
+        self._drained = set(drained)
+
     def job_submitted(self, job: Job) -> None:
         """Enter a new job if its shard is owned here."""
         book = self._books.get(job.shard)
--- a/src/granitetrestle/reducer.py
+++ b/src/granitetrestle/reducer.py
@@ -54,6 +54,13 @@
 from .requests import Requests
 from .requests import RequestTerms
 from .shards import ShardOwner
+from .snapshot import ConfigState
+from .snapshot import HallState
+from .snapshot import chunks
+from .snapshot import decode_config
+from .snapshot import decode_hall
+from .snapshot import encode_state
+from .snapshot import snapshot_stream
 from .starts import never_fits
 from .submissions import Submissions
 from .table import Table
@@ -75,6 +82,8 @@
 
     :param incarnation: differs each time a process starts.
     :param halls: hall -> nodes, this process included.
+    :param snapshot_records: records of a stream between two snapshots.
+    :param snapshot_s: longest time between two snapshots, in seconds.
     """
 
     node: str
@@ -86,6 +95,8 @@
     placement: PlacementTerms = PlacementTerms()
     lending: LendingTerms = LendingTerms()
     requests: RequestTerms = RequestTerms()
+    snapshot_records: int = 2000
+    snapshot_s: float = 600.0
 
 
 class Reducer:
@@ -101,6 +112,7 @@
         self._offsets: dict[str, int] = {}
         self._writers: dict[str, dict[str, int]] = {}
         self._tail_seen: set[str] = set()
+        self._snapshot_at: dict[str, tuple[int, float]] = {}
         self._claimed: dict[int, tuple[int, float]] = {}
         self._ownership = Ownership(
             setup.node,
@@ -138,6 +150,7 @@
         self._handlers: dict[type, t.Callable[[t.Any], list[Effect]]] = {
             Tick: self._tick,
             LogRead: self._log_read,
+            ev.SnapshotRead: self._snapshot_read,
             ev.FactsWithdrawn: self._submissions.withdrawn,
             ev.PeerMessage: self._peer_message,
             ev.BoxListRead: self._boxes_listed,
@@ -232,6 +245,7 @@
         effects += self._owner.tick(now, event.wall, heirs)
         effects += self._ask_for_loans(now)
         effects += self._digests(now, event.wall)
+        effects += self._snapshots(now)
         self._ownership.forget_old(now)
         return effects
 
@@ -302,6 +316,67 @@
                 self._ownership.read_reached_tail(event.now)
         return effects
 
+    def _snapshot_read(self, event: ev.SnapshotRead) -> list[Effect]:
+        if event.upto < self._offsets.get(event.stream, 1) - 1:
+            # Older than what was read already; going back is never right.
+            return []
+        self._offsets[event.stream] = event.upto + 1
+        self._snapshot_at[event.stream] = (event.upto, event.now)
+        if event.stream == CONFIG_STREAM:
+            config = decode_config(event.payload)
+            self._table.restore(config.rows, event.upto)
+            self._writers[event.stream] = config.writers
+            return []
+        return self._restore_hall(decode_hall(event.payload))
+
+    def _restore_hall(self, state: HallState) -> list[Effect]:
+        for shard in list(self._owner.placement.books):
+            self._owner.lost(shard)
+        self._jobs.restore(state.jobs)
+        self._ownership.restore(state.shards)
+        self._owner.placement.restore_drained(state.drained)
+        self._writers[self._stream] = state.writers
+        # The books of what we still hold went with the gap: let others follow.
+        return [
+            self._owner.give_up(shard, self._ownership.shards[shard].epoch)
+            for shard in self._ownership.owned()
+        ]
+
+    def _snapshots(self, now: float) -> list[Effect]:
+        """Write snapshots well before the log drops what they cover."""
+        if self._ownership.gatherer(now) != self._setup.node:
+            return []
+        effects = self._snapshot(self._stream, now)
+        if self._halls.first_reachable(now) == self._setup.hall:
+            effects += self._snapshot(CONFIG_STREAM, now)
+        return effects
+
+    def _snapshot(self, stream: str, now: float) -> list[Effect]:
+        if stream not in self._tail_seen:
+            return []
+        upto = self._offsets[stream] - 1
+        last, at = self._snapshot_at.setdefault(stream, (0, now))
+        if upto == last:
+            return []
+        due = now - at > self._setup.snapshot_s
+        if upto - last < self._setup.snapshot_records and not due:
+            return []
+        self._snapshot_at[stream] = (upto, now)
+        payload = encode_state(self._state_of(stream))
+        target = snapshot_stream(stream)
+        return [AppendFacts(target, (chunk,)) for chunk in chunks(upto, payload)]
+
+    def _state_of(self, stream: str) -> ConfigState | HallState:
+        writers = self._writers.get(stream, {})
+        if stream == CONFIG_STREAM:
+            return ConfigState(self._table.rows, writers)
+        return HallState(
+            self._jobs.snapshot(),
+            dict(self._ownership.shards),
+            sorted(self._owner.placement.drained),
+            writers,
+        )
+
     def _record(self, stream: str, record: LogRecord, now: float) -> list[Effect]:
         writers = self._writers.setdefault(stream, {})
         batch = record.batch
--- a/src/granitetrestle/shards.py
+++ b/src/granitetrestle/shards.py
@@ -97,6 +97,11 @@
         self._before.pop(shard, None)
         return self._placement.shard_lost(shard)
 
+    def give_up(self, shard: int, epoch: int) -> Effect:
+        """Release a shard whose books were lost with a gap in the log."""
+        fact = ShardReleased(shard, epoch)
+        return AppendFacts(self._stream, (fact,), f"release/{shard}")
+
     def begin_release(self) -> None:
         """Stop deciding (a planned stop); what was sent is seen to its end."""
         self._releasing |= set(self._ownership.owned())
--- a/src/granitetrestle/table.py
+++ b/src/granitetrestle/table.py
@@ -132,6 +132,11 @@
             row[edit.column] = Cell(edit.value, offset)
         return Accepted(f"{len(fact.edits)} cell(s)", offset)
 
+    def restore(self, rows: dict[str, dict[str, Cell]], offset: int) -> None:
+        """Take up a snapshot that is newer than what is in force here."""
+        self.rows = rows
+        self.offset = offset
+
     def advance(self, offset: int) -> None:
         """Note that all records up to ``offset`` are in force here."""
         self.offset = max(self.offset, offset)
--- a/src/granitetrestle_standins/fakes.py
+++ b/src/granitetrestle_standins/fakes.py
@@ -20,6 +20,8 @@
 from granitetrestle.reducer import Reducer
 from granitetrestle.reducer import Setup
 from granitetrestle.reducer import hall_stream
+from granitetrestle.snapshot import SnapshotAssembly
+from granitetrestle.snapshot import snapshot_stream
 
 from .fakebox import FakeBox
 from .fakebox import Ledger
@@ -68,8 +70,13 @@
         """Return the oldest offset still kept."""
         return 1 + self._dropped[stream]
 
+    def expire_all(self, keep: int) -> None:
+        """Drop all but the newest ``keep`` records of every stream."""
+        for stream in list(self._streams):
+            self.expire(stream, keep)
+
     def expire(self, stream: str, keep: int) -> None:
-        """Drop all but the newest ``keep`` records."""
+        """Drop all but the newest ``keep`` records of a stream."""
         excess = len(self._streams[stream]) - keep
         if excess > 0:
             del self._streams[stream][:excess]
@@ -115,6 +122,8 @@
             hall_stream(setup.hall): _Writer(),
         }
         self.offsets = dict.fromkeys(self.writers, 1)
+        for stream in list(self.writers):
+            self.writers[snapshot_stream(stream)] = _Writer()
         self.outcomes: dict[str, Outcome] = {}
         self.callbacks: dict[str, t.Callable[[Outcome], None]] = {}
         self.notes: collections.Counter[str] = collections.Counter()
@@ -138,8 +147,8 @@
         """Begin to tick and to read."""
         self.world.later(0.0, self._tick)
         self.world.later(0.0, self._read_list)
-        for stream in self.writers:
-            self.world.later(0.0, functools.partial(self._read, stream))
+        for stream in self.offsets:
+            self.world.later(0.0, functools.partial(self._restore, stream))
 
     def run(self, function: t.Callable[[], None]) -> None:
         """Run in this process: now, after a freeze, or never if it is dead."""
@@ -175,11 +184,37 @@
     def _log_unreachable(self) -> bool:
         return self.world.faults.log_down or self.cut_from_log
 
+    def _restore(self, stream: str) -> None:
+        """Take up the newest snapshot, as the engine does at a start or a gap."""
+
+        def restore() -> None:
+            if self._log_unreachable():
+                self.world.later(READ_S, lambda: self._restore(stream))
+                return
+            self.world.later(READ_S, lambda: self._read(stream))
+            assembly = SnapshotAssembly()
+            source = snapshot_stream(stream)
+            offset = self.world.log.first(source)
+            while records := self.world.log.read(source, offset):
+                assembly.add(records)
+                offset = records[-1].offset + 1
+            if assembly.newest is None:
+                return
+            upto, payload = assembly.newest
+            self.step(ev.SnapshotRead(self.mono, stream, upto, payload))
+            self.offsets[stream] = self.reducer.offsets.get(stream, 1)
+
+        self.run(restore)
+
     def _read(self, stream: str) -> None:
         def ask() -> None:
-            self.world.later(READ_S, lambda: self._read(stream))
             if self._log_unreachable():
+                self.world.later(READ_S, lambda: self._read(stream))
                 return
+            if self.offsets[stream] < self.world.log.first(stream):
+                self._restore(stream)
+                return
+            self.world.later(READ_S, lambda: self._read(stream))
             records = self.world.log.read(stream, self.offsets[stream])
             upto = self.offsets[stream] + len(records)
             tail = upto >= self.world.log.next(stream)
@@ -187,9 +222,7 @@
             self.world.later(delay, lambda: self.run(lambda: take(records, upto, tail)))
 
         def take(records: tuple[LogRecord, ...], upto: int, tail: bool) -> None:
-            if records and records[0].offset != self.offsets[stream]:
-                return
-            if not records and upto != self.offsets[stream]:
+            if upto - len(records) != self.offsets[stream]:
                 return
             self.offsets[stream] = upto
             self.step(ev.LogRead(self.mono, stream, records, upto, tail))
@@ -248,8 +281,11 @@
         if writer.sending is not None or not writer.waiting:
             return
         writer.seq += 1
-        facts = tuple(f for some in writer.waiting.values() for f in some)
-        writer.waiting.clear()
+        if stream in self.offsets:
+            facts = tuple(f for some in writer.waiting.values() for f in some)
+            writer.waiting.clear()
+        else:
+            _, facts = writer.waiting.popitem(last=False)
         writer.sending = Batch(self.setup.incarnation, writer.seq, facts)
         self._try_append(stream, writer.sending)
 
@@ -400,6 +436,7 @@
         shards: int = 1,
         cores: float = 8.0,
         slots: int = 4,
+        snapshot_records: int = 2000,
     ) -> None:
         self.random = random.Random(seed)
         self.now = 1000.0
@@ -421,6 +458,7 @@
             for hall, count in halls.items()
         }
         self._shards = shards
+        self._snapshot_records = snapshot_records
         for hall in halls:
             for number in range(1, boxes + 1):
                 self._add_box(hall, number, cores, slots)
@@ -446,6 +484,7 @@
             hall=hall,
             halls=self._halls,
             shards=self._shards,
+            snapshot_records=self._snapshot_records,
         )
         skew = self.random.uniform(-SKEW_S, SKEW_S)
         fake = FakeNode(self, setup, skew)
--- a/src/granitetrestle_standins/soak.py
+++ b/src/granitetrestle_standins/soak.py
@@ -74,6 +74,7 @@
     (1, lambda c, d: c.box_leaves(d.randrange(100))),
     (1, lambda c, d: c.box_returns()),
     (3, lambda c, d: c.heal()),
+    (2, lambda c, d: c.world.log.expire_all(d.choice([70, 150]))),
 )
 
 
@@ -84,7 +85,13 @@
     """
     draw = random.Random(seed)
     halls = {"zurich": 3} if seed % 2 else {"zurich": 2, "bern": 2}
-    world = World(seed, halls, boxes=draw.randint(1, 4), shards=draw.randint(1, 3))
+    world = World(
+        seed,
+        halls,
+        boxes=draw.randint(1, 4),
+        shards=draw.randint(1, 3),
+        snapshot_records=60,
+    )
     chaos = Chaos(world)
     chaos.advance(draw.uniform(0.0, 8.0))
     weights = [weight for weight, _ in OPERATIONS]
