--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,6 @@
 
 soak: setup
 	$(BIN)/python -m granitetrestle_standins.soak
+
+slopes: setup
+	$(BIN)/python -m granitetrestle_bench.slopes
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -15,6 +15,7 @@
       | 67   |
       | 126  |
       | 196  |
+      | 55   |
       | 1034 |
       | 1077 |
       | 1114 |
--- a/src/granitetrestle/books.py
+++ b/src/granitetrestle/books.py
@@ -28,6 +28,7 @@
         still arrive.
     :param doubt_ends_wall: wall time (s) after which every lease that an older
         epoch granted has lapsed, even on boxes that can't be reached.
+    :param starting: boxes that a start waits for.
     :param unheard: boxes that have not reported since ``quiet_wall``.
     :param superseded: a box has shown a newer epoch; nothing is decided any more.
     :param doubts: tasks that an older epoch may have running somewhere.
@@ -47,6 +48,7 @@
     superseded: bool = False
     dirty: bool = True
     blocked: dict[tuple[str, Shape], str] = dataclasses.field(default_factory=dict)
+    starting: set[str] = dataclasses.field(default_factory=set)
     evicting_for: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def open_jobs(self, jobs: Jobs) -> None:
--- a/src/granitetrestle/keys.py
+++ b/src/granitetrestle/keys.py
@@ -10,6 +10,7 @@
 Verdict: t.TypeAlias = t.Literal["run", "seen", "too_old", "not_owner"]
 HORIZON_S = 600.0
 MAX_KEYS = 200_000
+PRUNE_EVERY_S = 30.0
 
 
 def _score(*parts: str) -> int:
@@ -35,6 +36,7 @@
 
     def __init__(self, since_wall: float) -> None:
         self._since_wall = since_wall
+        self._prune_at = 0.0
         self._decided: dict[tuple[str, str], tuple[float, str]] = {}
 
     def __len__(self) -> int:
@@ -66,7 +68,10 @@
             del self._decided[(account, key)]
 
     def prune(self, wall: float) -> None:
-        """Drop keys that the horizon alone now refuses."""
+        """Drop keys that the horizon alone now refuses, once in a while."""
+        if wall < self._prune_at:
+            return
+        self._prune_at = wall + PRUNE_EVERY_S
         for name, (issued_at, _) in list(self._decided.items()):
             if issued_at <= wall - HORIZON_S:
                 del self._decided[name]
--- a/src/granitetrestle/ownership.py
+++ b/src/granitetrestle/ownership.py
@@ -40,6 +40,7 @@
     holder: str = ""
     holder_incarnation: str = ""
     renewal: int = 0
+    renewal_number: int = 0
     released: bool = True
     heir: str = ""
 
@@ -118,17 +119,24 @@
     def apply_renewed(self, offset: int, fact: Renewed, now: float) -> None:
         """Apply a record of renewals."""
         for beat in fact.beats:
-            self._apply_beat(offset, beat, now)
+            self._renew_shards(offset, beat)
+            self._hear_member(offset, beat, now)
 
-    def _apply_beat(self, offset: int, beat: Beat, now: float) -> None:
+    def _renew_shards(self, offset: int, beat: Beat) -> None:
+        # From the log alone: members are forgotten by each process's own clock,
+        # and claims must win or lose alike everywhere.
+        for shard in self._shards.values():
+            held = shard.holder_incarnation == beat.incarnation
+            if held and beat.number > shard.renewal_number:
+                shard.renewal = offset
+                shard.renewal_number = beat.number
+
+    def _hear_member(self, offset: int, beat: Beat, now: float) -> None:
         known = self._members.get(beat.node)
         same_life = known is not None and known.beat.incarnation == beat.incarnation
         if known is not None and same_life and known.beat.number >= beat.number:
             return
         self._members[beat.node] = Member(beat, offset, now)
-        for shard in self._shards.values():
-            if shard.holder_incarnation == beat.incarnation:
-                shard.renewal = offset
         if beat.incarnation == self._incarnation and beat.number in self._sent:
             self._renewed_from = max(self._renewed_from, self._sent[beat.number])
 
--- a/src/granitetrestle/placement.py
+++ b/src/granitetrestle/placement.py
@@ -146,6 +146,7 @@
         gone = [n for n, b in book.index.boxes.items() if self._is_gone(n, b)]
         for name in gone:
             book.index.remove(name)
+            book.starting.discard(name)
             book.unheard.discard(name)
         book.listed = True
         book.dirty = True
--- a/src/granitetrestle/reducer.py
+++ b/src/granitetrestle/reducer.py
@@ -362,11 +362,12 @@
         if upto - last < self._setup.snapshot_records and not due:
             return []
         self._snapshot_at[stream] = (upto, now)
-        payload = encode_state(self._state_of(stream))
+        payload = encode_state(self.state_of(stream))
         target = snapshot_stream(stream)
         return [AppendFacts(target, (chunk,)) for chunk in chunks(upto, payload)]
 
-    def _state_of(self, stream: str) -> ConfigState | HallState:
+    def state_of(self, stream: str) -> ConfigState | HallState:
+        """Return what a stream's records have led to, for a snapshot."""
         writers = self._writers.get(stream, {})
         if stream == CONFIG_STREAM:
             return ConfigState(self._table.rows, writers)
--- a/src/granitetrestle/shards.py
+++ b/src/granitetrestle/shards.py
@@ -33,6 +33,8 @@
 
 __all__ = ["ShardOwner"]
 
+SWEEP_S = 0.25
+
 
 class ShardOwner:
     """The owner's side of every shard that this process holds."""
@@ -58,6 +60,7 @@
         self._lenders: dict[int, Lender] = {}
         self._keys: dict[int, KeyLedger] = {}
         self._before: dict[int, ShardState] = {}
+        self._sweep_at = -1e18
         self._releasing: set[int] = set()
         self._released: set[int] = set()
 
@@ -178,20 +181,29 @@
         :param heirs: other live processes of the hall, for a planned stop.
         """
         effects: list[Effect] = []
+        sweep = now >= self._sweep_at
+        if sweep:
+            self._sweep_at = now + SWEEP_S
         for shard, book in list(self._placement.books.items()):
-            self._check_older_owner(shard, book, now, wall)
-            effects += self._placement.lapse(book, wall)
-            effects += self._drain(book, now)
+            if sweep:
+                effects += self._sweep(shard, book, now, wall)
             if self._may_decide(shard, now):
                 effects += self._starter.place(book, now)
-            if book.superseded:
-                continue
             if shard in self._releasing:
                 effects += self._release(book, heirs, wall)
-            else:
-                effects += self._exchange(book, now, wall)
-            self._lend(book, now)
-            self._keys[shard].prune(wall)
+            elif not book.superseded:
+                effects += self._exchange(book, sweep, now, wall)
+        return effects
+
+    def _sweep(
+        self, shard: int, book: ShardBook, now: float, wall: float
+    ) -> list[Effect]:
+        """Look at every box and task; what can't wait is done on each tick."""
+        self._check_older_owner(shard, book, now, wall)
+        effects = self._placement.lapse(book, wall)
+        effects += self._drain(book, now)
+        self._lend(book, now)
+        self._keys[shard].prune(wall)
         return effects
 
     def _check_older_owner(
@@ -207,12 +219,18 @@
         book.doubt_ends_wall = min(book.doubt_ends_wall, wall + margin)
         self._lenders[shard].older_owner_gone(now)
 
-    def _exchange(self, book: ShardBook, now: float, wall: float) -> list[Effect]:
-        return [
-            self._placement.exchange(book, box, now, wall)
-            for box in book.index.boxes.values()
-            if self._placement.exchange_due(box, now)
-        ]
+    def _exchange(
+        self, book: ShardBook, sweep: bool, now: float, wall: float
+    ) -> list[Effect]:
+        names = list(book.index.boxes) if sweep else sorted(book.starting)
+        effects: list[Effect] = []
+        for name in names:
+            box = book.index.boxes[name]
+            if self._placement.exchange_due(box, now):
+                effects.append(self._placement.exchange(book, box, now, wall))
+            if not box.starts:
+                book.starting.discard(name)
+        return effects
 
     def _drain(self, book: ShardBook, now: float) -> list[Effect]:
         effects: list[Effect] = []
--- a/src/granitetrestle/starts.py
+++ b/src/granitetrestle/starts.py
@@ -169,6 +169,7 @@
         book.book(box, assignment, adopted=False)
         book.evicting_for.pop(task.task, None)
         box.starts[task.task] = assignment
+        book.starting.add(verdict.box)
 
     def _evict_for(
         self, book: ShardBook, task: WaitingTask, now: float, effects: list[Effect]
--- a/src/granitetrestle_standins/chaos.py
+++ b/src/granitetrestle_standins/chaos.py
@@ -12,6 +12,7 @@
 from granitetrestle.outcomes import Outcome
 from granitetrestle.records import CellEdit
 from granitetrestle.records import JobSpec
+from granitetrestle.reducer import hall_stream
 
 from .fakes import FakeNode
 from .fakes import Faults
@@ -173,9 +174,20 @@
 
         :raises InvariantViolated: naming the promise.
         """
+        self._check_owners()
         self._check_table()
         self._check_work()
 
+    def _check_owners(self) -> None:
+        """Promise 2: processes that read equally far see the same owners."""
+        seen: dict[tuple[str, int], t.Any] = {}
+        for node in self.world.nodes.values():
+            stream = hall_stream(node.setup.hall)
+            key = (stream, node.reducer.offsets.get(stream, 1))
+            shards = dict(node.reducer.ownership.shards)
+            if seen.setdefault(key, shards) != shards:
+                raise InvariantViolated(f"two views of the owners at {key} (promise 2)")
+
     def _check_table(self) -> None:
         """Promise 9: no replica steps back, and equal offsets are equal tables."""
         tables: dict[int, dict[str, dict[str, t.Any]]] = {}
