--- a/src/granitetrestle_bench/slopes.py
+++ b/src/granitetrestle_bench/slopes.py
@@ -141,16 +141,21 @@
     return run
 
 
-def _memory_in_child(what: str, size: int) -> float:
-    """Return MB that ``size`` things take, measured in a process of its own."""
-    command = [sys.executable, "-m", "granitetrestle_bench.memory", what, str(size)]
+def _in_child(module: str, *words: str) -> float:
+    """Return what a measurement in a process of its own prints."""
+    command = [sys.executable, "-m", f"granitetrestle_bench.{module}", *words]
     done = subprocess.run(command, check=True, capture_output=True, timeout=300)
     return float(done.stdout)
 
 
 def memory(what: str) -> t.Callable[[int], t.Callable[[], float]]:
     """Resident MB of ``size`` things of a kind."""
-    return lambda size: lambda: _memory_in_child(what, size)
+    return lambda size: lambda: _in_child("memory", what, str(size))
+
+
+def whole_exchanges(tasks: int) -> t.Callable[[], float]:
+    """Processor time (us) of an exchange over HTTP with a box of ``tasks``."""
+    return lambda: _in_child("exchange", str(tasks))
 
 
 def log_records(beats: int) -> t.Callable[[], float]:
@@ -290,6 +295,9 @@
         _over("placement", "us", "boxes", (31, 310, 3100), placements, 3),
         _over("second of ticks", "ms", "boxes of 18 tasks", (9, 35, 140), ticks, 3),
         _over("exchange, reducer", "us", "tasks on the box", (2, 9, 18), exchanges, 3),
+        _over(
+            "exchange, HTTP", "us", "tasks on the box", (2, 9, 18), whole_exchanges, 3
+        ),
         _over("renewal record", "us", "beats", (3, 9, 27), log_records, 3),
         _over("cell change", "us", "rows", (66, 220, 660), edits, 3),
         _over("snapshot", "ms", "tasks", (1000, 5600, 20000), snapshots, 3),
