--- a/src/granitetrestle/borrowing.py
+++ b/src/granitetrestle/borrowing.py
@@ -131,7 +131,7 @@
         until = sent + message.term_s
         granted = {loan.endpoint: loan for loan in message.loans}
         for name in [n for n, s in self._shard_of.items() if s == message.shard]:
-            if name not in granted:
+            if name not in granted and message.complete:
                 self._shrink(name)
         for name, loan in granted.items():
             self._extend(name, loan, message.shard, until, now)
--- a/src/granitetrestle/engine.py
+++ b/src/granitetrestle/engine.py
@@ -276,7 +276,7 @@
             proof = Proof(False, f"no address of {effect.node}")
             self._failed(effect.request, effect.serial, proof)
             return
-        left_ms = max(1, int((effect.deadline - time.monotonic()) * 1000))
+        left_ms = max(1, int((effect.peer_deadline - time.monotonic()) * 1000))
         headers = [
             (PEER_TOKEN, self._settings.peer_token.encode()),
             (HOPS, str(effect.hops).encode()),
--- a/src/granitetrestle/events.py
+++ b/src/granitetrestle/events.py
@@ -359,12 +359,17 @@
 
 
 class Forward(t.NamedTuple):
-    """Send a request on to a process of another hall as its try ``serial``."""
+    """Send a request on to a process of another hall as its try ``serial``.
+
+    :param peer_deadline: the peer's deadline, earlier than ``deadline`` so that
+        its typed refusal still comes back in time.
+    """
 
     request: str
     serial: int
     node: str
     deadline: float
+    peer_deadline: float
     hops: int
     key_granted: bool
 
--- a/src/granitetrestle/lending.py
+++ b/src/granitetrestle/lending.py
@@ -69,15 +69,23 @@
 class Lender:
     """The owner's ledger of one shard.
 
+    :param nodes: every process of the hall; when all of them have reported, no
+        loan of an older epoch is unknown any more.
     :param locked_until: monotonic time until which loans of an older epoch that
         nobody has reported may still be in use.
     """
 
     def __init__(
-        self, shard: int, epoch: int, locked_until: float, terms: LendingTerms
+        self,
+        shard: int,
+        epoch: int,
+        nodes: t.Collection[str],
+        locked_until: float,
+        terms: LendingTerms,
     ) -> None:
         self._shard = shard
         self._epoch = epoch
+        self._unreported = set(nodes)
         self._locked_until = locked_until
         self._terms = terms
         self._lendable: dict[str, Lendable] = {}
@@ -101,10 +109,19 @@
         return sum(b.may_use(endpoint, now) for b in self._borrowers.values())
 
     def asked(
-        self, node: str, incarnation: str, message: LoansHeld, now: float
+        self,
+        node: str,
+        incarnation: str,
+        message: LoansHeld,
+        now: float,
+        in_office: bool = True,
+        complete: bool = True,
     ) -> LoansGranted | None:
         """Take a borrower's report and return what it may use from now on.
 
+        :param in_office: within the owner's term; past it loans are prolonged
+            but none is moved, since a successor may be prolonging them too.
+        :param complete: every box of the shard has shown its endpoints.
         :returns: ``None`` for a message of another epoch, or a late or doubled
             one.
         """
@@ -112,7 +129,10 @@
         if message.epoch != self._epoch or message.number <= borrower.number:
             return None
         self._note_report(borrower, message, now)
-        grant = self._grant(borrower, now)
+        self._unreported.discard(node)
+        if not self._unreported:
+            self._locked_until = min(self._locked_until, now)
+        grant = self._grant(borrower, in_office, now)
         borrower.pending.append(grant)
         loans = tuple(
             Loan(name, info.service, info.address, slots)
@@ -125,6 +145,7 @@
             grant.serial,
             message.number,
             self._terms.loan_s,
+            complete,
             loans,
         )
 
@@ -134,11 +155,8 @@
             for name, reported in message.loans.items()
             if (slots := self._countable(borrower, name, reported, now))
         }
-        # What an older epoch lent has lapsed when the lock ends.
-        first = borrower.number == 0 and now < self._locked_until
-        until = now + self._terms.loan_s
         borrower.held = held
-        borrower.held_until = min(until, self._locked_until) if first else until
+        borrower.held_until = now + self._terms.loan_s
         borrower.number = message.number
         borrower.asked_at = now
         borrower.demand = message.demand
@@ -173,7 +191,7 @@
         borrower = self._borrowers.get((node, incarnation))
         return borrower.sent.get(serial) if borrower is not None else None
 
-    def _grant(self, borrower: _Borrower, now: float) -> _Grant:
+    def _grant(self, borrower: _Borrower, in_office: bool, now: float) -> _Grant:
         active = self._active(now)
         borrower.serial += 1
         borrower.sent[borrower.serial] = now
@@ -181,7 +199,7 @@
         loans: dict[str, int] = {}
         for name, entry in self._lendable.items():
             slots = min(
-                self._room(name, entry, borrower, now),
+                self._room(name, entry, borrower, in_office, now),
                 _fair_part(name, entry, borrower, active),
             )
             if slots > 0:
@@ -196,9 +214,16 @@
             if borrower.asked_at > fresh
         ]
 
-    def _room(self, name: str, entry: Lendable, borrower: _Borrower, now: float) -> int:
+    def _room(
+        self,
+        name: str,
+        entry: Lendable,
+        borrower: _Borrower,
+        in_office: bool,
+        now: float,
+    ) -> int:
         own = borrower.may_use(name, now)
-        if not entry.ours and now < self._locked_until:
+        if not in_office or (not entry.ours and now < self._locked_until):
             return own
         return entry.slots - (self.outstanding(name, now) - own)
 
--- a/src/granitetrestle/messages.py
+++ b/src/granitetrestle/messages.py
@@ -51,8 +51,10 @@
 
 
 class LoansGranted(msgspec.Struct, frozen=True, tag=True):
-    """All that a shard's owner lends the receiver, replacing what it lent before.
+    """What a shard's owner lends the receiver.
 
+    :param complete: loans not listed end now; otherwise the owner does not know
+        all endpoints yet, and they run on until their term.
     :param serial: number of this grant; the term runs from when the receiver
         sent the :class:`LoansHeld` that ``answers`` names.
     :param term_s: seconds.
@@ -63,6 +65,7 @@
     serial: int
     answers: int
     term_s: float
+    complete: bool
     loans: tuple[Loan, ...]
 
 
--- a/src/granitetrestle/ownership.py
+++ b/src/granitetrestle/ownership.py
@@ -95,6 +95,11 @@
         """Shard number -> state by the log."""
         return self._shards
 
+    @property
+    def nodes(self) -> frozenset[str]:
+        """Every process that the settings name for this hall."""
+        return self._nodes
+
     @property
     def members(self) -> t.Mapping[str, Member]:
         """Node -> last renewal read."""
--- a/src/granitetrestle/reducer.py
+++ b/src/granitetrestle/reducer.py
@@ -352,6 +352,11 @@
             effects += self._snapshot(CONFIG_STREAM, now)
         return effects
 
+    def write_snapshots_now(self) -> None:
+        """Let the next tick write snapshots, if this process is to write them."""
+        for stream in self._tail_seen:
+            self._snapshot_at[stream] = (0, -1e18)
+
     def _snapshot(self, stream: str, now: float) -> list[Effect]:
         if stream not in self._tail_seen:
             return []
--- a/src/granitetrestle/requests.py
+++ b/src/granitetrestle/requests.py
@@ -41,6 +41,7 @@
 MAX_RETRY_AFTER_S = 30.0
 NO_ENDPOINT_RETRY_S = 1.0
 MAX_HOPS = 2
+PEER_SHARE = 0.9
 
 
 class RequestTerms(t.NamedTuple):
@@ -159,7 +160,7 @@
         node = self._halls.node_in(hall, now, pending.tried)
         if node is None:
             return self._finish(pending, refusal)
-        return self._forward(pending, node)
+        return self._forward(pending, node, now)
 
     def verdict(self, message: KeyVerdict, now: float) -> list[Effect]:
         """Go on with a request whose key was decided."""
@@ -218,10 +219,10 @@
         for hall in self._halls.serving(event.service, now):
             node = self._halls.node_in(hall, now, pending.tried)
             if node is not None:
-                return self._forward(pending, node)
+                return self._forward(pending, node, now)
         return self._finish(pending, refusal)
 
-    def _forward(self, pending: _Pending, node: str) -> list[Effect]:
+    def _forward(self, pending: _Pending, node: str, now: float) -> list[Effect]:
         event = pending.event
         pending.state = "forwarded"
         pending.serial += 1
@@ -232,6 +233,7 @@
                 pending.serial,
                 node,
                 event.deadline,
+                now + PEER_SHARE * (event.deadline - now),
                 event.hops + 1,
                 pending.key_granted,
             )
--- a/src/granitetrestle/shards.py
+++ b/src/granitetrestle/shards.py
@@ -85,7 +85,8 @@
             orphan = 0.0 if before.released else self._terms.orphan_s
             quiet = self._ownership.quiet_from(shard)
             locked = quiet + orphan + self._lending_terms.loan_s
-        self._lenders[shard] = Lender(shard, epoch, locked, self._lending_terms)
+        nodes = self._ownership.nodes
+        self._lenders[shard] = Lender(shard, epoch, nodes, locked, self._lending_terms)
         since = wall + self._terms.clock_margin_s if before.epoch else 0.0
         self._keys[shard] = KeyLedger(since)
         self._before[shard] = before
@@ -161,7 +162,8 @@
         lender = self._lenders.get(message.shard)
         if lender is None or message.shard in self._releasing:
             return None
-        if self._placement.books[message.shard].superseded:
+        book = self._placement.books[message.shard]
+        if book.superseded:
             return None
         if message.supports and message.epoch == lender.epoch:
             since = lender.grant_sent_at(node, incarnation, message.applied)
@@ -169,7 +171,9 @@
                 self._ownership.supported(message.shard, node, since)
         if now > self._ownership.term_ends() + self._terms.orphan_s:
             return None
-        return lender.asked(node, incarnation, message, now)
+        in_office = self._may_decide(message.shard, now)
+        complete = book.listed and not book.unheard
+        return lender.asked(node, incarnation, message, now, in_office, complete)
 
     def box_answered(self, event: BoxAnswered) -> list[Effect]:
         """Take in a box's report."""
--- a/src/granitetrestle_standins/fakes.py
+++ b/src/granitetrestle_standins/fakes.py
@@ -606,6 +606,8 @@
         left = max(0.0, effect.deadline - sender.mono)
         state = {"done": False}
 
+        sent_mono = sender.mono
+
         def arrive() -> None:
             name = f"{effect.request}:{effect.serial}"
             self.work_names[name] = self.work_names[effect.request]
@@ -613,7 +615,7 @@
                 request=name,
                 now=peer.mono,
                 wall=peer.wall,
-                deadline=peer.mono + left,
+                deadline=peer.mono + effect.peer_deadline - sent_mono,
                 hops=effect.hops,
                 key_granted=effect.key_granted,
             )
