--- a/features/promise_2_one_place_at_a_time.feature
+++ b/features/promise_2_one_place_at_a_time.feature
@@ -20,8 +20,18 @@
     When all faults end and everything settles
     Then the job finished, each task in one place at a time
 
+  Scenario: The owner is cut off while work waits, and goes on seeing its boxes
+    Given a hall of 3 processes and 2 boxes among fakes
+    When a job of 8 tasks of 8 cores is submitted
+    And 1 seconds pass
+    And the owner is cut from the log and from its peers
+    And 40 seconds pass
+    And all faults end and everything settles
+    Then the job finished, each task in one place at a time
+
   Scenario: The platform is down for longer than every term and lease
     Given a hall of 3 processes and 2 boxes among fakes
     And batch work of 2 tasks of 8 cores fills the boxes
     When the platform is down for 25 seconds
     Then work that ran goes on running through it
+    And the shard kept its owner and epoch
--- a/features/promise_3_evicted_work_resumes_once.feature
+++ b/features/promise_3_evicted_work_resumes_once.feature
@@ -20,3 +20,11 @@
     And 30 seconds pass
     And all faults end and everything settles
     Then each evicted task resumed once, from its checkpoint
+
+  Scenario: An owner that was followed records ends late
+    Given a hall of 3 processes and 2 boxes among fakes
+    And batch work of 2 tasks of 8 cores fills the boxes
+    When the owner is killed for 5 seconds
+    And 8 seconds pass
+    And ends of its epoch, and of older attempts, reach the log late
+    Then work that ran goes on running through it
--- a/features/promise_9_table_never_reverts.feature
+++ b/features/promise_9_table_never_reverts.feature
@@ -15,6 +15,7 @@
   Scenario: Every process is replaced after old records have expired
     Given halls of 2 processes and 1 boxes among fakes
     When two operators change the same cell at the same moment
+    And 10 other cells are set
     And a snapshot of the configuration was written
     And every process is replaced after the log dropped old records
     Then the cell is in force at every process
--- a/features/steps/fake_steps.py
+++ b/features/steps/fake_steps.py
@@ -8,6 +8,9 @@
 from granitetrestle.outcomes import Accepted
 from granitetrestle.outcomes import Reason
 from granitetrestle.outcomes import Rejected
+from granitetrestle.records import AttemptEnded
+from granitetrestle.records import Batch
+from granitetrestle.records import BoxDrained
 from granitetrestle.records import CellEdit
 from granitetrestle.records import JobSpec
 from granitetrestle_standins.chaos import Chaos
@@ -188,6 +191,7 @@
     won = [o for o in outcomes if isinstance(o, Accepted)]
     lost = [o for o in outcomes if isinstance(o, Rejected)]
     assert len(won) == len(lost) == 1, outcomes
+    context.edit_offset = won[0].offset
     assert lost[0].reason is Reason.CONFLICT
     assert f"version {won[0].offset}" in lost[0].detail, lost[0].detail
 
@@ -221,6 +225,7 @@
         state = node.reducer.state_of(stream)
         assert state.rows
     context.world.log.expire_all(3)
+    assert context.world.log.first("config") > context.edit_offset
     for name in sorted(context.world.nodes):
         context.chaos.kill(choice_of(context, name))
     context.chaos.advance(8.0)
@@ -230,3 +235,66 @@
 def cell_everywhere(context):
     for node in context.world.nodes.values():
         assert node.reducer.table.number("acc", "weight") > 1.0, node.name
+
+
+@when("{count:d} other cells are set")
+def other_cells(context, count):
+    context.edit_offset = 1
+    fake = context.world.nodes["zurich-2"]
+    for number in range(count):
+        edit = CellEdit(f"other-{number}", "weight", 2.0, 0)
+        fake.step(ev.TableEditAsked(fake.mono, f"other-{number}", (edit,)))
+        context.chaos.advance(0.2)
+
+
+@then("the shard kept its owner and epoch")
+def kept_epoch(context):
+    before = dict(context.world.nodes["zurich-1"].reducer.ownership.shards)
+    context.chaos.advance(8.0)
+    after = dict(context.world.nodes["zurich-1"].reducer.ownership.shards)
+    assert before[0].epoch == after[0].epoch, (before, after)
+
+
+@when("ends of its epoch, and of older attempts, reach the log late")
+def late_ends(context):
+    old = context.old_owner.reducer.ownership.shards[0].epoch
+    new = owner(context).reducer.ownership.shards[0].epoch
+    assert new > old
+    task = f"{context.job}/0"
+    facts = (
+        AttemptEnded(task, 1, 0, old, "finished"),
+        AttemptEnded(task, 0, 0, new, "finished"),
+        AttemptEnded(task, 2, 0, new, "finished"),
+    )
+    context.world.append("hall-zurich", Batch("late", 1, facts))
+    context.chaos.advance(2.0)
+    assert not owner(context).reducer.jobs.jobs[context.job].tasks[task].ended
+
+
+@when("box {number:d} is drained and given back")
+def drained_and_back(context, number):
+    context.box = f"zurich-w{number}"
+    fake = context.world.nodes["zurich-1"]
+    for name, drained in (("drain", True), ("undrain", False)):
+        fake.step(ev.BoxDrainAsked(fake.mono, name, context.box, drained))
+        context.chaos.advance(0.5)
+        assert isinstance(fake.outcomes[name], Accepted)
+
+
+@when("the append of the drain takes effect once more")
+def drain_again(context):
+    records = context.world.log.read("hall-zurich", 1)
+    batch = next(
+        r.batch
+        for r in records
+        if any(isinstance(f, BoxDrained) and f.drained for f in r.batch.facts)
+    )
+    context.world.append("hall-zurich", batch)
+    context.chaos.advance(1.0)
+
+
+@then("box {number:d} takes work")
+def takes_work(context, number):
+    book = owner(context).reducer.owner.placement.books[0]
+    box = book.index.boxes[f"zurich-w{number}"]
+    assert box.open_for_work(owner(context).mono), box
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -26,9 +26,17 @@
     for name in sorted(context.world.nodes):
         _call_everywhere(context, 30)
         context.world.nodes[name].frozen_until = context.world.now + 12.0
-        for _ in range(14):
+        for _ in range(11):
             _call_everywhere(context, 10)
             context.chaos.advance(0.9)
+        # A burst that is on its way when the frozen process wakes.
+        context.chaos.advance(
+            context.world.nodes[name].frozen_until - context.world.now
+        )
+        for _ in range(12):
+            for node in sorted(context.world.nodes):
+                context.world.request(node, "acc", "unlock")
+        context.chaos.advance(3.0)
 
 
 @then("no endpoint served more requests at a time than it has slots")
@@ -56,7 +64,9 @@
     for _ in range(count):
         for name, node in sorted(context.world.nodes.items()):
             if node.setup.hall == hall and node.alive:
-                context.called.append(context.world.request(name, "acc", "unlock"))
+                context.called.append(
+                    context.world.request(name, "acc", "unlock", repeatable=True)
+                )
         context.chaos.advance(0.02)
 
 
@@ -227,3 +237,14 @@
         context.chaos.advance(0.25)
         context.world.request(others[1], "acc", "unlock", key=key, issued_at=wall + 0.2)
     context.chaos.advance(5.0)
+
+
+@when("every connection breaks just after an endpoint began")
+def broken(context):
+    context.world.faults = Faults(broken=1.0)
+
+
+@then("none that was told not to have run has run, and some were told unknown")
+def unknown_is_said(context):
+    context.chaos.check_not_run()
+    assert context.told["Unknown"], context.told
--- a/src/granitetrestle/callpath.py
+++ b/src/granitetrestle/callpath.py
@@ -43,7 +43,13 @@
 MAX_KEY = 128
 DEFAULT_DEADLINE_S = 2.0
 PASSED_ON: t.Final = frozenset(
-    {b"content-type", b"idempotency-key", b"idempotency-issued-at", b"x-repeatable"}
+    {
+        b"content-type",
+        b"idempotency-key",
+        b"idempotency-issued-at",
+        b"x-repeatable",
+        b"x-work-s",
+    }
 )
 ACCOUNT: t.Final = b"x-granitetrestle-account"
 
--- a/src/granitetrestle_standins/cluster.py
+++ b/src/granitetrestle_standins/cluster.py
@@ -78,7 +78,7 @@
         self._folder = folder
         self._shape = shape or Shape()
         self._processes: dict[str, _Process] = {}
-        self._pool = httpcore.ConnectionPool()
+        self._pool = httpcore.ConnectionPool(max_connections=200)
         self._addresses: dict[str, str] = {}
         self._peers = ""
         folder.mkdir(parents=True, exist_ok=True)
--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,263 @@
+"""``make mutants``: takes each mechanism out of a copy of the product and runs the
+proof that stands for it, which must then fail. A proof that passes without its
+mechanism proves nothing."""
+
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import typing as t
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TIMEOUT_S = 240
+
+
+class Mutant(t.NamedTuple):
+    """A mechanism to take out, and the scenarios that must notice.
+
+    :param changes: file, text there, text instead; several where one layer
+        stands behind another.
+    """
+
+    what: str
+    changes: tuple[tuple[str, str, str], ...]
+    feature: str
+
+
+MUTANTS = (
+    Mutant(
+        "1: loans of lapsed terms are still used by borrowers",
+        (
+            (
+                "borrowing.py",
+                "if now >= self.until or now < self.set_aside_until:",
+                "if now < self.set_aside_until:",
+            ),
+        ),
+        "promise_1_no_box_overcommitted",
+    ),
+    Mutant(
+        "2: doubts are dropped at a take-over",
+        (
+            (
+                "books.py",
+                "if task.opened < self.epoch and self._in_doubt():",
+                "if False:",
+            ),
+        ),
+        "promise_2_one_place_at_a_time",
+    ),
+    Mutant(
+        "3: the next attempt forgets the checkpoint",
+        (
+            (
+                "placement.py",
+                'checkpoint=found[1].checkpoint if found else "",',
+                'checkpoint="",',
+            ),
+        ),
+        "promise_3_evicted_work_resumes_once",
+    ),
+    Mutant(
+        "4: a refusal is taken for an answer",
+        (
+            (
+                "calls.py",
+                "if reply.header(REFUSED):",
+                "if False:",
+            ),
+        ),
+        "promise_4_own_whole_answer",
+    ),
+    Mutant(
+        "5: a try that may have run is forgotten",
+        (
+            (
+                "requests.py",
+                "if pending.may_have_run and isinstance(outcome, NotRun):",
+                "if False:",
+            ),
+        ),
+        "promise_5_not_run_means_not_run",
+    ),
+    Mutant(
+        "6: a key may run twice",
+        (
+            (
+                "keys.py",
+                "if (account, key) in self._decided:",
+                "if False:",
+            ),
+        ),
+        "promise_6_keys_run_at_most_once",
+    ),
+    Mutant(
+        "6: keys older than the epoch may run",
+        (
+            (
+                "keys.py",
+                "if issued_at <= max(self._since_wall, wall - HORIZON_S):",
+                "if False:",
+            ),
+        ),
+        "promise_6_keys_run_at_most_once",
+    ),
+    Mutant(
+        "8: a stop does not wait for requests in flight",
+        (
+            (
+                "engine.py",
+                "while not self._reducer.stopped:",
+                "while False:",
+            ),
+        ),
+        "promise_8_planned_stop",
+    ),
+    Mutant(
+        "9: the version that an editor saw is not compared",
+        (
+            (
+                "table.py",
+                "if current.version != edit.seen_version:",
+                "if False:",
+            ),
+        ),
+        "promise_9_table_never_reverts",
+    ),
+    Mutant(
+        "9: snapshots are not read",
+        (
+            (
+                "reducer.py",
+                "if event.upto < self._offsets.get(event.stream, 1) - 1:",
+                "if True:",
+            ),
+        ),
+        "promise_9_table_never_reverts",
+    ),
+    Mutant(
+        "1: what a task takes is not counted",
+        (
+            (
+                "capacity.py",
+                "box.free = box.free.plus(Vector.of(assignment.spec), -1)",
+                "pass",
+            ),
+        ),
+        "promise_1_no_box_overcommitted",
+    ),
+    Mutant(
+        "2: successors neither wait to claim nor before they start",
+        (
+            (
+                "ownership.py",
+                "return now - member.heard_at >= limit",
+                "return True",
+            ),
+            (
+                "ownership.py",
+                "return max(now, member.heard_at + self._terms.term_s + self._terms.margin_s)",
+                "return now - 100.0",
+            ),
+            (
+                "ownership.py",
+                "if not shard.released and shard.renewal > fact.seen_renewal:",
+                "if False:",
+            ),
+            (
+                "ownership.py",
+                "if now < self._promised.get(number, -1e18) + self._terms.promise_s:",
+                "if False:",
+            ),
+        ),
+        "soak",
+    ),
+    Mutant(
+        "3: an end counts whatever epoch and attempt it names",
+        (
+            (
+                "jobs.py",
+                "if stale or task.ended or fact.attempt != task.attempt:",
+                "if task.ended:",
+            ),
+        ),
+        "promise_3_evicted_work_resumes_once",
+    ),
+    Mutant(
+        "7: leaving boxes are neither emptied nor left out of loans",
+        (
+            (
+                "shards.py",
+                "            if not (box.drained or box.info.leaving):\n                continue",
+                "            continue",
+            ),
+            (
+                "shards.py",
+                "            if box.drained or box.info.leaving:\n                continue",
+                "            pass",
+            ),
+        ),
+        "promise_7_leaving_endpoints",
+    ),
+    Mutant(
+        "7: a batch that stands twice counts twice",
+        (
+            (
+                "reducer.py",
+                "if batch.seq <= writers.get(batch.writer, 0):",
+                "if False:",
+            ),
+        ),
+        "promise_7_leaving_endpoints",
+    ),
+)
+
+
+def survives(mutant: Mutant) -> bool:
+    """Run the proof against the mutant; says whether it passed, wrongly."""
+    with tempfile.TemporaryDirectory(prefix="granitetrestle-mutant-") as folder:
+        copy = pathlib.Path(folder)
+        shutil.copytree(ROOT / "src", copy / "src")
+        shutil.copytree(ROOT / "features", copy / "features")
+        for file, old, new in mutant.changes:
+            path = copy / "src" / "granitetrestle" / file
+            text = path.read_text()
+            if text.count(old) != 1:
+                raise SystemExit(f"{mutant.what}: {old!r} is not there once")
+            path.write_text(text.replace(old, new))
+        env = {**os.environ, "PYTHONPATH": str(copy / "src")}
+        command = [sys.executable, "-m", "behave", "--stop", "--format", "progress"]
+        command.append(f"features/{mutant.feature}.feature")
+        try:
+            done = subprocess.run(
+                command,
+                cwd=copy,
+                env=env,
+                capture_output=True,
+                check=False,
+                timeout=TIMEOUT_S,
+            )
+        except subprocess.TimeoutExpired:
+            return False
+        return done.returncode == 0
+
+
+def main() -> None:
+    """Run all mutants, or those whose text contains the first argument."""
+    wanted = sys.argv[1] if len(sys.argv) > 1 else ""
+    killed = survived = 0
+    for mutant in MUTANTS:
+        if wanted not in mutant.what:
+            continue
+        alive = survives(mutant)
+        survived += alive
+        killed += not alive
+        print(f"{'SURVIVED' if alive else 'killed  '} {mutant.what}", flush=True)
+    print(f"{killed} killed, {survived} survived")
+    sys.exit(1 if survived else 0)
+
+
+if __name__ == "__main__":
+    main()
