Read as a newcomer: intake and log feed stand apart, doubled logic merged

What accounts and operators ask for is `intake.py` now, reading a stream and rebuilding after a gap `logfeed.py`; the baseline forwarder uses the stand-ins' server, the machines share their box rules. `box drain` finds the box's hall by itself, through any entry.

--- a/features/machines.py
+++ b/features/machines.py
@@ -92,6 +92,14 @@
     def expire(self, keep):
         self.world.log.expire_all(keep)
 
+    @rule(choice=CHOICE)
+    def box_leaves(self, choice):
+        self.chaos.box_leaves(choice)
+
+    @rule()
+    def box_returns(self):
+        self.chaos.box_returns()
+
     def teardown(self):
         if hasattr(self, "chaos"):
             self.chaos.settle()
@@ -126,14 +134,6 @@
     def box_fails(self, choice, seconds):
         self.chaos.box_fails(choice, seconds)
 
-    @rule(choice=CHOICE)
-    def box_leaves(self, choice):
-        self.chaos.box_leaves(choice)
-
-    @rule()
-    def box_returns(self):
-        self.chaos.box_returns()
-
 
 class TableMachine(FaultMachine):
     """Editors who race each other at several processes of two halls."""
@@ -178,14 +178,6 @@
         self.chaos.call(second, "unlock", f"key{key}")
         self.chaos.advance(0.05)
 
-    @rule(choice=CHOICE)
-    def box_leaves(self, choice):
-        self.chaos.box_leaves(choice)
-
-    @rule()
-    def box_returns(self):
-        self.chaos.box_returns()
-
 
 MACHINES = {"work": WorkMachine, "table": TableMachine, "request": RequestMachine}
 
--- a/src/granitetrestle/api.py
+++ b/src/granitetrestle/api.py
@@ -277,13 +277,17 @@
     async def _relay_job(self, request: Request) -> Response:
         return await self._relay_to_hall(request, _hall_of(request.path_params["job"]))
 
-    async def _relay_to_hall(self, request: Request, hall: str) -> Response:
+    async def _relay_to_hall(
+        self, request: Request, hall: str, body: bytes = b""
+    ) -> Response:
         nodes = [p.node for p in self._engine.settings.peers if p.hall == hall]
         if not nodes:
             raise NotFound(f"no hall {hall!r}")
-        return await self._relay(request, nodes)
+        return await self._relay(request, nodes, body)
 
-    async def _relay(self, request: Request, nodes: t.Sequence[str]) -> Response:
+    async def _relay(
+        self, request: Request, nodes: t.Sequence[str], body: bytes = b""
+    ) -> Response:
         if request.headers.get(RELAYED):
             raise UnreachableError("relayed once already", "try again")
         headers = [
@@ -301,7 +305,7 @@
             if address is None:
                 continue
             reply = await self._engine.caller.call(
-                address, path, headers, b"", RELAY_TIMEOUT_S, True, request.method
+                address, path, headers, body, RELAY_TIMEOUT_S, True, request.method
             )
             if not isinstance(reply, CallFailure):
                 return Response(reply.body, reply.status, media_type="application/json")
@@ -325,6 +329,10 @@
     async def _drain(self, request: Request) -> Response:
         self._operator(request)
         body = await self._body(request, DrainBody)
+        hall = request.query_params.get("hall", "")
+        if hall and hall != self._engine.settings.hall:
+            content = msgspec.json.encode(body)
+            return await self._relay_to_hall(request, hall, content)
         name = f"drain-{uuid.uuid4().hex}"
         box = request.path_params["box"]
         event = BoxDrainAsked(time.monotonic(), name, box, body.drained)
--- a/src/granitetrestle/cli.py
+++ b/src/granitetrestle/cli.py
@@ -13,6 +13,7 @@
 from .client import Client
 from .errors import GranitetrestleError
 from .errors import InvalidInput
+from .errors import NotFound
 from .errors import UnreachableError
 
 __all__ = ["main"]
@@ -209,13 +210,22 @@
     return [h["hall"] for h in client.call("GET", "/v1/status")["halls"]]
 
 
+def _hall_of_box(client: Client, box: str) -> str:
+    for hall in _halls(client):
+        boxes = client.call("GET", f"/v1/boxes?hall={hall}")
+        if any(x["box"] == box for x in boxes):
+            return hall
+    raise NotFound(f"no box {box}", "see: granitetrestle box list")
+
+
 def _drain_flags(values: flags.FlagValues) -> None:
     flags.DEFINE_bool("undo", False, "give the box back", flag_values=values)
 
 
 def _box_drain(client: Client, args: list[str], options: t.Any) -> Result:
     body = {"drained": not options.undo}
-    answer = client.call("PATCH", f"/v1/boxes/{args[0]}", body)
+    hall = _hall_of_box(client, args[0])
+    answer = client.call("PATCH", f"/v1/boxes/{args[0]}?hall={hall}", body)
     return Result(answer, ["BOX", "OFFSET"], [[answer["subject"], answer["offset"]]])
 
 
--- a/src/granitetrestle/engine.py
+++ b/src/granitetrestle/engine.py
@@ -16,8 +16,6 @@
 from .calls import CallFailure
 from .calls import Reply
 from .errors import CallerGone
-from .errors import LogGapError
-from .errors import LogUnavailable
 from .events import AnswerArrived
 from .events import AnswerFailed
 from .events import AppendFacts
@@ -36,16 +34,13 @@
 from .events import Proof
 from .events import RequestArrived
 from .events import SendPeer
-from .events import SnapshotRead
 from .events import StopAsked
 from .events import Tick
 from .events import Withdraw
+from .logfeed import LogFeed
 from .loglink import LogClient
 from .loglink import LogWriter
-from .loglink import backoffs
-from .loglink import newest_snapshot
 from .messages import Message
-from .outcomes import Answered
 from .outcomes import Outcome
 from .peerlink import PeerLink
 from .reducer import CONFIG_STREAM
@@ -165,10 +160,25 @@
         tasks.start_soon(self._list_loop)
         tasks.start_soon(self._prune_loop)
         for stream in self._streams:
-            tasks.start_soon(self._read_loop, stream)
+            tasks.start_soon(self._feed(stream).run)
         for writer in self._writers.values():
             tasks.start_soon(writer.run)
 
+    def _feed(self, stream: str) -> LogFeed:
+        # The hall's stream shows who is alive, so silence there must be seen.
+        wait_s = HALL_WAIT_S if stream == self._own_stream else CONFIG_WAIT_S
+        return LogFeed(
+            self._log_client, stream, wait_s, self._reducer, self, self._telemetry.log
+        )
+
+    def log_read(self, event: LogRead) -> None:
+        """Apply a read of the log, and let the writer see what stands there."""
+        self.dispatch(event)
+        self._writers[event.stream].noticed(event.records, event.tail)
+        if event.records:
+            # News may be a job to start; it need not wait for the next tick.
+            self._tick()
+
     def close(self) -> None:
         """Close sockets."""
         self._peers.close()
@@ -432,49 +442,6 @@
             await anyio.sleep(PRUNE_EVERY_S)
             await self._caller.prune()
 
-    async def _read_loop(self, stream: str) -> None:
-        waits = backoffs()
-        # The hall's stream shows who is alive, so silence there must be seen.
-        wait_s = HALL_WAIT_S if stream == self._own_stream else CONFIG_WAIT_S
-        await self._restore(stream)
-        while True:
-            offset = self._reducer.offsets.get(stream, 1)
-            try:
-                page = await self._log_client.read(stream, offset, wait_s)
-            except LogUnavailable as error:
-                self._telemetry.log.warning("log_unavailable", detail=error.message)
-                await anyio.sleep(next(waits))
-                continue
-            except LogGapError as error:
-                self._telemetry.log.error("log_gap", detail=error.message)
-                await self._restore(stream)
-                await anyio.sleep(next(waits))
-                continue
-            waits = backoffs()
-            now = time.monotonic()
-            self.dispatch(
-                LogRead(now, stream, page.records, page.next_offset, page.tail)
-            )
-            self._writers[stream].noticed(page.records, page.tail)
-            if page.records:
-                # News may be a job to start; it need not wait for the next tick.
-                self._tick()
-
-    async def _restore(self, stream: str) -> None:
-        """Take up the newest snapshot, if it is newer than what is known."""
-        waits = backoffs()
-        while True:
-            try:
-                newest = await newest_snapshot(self._log_client, stream)
-                break
-            except LogUnavailable:
-                await anyio.sleep(next(waits))
-        if newest is None:
-            return
-        upto, payload = newest
-        self._telemetry.log.info("snapshot_read", stream=stream, upto=upto)
-        self.dispatch(SnapshotRead(time.monotonic(), stream, upto, payload))
-
     async def stop(self) -> None:
         """Hand over and finish, for as long as the settings allow."""
         self.dispatch(StopAsked(time.monotonic()))
@@ -508,8 +475,3 @@
 
 def _try_id(request: str, serial: int) -> bytes:
     return f"{request}:{serial}".encode()
-
-
-def answered(outcome: Outcome) -> t.TypeGuard[Answered]:
-    """Say whether the outcome comes with a reply."""
-    return isinstance(outcome, Answered)
--- /dev/null
+++ b/src/granitetrestle/intake.py
@@ -0,0 +1,117 @@
+"""What accounts and operators ask for: checked against what is known here, then
+put on its way to the log. A job that can never run is refused at once."""
+
+import typing as t
+import zlib
+
+from .capacity import Vector
+from .events import BoxDrainAsked
+from .events import Conclude
+from .events import Effect
+from .events import JobCancelAsked
+from .events import JobSubmitAsked
+from .events import TableEditAsked
+from .jobs import Jobs
+from .outcomes import Reason
+from .outcomes import Rejected
+from .placement import Placement
+from .placement import shard_of
+from .records import BoxDrained
+from .records import JobCancelled
+from .records import JobSubmitted
+from .records import TableEdited
+from .starts import never_fits
+from .submissions import Submissions
+from .table import Table
+
+__all__ = ["Intake"]
+
+
+class Intake:
+    """Turns wishes into facts, or into a refusal.
+
+    :param stream: the hall's stream; ``config_stream`` takes edits of the table.
+    """
+
+    def __init__(
+        self,
+        stream: str,
+        config_stream: str,
+        shards: int,
+        table: Table,
+        jobs: Jobs,
+        placement: Placement,
+        submissions: Submissions,
+    ) -> None:
+        self._stream = stream
+        self._config_stream = config_stream
+        self._shards = shards
+        self._table = table
+        self._jobs = jobs
+        self._placement = placement
+        self._submissions = submissions
+
+    def job_submit(self, event: JobSubmitAsked) -> list[Effect]:
+        """Submit a job to the shard that its name draws."""
+        need = Vector.of(event.spec)
+        totals = self._totals()
+        if never_fits(need, totals.values()):
+            text = "no box of this hall is large enough for one task"
+            return _reject(event.request, Reason.CAN_NEVER_RUN, text)
+        limit = self._table.number(event.account, "max_cores") / self._shards
+        if need.cores > limit:
+            text = f"one task takes {need.cores:g} cores, the limit is {limit:g}"
+            return _reject(event.request, Reason.CAN_NEVER_RUN, text)
+        shard = self._shard_for(event.job, need, totals)
+        fact = JobSubmitted(event.request, event.job, event.account, event.spec, shard)
+        return self._submissions.submit(event.request, self._stream, fact, event.now)
+
+    def _totals(self) -> dict[str, Vector]:
+        listed = self._placement.listed or {}
+        return {
+            name: Vector(info.cores, info.memory_gb, info.accelerators)
+            for name, info in listed.items()
+        }
+
+    def _shard_for(self, job: str, need: Vector, totals: t.Mapping[str, Vector]) -> int:
+        """Pick a shard by the job's name, in proportion to fitting cores."""
+        sizes = [0.0] * self._shards
+        for box, total in totals.items():
+            if need.fits(total):
+                sizes[shard_of(box, self._shards)] += total.cores
+        draw = zlib.crc32(job.encode()) / 2**32
+        whole = sum(sizes)
+        if not whole:
+            return int(draw * self._shards)
+        point = draw * whole
+        for shard, size in enumerate(sizes):
+            point -= size
+            if point < 0:
+                return shard
+        return self._shards - 1
+
+    def job_cancel(self, event: JobCancelAsked) -> list[Effect]:
+        """Cancel a job of the account, or any for an operator."""
+        job = self._jobs.jobs.get(event.job)
+        if job is None or event.account not in ("", job.account):
+            return _reject(event.request, Reason.NOT_FOUND, f"no job {event.job}")
+        fact = JobCancelled(event.request, event.job)
+        return self._submissions.submit(event.request, self._stream, fact, event.now)
+
+    def table_edit(self, event: TableEditAsked) -> list[Effect]:
+        """Change cells of the table."""
+        fact = TableEdited(event.request, event.edits)
+        stream = self._config_stream
+        return self._submissions.submit(event.request, stream, fact, event.now)
+
+    def box_drain(self, event: BoxDrainAsked) -> list[Effect]:
+        """Drain a box of this hall, or give it back."""
+        if event.box not in (self._placement.listed or {}):
+            text = f"no box {event.box} in this hall"
+            return _reject(event.request, Reason.NOT_FOUND, text)
+        fact = BoxDrained(event.request, event.box, event.drained)
+        return self._submissions.submit(event.request, self._stream, fact, event.now)
+
+
+def _reject(request: str, reason: Reason, detail: str) -> list[Effect]:
+    return [Conclude(request, Rejected(reason, detail))]
--- a/src/granitetrestle/reducer.py
+++ b/src/granitetrestle/reducer.py
@@ -3,13 +3,10 @@
 always give the same state and effects."""
 
 import typing as t
-import zlib
 
 from . import events as ev
 from .borrowing import Borrower
-from .capacity import Vector
 from .events import AppendFacts
-from .events import Conclude
 from .events import Effect
 from .events import Event
 from .events import LogRead
@@ -18,6 +15,7 @@
 from .events import Tick
 from .halls import Halls
 from .heartbeat import Heartbeat
+from .intake import Intake
 from .jobs import Job
 from .jobs import Jobs
 from .keys import key_shard
@@ -32,9 +30,6 @@
 from .messages import LoansHeld
 from .messages import Message
 from .outcomes import Accepted
-from .outcomes import Outcome
-from .outcomes import Reason
-from .outcomes import Rejected
 from .ownership import Ownership
 from .ownership import OwnershipTerms
 from .placement import PlacementTerms
@@ -61,7 +56,6 @@
 from .snapshot import decode_hall
 from .snapshot import encode_state
 from .snapshot import snapshot_stream
-from .starts import never_fits
 from .submissions import Submissions
 from .table import Table
 
@@ -147,6 +141,15 @@
             self._borrower,
             self._halls,
         )
+        self._intake = Intake(
+            self._stream,
+            CONFIG_STREAM,
+            setup.shards,
+            self._table,
+            self._jobs,
+            self._owner.placement,
+            self._submissions,
+        )
         self._handlers: dict[type, t.Callable[[t.Any], list[Effect]]] = {
             Tick: self._tick,
             LogRead: self._log_read,
@@ -156,10 +159,10 @@
             ev.BoxListRead: self._boxes_listed,
             ev.BoxAnswered: self._box_answered,
             ev.BoxFailed: self._box_failed,
-            ev.JobSubmitAsked: self._job_submit,
-            ev.JobCancelAsked: self._job_cancel,
-            ev.TableEditAsked: self._table_edit,
-            ev.BoxDrainAsked: self._box_drain,
+            ev.JobSubmitAsked: self._intake.job_submit,
+            ev.JobCancelAsked: self._intake.job_cancel,
+            ev.TableEditAsked: self._intake.table_edit,
+            ev.BoxDrainAsked: self._intake.box_drain,
             ev.RequestArrived: self._requests.arrived,
             ev.AnswerArrived: self._requests.answered,
             ev.AnswerFailed: self._requests.failed,
@@ -511,62 +514,6 @@
         self._owner.placement.box_failed(event)
         return []
 
-    def _job_submit(self, event: ev.JobSubmitAsked) -> list[Effect]:
-        spec = event.spec
-        need = Vector.of(spec)
-        listed = self._owner.placement.listed or {}
-        totals = {
-            name: Vector(b.cores, b.memory_gb, b.accelerators)
-            for name, b in listed.items()
-        }
-        if never_fits(need, totals.values()):
-            text = "no box of this hall is large enough for one task"
-            return [_reject(event.request, Reason.CAN_NEVER_RUN, text)]
-        limit = self._table.number(event.account, "max_cores") / self._setup.shards
-        if spec.cores > limit:
-            text = f"one task takes {spec.cores:g} cores, the limit is {limit:g}"
-            return [_reject(event.request, Reason.CAN_NEVER_RUN, text)]
-        shard = self._shard_for(event.job, need, totals)
-        fact = JobSubmitted(event.request, event.job, event.account, spec, shard)
-        return self._submissions.submit(event.request, self._stream, fact, event.now)
-
-    def _shard_for(self, job: str, need: Vector, totals: t.Mapping[str, Vector]) -> int:
-        """Pick a shard by the job's name, in proportion to fitting cores."""
-        shards = self._setup.shards
-        sizes = [0.0] * shards
-        for box, total in totals.items():
-            if need.fits(total):
-                sizes[shard_of(box, shards)] += total.cores
-        whole = sum(sizes)
-        draw = zlib.crc32(job.encode()) / 2**32
-        if not whole:
-            return int(draw * shards)
-        point = draw * whole
-        for shard, size in enumerate(sizes):
-            point -= size
-            if point < 0:
-                return shard
-        return shards - 1
-
-    def _job_cancel(self, event: ev.JobCancelAsked) -> list[Effect]:
-        job = self._jobs.jobs.get(event.job)
-        if job is None or event.account not in ("", job.account):
-            text = f"no job {event.job}"
-            return [_reject(event.request, Reason.NOT_FOUND, text)]
-        fact = JobCancelled(event.request, event.job)
-        return self._submissions.submit(event.request, self._stream, fact, event.now)
-
-    def _table_edit(self, event: ev.TableEditAsked) -> list[Effect]:
-        fact = TableEdited(event.request, event.edits)
-        return self._submissions.submit(event.request, CONFIG_STREAM, fact, event.now)
-
-    def _box_drain(self, event: ev.BoxDrainAsked) -> list[Effect]:
-        if event.box not in (self._owner.placement.listed or {}):
-            text = f"no box {event.box} in this hall"
-            return [_reject(event.request, Reason.NOT_FOUND, text)]
-        fact = BoxDrained(event.request, event.box, event.drained)
-        return self._submissions.submit(event.request, self._stream, fact, event.now)
-
     def _stop(self, event: ev.StopAsked) -> list[Effect]:
         self._stopping = True
         self._requests.stop()
@@ -585,8 +532,3 @@
         """Return the process of this hall that decides on a key."""
         shard = key_shard(account, key, self._setup.shards)
         return self._ownership.shards[shard].holder
-
-
-def _reject(request: str, reason: Reason, detail: str) -> Effect:
-    outcome: Outcome = Rejected(reason, detail)
-    return Conclude(request, outcome)
--- a/src/granitetrestle_bench/forwarder.py
+++ b/src/granitetrestle_bench/forwarder.py
@@ -5,10 +5,10 @@
 import typing as t
 
 import anyio
-import uvicorn
 
 from granitetrestle.calls import Caller
 from granitetrestle.calls import CallFailure
+from granitetrestle_standins.serving import serve
 
 __all__ = ["main"]
 
@@ -47,25 +47,10 @@
         await send({"type": "http.response.body", "body": answer})
 
 
-async def _serve(ip: str, port: int, targets: t.Sequence[str]) -> None:
-    config = uvicorn.Config(
-        Forwarder(targets),
-        host=ip,
-        port=port,
-        loop="asyncio",
-        http="h11",
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-        server_header=False,
-    )
-    await uvicorn.Server(config).serve()
-
-
 def main() -> None:
     """Serve: ``forwarder IP PORT TARGET...``."""
     ip, port, *targets = sys.argv[1:]
-    anyio.run(_serve, ip, int(port), targets)
+    anyio.run(serve, Forwarder(targets), ip, int(port))
 
 
 if __name__ == "__main__":
