--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -136,7 +136,19 @@
 
 @then("every daemon of every hall can explain the service's placement")
 def all_explain(context):
+    path = f"/v1/jobs/{context.service_job}/explain"
     for node in context.cluster.daemons:
-        path = f"/v1/jobs/{context.service_job}/explain"
         answer = context.cluster.client(node).call("GET", path)
-        assert all(why.startswith("running on") for why in answer.values()), answer
+        _check_reasons(answer)
+    # As another hall's process relays it, also to one that is not the owner.
+    headers = {
+        "Authorization": f"Bearer operator.{OPERATOR_SECRET}",
+        "x-granitetrestle-relayed": "1",
+    }
+    for node in ("zurich-1", "zurich-2", "zurich-3"):
+        response = context.cluster.request(node, "GET", path, None, headers)
+        _check_reasons(json.loads(response.content))
+
+
+def _check_reasons(answer):
+    assert all(why.startswith("running on") for why in answer.values()), answer
