Log lines carry account, request or job, and trace id

Cause: lines named hall, subject and epoch, but neither the account nor the trace, so a line could not be joined with a span. Accepted jobs and requests whose outcome is unknown are written at info, other outcomes at debug (they are counted by statsd). Ruled out: a line at info for each request, about 50 us of the entry's 2.4 ms (worked out, not measured).

--- a/src/granitetrestle/api.py
+++ b/src/granitetrestle/api.py
@@ -46,6 +46,7 @@
 from .table import COLUMNS
 from .table import check_edits
 from .telemetry import PROPAGATOR
+from .telemetry import trace_id
 from .views import BoxView
 from .views import ColumnView
 from .views import JobView
@@ -221,6 +222,13 @@
         job = f"{self._engine.settings.hall}.{uuid.uuid4().hex[:12]}"
         event = JobSubmitAsked(time.monotonic(), name, job, account, spec)
         done = raise_unless_accepted(await self._engine.ask(name, event))
+        self._engine.telemetry.log.info(
+            "job_accepted",
+            account=account,
+            job=done.subject,
+            offset=done.offset,
+            trace=trace_id(),
+        )
         return _json(AcceptedView(done.subject, done.offset), 201)
 
     async def _jobs(self, request: Request) -> Response:
--- a/src/granitetrestle/callpath.py
+++ b/src/granitetrestle/callpath.py
@@ -33,6 +33,7 @@
 from .outcomes import Rejected
 from .outcomes import Unknown
 from .telemetry import PROPAGATOR
+from .telemetry import trace_id
 
 __all__ = ["CallPath", "error_body"]
 
@@ -95,6 +96,7 @@
                 outcome, reply = await self._engine.call(
                     event, call, functools.partial(_hung_up, receive)
                 )
+                self._log(event, outcome)
             except GranitetrestleError as error:
                 request_id = headers.get(REQUEST_ID, b"")
                 await _answer_error(send, error, request_id, b"rejected")
@@ -150,6 +152,19 @@
             raise AccessDenied("services are called by accounts")
         return caller.account
 
+    def _log(self, event: RequestArrived, outcome: Outcome) -> None:
+        log = self._engine.telemetry.log
+        # What may have run is worth a line each; the rest is counted.
+        write = log.info if isinstance(outcome, Unknown) else log.debug
+        write(
+            "request",
+            account=event.account,
+            request=event.request,
+            service=event.service,
+            outcome=type(outcome).__name__,
+            trace=trace_id(),
+        )
+
     async def _answer(
         self, send: Send, request: str, outcome: Outcome, reply: Reply | None
     ) -> None:
--- a/src/granitetrestle/telemetry.py
+++ b/src/granitetrestle/telemetry.py
@@ -21,7 +21,7 @@
 
 from .settings import Settings
 
-__all__ = ["Metrics", "Telemetry", "start_telemetry"]
+__all__ = ["Metrics", "Telemetry", "start_telemetry", "trace_id"]
 
 PROPAGATOR: t.Final = TraceContextTextMapPropagator()
 EXPORT_EVERY_MS = 500
@@ -84,6 +84,12 @@
     provider: TracerProvider
 
 
+def trace_id() -> str:
+    """Return the id of the trace in whose span this runs, as hex, or nothing."""
+    context = trace.get_current_span().get_span_context()
+    return f"{context.trace_id:032x}" if context.is_valid else ""
+
+
 def start_telemetry(settings: Settings) -> Telemetry:
     """Set up logs, metrics and spans from the settings."""
     level = getattr(logging, settings.log_level.upper())
