--- /dev/null
+++ b/src/granitetrestle/boxes.py
@@ -0,0 +1,122 @@
+"""What a decider believes of one life of a box: its room, what was placed there,
+until when its lease may run, and whether new work should go there."""
+
+import typing as t
+
+from .outside import BoxEntry
+from .outside import RunningTask
+from .workflows import Step
+from .workflows import Task
+
+__all__ = ["BoxView"]
+
+# A box that fails this many runs in a row, of more than one job, is put aside.
+FAILURES_TO_QUARANTINE: t.Final = 3
+QUARANTINE_S: t.Final = 4.0
+MAX_QUARANTINE_S: t.Final = 16.0
+
+
+class BoxView:
+    """One life of a box. Times are in seconds on the decider's steady clock.
+
+    :param lease_ends: no lease there can outlast this.
+    """
+
+    def __init__(self, entry: BoxEntry, lease_ends: float) -> None:
+        self.entry = entry
+        self.listed = True
+        self.adopted = False
+        self.tasks: dict[str, Task] = {}
+        self.running: dict[str, RunningTask] = {}
+        self.cpu_used = 0
+        self.fill_cpu = 0
+        self.memory_used = 0
+        self.gpu_used = 0
+        self.serving = 0
+        self.known = 0
+        self.durable_known = 0
+        self.clock_ms = 0
+        self.clock_at = 0.0
+        self.lease_ends = lease_ends
+        self.silent_since: float | None = None
+        self.closed_until = 0.0
+        self.pace = 100
+        self.paced_at = 0.0
+        self._failed_jobs: set[str] = set()
+        self._failed_runs = 0
+        self._quarantine_s = QUARANTINE_S
+
+    @property
+    def life(self) -> str:
+        """The life that orders name."""
+        return self.entry.life
+
+    @property
+    def cpu_free(self) -> int:
+        """Thousandths of a core that nothing has reserved."""
+        return self.entry.cpu - self.cpu_used
+
+    @property
+    def cpu_unused(self) -> int:
+        """What is left for tasks that fill; below 0 when they share."""
+        return self.cpu_free - self.fill_cpu
+
+    def open_for_work(self, now: float) -> bool:
+        """Say whether new tasks may go here."""
+        return (
+            self.adopted
+            and self.listed
+            and not self.entry.draining
+            and self.silent_since is None
+            and now >= self.closed_until
+        )
+
+    def fits(self, step: Step) -> bool:
+        """Say whether one more task of ``step`` has room."""
+        cpu = 0 if step.fills else step.cpu
+        return (
+            cpu <= self.cpu_free
+            and step.memory_mb <= self.entry.memory_mb - self.memory_used
+            and step.gpu <= self.entry.gpu - self.gpu_used
+        )
+
+    def place(self, task: Task) -> None:
+        """Take the room of a task."""
+        self.tasks[task.name] = task
+        self._count(task.spec, 1)
+
+    def free(self, task: Task) -> None:
+        """Give back the room of a task."""
+        if self.tasks.pop(task.name, None) is not None:
+            self._count(task.spec, -1)
+
+    def _count(self, step: Step, sign: int) -> None:
+        if step.fills:
+            self.fill_cpu += sign * step.cpu
+        else:
+            self.cpu_used += sign * step.cpu
+        self.memory_used += sign * step.memory_mb
+        self.gpu_used += sign * step.gpu
+        self.serving += sign * bool(step.target_ms)
+
+    def step_tasks(self, job: str, occurrence: int, step: int) -> int:
+        """Return how many tasks of a step are here."""
+        prefix = f"{job}.{occurrence}.{step}."
+        return sum(name.startswith(prefix) for name in self.tasks)
+
+    def run_ended(self, job: str, failed: bool, now: float) -> bool:
+        """Learn from the end of a run; says whether the box was put aside."""
+        if not failed:
+            self._failed_jobs.clear()
+            self._failed_runs = 0
+            self._quarantine_s = QUARANTINE_S
+            return False
+        self._failed_jobs.add(job)
+        self._failed_runs += 1
+        if self._failed_runs < FAILURES_TO_QUARANTINE or len(self._failed_jobs) < 2:
+            return False
+        self.closed_until = now + self._quarantine_s
+        self._quarantine_s = min(MAX_QUARANTINE_S, self._quarantine_s * 2)
+        # One more failure after the pause is enough to close it again.
+        self._failed_runs = FAILURES_TO_QUARANTINE - 1
+        return True
--- /dev/null
+++ b/src/granitetrestle/boxlife.py
@@ -0,0 +1,183 @@
+"""Talks to one life of a box for the decider: looks at it again and again, which also
+renews its leases and confirms ends, and carries orders there."""
+
+import time
+import typing as t
+
+import anyio
+
+from .decider import Decider
+from .decisions import Decision
+from .decisions import PaceTask
+from .decisions import StartTask
+from .decisions import StopTask
+from .nodemetrics import NodeMetrics
+from .outside import BoxCalls
+from .outside import BoxNoAnswer
+from .outside import Look
+from .outside import OrderOutcome
+from .outside import OrderRejected
+from .outside import TaskOrder
+
+__all__ = ["BoxKeeper"]
+
+# How long a look waits for ends to become durable before it goes out all the same,
+# to renew the lease.
+DURABLE_WAIT_S: t.Final = 0.8
+# Pauses after a look that failed, growing to the last.
+PAUSES_S: t.Final = (0.1, 0.2, 0.4, 0.8)
+# An order that was not answered is given again, then counts as in doubt.
+ORDER_TRIES: t.Final = 3
+
+
+class BoxKeeper:
+    """The connection between the decider and one life of a box.
+
+    :param apply: takes decisions that follow from what was learnt.
+    :param may_renew: whether this process was confirmed as decider of late.
+    """
+
+    def __init__(
+        self,
+        life: str,
+        address: str,
+        epoch: int,
+        boxes: BoxCalls,
+        decider: Decider,
+        apply: t.Callable[[list[Decision]], None],
+        may_renew: t.Callable[[], bool],
+        metrics: NodeMetrics,
+    ) -> None:
+        self._life = life
+        self._address = address
+        self._epoch = epoch
+        self._boxes = boxes
+        self._decider = decider
+        self._apply = apply
+        self._may_renew = may_renew
+        self._metrics = metrics
+        self._durable = anyio.Event()
+        self._left = anyio.CancelScope()
+
+    def leave(self) -> None:
+        """Look no more."""
+        self._left.cancel()
+
+    def ends_durable(self, number: int) -> None:
+        """The box may forget ends up to ``number``."""
+        box = self._decider.state.boxes.get(self._life)
+        if box is not None:
+            box.durable_known = max(box.durable_known, number)
+            self._durable.set()
+
+    async def run(self) -> None:
+        """Look at the box until it is left."""
+        with self._left:
+            failures = 0
+            while await self._look():
+                box = self._decider.state.boxes.get(self._life)
+                if box is None:
+                    return
+                if box.silent_since is not None:
+                    await anyio.sleep(PAUSES_S[min(failures, len(PAUSES_S) - 1)])
+                    failures += 1
+                    continue
+                failures = 0
+                if box.known > box.durable_known:
+                    with anyio.move_on_after(DURABLE_WAIT_S):
+                        await self._durable.wait()
+                self._durable = anyio.Event()
+
+    async def _look(self) -> bool:
+        sent = time.monotonic()
+        plan = self._decider.fleet.plan_look(self._life, sent, self._may_renew())
+        if plan is None:
+            return False
+        outcome = await self._boxes.look(
+            self._life,
+            plan.address,
+            self._epoch,
+            plan.known,
+            plan.until_ms,
+            plan.wait_ms,
+        )
+        now = time.monotonic()
+        self._metrics.looks += 1
+        if isinstance(outcome, Look) and outcome.ended:
+            self._metrics.count("ends_listed", len(outcome.ended))
+        self._apply(self._decider.fleet.looked(self._life, sent, now, outcome))
+        return True
+
+    async def carry_out(self, order: StartTask | StopTask | PaceTask) -> None:
+        """Send an order, and let the decider know what came of it."""
+        if isinstance(order, StartTask):
+            await self._start(order)
+        elif isinstance(order, StopTask):
+            await self._stop(order)
+        else:
+            await self._pace(order)
+
+    async def _start(self, order: StartTask) -> None:
+        async def send() -> OrderOutcome:
+            box = self._decider.state.boxes.get(self._life)
+            until = None
+            if box is not None:
+                until = self._decider.fleet.lease_until(box, time.monotonic())
+            if until is None:
+                return BoxNoAnswer("no lease can be given")
+            return await self._boxes.start(
+                self._order(order),
+                self._epoch,
+                order.spec,
+                until,
+                order.checkpoint,
+                order.ticket,
+            )
+
+        began = time.monotonic()
+        outcome = await self._try(send)
+        now = time.monotonic()
+        self._metrics.observe("order", now - began)
+        self._apply(
+            self._decider.start_answered(
+                self._life, order.task, order.run, outcome, now
+            )
+        )
+
+    async def _stop(self, order: StopTask) -> None:
+        async def send() -> OrderOutcome:
+            return await self._boxes.stop(self._order(order), self._epoch)
+
+        outcome = await self._try(send)
+        self._apply(
+            self._decider.stop_answered(
+                self._life, order.task, order.run, outcome, time.monotonic()
+            )
+        )
+
+    async def _pace(self, order: PaceTask) -> None:
+        outcome = await self._boxes.pace(self._order(order), self._epoch, order.percent)
+        if isinstance(outcome, BoxNoAnswer):
+            self._decider.pace_unanswered(order)
+
+    def _order(self, order: StartTask | StopTask | PaceTask) -> TaskOrder:
+        return TaskOrder(self._life, self._address, order.task, order.run)
+
+    async def _try(
+        self, send: t.Callable[[], t.Awaitable[OrderOutcome]]
+    ) -> OrderOutcome:
+        doubted = False
+        outcome: OrderOutcome = BoxNoAnswer("not sent")
+        for _ in range(ORDER_TRIES):
+            outcome = await send()
+            if not isinstance(outcome, BoxNoAnswer):
+                break
+            doubted = True
+        return self._doubted(outcome) if doubted else outcome
+
+    @staticmethod
+    def _doubted(outcome: OrderOutcome) -> OrderOutcome:
+        """A refusal does not prove that an earlier try will not be carried out."""
+        if isinstance(outcome, OrderRejected) and outcome.reason != "fence":
+            return BoxNoAnswer(f"refused after a try without answer: {outcome.reason}")
+        return outcome
--- a/src/granitetrestle/daemon.py
+++ b/src/granitetrestle/daemon.py
@@ -2,12 +2,10 @@
 box; it learns its name, hall and addresses from its settings and keeps nothing
 that the platform's log does not."""
 
-import contextlib
 import os
 import signal
 import sys
 import time
-import typing as t
 import uuid
 
 import anyio
@@ -15,6 +13,7 @@
 
 from .access import Access
 from .api import make_app
+from .embedded import EmbeddedServer
 from .engine import Engine
 from .errors import SettingsError
 from .ownership import OwnershipTerms
@@ -31,22 +30,6 @@
 KEEP_ALIVE_S = 5
 MAX_CONCURRENT = 8192
 READY_POLL_S = 0.6
-SERVER_TICK_S = 0.5
-
-
-class _Server(uvicorn.Server):
-    """uvicorn inside this process; signals are the daemon's own business."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> t.Iterator[None]:
-        """Leave signals alone."""
-        yield
-
-    async def main_loop(self) -> None:
-        """Look for the stop less often than uvicorn does, to idle cheaply."""
-        while not self.should_exit:
-            await self.on_tick(0)
-            await anyio.sleep(SERVER_TICK_S)
 
 
 def _setup(settings: Settings) -> Setup:
@@ -85,7 +68,7 @@
         limit_concurrency=MAX_CONCURRENT,
         server_header=False,
     )
-    server = _Server(config)
+    server = EmbeddedServer(config)
     telemetry.log.info("started", incarnation=setup.incarnation, pid=os.getpid())
     async with anyio.create_task_group() as tasks:
         await engine.run(tasks)
@@ -99,7 +82,7 @@
     telemetry.provider.shutdown()
 
 
-async def _serve(server: _Server, tasks: anyio.abc.TaskGroup) -> None:
+async def _serve(server: EmbeddedServer, tasks: anyio.abc.TaskGroup) -> None:
     try:
         await server.serve()
     except SystemExit as stop:
--- /dev/null
+++ b/src/granitetrestle/decider.py
@@ -0,0 +1,319 @@
+"""The reducer of one shard: which job is taken, where each task runs, what is
+stopped. It reads no clock, draws no random numbers and does no I/O; what happens
+comes in as calls with the time, decisions go out as data. Its parts share one
+:class:`~.shardstate.ShardState`."""
+
+import typing as t
+
+from .boxes import BoxView
+from .decisions import AnswerCall
+from .decisions import Decision
+from .decisions import Noted
+from .decisions import PaceTask
+from .decisions import StartTask
+from .decisions import StepDown
+from .fleet import Fleet
+from .jobcalls import CancelJob
+from .jobcalls import Cancelled
+from .jobcalls import CountWaiting
+from .jobcalls import GetState
+from .jobcalls import JobAccepted
+from .jobcalls import JobCall
+from .jobcalls import JobOutcome
+from .jobcalls import JobStateIs
+from .jobcalls import NoSuchJob
+from .jobcalls import SubmitJob
+from .jobcalls import WaitingCount
+from .outside import BoxReplaced
+from .outside import Config
+from .outside import OrderAccepted
+from .outside import OrderOutcome
+from .outside import OrderRejected
+from .outside import Record
+from .packing import KeepApart
+from .packing import Packer
+from .progress import Progress
+from .shardstate import DeciderTerms
+from .shardstate import ShardState
+from .shardstate import WaitingStep
+from .workflows import PENDING
+from .workflows import RUNNING
+from .workflows import STARTING
+from .workflows import STOPPING
+from .workflows import Step
+from .workflows import Task
+
+__all__ = ["Decider"]
+
+# After a box refuses for lack of room, or says that it is unwell, it gets nothing
+# new for so long: one look's time, by which its own account is known.
+PAUSE_AFTER_REFUSAL_S: t.Final = 0.5
+PAUSE_UNHEALTHY_S: t.Final = 1.5
+# How often ended jobs are looked through for those nobody may ask about any more.
+PACE_UNKNOWN: t.Final = -1
+ENDED_SWEEP_S: t.Final = 2.0
+
+
+class Decider:
+    """State of one shard and its step functions."""
+
+    def __init__(
+        self, terms: DeciderTerms, now: float, packer: Packer | None = None
+    ) -> None:
+        self._state = ShardState(terms)
+        self._progress = Progress(self._state)
+        self._fleet = Fleet(self._state, self._progress, now)
+        self._packer = packer or KeepApart()
+        self._swept_at = now
+
+    @property
+    def state(self) -> ShardState:
+        """Jobs, boxes and configuration."""
+        return self._state
+
+    @property
+    def fleet(self) -> Fleet:
+        """Boxes and their leases."""
+        return self._fleet
+
+    @property
+    def has_writes(self) -> bool:
+        """Whether decisions wait to be written."""
+        return self._state.has_writes
+
+    def take_writes(self) -> list[Record]:
+        """Return the records to write for what was decided since the last call."""
+        return self._state.take_writes()
+
+    def restore(self, records: t.Iterable[Record], now: float) -> int:
+        """Go on from what a predecessor wrote; returns the number of jobs."""
+        count = self._state.restore(records, now)
+        for workflow in self._state.workflows.values():
+            if not workflow.terminal:
+                self._state.enter_steps(workflow)
+        return count
+
+    def configured(self, config: Config) -> list[Decision]:
+        """Put a configuration in force, unless a newer one is."""
+        current = self._state.config
+        if current is not None and config.version <= current.version:
+            return []
+        self._state.config = config
+        self._state.queues = {queue.name: queue for queue in config.queues}
+        inputs = {"version": config.version, "queues": len(config.queues)}
+        return [Noted("config_in_force", "config", inputs)]
+
+    def called(self, request: str, call: JobCall, now: float) -> list[Decision]:
+        """Apply what a client account asks."""
+        if isinstance(call, SubmitJob):
+            return self._submit(request, call, now)
+        if isinstance(call, CancelJob):
+            return self._cancel(request, call, now)
+        return [AnswerCall(request, self._asked(call))]
+
+    def _asked(self, call: GetState | CountWaiting) -> JobOutcome:
+        if isinstance(call, CountWaiting):
+            return WaitingCount(self._waiting_jobs(call.queue))
+        workflow = self._state.workflows.get(call.job)
+        return NoSuchJob() if workflow is None else JobStateIs(workflow.state)
+
+    def _waiting_jobs(self, queue: str) -> int:
+        return sum(
+            workflow.state == "queued" and workflow.submission.queue == queue
+            for workflow in self._state.workflows.values()
+        )
+
+    def _submit(self, request: str, call: SubmitJob, now: float) -> list[Decision]:
+        submission = call.submission
+        answer = AnswerCall(request, JobAccepted())
+        if submission.job in self._state.workflows:
+            return [answer]
+        workflow = self._state.add(submission, now)
+        self._state.enter_steps(workflow)
+        tasks = sum(step.count for step in submission.steps)
+        inputs = {"queue": submission.queue, "tasks": tasks}
+        return [Noted("job_taken", submission.job, inputs), answer]
+
+    def _cancel(self, request: str, call: CancelJob, now: float) -> list[Decision]:
+        workflow = self._state.workflows.get(call.job)
+        if workflow is None:
+            return [AnswerCall(request, NoSuchJob())]
+        effects: list[Decision] = []
+        if not workflow.terminal:
+            effects = self._progress.end(workflow, "cancelled", now, {"by": request})
+        return [*effects, AnswerCall(request, Cancelled())]
+
+    def decide(self, now: float, wall_ms: int) -> list[Decision]:
+        """Place what waits, and take back what must have ended.
+
+        :param wall_ms: time of day in ms since 1970, for timed jobs.
+        """
+        effects = self._fleet.expired(now)
+        self._fleet.orphaned_tasks(now)
+        if now - self._swept_at > ENDED_SWEEP_S:
+            self._swept_at = now
+            self._sweep(now)
+        return effects + self._place(now, wall_ms)
+
+    def _sweep(self, now: float) -> None:
+        keep = self._state.terms.keep_s
+        for job, workflow in list(self._state.workflows.items()):
+            if not workflow.terminal or now - workflow.ended_at < keep:
+                continue
+            if not any(task.placed for task in workflow.tasks.values()):
+                self._state.drop(job)
+
+    def _place(self, now: float, wall_ms: int) -> list[Decision]:
+        waiting = self._state.waiting
+        if not waiting:
+            return []
+        open_boxes: dict[str, list[BoxView]] = {}
+        for box in self._state.boxes.values():
+            if box.open_for_work(now):
+                open_boxes.setdefault(box.entry.service, []).append(box)
+        order = sorted(waiting.items(), key=lambda item: _urgency(item[1], now))
+        effects: list[Decision] = []
+        for key, entry in order:
+            service = self._state.service_of(entry.workflow)
+            boxes = open_boxes.get(service, [])
+            if boxes and entry.workflow.due_at_ms(entry.occurrence) <= wall_ms:
+                effects += self._place_step(entry, boxes, now)
+            if not entry.tasks:
+                del waiting[key]
+        return effects
+
+    def _place_step(
+        self, entry: WaitingStep, boxes: list[BoxView], now: float
+    ) -> list[Decision]:
+        step = entry.workflow.submission.steps[entry.step]
+        if step.gang:
+            return self._place_gang(entry, step, boxes, now)
+        effects: list[Decision] = []
+        for task in list(entry.tasks.values()):
+            box = self._box_for(task, step, boxes)
+            if box is None:
+                break
+            del entry.tasks[task.name]
+            effects.append(self._start(task, box, now))
+        return effects
+
+    def _place_gang(
+        self, entry: WaitingStep, step: Step, boxes: list[BoxView], now: float
+    ) -> list[Decision]:
+        """Place all members or none; they share one run number."""
+        members = entry.workflow.step_tasks(entry.occurrence, entry.step)
+        if any(task.state != PENDING for task in members):
+            return []
+        chosen: list[tuple[Task, BoxView]] = []
+        for task in members:
+            box = self._box_for(task, step, boxes)
+            if box is None:
+                break
+            box.place(task)
+            chosen.append((task, box))
+        for task, box in chosen:
+            box.free(task)
+        if len(chosen) < len(members):
+            return []
+        run = max(task.run for task in members)
+        checkpoint = max(task.checkpoint for task in members)
+        entry.tasks.clear()
+        for task, _ in chosen:
+            task.run, task.checkpoint = run, checkpoint
+        return [self._start(task, box, now) for task, box in chosen]
+
+    def _box_for(self, task: Task, step: Step, boxes: list[BoxView]) -> BoxView | None:
+        able = [box for box in boxes if box.fits(step) and _allowed(task, step, box)]
+        if step.affinity:
+            near = [box for box in able if box.entry.rack == step.affinity]
+            able = near or able
+        return self._packer.choose(task, able)
+
+    def _start(self, task: Task, box: BoxView, now: float) -> StartTask:
+        task.run += 1
+        task.state = STARTING
+        task.box = box.life
+        task.started_at = now
+        task.confirmed_at = 0.0
+        task.stop_sent_at = 0.0
+        task.pace = 100
+        box.place(task)
+        task.workflow.begun = True
+        self._state.changed(task.workflow)
+        spec = task.workflow.submission.spec
+        return StartTask(
+            box.life, task.name, task.run, spec, task.checkpoint, task.ticket
+        )
+
+    def start_answered(
+        self, life: str, name: str, run: int, outcome: OrderOutcome, now: float
+    ) -> list[Decision]:
+        """Apply what came of a start; ``BoxNoAnswer`` leaves it in doubt."""
+        if isinstance(outcome, BoxReplaced):
+            return self._fleet.box_over(life, "another life answered")
+        task = self._state.find_task(name)
+        if task is None or task.run != run or task.box != life:
+            return []
+        if isinstance(outcome, OrderAccepted):
+            if task.state == STARTING:
+                task.state = RUNNING
+                task.confirmed_at = now
+            return []
+        if isinstance(outcome, OrderRejected):
+            return self._start_rejected(life, task, outcome, now)
+        if task.state != STARTING:
+            return []
+        inputs = {"run": run, "box": life, "reason": outcome.reason}
+        noted = Noted("start_in_doubt", name, inputs)
+        return [noted, *self._progress.stop(task, now)]
+
+    def _start_rejected(
+        self, life: str, task: Task, outcome: OrderRejected, now: float
+    ) -> list[Decision]:
+        if outcome.reason == "fence":
+            return [StepDown(life)]
+        if task.state not in (STARTING, STOPPING):
+            return []
+        inputs = {"run": task.run, "box": life, "reason": outcome.reason}
+        self._progress.requeue(task)
+        box = self._state.boxes.get(life)
+        if box is not None:
+            unwell = outcome.reason == "unhealthy"
+            pause = PAUSE_UNHEALTHY_S if unwell else PAUSE_AFTER_REFUSAL_S
+            box.closed_until = max(box.closed_until, now + pause)
+        return [Noted("start_rejected", task.name, inputs)]
+
+    def stop_answered(
+        self, life: str, name: str, run: int, outcome: OrderOutcome, now: float
+    ) -> list[Decision]:
+        """Apply what came of a stop."""
+        if isinstance(outcome, BoxReplaced):
+            return self._fleet.box_over(life, "another life answered")
+        if isinstance(outcome, OrderRejected) and outcome.reason == "fence":
+            return [StepDown(life)]
+        task = self._state.find_task(name)
+        current = task is not None and task.run == run and task.box == life
+        answered = isinstance(outcome, OrderAccepted | OrderRejected)
+        if task is not None and current and answered and task.state == STOPPING:
+            task.confirmed_at = now
+        return []
+
+    def pace_unanswered(self, order: PaceTask) -> None:
+        """Let the next look order a pace again that may not have arrived."""
+        task = self._state.find_task(order.task)
+        if task is not None and task.run == order.run:
+            task.pace = PACE_UNKNOWN
+
+
+def _urgency(entry: WaitingStep, now: float) -> tuple[int, bool, float]:
+    # What is late already earns little: it gives way within its class.
+    return (entry.priority, entry.latest_start < now, entry.latest_start)
+
+
+def _allowed(task: Task, step: Step, box: BoxView) -> bool:
+    if not box.entry.labels.issuperset(step.required_labels):
+        return False
+    if not step.per_box:
+        return True
+    job = task.workflow.submission.job
+    return box.step_tasks(job, task.occurrence, task.step) < step.per_box
--- /dev/null
+++ b/src/granitetrestle/decisions.py
@@ -0,0 +1,107 @@
+"""Effects of the decider. Those marked gated are carried out only when everything
+that was decided up to them is durable; the others at once."""
+
+import typing as t
+
+from .jobcalls import JobOutcome
+
+__all__ = [
+    "AnswerCall",
+    "Decision",
+    "EndsKnown",
+    "LeaveBox",
+    "Noted",
+    "PaceTask",
+    "StartTask",
+    "StepDown",
+    "StopTask",
+    "WatchBox",
+]
+
+
+class AnswerCall(t.NamedTuple):
+    """Tell a caller the outcome. Gated."""
+
+    request: str
+    outcome: JobOutcome
+
+
+class StartTask(t.NamedTuple):
+    """Order a run. Gated: a successor must know of every run that may exist."""
+
+    life: str
+    task: str
+    run: int
+    spec: str
+    checkpoint: str
+    ticket: str
+
+
+class StopTask(t.NamedTuple):
+    """Order the end of a run, or that it never begins. Gated."""
+
+    life: str
+    task: str
+    run: int
+
+
+class EndsKnown(t.NamedTuple):
+    """A box may forget ends up to ``number``. Gated."""
+
+    life: str
+    number: int
+
+
+class PaceTask(t.NamedTuple):
+    """Let a run work at a share of its speed."""
+
+    life: str
+    task: str
+    run: int
+    percent: int
+
+
+class WatchBox(t.NamedTuple):
+    """Begin to look at a box."""
+
+    life: str
+    address: str
+
+
+class LeaveBox(t.NamedTuple):
+    """Look at a box no more."""
+
+    life: str
+
+
+class StepDown(t.NamedTuple):
+    """A newer epoch was met: this process decides no more."""
+
+    where: str
+
+
+class Noted(t.NamedTuple):
+    """A decision or a changed belief, for the log.
+
+    :param subject: the job, task or box concerned.
+    :param inputs: what decided it, with its age or version.
+    """
+
+    event: str
+    subject: str
+    inputs: t.Mapping[str, t.Any]
+
+
+Decision: t.TypeAlias = (
+    AnswerCall
+    | StartTask
+    | StopTask
+    | EndsKnown
+    | PaceTask
+    | WatchBox
+    | LeaveBox
+    | StepDown
+    | Noted
+)
+
+GATED: t.Final = (AnswerCall, StartTask, StopTask, EndsKnown)
--- a/src/granitetrestle/engine.py
+++ b/src/granitetrestle/engine.py
@@ -110,7 +110,11 @@
         self._caller = Caller()
         self._log_client = LogClient(str(settings.platform), self._caller)
         self._boxes = BoxLink(str(settings.platform), self._caller)
-        self._peers = PeerLink(settings, incarnation)
+        self._peers = PeerLink(
+            settings.node, incarnation, settings.peer_token, str(settings.zmq)
+        )
+        for peer in settings.peers:
+            self._peers.connect(peer.node, str(peer.zmq))
         self._http = {peer.node: str(peer.http) for peer in settings.peers}
         self._own_stream = hall_stream(settings.hall)
         self._streams = (CONFIG_STREAM, self._own_stream)
--- /dev/null
+++ b/src/granitetrestle/fleet.py
@@ -0,0 +1,288 @@
+"""The boxes of a shard: who is listed, what a look shows, how far leases reach, and
+when a run that cannot be seen must have ended."""
+
+import typing as t
+
+from .boxes import BoxView
+from .decisions import Decision
+from .decisions import EndsKnown
+from .decisions import LeaveBox
+from .decisions import Noted
+from .decisions import PaceTask
+from .decisions import StepDown
+from .decisions import StopTask
+from .decisions import WatchBox
+from .outside import BoxEntry
+from .outside import BoxReplaced
+from .outside import Look
+from .outside import LookOutcome
+from .outside import OrderRejected
+from .pacing import pace_changes
+from .progress import Progress
+from .shardstate import ShardState
+from .workflows import RUNNING
+from .workflows import STARTING
+from .workflows import STOPPING
+from .workflows import Task
+
+__all__ = ["Fleet", "LookPlan"]
+
+# A box that has not answered for so long gets no more lease, so that what it runs
+# has a known end. Two looks and their time-outs fit in.
+SILENT_S: t.Final = 1.2
+# A look waits so long for an end; shorter where the pace may have to change.
+LOOK_WAIT_MS: t.Final = 1500
+LOOK_WAIT_PACED_MS: t.Final = 500
+# A stop that was answered shows in the list of ends within the box's own limit; a
+# run that is in neither list so long after was never there.
+STOP_AGAIN_S: t.Final = 0.6
+UNHEALTHY_S: t.Final = 1.0
+
+
+class LookPlan(t.NamedTuple):
+    """What the next look at a box carries.
+
+    :param until_ms: new end of the lease on the box's clock; ``None`` for none.
+    """
+
+    address: str
+    known: int
+    until_ms: int | None
+    wait_ms: int
+
+
+class Fleet:
+    """Follows the boxes and keeps leases, tasks and room in line with them."""
+
+    def __init__(self, state: ShardState, progress: Progress, now: float) -> None:
+        self._state = state
+        self._progress = progress
+        terms = state.terms
+        # Until we have looked at a box, a predecessor may have renewed its leases.
+        self._inherited_ends = now + terms.orphan_s + terms.lease_bound_s
+
+    def listed(self, entries: t.Mapping[str, BoxEntry], now: float) -> list[Decision]:
+        """Take up the newest list of boxes, as a whole."""
+        effects: list[Decision] = []
+        by_address = {entry.address: life for life, entry in entries.items()}
+        for life, box in list(self._state.boxes.items()):
+            box.listed = life in entries
+            if box.listed:
+                continue
+            successor = by_address.get(box.entry.address)
+            if successor is not None:
+                effects += self.box_over(life, f"replaced by {successor}")
+        for life, entry in entries.items():
+            effects += self._entered(life, entry, now)
+        return effects
+
+    def _entered(self, life: str, entry: BoxEntry, now: float) -> list[Decision]:
+        box = self._state.boxes.get(life)
+        if box is None:
+            self._state.boxes[life] = BoxView(entry, self._inherited_ends)
+            self._take_over_tasks(life)
+            return [WatchBox(life, entry.address)]
+        if entry.draining and not box.entry.draining:
+            box.entry = entry
+            inputs = {"leaving_in_s": entry.leaving_in_s, "tasks": len(box.tasks)}
+            return [Noted("box_draining", life, inputs), *self._evacuate(box, now)]
+        box.entry = entry
+        return []
+
+    def _take_over_tasks(self, life: str) -> None:
+        box = self._state.boxes[life]
+        for workflow in self._state.workflows.values():
+            for task in workflow.tasks.values():
+                if task.placed and task.box == life:
+                    box.place(task)
+
+    def _evacuate(self, box: BoxView, now: float) -> list[Decision]:
+        """Move off a leaving box what cannot end there in time."""
+        effects: list[Decision] = []
+        for task in list(box.tasks.values()):
+            if task.state != RUNNING:
+                continue
+            if task.spec.lasting or self._must_move(box, task, now):
+                effects += self._progress.stop(task, now)
+        return effects
+
+    def _must_move(self, box: BoxView, task: Task, now: float) -> bool:
+        leaving = box.entry.leaving_in_s
+        if leaving is None or not task.spec.checkpointing:
+            return False
+        left_s = task.spec.estimate_ms / 1000.0 - (now - task.started_at)
+        return left_s > leaving
+
+    def box_over(self, life: str, why: str) -> list[Decision]:
+        """A life has ended for certain: whatever ran there runs no more."""
+        box = self._state.boxes.pop(life, None)
+        if box is None:
+            return []
+        lost = list(box.tasks.values())
+        for task in lost:
+            self._progress.requeue(task)
+        inputs = {"why": why, "tasks_lost": len(lost)}
+        return [LeaveBox(life), Noted("box_over", life, inputs)]
+
+    def plan_look(self, life: str, now: float, may_renew: bool) -> LookPlan | None:
+        """Return the next look at a box, or ``None`` if it is not ours any more.
+
+        :param may_renew: whether this process was confirmed as decider of late.
+        """
+        box = self._state.boxes.get(life)
+        if box is None:
+            return None
+        undurable = box.known > box.durable_known
+        wait = LOOK_WAIT_PACED_MS if box.serving and box.fill_cpu else LOOK_WAIT_MS
+        if undurable or not box.adopted:
+            wait = 0
+        until = self.lease_until(box, now) if may_renew else None
+        return LookPlan(box.entry.address, box.durable_known, until, wait)
+
+    def lease_until(self, box: BoxView, now: float) -> int | None:
+        """Return the end of a lease renewed now, on the box's clock in ms."""
+        if not box.clock_at:
+            return None
+        silent = box.silent_since
+        if silent is not None and now - silent > SILENT_S:
+            return None
+        terms = self._state.terms
+        box.lease_ends = max(box.lease_ends, now + terms.lease_bound_s)
+        elapsed = now - box.clock_at
+        return box.clock_ms + int((elapsed + terms.lease_s) * 1000)
+
+    def looked(
+        self, life: str, sent: float, now: float, outcome: LookOutcome
+    ) -> list[Decision]:
+        """Apply the outcome of a look that was sent at ``sent``."""
+        box = self._state.boxes.get(life)
+        if box is None:
+            return []
+        if isinstance(outcome, BoxReplaced):
+            return self.box_over(life, "another life answered")
+        if isinstance(outcome, Look):
+            return self._seen(box, outcome, sent, now)
+        if isinstance(outcome, OrderRejected):
+            return self._rejected(box, outcome, now)
+        return self._silent(box, outcome.reason, now)
+
+    def _rejected(
+        self, box: BoxView, outcome: OrderRejected, now: float
+    ) -> list[Decision]:
+        if outcome.reason == "fence":
+            return [StepDown(box.life)]
+        return self._silent(box, outcome.reason, now)
+
+    def _silent(self, box: BoxView, reason: str, now: float) -> list[Decision]:
+        if box.silent_since is not None:
+            return []
+        box.silent_since = now
+        inputs = {"reason": reason, "tasks": len(box.tasks)}
+        return [Noted("box_silent", box.life, inputs)]
+
+    def _seen(
+        self, box: BoxView, look: Look, sent: float, now: float
+    ) -> list[Decision]:
+        effects: list[Decision] = []
+        if box.silent_since is not None:
+            silent_s = round(now - box.silent_since, 2)
+            effects.append(Noted("box_answers", box.life, {"silent_s": silent_s}))
+            box.silent_since = None
+        box.clock_ms, box.clock_at = look.clock_ms, now
+        for row in look.ended:
+            if row.number > box.known:
+                effects += self._progress.run_ended(box.life, row, now)
+        known = max((row.number for row in look.ended), default=0)
+        if known > box.known:
+            box.known = known
+            effects.append(EndsKnown(box.life, known))
+        box.running = {row.task: row for row in look.running}
+        effects += self._compare(box, sent, now)
+        if not box.adopted:
+            box.adopted = True
+            inputs = {"running": len(look.running), "ended": len(look.ended)}
+            effects.append(Noted("box_adopted", box.life, inputs))
+        for task, percent in pace_changes(box, now):
+            task.pace = percent
+            effects.append(PaceTask(box.life, task.name, task.run, percent))
+        return effects
+
+    def _compare(self, box: BoxView, sent: float, now: float) -> list[Decision]:
+        """Bring our tasks in line with what the box runs."""
+        effects: list[Decision] = []
+        for name, row in box.running.items():
+            task = box.tasks.get(name)
+            if task is None or task.run != row.run:
+                effects += self._foreign(box, name, row.run)
+                continue
+            if row.saved:
+                task.checkpoint = row.saved
+            if task.state == STARTING:
+                task.state = RUNNING
+                task.confirmed_at = now
+        for task in list(box.tasks.values()):
+            row_or_none = box.running.get(task.name)
+            if row_or_none is None or row_or_none.run != task.run:
+                effects += self._absent(box, task, sent, now)
+            elif task.state == STOPPING and now - task.stop_sent_at > STOP_AGAIN_S:
+                effects += self._progress.stop(task, now)
+        return effects
+
+    def _foreign(self, box: BoxView, name: str, run: int) -> list[Decision]:
+        """A run that we have not placed there: an older one, or of an ended job."""
+        inputs = {"run": run}
+        return [
+            Noted("unknown_run_stopped", name, inputs),
+            StopTask(box.life, name, run),
+        ]
+
+    def _absent(
+        self, box: BoxView, task: Task, sent: float, now: float
+    ) -> list[Decision]:
+        """A task of ours that the box does not run."""
+        if not box.adopted:
+            # Orders of older epochs are refused from here on: it never began.
+            self._progress.requeue(task)
+            return []
+        answered = task.confirmed_at
+        if not answered or sent <= answered:
+            return self._unconfirmed(task, now)
+        if task.state == STOPPING:
+            self._progress.requeue(task)
+            return []
+        # It was started, is not running and has no end: see that it stays so.
+        return self._progress.stop(task, now)
+
+    def _unconfirmed(self, task: Task, now: float) -> list[Decision]:
+        again = task.stop_sent_at and now - task.stop_sent_at > STOP_AGAIN_S
+        if task.state == STOPPING and again:
+            return self._progress.stop(task, now)
+        return []
+
+    def expired(self, now: float) -> list[Decision]:
+        """Take back tasks whose leases must have lapsed, and gone boxes."""
+        effects: list[Decision] = []
+        for box in list(self._state.boxes.values()):
+            if box.silent_since is None and box.adopted:
+                continue
+            if now > box.lease_ends:
+                if not box.listed:
+                    effects += self.box_over(box.life, "silent past its lease")
+                elif box.tasks:
+                    effects += self._lapsed(box)
+        return effects
+
+    def _lapsed(self, box: BoxView) -> list[Decision]:
+        tasks = list(box.tasks.values())
+        for task in tasks:
+            self._progress.requeue(task)
+        return [Noted("leases_lapsed", box.life, {"tasks": len(tasks)})]
+
+    def orphaned_tasks(self, now: float) -> None:
+        """Take back tasks on boxes that are not listed at all, in time."""
+        if now <= self._inherited_ends:
+            return
+        for workflow in self._state.workflows.values():
+            for task in workflow.tasks.values():
+                if task.placed and task.box not in self._state.boxes:
+                    self._progress.requeue(task)
--- /dev/null
+++ b/src/granitetrestle/forwarding.py
@@ -0,0 +1,173 @@
+"""Brings a client's request to the process that decides, again if that changes, and
+never says "not taken" of a request that some decider may have taken."""
+
+import itertools
+import time
+import typing as t
+
+import anyio
+
+from .messages import CallAnswered
+from .messages import CallForwarded
+from .messages import Message
+
+__all__ = ["ClientAnswer", "ClientCall", "Deposed", "Forwarding", "Target"]
+
+# A hand-over takes some 0.2 s and a take-over after a kill about a second; a client
+# is told to come back rather than kept for longer than that.
+WAIT_FOR_LEADER_S: t.Final = 0.9
+COME_BACK_S: t.Final = 1
+# A request that the decider has not answered is sent again: a message may be lost.
+REPEAT_S: t.Final = 0.6
+PAUSE_S: t.Final = 0.03
+UNAVAILABLE: t.Final = 503
+NO_ANSWER: t.Final = 504
+REFUSALS: t.Final = (429, UNAVAILABLE)
+
+
+class Deposed(Exception):
+    """This process decides no more; the request belongs to its successor."""
+
+
+class ClientCall(t.NamedTuple):
+    """A client's request as it came in."""
+
+    method: str
+    host: str
+    path: str
+    body: bytes
+
+
+class ClientAnswer(t.NamedTuple):
+    """What a client is told; ``retry_after_s`` 0 for no advice."""
+
+    status: int
+    body: bytes = b""
+    retry_after_s: int = 0
+
+
+class Target(t.NamedTuple):
+    """A decider in one epoch."""
+
+    node: str
+    epoch: int
+
+
+class _Waiting:
+    """A request on its way."""
+
+    __slots__ = ("answer", "news")
+
+    def __init__(self) -> None:
+        self.answer: ClientAnswer | None = None
+        self.news = anyio.Event()
+
+
+class Forwarding:
+    """The requests that this process has taken from clients.
+
+    :param send: sends a message to a process.
+    :param answer_here: answers as the decider.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        send: t.Callable[[str, Message], bool],
+        answer_here: t.Callable[[ClientCall], t.Awaitable[ClientAnswer]],
+    ) -> None:
+        self._node = node
+        self._send = send
+        self._answer_here = answer_here
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, _Waiting] = {}
+
+    @property
+    def open_calls(self) -> int:
+        """Requests without an answer."""
+        return len(self._waiting)
+
+    def leader_changed(self) -> None:
+        """Let all requests look for the decider again."""
+        for waiting in self._waiting.values():
+            waiting.news.set()
+
+    def answered(self, message: CallAnswered) -> None:
+        """Take up a decider's answer."""
+        waiting = self._waiting.get(message.number)
+        if waiting is not None and waiting.answer is None:
+            waiting.answer = ClientAnswer(
+                message.status, message.body, message.retry_after_s
+            )
+            waiting.news.set()
+
+    async def serve(
+        self, call: ClientCall, left_s: float, leader: t.Callable[[], Target | None]
+    ) -> ClientAnswer:
+        """Answer a request within ``left_s`` seconds."""
+        number = next(self._numbers)
+        waiting = self._waiting[number] = _Waiting()
+        asked: set[Target] = set()
+        try:
+            with anyio.move_on_after(left_s):
+                answer = await self._bring(number, waiting, call, left_s, leader, asked)
+                return _truthful(call, answer, asked)
+        finally:
+            del self._waiting[number]
+        return ClientAnswer(NO_ANSWER) if asked else _refusal()
+
+    async def _bring(
+        self,
+        number: int,
+        waiting: _Waiting,
+        call: ClientCall,
+        left_s: float,
+        leader: t.Callable[[], Target | None],
+        asked: set[Target],
+    ) -> ClientAnswer:
+        began = time.monotonic()
+        while waiting.answer is None:
+            target = leader()
+            waited = time.monotonic() - began
+            waiting.news = anyio.Event()
+            if target is None:
+                if waited > WAIT_FOR_LEADER_S and not asked:
+                    return _refusal()
+                await _news(waiting, WAIT_FOR_LEADER_S / 3)
+            elif target.node == self._node:
+                asked.add(target)
+                try:
+                    return await self._answer_here(call)
+                except Deposed:
+                    await anyio.sleep(PAUSE_S)
+            else:
+                asked.add(target)
+                message = CallForwarded(
+                    number,
+                    call.method,
+                    call.host,
+                    call.path,
+                    call.body,
+                    left_s - waited,
+                )
+                self._send(target.node, message)
+                await _news(waiting, REPEAT_S)
+        return waiting.answer
+
+
+async def _news(waiting: _Waiting, at_most_s: float) -> None:
+    with anyio.move_on_after(at_most_s):
+        await waiting.news.wait()
+
+
+def _refusal() -> ClientAnswer:
+    return ClientAnswer(UNAVAILABLE, retry_after_s=COME_BACK_S)
+
+
+def _truthful(
+    call: ClientCall, answer: ClientAnswer, asked: set[Target]
+) -> ClientAnswer:
+    """A refusal by one decider says nothing of what another may have taken."""
+    if call.method == "POST" and answer.status in REFUSALS and len(asked) > 1:
+        return ClientAnswer(NO_ANSWER)
+    return answer
--- /dev/null
+++ b/src/granitetrestle/leadership.py
@@ -0,0 +1,179 @@
+"""Who decides for a shard. Safety does not rest on this: a decider is fenced by its
+epoch at the store and at every box. What is chosen here is only when it is worth
+taking over, so that one process does so soon and the others stay still."""
+
+import typing as t
+
+from .messages import NodeStatus
+
+__all__ = ["Leadership", "PeerView", "next_epoch"]
+
+# The decider reports every 0.2 s; three reports missed, and some slack for a slow
+# box, make it silent.
+SILENT_S: t.Final = 0.8
+# A process that no peer reaches may itself be the one that is cut off.
+PEER_FRESH_S: t.Final = 1.3
+# Each next successor waits so much longer, enough for the one before to succeed.
+STAGGER_S: t.Final = 0.35
+# A decider that the store refuses is given this long to find out for itself.
+STORE_LOST_S: t.Final = 0.4
+# Pause between two tries of one process.
+RETRY_S: t.Final = 0.7
+# At the first start nobody knows a successor: processes start within 0.3 s of each
+# other, and what they wait differs.
+FIRST_WAIT_S: t.Final = 0.6
+ADDRESS_BITS: t.Final = 24
+
+
+def next_epoch(previous: int, ip: str) -> int:
+    """Return an epoch above ``previous`` that no other address would choose."""
+    number = 0
+    for part in ip.split("."):
+        number = (number << 8) | int(part)
+    low = number & ((1 << ADDRESS_BITS) - 1)
+    return (((previous >> ADDRESS_BITS) + 1) << ADDRESS_BITS) | low
+
+
+class PeerView:
+    """What was last heard of another process."""
+
+    __slots__ = ("heard_at", "status")
+
+    def __init__(self, status: NodeStatus, heard_at: float) -> None:
+        self.status = status
+        self.heard_at = heard_at
+
+
+class Leadership:
+    """Follows the reports of all processes of a shard. Times are in seconds on the
+    steady clock."""
+
+    def __init__(self, node: str, now: float, jitter: float) -> None:
+        self._node = node
+        self._started = now
+        self._jitter = jitter
+        self._peers: dict[str, PeerView] = {}
+        self._known: set[str] = set()
+        self._epoch = 0
+        self._leader = ""
+        self._leader_heard = now
+        self._leader_store_lost: float | None = None
+        self._successors: tuple[str, ...] = ()
+        self._tried_at = -1e9
+        self._asked = False
+
+    @property
+    def epoch(self) -> int:
+        """The newest epoch known."""
+        return self._epoch
+
+    @property
+    def leader(self) -> str:
+        """Who decides in it; empty if not known."""
+        return self._leader
+
+    @property
+    def peers(self) -> t.Mapping[str, PeerView]:
+        """Other processes heard of."""
+        return self._peers
+
+    def know(self, node: str) -> None:
+        """Learn of a process that was never heard."""
+        if node != self._node:
+            self._known.add(node)
+
+    def leads(self, epoch: int, node: str, now: float) -> None:
+        """Learn who decides in an epoch."""
+        if epoch > self._epoch or (epoch == self._epoch and not self._leader):
+            self._epoch = epoch
+            self._leader = node
+            self._leader_heard = now
+            self._leader_store_lost = None
+
+    def deposed(self) -> None:
+        """This process decides no more; who does is not known yet."""
+        if self._leader == self._node:
+            self._leader = ""
+
+    def heard(self, status: NodeStatus, now: float) -> None:
+        """Take up a report."""
+        self._known.add(status.node)
+        self._peers[status.node] = PeerView(status, now)
+        if status.leader == status.node:
+            self.leads(status.epoch, status.node, now)
+            if status.node == self._leader and status.epoch == self._epoch:
+                self._follow(status, now)
+        elif status.epoch > self._epoch:
+            self._epoch = status.epoch
+            self._leader = status.leader
+            self._leader_heard = now
+
+    def _follow(self, status: NodeStatus, now: float) -> None:
+        self._leader_heard = now
+        self._successors = status.successors
+        if status.store_ok:
+            self._leader_store_lost = None
+        elif self._leader_store_lost is None:
+            self._leader_store_lost = now
+
+    def resigned(self, epoch: int) -> None:
+        """The decider of ``epoch`` asks this process to go on."""
+        if epoch >= self._epoch:
+            self._asked = True
+            self._leader = ""
+
+    def leader_silent(self, now: float) -> bool:
+        """Say whether nobody is heard to decide."""
+        return not self._leader or now - self._leader_heard > SILENT_S
+
+    def isolated(self, now: float) -> bool:
+        """Say whether others are known and none of them is heard."""
+        return bool(self._known) and not self._live(now)
+
+    def _live(self, now: float) -> list[str]:
+        return [
+            name
+            for name, peer in self._peers.items()
+            if now - peer.heard_at < PEER_FRESH_S
+        ]
+
+    def take_over_due(self, now: float) -> bool:
+        """Say whether this process should try to take over now."""
+        if self._leader == self._node or now - self._tried_at < RETRY_S:
+            return False
+        if self._asked:
+            self._asked = False
+            return True
+        since = self._lost_since(now)
+        return since is not None and now >= since + self._patience()
+
+    def _lost_since(self, now: float) -> float | None:
+        """Return when the decider was lost, or ``None`` while there is one."""
+        if not self._epoch and not self._leader:
+            return self._started + FIRST_WAIT_S * (0.5 + self._jitter)
+        if self.leader_silent(now):
+            return self._leader_heard + SILENT_S
+        if self._leader_store_lost is not None:
+            return self._leader_store_lost + STORE_LOST_S
+        return None
+
+    def _patience(self) -> float:
+        if not self._successors:
+            return STAGGER_S * self._jitter
+        if self._node in self._successors:
+            return STAGGER_S * self._successors.index(self._node)
+        return STAGGER_S * (len(self._successors) + self._jitter)
+
+    def tried(self, now: float) -> None:
+        """Note a try to take over, so that the next one waits."""
+        self._tried_at = now
+
+    def ranked(self, now: float) -> tuple[str, ...]:
+        """Return who should take over from this process, best first."""
+        able = [
+            self._peers[name].status
+            for name in self._live(now)
+            if self._peers[name].status.ready
+        ]
+        able.sort(key=lambda status: (-status.cores, status.node))
+        return tuple(status.node for status in able)
--- a/src/granitetrestle/messages.py
+++ b/src/granitetrestle/messages.py
@@ -11,6 +11,8 @@
 
 __all__ = [
     "BeatSent",
+    "CallAnswered",
+    "CallForwarded",
     "EndpointInfo",
     "Envelope",
     "HallDigest",
@@ -18,10 +20,12 @@
     "KeyAsked",
     "KeyReturned",
     "KeyVerdict",
+    "LeaderResigned",
     "Loan",
     "LoansGranted",
     "LoansHeld",
     "Message",
+    "NodeStatus",
     "decode_envelope",
     "encode_envelope",
 ]
@@ -142,6 +146,63 @@
     digests: tuple[HallDigest, ...]
 
 
+class NodeStatus(msgspec.Struct, frozen=True, tag=True):
+    """What a process of a shard tells the others about itself, several times a second.
+
+    :param address: where its peers reach it, IP:PORT.
+    :param epoch: the newest epoch that it knows of.
+    :param leader: who decides in that epoch; empty if nobody is known to.
+    :param store_ok: whether the store answered it of late, or was not asked.
+    :param ready: whether it may take over.
+    :param cores: processor share of its box.
+    :param successors: from the decider only: who takes over, in this order.
+    :param others: addresses of processes that the receiver may not know.
+    """
+
+    node: str
+    address: str
+    hall: str
+    epoch: int
+    leader: str
+    store_ok: bool
+    ready: bool
+    cores: float
+    successors: tuple[str, ...] = ()
+    others: dict[str, str] = {}
+
+
+class LeaderResigned(msgspec.Struct, frozen=True, tag=True):
+    """The decider stops; the receiver is to take over now."""
+
+    epoch: int
+
+
+class CallForwarded(msgspec.Struct, frozen=True, tag=True):
+    """A client's request, for the decider. It may be sent again to another one.
+
+    :param left_s: seconds until the client gives up.
+    """
+
+    number: int
+    method: str
+    host: str
+    path: str
+    body: bytes
+    left_s: float
+
+
+class CallAnswered(msgspec.Struct, frozen=True, tag=True):
+    """The decider's answer to a forwarded request.
+
+    :param retry_after_s: when to come back; 0 for no advice.
+    """
+
+    number: int
+    status: int
+    body: bytes
+    retry_after_s: int
+
+
 Message: t.TypeAlias = (
     BeatSent
     | LoansGranted
@@ -150,6 +211,10 @@
     | KeyVerdict
     | KeyReturned
     | HallDigests
+    | NodeStatus
+    | LeaderResigned
+    | CallForwarded
+    | CallAnswered
 )
 
 
--- /dev/null
+++ b/src/granitetrestle/node.py
@@ -0,0 +1,386 @@
+"""One process on the platform: takes clients' requests, follows who decides, hands
+requests on to that process, and decides itself while it holds the newest epoch."""
+
+import itertools
+import time
+import typing as t
+
+import anyio
+import anyio.abc
+
+from .forwarding import ClientAnswer
+from .forwarding import ClientCall
+from .forwarding import Deposed
+from .forwarding import Forwarding
+from .forwarding import Target
+from .leadership import Leadership
+from .leadership import next_epoch
+from .messages import CallAnswered
+from .messages import CallForwarded
+from .messages import LeaderResigned
+from .messages import Message
+from .messages import NodeStatus
+from .nodelog import NodeLog
+from .nodemetrics import NodeMetrics
+from .outside import StoreUnavailable
+from .peerlink import PeerLink
+from .registry import Known
+from .registry import NodeEntry
+from .registry import Registry
+from .session import Session
+from .session import Sources
+from .session import take_over
+from .shardstate import DeciderTerms
+
+__all__ = ["Node", "NodeTerms", "Responder"]
+
+TICK_S: t.Final = 0.1
+LEADER_REPORT_S: t.Final = 0.2
+REPORT_S: t.Final = 0.4
+# A process that hears nobody looks twice whether the store shows a live decider.
+ISOLATED_LOOK_S: t.Final = 1.6
+BEAT_EVERY_S: t.Final = 1.0
+# A process that knows no decider for so long asks for no new connections.
+LEADERLESS_S: t.Final = 1.5
+CATCH_UP_EPOCHS: t.Final = 5
+
+
+class Responder(t.Protocol):
+    """Answers a client's request in the name of a session."""
+
+    async def answer(
+        self, session: Session, request: str, call: ClientCall
+    ) -> ClientAnswer:
+        """Return the answer.
+
+        :raises Deposed: if the session ended first.
+        """
+
+
+class NodeTerms(t.NamedTuple):
+    """What a process is told at its start.
+
+    :param address: IP:PORT for its peers.
+    :param cores: processor share of its box.
+    """
+
+    node: str
+    incarnation: str
+    hall: str
+    ip: str
+    address: str
+    cores: float
+    decider: DeciderTerms
+
+
+class Node:
+    """One process of the system."""
+
+    def __init__(
+        self,
+        terms: NodeTerms,
+        sources: Sources,
+        responder: Responder,
+        peers: PeerLink,
+        log: NodeLog,
+        metrics: NodeMetrics,
+    ) -> None:
+        self._terms = terms
+        self._sources = sources
+        self._responder = responder
+        self._peers = peers
+        self._log = log
+        self._metrics = metrics
+        self._registry = Registry(sources.store)
+        jitter = (sum(map(ord, terms.incarnation)) % 100) / 100.0
+        self._leadership = Leadership(terms.node, time.monotonic(), jitter)
+        self._addresses: dict[str, str] = {}
+        self._session: Session | None = None
+        self._session_scope: anyio.CancelScope | None = None
+        self._serving = False
+        self._stopping = False
+        self._registered = False
+        self._leader_seen = ""
+        self._leaderless_since = time.monotonic()
+        self._reported_at = 0.0
+        self._isolated_beat: tuple[int, float] | None = None
+        self._requests = itertools.count(1)
+        self._forwarding = Forwarding(terms.node, self._send, self._answer_here)
+
+    @property
+    def log(self) -> NodeLog:
+        """The log of this process."""
+        return self._log
+
+    @property
+    def metrics(self) -> NodeMetrics:
+        """The figures of this process."""
+        return self._metrics
+
+    @property
+    def ready(self) -> bool:
+        """Whether clients should be sent here."""
+        known = bool(self._leader()) or self._leaderless_s() < LEADERLESS_S
+        return self._registered and known and not self._stopping
+
+    @property
+    def idle(self) -> bool:
+        """Whether no client waits for an answer."""
+        return not self._forwarding.open_calls
+
+    def _leaderless_s(self) -> float:
+        return time.monotonic() - self._leaderless_since
+
+    def _leader(self) -> str:
+        """Return who can answer requests now, or nothing."""
+        now = time.monotonic()
+        if self._session is not None:
+            return self._terms.node if self._serving else ""
+        if self._leadership.leader_silent(now):
+            return ""
+        return self._leadership.leader
+
+    def _target(self) -> Target | None:
+        leader = self._leader()
+        return Target(leader, self._leadership.epoch) if leader else None
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._peer_loop)
+            tasks.start_soon(self._register)
+            tasks.start_soon(self._tick_loop, tasks)
+
+    async def serve(self, call: ClientCall, left_s: float) -> ClientAnswer:
+        """Answer a client's request within ``left_s`` seconds."""
+        return await self._forwarding.serve(call, left_s, self._target)
+
+    async def _answer_here(self, call: ClientCall) -> ClientAnswer:
+        session = self._session
+        if session is None or not self._serving:
+            raise Deposed
+        request = f"{self._terms.node}/{next(self._requests)}"
+        return await self._responder.answer(session, request, call)
+
+    def _send(self, node: str, message: Message) -> bool:
+        return self._peers.send(node, message)
+
+    async def _register(self) -> None:
+        """Learn of the other processes, and let them learn of this one."""
+        entry = NodeEntry(self._terms.address, self._terms.hall)
+        while not self._registered:
+            known = await self._registry.read()
+            if isinstance(known, StoreUnavailable):
+                await anyio.sleep(TICK_S * 2)
+                continue
+            self._take_registry(known)
+            if known.nodes.get(self._terms.node) != entry:
+                written = await self._registry.enter(self._terms.node, entry)
+                if not written:
+                    await anyio.sleep(TICK_S * 2)
+                    continue
+            self._registered = True
+            self._log.event("registered", peers=len(self._addresses))
+
+    def _take_registry(self, known: Known) -> None:
+        for node, other in known.nodes.items():
+            self._learn(node, other.address)
+        if known.leader.epoch:
+            now = time.monotonic()
+            self._leadership.leads(known.leader.epoch, known.leader.node, now)
+
+    def _learn(self, node: str, address: str) -> None:
+        if node != self._terms.node and self._addresses.get(node) != address:
+            self._addresses[node] = address
+            self._peers.connect(node, address)
+            self._leadership.know(node)
+
+    async def _peer_loop(self) -> None:
+        async for envelope in self._peers.receive():
+            message, sender = envelope.message, envelope.sender
+            if isinstance(message, NodeStatus):
+                self._heard(message)
+            elif isinstance(message, CallForwarded):
+                self._tasks.start_soon(self._forwarded, sender, message)
+            elif isinstance(message, CallAnswered):
+                self._forwarding.answered(message)
+            elif isinstance(message, LeaderResigned):
+                self._leadership.resigned(message.epoch)
+                self._log.event("asked_to_take_over", by=sender, epoch=message.epoch)
+
+    def _heard(self, status: NodeStatus) -> None:
+        self._learn(status.node, status.address)
+        for node, address in status.others.items():
+            if node not in self._addresses:
+                self._learn(node, address)
+        self._leadership.heard(status, time.monotonic())
+        self._leader_changed()
+
+    def _leader_changed(self) -> None:
+        leader = self._leader()
+        if leader == self._leader_seen:
+            return
+        self._leader_seen = leader
+        if leader:
+            self._log.event("leader_known", leader=leader, epoch=self._leadership.epoch)
+        else:
+            self._leaderless_since = time.monotonic()
+            self._log.event("leader_lost", epoch=self._leadership.epoch)
+        self._forwarding.leader_changed()
+
+    async def _forwarded(self, sender: str, message: CallForwarded) -> None:
+        call = ClientCall(message.method, message.host, message.path, message.body)
+        with anyio.move_on_after(message.left_s):
+            try:
+                answer = await self._answer_here(call)
+            except Deposed:
+                # The sender asks the next decider; an answer now would only be in
+                # its way.
+                return
+            reply = CallAnswered(
+                message.number, answer.status, answer.body, answer.retry_after_s
+            )
+            self._peers.send(sender, reply)
+
+    async def _tick_loop(self, tasks: anyio.abc.TaskGroup) -> None:
+        self._tasks = tasks
+        last = time.monotonic()
+        while True:
+            now = time.monotonic()
+            if now - last > TICK_S * 8:
+                self._log.event("stood_still", seconds=round(now - last, 2))
+            last = now
+            self._leader_changed()
+            self._report(now)
+            if self._session is None and self._registered and not self._stopping:
+                await self._consider(now, tasks)
+            await anyio.sleep(TICK_S)
+
+    def _report(self, now: float) -> None:
+        leading = self._session is not None and self._serving
+        every = LEADER_REPORT_S if leading else REPORT_S
+        if now - self._reported_at < every - TICK_S / 2:
+            return
+        self._reported_at = now
+        for node in self._addresses:
+            self._peers.send(node, self._status(now, leading))
+
+    def _status(self, now: float, leading: bool) -> NodeStatus:
+        session = self._session
+        return NodeStatus(
+            node=self._terms.node,
+            address=self._terms.address,
+            hall=self._terms.hall,
+            epoch=self._leadership.epoch,
+            leader=self._leadership.leader,
+            store_ok=session is None or not session.store_away,
+            ready=self._registered and not self._stopping,
+            cores=self._terms.cores,
+            successors=self._leadership.ranked(now) if leading else (),
+            others=self._addresses if leading else {},
+        )
+
+    async def _consider(self, now: float, tasks: anyio.abc.TaskGroup) -> None:
+        """Take over if that is due and nobody else decides."""
+        if not self._leadership.take_over_due(now):
+            self._isolated_beat = None
+            return
+        if self._leadership.isolated(now) and await self._alive_elsewhere(now):
+            return
+        self._leadership.tried(now)
+        await self._try_to_lead(tasks)
+
+    async def _alive_elsewhere(self, now: float) -> bool:
+        """Say whether the store shows a decider at work that is not heard here."""
+        known = await self._registry.read()
+        if isinstance(known, StoreUnavailable):
+            return True
+        beat, seen = known.leader.beat, self._isolated_beat
+        if seen is None or seen[0] != beat:
+            self._isolated_beat = (beat, now)
+            return True
+        return now - seen[1] < ISOLATED_LOOK_S
+
+    async def _try_to_lead(self, tasks: anyio.abc.TaskGroup) -> None:
+        known = await self._registry.read()
+        if isinstance(known, StoreUnavailable):
+            self._log.event("take_over_failed", reason=known.reason)
+            return
+        epoch_before = self._leadership.epoch
+        self._take_registry(known)
+        if self._leadership.epoch > epoch_before:
+            # Somebody was faster; its reports will come now that it is known here.
+            return
+        previous = max(known.leader.epoch, self._leadership.epoch)
+        for _ in range(CATCH_UP_EPOCHS):
+            epoch = next_epoch(previous, self._terms.ip)
+            outcome = await take_over(self._sources.store, epoch)
+            if isinstance(outcome, StoreUnavailable):
+                self._log.event("take_over_failed", reason=outcome.reason)
+                return
+            if outcome:
+                self._leadership.leads(epoch, self._terms.node, time.monotonic())
+                tasks.start_soon(self._lead, epoch)
+                return
+            previous = epoch
+        self._log.event("take_over_failed", reason="fenced", epoch=previous)
+
+    async def _lead(self, epoch: int) -> None:
+        session = Session(
+            self._sources, epoch, self._terms.decider, self._log, self._metrics
+        )
+        self._session = session
+        with anyio.CancelScope() as scope:
+            self._session_scope = scope
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._beat_loop, epoch)
+                await session.run(self._begin_serving)
+                tasks.cancel_scope.cancel()
+        self._session = None
+        self._session_scope = None
+        self._serving = False
+        self._leadership.deposed()
+        self._leader_changed()
+
+    def _begin_serving(self) -> None:
+        self._serving = True
+        self._reported_at = 0.0
+        self._report(time.monotonic())
+        self._leader_changed()
+
+    async def _beat_loop(self, epoch: int) -> None:
+        """Show in the store that this epoch's decider is alive."""
+        for beat in itertools.count(1):
+            await self._registry.beat(epoch, self._terms.node, beat)
+            await anyio.sleep(BEAT_EVERY_S)
+
+    async def stop(self, grace_s: float) -> None:
+        """Hand over what is decided here and finish what waits here."""
+        self._stopping = True
+        started = time.monotonic()
+        session, scope = self._session, self._session_scope
+        if session is not None and scope is not None:
+            with anyio.move_on_after(grace_s / 4):
+                await session.drain()
+            successors = self._leadership.ranked(time.monotonic())
+            scope.cancel()
+            if successors:
+                self._peers.send(successors[0], LeaderResigned(session.epoch))
+            self._log.event("handed_over", epoch=session.epoch, to=successors[:1])
+        while time.monotonic() - started < grace_s and not self.idle:
+            await anyio.sleep(TICK_S / 2)
+
+    def figures(self) -> dict[str, float]:
+        """Return what this process believes now, for its metrics."""
+        session = self._session
+        state = session.decider.state if session is not None else None
+        return {
+            "leading": float(session is not None and self._serving),
+            "epoch_known": float(self._leadership.epoch),
+            "open_calls": float(self._forwarding.open_calls),
+            "peers_known": float(len(self._addresses)),
+            "jobs": float(len(state.workflows)) if state else 0.0,
+            "boxes": float(len(state.boxes)) if state else 0.0,
+            "steps_waiting": float(len(state.waiting)) if state else 0.0,
+            "log_lines_dropped": float(self._log.dropped),
+        }
--- /dev/null
+++ b/src/granitetrestle/nodelog.py
@@ -0,0 +1,122 @@
+"""JSON lines on standard output: one for each decision and each changed belief. The
+volume is bounded for each kind of line, and a reader that does not keep up costs
+lines, never time."""
+
+import contextlib
+import os
+import time
+import typing as t
+
+import msgspec
+import structlog
+
+__all__ = ["NodeLog"]
+
+# Lines of one kind that may be written at once, and how many more each second. A
+# kind over its budget is counted, and the count is written with its next line.
+BURST: t.Final = 60
+PER_S: t.Final = 15.0
+
+
+class _Budget:
+    """A token bucket, in lines."""
+
+    __slots__ = ("at", "dropped", "tokens")
+
+    def __init__(self, now: float) -> None:
+        self.tokens = float(BURST)
+        self.at = now
+        self.dropped = 0
+
+    def take(self, now: float) -> bool:
+        self.tokens = min(float(BURST), self.tokens + (now - self.at) * PER_S)
+        self.at = now
+        if self.tokens < 1.0:
+            self.dropped += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class _NonBlocking:
+    """Writes whole lines to a descriptor, or drops them."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._rest = b""
+        self.dropped = 0
+        # A descriptor that can't be switched, as a plain file, does not block.
+        with contextlib.suppress(OSError):
+            os.set_blocking(descriptor, False)
+
+    def write(self, line: bytes) -> None:
+        """Write ``line`` if there is room for it now."""
+        if self._rest:
+            self._rest = self._put(self._rest)
+        if self._rest:
+            self.dropped += 1
+            return
+        self._rest = self._put(line)
+
+    def _put(self, data: bytes) -> bytes:
+        try:
+            return data[os.write(self._descriptor, data) :]
+        except BlockingIOError:
+            return data
+        except OSError:
+            # Nobody reads any more; there is nowhere left to say so.
+            self.dropped += 1
+            return b""
+
+
+class NodeLog:
+    """The log of one process.
+
+    :param bound: fields that stand in every line.
+    """
+
+    def __init__(self, descriptor: int = 1, **bound: t.Any) -> None:
+        self._sink = _NonBlocking(descriptor)
+        self._budgets: dict[str, _Budget] = {}
+        processors: list[t.Any] = [
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(serializer=_serialize),
+        ]
+        self._logger = structlog.wrap_logger(
+            _Lines(self._sink),
+            processors=processors,
+            wrapper_class=structlog.BoundLogger,
+        ).bind(**bound)
+
+    @property
+    def dropped(self) -> int:
+        """Lines that the reader did not take."""
+        return self._sink.dropped
+
+    def event(self, event: str, /, **fields: t.Any) -> None:
+        """Write a line, if its kind has budget left."""
+        now = time.monotonic()
+        budget = self._budgets.get(event)
+        if budget is None:
+            budget = self._budgets[event] = _Budget(now)
+        if not budget.take(now):
+            return
+        if budget.dropped:
+            fields["lines_dropped"] = budget.dropped
+            budget.dropped = 0
+        self._logger.info(event, **fields)
+
+
+class _Lines:
+    """What structlog takes for a logger: one method that writes a line."""
+
+    def __init__(self, sink: _NonBlocking) -> None:
+        self._sink = sink
+
+    def info(self, line: str) -> None:
+        """Write a rendered line."""
+        self._sink.write(line.encode() + b"\n")
+
+
+def _serialize(fields: t.Any, **_: t.Any) -> str:
+    return msgspec.json.encode(fields, enc_hook=str).decode()
--- /dev/null
+++ b/src/granitetrestle/outside.py
@@ -0,0 +1,297 @@
+"""What the decider needs of the outside: a store that lasts, boxes that run tasks
+under leases, a source of configuration. Each is an abstract base class; the
+platform's implementation is in :mod:`.platform`, the tests' in the stand-ins.
+Every outcome is a type of its own, so that no caller has to guess."""
+
+import abc
+import typing as t
+
+__all__ = [
+    "Appended",
+    "BoxCalls",
+    "BoxEntry",
+    "BoxNoAnswer",
+    "BoxReplaced",
+    "Config",
+    "EndedRun",
+    "Fenced",
+    "Look",
+    "LookOutcome",
+    "Newest",
+    "OrderAccepted",
+    "OrderOutcome",
+    "OrderRejected",
+    "Queue",
+    "Record",
+    "RecordsGone",
+    "Records",
+    "RunningTask",
+    "Store",
+    "StoreUnavailable",
+    "TaskOrder",
+    "Writer",
+]
+
+
+class Record(t.NamedTuple):
+    """The newest value under a key; ``None`` drops the key."""
+
+    key: str
+    value: bytes | None
+
+
+class Writer(t.NamedTuple):
+    """Names one append of one epoch, so that the store can answer a repeat as it
+    answered the first and refuse those of older epochs."""
+
+    epoch: int
+    sequence: int
+
+
+class Appended(t.NamedTuple):
+    """The records are kept."""
+
+    end: int
+
+
+class Fenced(t.NamedTuple):
+    """A newer epoch writes here: the caller decides no more."""
+
+
+class StoreUnavailable(t.NamedTuple):
+    """No use was made of the call, or its fate is unknown; it may be repeated.
+
+    :param reason: a short word for logs.
+    :param undone: the store said that it did nothing.
+    """
+
+    reason: str
+    undone: bool = False
+
+
+class Newest(t.NamedTuple):
+    """The newest record of each key, and the offset at which to read on."""
+
+    records: tuple[Record, ...]
+    end: int
+
+
+class Records(t.NamedTuple):
+    """Records in order, and the offset at which to read on."""
+
+    records: tuple[Record, ...]
+    end: int
+
+
+class RecordsGone(t.NamedTuple):
+    """The records asked for were dropped; start over from the newest."""
+
+
+class Store(abc.ABC):
+    """A log with topics, of which the newest record under each key lasts."""
+
+    @abc.abstractmethod
+    async def append(
+        self,
+        topic: str,
+        records: t.Sequence[Record],
+        writer: Writer | None,
+        timeout_s: float,
+    ) -> Appended | Fenced | StoreUnavailable:
+        """Append all records or none.
+
+        :param writer: fences older epochs; ``None`` for an unfenced topic.
+        """
+
+    @abc.abstractmethod
+    async def newest(self, topic: str) -> Newest | StoreUnavailable:
+        """Return the newest record of each key."""
+
+    @abc.abstractmethod
+    async def read(
+        self, topic: str, start: int, wait_s: float
+    ) -> Records | RecordsGone | StoreUnavailable:
+        """Return the records from ``start`` on, waiting for one if there is none."""
+
+
+class BoxEntry(t.NamedTuple):
+    """One life of a box, as it describes itself.
+
+    :param life: differs after each restart.
+    :param hall: its data hall.
+    :param rack: empty if unknown.
+    :param cpu: thousandths of a core.
+    :param leaving_in_s: least time left when draining, else ``None``.
+    """
+
+    life: str
+    address: str
+    service: str
+    hall: str
+    rack: str
+    labels: frozenset[str]
+    cpu: int
+    memory_mb: int
+    gpu: int
+    draining: bool
+    leaving_in_s: float | None
+    box: str = ""
+
+
+class Queue(t.NamedTuple):
+    """A queue for jobs, as configured. Durations are in milliseconds.
+
+    :param priority: 0 goes first.
+    :param stretch: the latency objective is this times the job's longest chain of
+        work, plus ``target_ms``.
+    :param max_attempts: failed runs of a task before its job fails.
+    :param advised: a service must name the boxes that may run a step.
+    :param advice_valid_ms: how long such an answer holds.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    target_ms: float
+    advised: bool = False
+    advice_valid_ms: float = 0.0
+
+
+class Config(t.NamedTuple):
+    """A configuration as a whole.
+
+    :param guarded: service -> whether its boxes refuse what does not fit.
+    """
+
+    version: int
+    queues: tuple[Queue, ...]
+    guarded: t.Mapping[str, bool]
+    max_body_bytes: int
+
+
+class TaskOrder(t.NamedTuple):
+    """Names one run of a task on one life of a box."""
+
+    life: str
+    address: str
+    task: str
+    run: int
+
+
+class OrderAccepted(t.NamedTuple):
+    """The box did it, or had done so before.
+
+    :param clock_ms: the box's steady clock.
+    """
+
+    clock_ms: int
+
+
+class OrderRejected(t.NamedTuple):
+    """The box did nothing.
+
+    :param reason: ``fence`` a newer epoch gave orders there; ``old`` a later run was
+        seen; ``late`` the lease is over already; ``room``; ``ticket``; ``unhealthy``;
+        ``malformed``.
+    """
+
+    reason: str
+    clock_ms: int = 0
+
+
+class BoxReplaced(t.NamedTuple):
+    """Another life answers at the address: the one meant runs nothing any more."""
+
+
+class BoxNoAnswer(t.NamedTuple):
+    """It may have been done, or may still be done later."""
+
+    reason: str
+
+
+OrderOutcome: t.TypeAlias = OrderAccepted | OrderRejected | BoxReplaced | BoxNoAnswer
+
+
+class RunningTask(t.NamedTuple):
+    """A task at work on a box.
+
+    :param saved: its newest checkpoint, or empty.
+    :param percent: how far it has come.
+    :param figure: tail latency in ms of a task that serves, else thousandths of a
+        core in use; a rough value of the last half second.
+    """
+
+    task: str
+    run: int
+    saved: str
+    percent: int
+    figure: float
+
+
+class EndedRun(t.NamedTuple):
+    """The end of a run, which the box keeps until told that it is known.
+
+    :param number: rises by one with each end within a life of the box.
+    :param how: ``done``, ``failed``, ``stopped``, ``lapsed``, ``broken``, ``alone``.
+    """
+
+    number: int
+    task: str
+    run: int
+    how: str
+    saved: str
+
+
+class Look(t.NamedTuple):
+    """All that runs on a box, and the ends not yet known."""
+
+    clock_ms: int
+    running: tuple[RunningTask, ...]
+    ended: tuple[EndedRun, ...]
+
+
+LookOutcome: t.TypeAlias = Look | OrderRejected | BoxReplaced | BoxNoAnswer
+
+
+class BoxCalls(abc.ABC):
+    """Calls to boxes; each carries the caller's fencing token."""
+
+    @abc.abstractmethod
+    async def look(
+        self,
+        life: str,
+        address: str,
+        token: int,
+        known: int,
+        until_ms: int | None,
+        wait_ms: int,
+    ) -> LookOutcome:
+        """Confirm ends up to ``known``, extend the lease, return what runs.
+
+        :param until_ms: end of the lease of all that runs, on the box's clock.
+        :param wait_ms: how long the answer may wait for an end.
+        """
+
+    @abc.abstractmethod
+    async def start(
+        self,
+        order: TaskOrder,
+        token: int,
+        spec: str,
+        until_ms: int,
+        checkpoint: str,
+        ticket: str,
+    ) -> OrderOutcome:
+        """Start a run of a task."""
+
+    @abc.abstractmethod
+    async def stop(self, order: TaskOrder, token: int) -> OrderOutcome:
+        """Stop a run, or see to it that it never begins."""
+
+    @abc.abstractmethod
+    async def pace(self, order: TaskOrder, token: int, percent: int) -> OrderOutcome:
+        """Let a run work at a share of its speed."""
--- a/src/granitetrestle/peerlink.py
+++ b/src/granitetrestle/peerlink.py
@@ -14,43 +14,57 @@
 from .messages import Message
 from .messages import decode_envelope
 from .messages import encode_envelope
-from .settings import PeerAddress
-from .settings import Settings
 
 __all__ = ["PeerLink"]
 
 QUEUE = 200
 RECHECK_S = 1.0
+HEARTBEAT_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 2500
 MAX_FRAME = 4 * 1024 * 1024
 
 
 class PeerLink:
-    """Sends to and receives from the processes that the settings name."""
+    """Sends to and receives from other processes of the system.
 
-    def __init__(self, settings: Settings, incarnation: str) -> None:
-        self._node = settings.node
+    :param bind: IP:PORT at which the others reach this process.
+    """
+
+    def __init__(self, node: str, incarnation: str, token: str, bind: str) -> None:
+        self._node = node
         self._incarnation = incarnation
-        self._token = settings.peer_token.encode()
+        self._token = token.encode()
         self._context = zmq.Context()
         self._inbound = self._context.socket(zmq.PULL)
         self._inbound.setsockopt(zmq.RCVHWM, QUEUE * 10)
         self._inbound.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME)
         self._inbound.setsockopt(zmq.LINGER, 0)
-        self._inbound.bind(f"tcp://{settings.zmq}")
-        self._outbound = {
-            peer.node: self._connect(peer)
-            for peer in settings.peers
-            if peer.node != settings.node
-        }
+        self._inbound.bind(f"tcp://{bind}")
+        self._outbound: dict[str, zmq.SyncSocket] = {}
+        self._addresses: dict[str, str] = {}
         self.dropped = 0
 
-    def _connect(self, peer: PeerAddress) -> zmq.SyncSocket:
+    def connect(self, node: str, address: str) -> None:
+        """Learn where ``node`` listens; it may have moved."""
+        if node == self._node or self._addresses.get(node) == address:
+            return
+        old = self._outbound.pop(node, None)
+        if old is not None:
+            old.close()
+        self._addresses[node] = address
+        self._outbound[node] = self._connect(address)
+
+    def _connect(self, address: str) -> zmq.SyncSocket:
         socket: zmq.SyncSocket = self._context.socket(zmq.PUSH)
         socket.setsockopt(zmq.SNDHWM, QUEUE)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
-        socket.connect(f"tcp://{peer.zmq}")
+        # A peer that lost power says nothing: give the connection up, so that what
+        # is sent after its return goes over a new one.
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.connect(f"tcp://{address}")
         return socket
 
     def send(self, node: str, message: Message, trace: str = "") -> bool:
--- /dev/null
+++ b/src/granitetrestle/platform/boxes.py
@@ -0,0 +1,217 @@
+"""Calls to boxes, and how a box describes itself in the store."""
+
+import typing as t
+
+import msgspec
+
+from ..calls import Caller
+from ..calls import CallFailure
+from ..calls import Reply
+from ..outside import BoxCalls
+from ..outside import BoxEntry
+from ..outside import BoxNoAnswer
+from ..outside import BoxReplaced
+from ..outside import EndedRun
+from ..outside import Look
+from ..outside import LookOutcome
+from ..outside import OrderAccepted
+from ..outside import OrderOutcome
+from ..outside import OrderRejected
+from ..outside import Record
+from ..outside import RunningTask
+from ..outside import TaskOrder
+
+__all__ = ["PlatformBoxes", "decode_entry"]
+
+# Boxes answer within some 3 ms; a slow hall link or a busy box of ours takes more.
+ORDER_TIMEOUT_S: t.Final = 0.4
+# Beyond the time that a look may wait.
+LOOK_TIMEOUT_S: t.Final = 0.7
+OK: t.Final = 200
+BAD_REQUEST: t.Final = 400
+CONFLICT: t.Final = 409
+OTHER_LIFE: t.Final = 421
+LIFE_HEADER: t.Final = b"expect-instance"
+
+
+class _Capacity(msgspec.Struct):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Entry(msgspec.Struct):
+    """``cpu`` is in thousandths of a core; the second label is the rack."""
+
+    service: str
+    address: str
+    zone: str = ""
+    state: str = "ready"
+    capacity: _Capacity = msgspec.field(default_factory=_Capacity)
+    labels: list[str] = []
+    remaining_ms: float | None = None
+    machine: str = ""
+
+
+class _LookAnswer(msgspec.Struct):
+    clock_ms: int
+    running: list[list[t.Any]] = []
+    finished: list[list[t.Any]] = []
+
+
+class _OrderAnswer(msgspec.Struct):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+_entries = msgspec.json.Decoder(_Entry)
+_looks = msgspec.json.Decoder(_LookAnswer)
+_orders = msgspec.json.Decoder(_OrderAnswer)
+_encode = msgspec.json.Encoder().encode
+
+
+def decode_entry(record: Record) -> BoxEntry | None:
+    """Return what a box says of itself, or ``None`` once it is gone.
+
+    :raises msgspec.DecodeError: if the record is malformed.
+    """
+    if record.value is None:
+        return None
+    raw = _entries.decode(record.value)
+    leaving = raw.remaining_ms
+    return BoxEntry(
+        life=record.key,
+        address=raw.address,
+        service=raw.service,
+        hall=raw.zone,
+        rack=raw.labels[1] if len(raw.labels) > 1 else "",
+        labels=frozenset(raw.labels),
+        cpu=raw.capacity.cpu,
+        memory_mb=raw.capacity.mem_mb,
+        gpu=raw.capacity.gpu,
+        draining=raw.state != "ready",
+        leaving_in_s=None if leaving is None else leaving / 1000.0,
+        box=raw.machine,
+    )
+
+
+class PlatformBoxes(BoxCalls):
+    """Boxes over HTTP."""
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+
+    async def look(
+        self,
+        life: str,
+        address: str,
+        token: int,
+        known: int,
+        until_ms: int | None,
+        wait_ms: int,
+    ) -> LookOutcome:
+        """See :meth:`.outside.BoxCalls.look`."""
+        body: dict[str, t.Any] = {"fencing_token": token, "last_seen": known}
+        if until_ms is not None:
+            body["until_ms"] = until_ms
+        if wait_ms:
+            body["wait_ms"] = wait_ms
+        timeout_s = LOOK_TIMEOUT_S + wait_ms / 1000.0
+        reply = await self._call(address, life, "/api/hold", body, timeout_s)
+        if not isinstance(reply, Reply):
+            return reply
+        if reply.status != OK:
+            return _rejected(reply)
+        try:
+            return _decode_look(reply.body)
+        except (msgspec.DecodeError, IndexError, ValueError, TypeError) as error:
+            return BoxNoAnswer(f"malformed answer: {error}")
+
+    async def start(
+        self,
+        order: TaskOrder,
+        token: int,
+        spec: str,
+        until_ms: int,
+        checkpoint: str,
+        ticket: str,
+    ) -> OrderOutcome:
+        """See :meth:`.outside.BoxCalls.start`."""
+        body = _order(order, token)
+        body["spec"] = spec
+        body["until_ms"] = until_ms
+        if checkpoint:
+            body["checkpoint"] = checkpoint
+        if ticket:
+            body["ticket"] = ticket
+        return await self._order("/api/run-start", order, body)
+
+    async def stop(self, order: TaskOrder, token: int) -> OrderOutcome:
+        """See :meth:`.outside.BoxCalls.stop`."""
+        return await self._order("/api/run-stop", order, _order(order, token))
+
+    async def pace(self, order: TaskOrder, token: int, percent: int) -> OrderOutcome:
+        """See :meth:`.outside.BoxCalls.pace`."""
+        body = _order(order, token)
+        body["percent"] = percent
+        return await self._order("/api/pace", order, body)
+
+    async def _order(
+        self, path: str, order: TaskOrder, body: dict[str, t.Any]
+    ) -> OrderOutcome:
+        reply = await self._call(order.address, order.life, path, body, ORDER_TIMEOUT_S)
+        if not isinstance(reply, Reply):
+            return reply
+        if reply.status != OK:
+            return _rejected(reply)
+        try:
+            return OrderAccepted(_orders.decode(reply.body or b"{}").clock_ms)
+        except msgspec.DecodeError as error:
+            return BoxNoAnswer(f"malformed answer: {error}")
+
+    async def _call(
+        self,
+        address: str,
+        life: str,
+        path: str,
+        body: dict[str, t.Any],
+        timeout_s: float,
+    ) -> Reply | BoxReplaced | BoxNoAnswer:
+        headers = (
+            (b"content-type", b"application/json"),
+            (LIFE_HEADER, life.encode()),
+        )
+        reply = await self._caller.call(
+            address, path, headers, _encode(body), timeout_s
+        )
+        if isinstance(reply, CallFailure):
+            return BoxNoAnswer(reply.proof.detail)
+        if reply.status == OTHER_LIFE:
+            return BoxReplaced()
+        return reply
+
+
+def _order(order: TaskOrder, token: int) -> dict[str, t.Any]:
+    return {"task": order.task, "run": order.run, "fencing_token": token}
+
+
+def _rejected(reply: Reply) -> OrderRejected:
+    if reply.status == BAD_REQUEST:
+        return OrderRejected("malformed")
+    if reply.status != CONFLICT:
+        return OrderRejected("unhealthy")
+    try:
+        answer = _orders.decode(reply.body or b"{}")
+    except msgspec.DecodeError:
+        return OrderRejected("malformed")
+    return OrderRejected(answer.reason, answer.clock_ms)
+
+
+def _decode_look(body: bytes) -> Look:
+    raw = _looks.decode(body)
+    running = tuple(
+        RunningTask(row[0], row[1], row[2], row[3], row[4] if len(row) > 4 else 0.0)
+        for row in raw.running
+    )
+    ended = tuple(EndedRun(*row[:5]) for row in raw.finished)
+    return Look(raw.clock_ms, running, ended)
--- /dev/null
+++ b/src/granitetrestle/platform/front.py
@@ -0,0 +1,277 @@
+"""What clients and operators send: jobs and questions about them over HTTP, and the
+configuration as it lies in the store."""
+
+import re
+import typing as t
+
+import msgspec
+
+from ..errors import InvalidInput
+from ..jobcalls import CancelJob
+from ..jobcalls import Cancelled
+from ..jobcalls import CountWaiting
+from ..jobcalls import GetState
+from ..jobcalls import JobAccepted
+from ..jobcalls import JobCall
+from ..jobcalls import JobOutcome
+from ..jobcalls import JobStateIs
+from ..jobcalls import NoSuchJob
+from ..jobcalls import SubmitJob
+from ..jobcalls import WaitingCount
+from ..outside import Config
+from ..outside import Queue
+from ..workflows import Step
+from ..workflows import Submission
+
+__all__ = [
+    "CONFIG_KEY",
+    "Answer",
+    "QueueIndex",
+    "UnknownQueue",
+    "decode_call",
+    "decode_config",
+    "encode_outcome",
+]
+
+CONFIG_KEY: t.Final = "config"
+JOB_ID: t.Final = re.compile(r"[0-9a-f]{16}")
+MAX_SPEC: t.Final = 4000
+MAX_STEPS: t.Final = 100
+MAX_TASKS: t.Final = 5000
+OK: t.Final = 200
+GONE: t.Final = 410
+
+
+class Answer(t.NamedTuple):
+    """An HTTP answer to a client.
+
+    :param retry_after_s: when to come back; 0 for no advice.
+    """
+
+    status: int
+    body: bytes = b""
+    retry_after_s: int = 0
+
+
+class UnknownQueue(t.NamedTuple):
+    """No queue has this host and path."""
+
+
+class _Advice(msgspec.Struct):
+    decide_ms: float = 0.0
+    each_ms: float = 0.0
+    valid_ms: float = 0.0
+
+
+class _Route(msgspec.Struct):
+    """``extension`` is the factor by which a job's chain of work may be stretched,
+    ``target_latency_ms`` what is added to that."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 1
+    max_attempts: int = 3
+    extension: float = 1.5
+    target_latency_ms: float = 1000.0
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    enforces_capacity: bool = True
+
+
+class _Limits(msgspec.Struct):
+    max_body_bytes: int = 262144
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Step(msgspec.Struct):
+    """``anti_affinity`` is the most tasks of the step on one box; ``fills`` says that
+    the step takes only unused processor time."""
+
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    depends_on: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    rack_local: bool = False
+    requirements: str | list[str] = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0.0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct):
+    steps: list[_Step]
+    spec: str = ""
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+_configs = msgspec.json.Decoder(_Config)
+_jobs = msgspec.json.Decoder(_Job)
+
+
+def decode_config(data: bytes) -> Config:
+    """Return the configuration in ``data``.
+
+    :raises msgspec.DecodeError: if it is malformed.
+    """
+    raw = _configs.decode(data)
+    queues = tuple(map(_queue, raw.routes))
+    guarded = {service.name: service.enforces_capacity for service in raw.services}
+    return Config(raw.version, queues, guarded, raw.limits.max_body_bytes)
+
+
+def _queue(route: _Route) -> Queue:
+    return Queue(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        service=route.service,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.extension,
+        target_ms=route.target_latency_ms,
+        advised=route.advice is not None,
+        advice_valid_ms=route.advice.valid_ms if route.advice else 0.0,
+    )
+
+
+class QueueIndex:
+    """Finds the queue that a request names, whatever the number of queues."""
+
+    def __init__(self, config: Config) -> None:
+        self._by_host: dict[str, list[Queue]] = {}
+        for queue in config.queues:
+            self._by_host.setdefault(queue.host, []).append(queue)
+        for queues in self._by_host.values():
+            queues.sort(key=lambda queue: len(queue.prefix), reverse=True)
+        self.max_body_bytes = config.max_body_bytes
+
+    def find(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of ``path`` at ``host``."""
+        name = host.split(":", 1)[0].lower()
+        for queue in self._by_host.get(name, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+
+def decode_call(
+    index: QueueIndex, method: str, host: str, path: str, body: bytes
+) -> JobCall | UnknownQueue:
+    """Return what a client asks.
+
+    :raises InvalidInput: if the request is malformed; nothing was done.
+    """
+    path = path.split("?", 1)[0]
+    queue = index.find(host, path)
+    if queue is None:
+        return UnknownQueue()
+    job = path[len(queue.prefix) :].strip("/")
+    if not job:
+        if method != "GET":
+            raise InvalidInput(f"{method} needs a job's id after the prefix")
+        return CountWaiting(queue.name)
+    if not JOB_ID.fullmatch(job):
+        raise InvalidInput("a job's id is 16 hex digits")
+    if method == "GET":
+        return GetState(job)
+    if method == "DELETE":
+        return CancelJob(job)
+    if method != "POST":
+        raise InvalidInput(f"{method} is not a method of jobs")
+    if len(body) > index.max_body_bytes:
+        raise InvalidInput("the body is too long")
+    return SubmitJob(_submission(job, queue, body))
+
+
+def _submission(job: str, queue: Queue, body: bytes) -> Submission:
+    try:
+        raw = _jobs.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidInput(f"not a job: {error}") from error
+    if len(raw.spec.encode()) > MAX_SPEC:
+        raise InvalidInput(f"spec has more than {MAX_SPEC} bytes")
+    if not 0 < len(raw.steps) <= MAX_STEPS:
+        raise InvalidInput(f"a job has 1 to {MAX_STEPS} steps")
+    if min(raw.repeat_count, raw.start_at_ms, raw.interval_ms) < 0:
+        raise InvalidInput("times are not negative")
+    steps = tuple(_step(number, step) for number, step in enumerate(raw.steps))
+    tasks = sum(step.count for step in steps) * max(1, raw.repeat_count)
+    if tasks > MAX_TASKS:
+        raise InvalidInput(f"a job has at most {MAX_TASKS} tasks")
+    return Submission(
+        job=job,
+        queue=queue.name,
+        service=queue.service,
+        spec=raw.spec,
+        steps=steps,
+        repeat_count=raw.repeat_count,
+        start_at_ms=raw.start_at_ms,
+        interval_ms=raw.interval_ms,
+    )
+
+
+def _step(number: int, raw: _Step) -> Step:
+    amounts = (raw.cpu, raw.mem_mb, raw.gpu, raw.anti_affinity, raw.may_miss)
+    if raw.count < 1 or min(amounts) < 0 or raw.estimate_ms < 0 or raw.target_ms < 0:
+        raise InvalidInput(f"step {number}: an amount is out of range")
+    if any(not 0 <= earlier < number for earlier in raw.depends_on):
+        raise InvalidInput(f"step {number}: depends on no earlier step")
+    return Step(
+        count=raw.count,
+        cpu=raw.cpu,
+        memory_mb=raw.mem_mb,
+        gpu=raw.gpu,
+        estimate_ms=int(raw.estimate_ms),
+        depends_on=tuple(raw.depends_on),
+        checkpointing=raw.checkpointing,
+        gang=raw.gang,
+        rack_local=raw.rack_local,
+        required_labels=_labels(raw.requirements),
+        affinity=raw.affinity,
+        per_box=raw.anti_affinity,
+        speculative=raw.speculative,
+        lasting=raw.long_running,
+        image=raw.image,
+        target_ms=raw.target_ms,
+        fills=raw.fills,
+        may_miss=raw.may_miss,
+    )
+
+
+def _labels(raw: str | list[str]) -> tuple[str, ...]:
+    labels = [raw] if isinstance(raw, str) else raw
+    return tuple(label for label in labels if label)
+
+
+def encode_outcome(outcome: JobOutcome) -> Answer:
+    """Return the answer that tells a client ``outcome``."""
+    if isinstance(outcome, NoSuchJob):
+        return Answer(GONE)
+    if isinstance(outcome, JobStateIs):
+        return Answer(OK, msgspec.json.encode({"state": outcome.state}))
+    if isinstance(outcome, WaitingCount):
+        return Answer(OK, msgspec.json.encode({"pending": outcome.jobs}))
+    assert isinstance(outcome, JobAccepted | Cancelled)
+    return Answer(OK, b"{}")
--- /dev/null
+++ b/src/granitetrestle/platform/process.py
@@ -0,0 +1,159 @@
+"""Starts the program as a native of the platform: settings, sockets, signals."""
+
+import signal
+import socket
+import time
+import typing as t
+import uuid
+
+import anyio
+import anyio.abc
+import uvicorn
+
+from ..calls import Caller
+from ..embedded import EmbeddedServer
+from ..node import Node
+from ..node import NodeTerms
+from ..nodelog import NodeLog
+from ..nodemetrics import NodeMetrics
+from ..outside import Config
+from ..outside import Record
+from ..peerlink import PeerLink
+from ..session import Sources
+from ..settings import Address
+from ..shardstate import DeciderTerms
+from . import front
+from .boxes import PlatformBoxes
+from .boxes import decode_entry
+from .server import FrontResponder
+from .server import make_app
+from .settings import PlatformSettings
+from .settings import load_boot_file
+from .store import CONFIG_TOPIC
+from .store import LIFE_TOPIC
+from .store import PlatformStore
+
+__all__ = ["METRICS_PORT", "run"]
+
+# Named in deploy/system.toml as well.
+METRICS_PORT: t.Final = 9464
+# The processes of one deployment are alone on its network.
+PEER_TOKEN: t.Final = "granitetrestle"
+KEEP_ALIVE_S: t.Final = 20
+PRUNE_EVERY_S: t.Final = 1.0
+# The platform asks every second and sends no new connections after two misses.
+NOTICED_S: t.Final = 2.2
+# Left of the grace after all waits, for closing down.
+GRACE_RESERVE_S: t.Final = 0.8
+
+
+def _sources(settings: PlatformSettings, caller: Caller) -> Sources:
+    return Sources(
+        store=PlatformStore(str(settings.store), caller),
+        boxes=PlatformBoxes(caller),
+        config_topic=CONFIG_TOPIC,
+        box_topic=LIFE_TOPIC,
+        decode_config=_decode_config,
+        decode_box=decode_entry,
+    )
+
+
+def _decode_config(record: Record) -> Config | None:
+    if record.key != front.CONFIG_KEY or record.value is None:
+        return None
+    return front.decode_config(record.value)
+
+
+def _node(settings: PlatformSettings, caller: Caller, log: NodeLog) -> Node:
+    address = f"{settings.ip}:{settings.ports[0]}"
+    incarnation = f"{settings.node}-{uuid.uuid4().hex[:8]}"
+    terms = NodeTerms(
+        node=settings.node,
+        incarnation=incarnation,
+        hall=settings.hall,
+        ip=settings.ip,
+        address=address,
+        cores=settings.cores,
+        decider=DeciderTerms(
+            lease_s=settings.hold_max_s, keep_s=settings.status_s * 1.25
+        ),
+    )
+    peers = PeerLink(settings.node, incarnation, PEER_TOKEN, address)
+    sources = _sources(settings, caller)
+    return Node(terms, sources, FrontResponder(), peers, log, NodeMetrics())
+
+
+def _listen(address: Address) -> socket.socket:
+    # With the protocol named, asyncio switches off the delay of small writes.
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address.ip, address.port))
+    listener.listen(512)
+    return listener
+
+
+async def _main(settings: PlatformSettings, log: NodeLog) -> None:
+    caller = Caller()
+    node = _node(settings, caller, log)
+    stopping = False
+    config = uvicorn.Config(
+        make_app(node, lambda: stopping),
+        loop="asyncio",
+        http="httptools",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        server_header=False,
+        date_header=False,
+    )
+    server = EmbeddedServer(config)
+    addresses = [settings.front, settings.ready]
+    addresses.append(Address(settings.ip, METRICS_PORT))
+    listeners = [_listen(address) for address in addresses if address is not None]
+    log.event("started", hall=settings.hall, store=str(settings.store))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(node.run)
+        tasks.start_soon(server.serve, listeners)
+        tasks.start_soon(_prune, caller)
+        await _signals(log)
+        began = time.monotonic()
+        stopping = True
+        log.event("stopping", grace_s=settings.grace_s)
+        left = settings.grace_s - GRACE_RESERVE_S
+        await node.stop(left)
+        # Open connections may still bring requests until the platform has noticed.
+        while time.monotonic() - began < min(NOTICED_S, left) or not node.idle:
+            if time.monotonic() - began > left:
+                break
+            await anyio.sleep(0.05)
+        server.should_exit = True
+        log.event("stopped", idle=node.idle, took_s=round(time.monotonic() - began, 2))
+        tasks.cancel_scope.cancel()
+
+
+async def _prune(caller: Caller) -> None:
+    while True:
+        await anyio.sleep(PRUNE_EVERY_S)
+        await caller.prune()
+
+
+async def _signals(log: NodeLog) -> None:
+    """Return when the process is asked to stop."""
+    watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*watched) as signals:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                return
+            # Nothing in the settings changes what runs: addresses stay for a life.
+            log.event("reload", changed=False)
+
+
+def run(boot_file: str) -> None:
+    """Run until a signal asks the process to stop.
+
+    :raises SettingsError: if the settings file is malformed.
+    """
+    settings = load_boot_file(boot_file)
+    log = NodeLog(node=settings.node)
+    anyio.run(_main, settings, log, backend="asyncio")
--- /dev/null
+++ b/src/granitetrestle/platform/server.py
@@ -0,0 +1,153 @@
+"""HTTP for clients, for the platform's question whether a node is ready, and for
+figures: a plain ASGI application on the addresses that the settings name."""
+
+import time
+import typing as t
+
+from ..errors import InvalidInput
+from ..forwarding import ClientAnswer
+from ..forwarding import ClientCall
+from ..jobcalls import SubmitJob
+from ..node import Node
+from ..outside import Config
+from ..session import Session
+from . import front
+
+__all__ = ["FrontResponder", "make_app"]
+
+READY_PATH: t.Final = "/api/readyz"
+METRICS_PATH: t.Final = "/metrics"
+DEADLINE_HEADER: t.Final = b"deadline-ms"
+# What a client that names no time limit gets; the longest one on the sheets.
+DEFAULT_DEADLINE_S: t.Final = 3.0
+# Taken off a client's time limit, so that its answer still reaches it.
+ANSWER_SLACK_S: t.Final = 0.05
+MAX_BODY: t.Final = 1024 * 1024
+STOPPED_COME_BACK_S: t.Final = 1
+
+Scope: t.TypeAlias = t.MutableMapping[str, t.Any]
+Receive: t.TypeAlias = t.Callable[[], t.Awaitable[t.MutableMapping[str, t.Any]]]
+Send: t.TypeAlias = t.Callable[[t.MutableMapping[str, t.Any]], t.Awaitable[None]]
+
+
+class FrontResponder:
+    """Decodes a client's request by the session's configuration and answers it."""
+
+    def __init__(self) -> None:
+        self._indexed: tuple[Config, front.QueueIndex] | None = None
+
+    def _index(self, config: Config) -> front.QueueIndex:
+        if self._indexed is None or self._indexed[0] is not config:
+            self._indexed = (config, front.QueueIndex(config))
+        return self._indexed[1]
+
+    async def answer(
+        self, session: Session, request: str, call: ClientCall
+    ) -> ClientAnswer:
+        """See :class:`..node.Responder`."""
+        config = session.config
+        if config is None or not session.serving:
+            return _come_back()
+        method, host, path, body = call
+        try:
+            asked = front.decode_call(self._index(config), method, host, path, body)
+        except InvalidInput as error:
+            return ClientAnswer(400, error.message.encode())
+        if isinstance(asked, front.UnknownQueue):
+            await session.confirm()
+            return ClientAnswer(404)
+        if isinstance(asked, SubmitJob) and session.store_away:
+            known = asked.submission.job in session.decider.state.workflows
+            if not known:
+                return _come_back()
+        await session.confirm()
+        outcome = await session.call(request, asked)
+        answer = front.encode_outcome(outcome)
+        return ClientAnswer(answer.status, answer.body)
+
+
+def _come_back() -> ClientAnswer:
+    return ClientAnswer(503, retry_after_s=STOPPED_COME_BACK_S)
+
+
+def make_app(node: Node, stopping: t.Callable[[], bool]) -> t.Any:
+    """Return the application.
+
+    :param stopping: whether connections should be closed after their answer.
+    """
+
+    async def app(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        path = scope["path"]
+        if path == READY_PATH:
+            await _reply(send, ClientAnswer(200 if node.ready else 503), False)
+            return
+        if path == METRICS_PATH:
+            text = node.metrics.render(node.figures())
+            await _reply(send, ClientAnswer(200, text), False)
+            return
+        answer = await _serve(node, scope, receive)
+        await _reply(send, answer, stopping())
+
+    return app
+
+
+async def _serve(node: Node, scope: Scope, receive: Receive) -> ClientAnswer:
+    began = time.monotonic()
+    body = await _body(receive)
+    if body is None:
+        return ClientAnswer(413)
+    headers = dict(scope["headers"])
+    host = headers.get(b"host", b"").decode("latin-1")
+    call = ClientCall(scope["method"], host, scope["path"], body)
+    left_s = _deadline_s(headers) - ANSWER_SLACK_S - (time.monotonic() - began)
+    answer = await node.serve(call, max(left_s, ANSWER_SLACK_S))
+    took_s = time.monotonic() - began
+    node.metrics.answered(call.method, answer.status, took_s)
+    if answer.status >= 400 and answer.status not in (404, 410):
+        node.log.event(
+            "request_failed",
+            method=call.method,
+            path=call.path,
+            status=answer.status,
+            took_s=round(took_s, 3),
+        )
+    return answer
+
+
+def _deadline_s(headers: t.Mapping[bytes, bytes]) -> float:
+    try:
+        return max(0.0, float(headers[DEADLINE_HEADER]) / 1000.0)
+    except (KeyError, ValueError):
+        return DEFAULT_DEADLINE_S
+
+
+async def _body(receive: Receive) -> bytes | None:
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] != "http.request":
+            return b"".join(chunks)
+        chunk = message.get("body", b"")
+        size += len(chunk)
+        if size > MAX_BODY:
+            return None
+        chunks.append(chunk)
+        if not message.get("more_body"):
+            return b"".join(chunks)
+
+
+async def _reply(send: Send, answer: ClientAnswer, close: bool) -> None:
+    headers = [(b"content-length", str(len(answer.body)).encode())]
+    if answer.body:
+        headers.append((b"content-type", b"application/json"))
+    if answer.retry_after_s:
+        headers.append((b"retry-after", str(answer.retry_after_s).encode()))
+    if close:
+        headers.append((b"connection", b"close"))
+    await send(
+        {"type": "http.response.start", "status": answer.status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": answer.body})
--- /dev/null
+++ b/src/granitetrestle/platform/settings.py
@@ -0,0 +1,134 @@
+"""The settings file that the platform lays beside each process."""
+
+import json
+import pathlib
+import typing as t
+
+from ..errors import SettingsError
+from ..settings import Address
+
+__all__ = ["BOOT_VARIABLE", "PlatformSettings", "load_boot_file"]
+
+BOOT_VARIABLE: t.Final = "GRANITETRESTLE_BOOT"
+
+
+class PlatformSettings(t.NamedTuple):
+    """What a process is told by the platform. Durations are in seconds.
+
+    :param front: where clients connect; ``ready`` where the platform asks.
+    :param ports: first and last port for what processes say to each other.
+    :param hold_max_s: longest lease that a box grants.
+    :param grace_s: time from SIGTERM to SIGKILL.
+    :param advice: service that names the boxes fit for a step, or ``None``.
+    :param writes_per_s: writing calls that the store takes from all processes.
+    """
+
+    node: str
+    hall: str
+    ip: str
+    front: Address | None
+    ready: Address | None
+    ports: tuple[int, int]
+    store: Address
+    writes_per_s: float
+    record_bytes: int
+    call_bytes: int
+    hold_max_s: float
+    status_s: float
+    grace_s: float
+    drain_s: float
+    config_apply_s: float
+    memory_mb: int
+    cores: float
+    advice: Address | None
+
+
+def load_boot_file(path: str) -> PlatformSettings:
+    """Read and decode the settings file; keys that we do not know are left alone.
+
+    :raises SettingsError: naming each key that is missing or malformed.
+    """
+    try:
+        raw = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    if not isinstance(raw, dict):
+        raise SettingsError([f"{path}: not a table"])
+    return _Decoder(raw).decode()
+
+
+class _Decoder:
+    """Collects all problems of a settings file before it gives up."""
+
+    def __init__(self, raw: dict[str, t.Any]) -> None:
+        self._raw = raw
+        self._problems: list[str] = []
+
+    def decode(self) -> PlatformSettings:
+        """Return the settings."""
+        ports = self._ports()
+        settings = PlatformSettings(
+            node=self._text("node_name"),
+            hall=self._text("zone"),
+            ip=self._text("ip"),
+            front=self._address("listen.front", optional=True),
+            ready=self._address("listen.ready", optional=True),
+            ports=ports,
+            store=self._address("platform.address") or Address("", 0),
+            writes_per_s=self._number("platform.writes_per_s", 800.0),
+            record_bytes=int(self._number("platform.record_bytes", 262144)),
+            call_bytes=int(self._number("platform.call_bytes", 2097152)),
+            hold_max_s=self._number("bounds.hold_max_ms", 10000) / 1000.0,
+            status_s=self._number("bounds.status_s", 120.0),
+            grace_s=self._number("bounds.grace_s", 6.0),
+            drain_s=self._number("bounds.drain_ms", 2000) / 1000.0,
+            config_apply_s=self._number("bounds.config_apply_ms", 2000) / 1000.0,
+            memory_mb=int(self._number("limits.memory_mb", 300)),
+            cores=self._number("limits.cpu_share", 1.0)
+            * self._number("limits.cores", 1.0),
+            advice=self._address("advice", optional=True),
+        )
+        if self._problems:
+            raise SettingsError(self._problems)
+        return settings
+
+    def _find(self, key: str) -> t.Any:
+        value: t.Any = self._raw
+        for part in key.split("."):
+            value = value.get(part) if isinstance(value, dict) else None
+        return value
+
+    def _text(self, key: str) -> str:
+        value = self._find(key)
+        if isinstance(value, str) and value:
+            return value
+        self._problems.append(f"{key}: needs a text")
+        return ""
+
+    def _number(self, key: str, default: float) -> float:
+        value = self._find(key)
+        if value is None:
+            return default
+        number = isinstance(value, int | float) and not isinstance(value, bool)
+        if number and value >= 0:
+            return float(value)
+        self._problems.append(f"{key}: {value!r} is not a number of 0 or more")
+        return default
+
+    def _address(self, key: str, optional: bool = False) -> Address | None:
+        value = self._find(key)
+        if optional and not value:
+            return None
+        ip, _, port = str(value).rpartition(":")
+        if ip and port.isdigit() and 0 < int(port) < 65536:
+            return Address(ip, int(port))
+        self._problems.append(f"{key}: {value!r} is not IP:PORT")
+        return None
+
+    def _ports(self) -> tuple[int, int]:
+        value = self._find("internal_ports")
+        pair = isinstance(value, list) and len(value) == 2
+        if pair and all(isinstance(port, int) for port in value):
+            return value[0], value[1]
+        self._problems.append("internal_ports: needs a first and a last port")
+        return 0, 0
--- /dev/null
+++ b/src/granitetrestle/platform/store.py
@@ -0,0 +1,191 @@
+"""Calls to the platform's store: appends that fence by epoch, the newest record of
+each key, and reads from an offset."""
+
+import base64
+import struct
+import typing as t
+import urllib.parse
+
+import msgspec
+
+from ..calls import Caller
+from ..calls import CallFailure
+from ..calls import Reply
+from ..outside import Appended
+from ..outside import Fenced
+from ..outside import Newest
+from ..outside import Record
+from ..outside import Records
+from ..outside import RecordsGone
+from ..outside import Store
+from ..outside import StoreUnavailable
+from ..outside import Writer
+
+__all__ = ["CONFIG_TOPIC", "LIFE_TOPIC", "PlatformStore"]
+
+# Topics that the platform itself writes: the operator's records and the boxes'.
+CONFIG_TOPIC: t.Final = "keyed.op"
+LIFE_TOPIC: t.Final = "keyed.servers"
+PRODUCER: t.Final = "granitetrestle"
+# An answer takes some 5 ms; a store that is slow takes up to half a second.
+READ_TIMEOUT_S: t.Final = 1.0
+MAX_ANSWER: t.Final = 4 * 1024 * 1024
+PAGES: t.Final = 200
+OK: t.Final = 200
+CONFLICT: t.Final = 409
+GONE: t.Final = 410
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ""
+    offset: int = 0
+
+
+class _Page(msgspec.Struct):
+    end: int
+    items: list[_Item] = []
+    more: bool = False
+
+
+class _AppendAnswer(msgspec.Struct):
+    end: int = 0
+    reason: str = ""
+
+
+_pages = msgspec.json.Decoder(_Page)
+_answers = msgspec.json.Decoder(_AppendAnswer)
+
+
+class PlatformStore(Store):
+    """The store over HTTP, partition 0 of each topic."""
+
+    def __init__(self, address: str, caller: Caller) -> None:
+        self._address = address
+        self._caller = caller
+        self.calls = 0
+
+    async def append(
+        self,
+        topic: str,
+        records: t.Sequence[Record],
+        writer: Writer | None,
+        timeout_s: float,
+    ) -> Appended | Fenced | StoreUnavailable:
+        """See :meth:`.outside.Store.append`."""
+        query = {"topic": topic, "part": "0"}
+        if writer is not None:
+            query["producer"] = PRODUCER
+            query["epoch"] = str(writer.epoch)
+            query["call_seq"] = str(writer.sequence)
+        body = b"".join(map(encode_record, records))
+        reply = await self._call("POST", "/api/log-append", query, timeout_s, body)
+        if isinstance(reply, StoreUnavailable):
+            return reply
+        try:
+            answer = _answers.decode(reply.body or b"{}")
+        except msgspec.DecodeError:
+            return StoreUnavailable("malformed answer")
+        if reply.status == OK:
+            return Appended(answer.end)
+        if reply.status == CONFLICT and answer.reason == "fenced":
+            return Fenced()
+        return StoreUnavailable(f"{reply.status} {answer.reason}", undone=True)
+
+    async def newest(self, topic: str) -> Newest | StoreUnavailable:
+        """See :meth:`.outside.Store.newest`."""
+        records: list[Record] = []
+        end: int | None = None
+        query = {"topic": topic, "part": "0"}
+        for _ in range(PAGES):
+            reply = await self._call("GET", "/api/log-newest", query, READ_TIMEOUT_S)
+            if isinstance(reply, StoreUnavailable):
+                return reply
+            if reply.status != OK:
+                return StoreUnavailable(str(reply.status), undone=True)
+            try:
+                page = _pages.decode(reply.body)
+            except msgspec.DecodeError:
+                return StoreUnavailable("malformed answer")
+            for item in page.items:
+                records.append(Record(item.key, base64.b64decode(item.value)))
+            # Pages are no snapshot: what comes after the first is read again.
+            end = page.end if end is None else end
+            if not page.more or not page.items:
+                return Newest(tuple(records), end)
+            # The platform's name for "after this key".
+            query["depends_on"] = page.items[-1].key
+        return StoreUnavailable("too many pages")
+
+    async def read(
+        self, topic: str, start: int, wait_s: float
+    ) -> Records | RecordsGone | StoreUnavailable:
+        """See :meth:`.outside.Store.read`."""
+        query = {"topic": topic, "part": "0", "from": str(start)}
+        if wait_s:
+            query["wait_ms"] = str(int(wait_s * 1000))
+        timeout_s = READ_TIMEOUT_S + wait_s
+        reply = await self._call("GET", "/api/log-read", query, timeout_s)
+        if isinstance(reply, StoreUnavailable):
+            return reply
+        if reply.status == GONE:
+            return RecordsGone()
+        if reply.status != OK:
+            return StoreUnavailable(str(reply.status), undone=True)
+        try:
+            records = decode_records(reply.body[16:])
+        except (struct.error, UnicodeDecodeError, IndexError):
+            return StoreUnavailable("malformed answer")
+        return Records(tuple(records), start + len(records))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: t.Mapping[str, str],
+        timeout_s: float,
+        body: bytes = b"",
+    ) -> Reply | StoreUnavailable:
+        self.calls += 1
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        headers = ((b"content-type", b"application/octet-stream"),)
+        reply = await self._caller.call(
+            self._address,
+            target,
+            headers,
+            body,
+            timeout_s,
+            method=method,
+            limit=MAX_ANSWER,
+        )
+        if isinstance(reply, CallFailure):
+            proof = reply.proof
+            return StoreUnavailable(proof.detail, undone=not proof.may_have_run)
+        return reply
+
+
+def encode_record(record: Record) -> bytes:
+    """Return a keyed record as it goes to the store."""
+    key = record.key.encode()
+    value = record.value or b""
+    return struct.pack(">IB", 1 + len(key) + len(value), len(key)) + key + value
+
+
+def decode_records(data: bytes) -> list[Record]:
+    """Return the keyed records in ``data``.
+
+    :raises struct.error: if it is cut short.
+    """
+    records: list[Record] = []
+    position = 0
+    while position < len(data):
+        (length,) = struct.unpack_from(">I", data, position)
+        position += 4
+        if position + length > len(data):
+            raise struct.error("cut short")
+        key_ends = position + 1 + data[position]
+        key = data[position + 1 : key_ends].decode()
+        value = data[key_ends : position + length]
+        records.append(Record(key, value or None))
+        position += length
+    return records
--- /dev/null
+++ b/src/granitetrestle/progress.py
@@ -0,0 +1,123 @@
+"""How jobs move on: runs end, tasks are tried again, jobs complete, fail or are
+cancelled. Counted ends are never counted again."""
+
+import typing as t
+
+from .decisions import Decision
+from .decisions import Noted
+from .decisions import StopTask
+from .outside import EndedRun
+from .shardstate import ShardState
+from .workflows import DONE
+from .workflows import PENDING
+from .workflows import STOPPING
+from .workflows import Task
+from .workflows import Workflow
+from .workflows import WorkflowState
+
+__all__ = ["Progress"]
+
+DEFAULT_ATTEMPTS: t.Final = 3
+
+
+class Progress:
+    """Applies ends of runs and changes of a job's state."""
+
+    def __init__(self, state: ShardState) -> None:
+        self._state = state
+
+    def run_ended(self, life: str, row: EndedRun, now: float) -> list[Decision]:
+        """Apply one end that a box lists."""
+        task = self._state.find_task(row.task)
+        if task is None or task.state == DONE:
+            return []
+        workflow = task.workflow
+        box = self._state.boxes.get(life)
+        effects: list[Decision] = []
+        if box is not None and row.how in ("done", "failed"):
+            failed = row.how == "failed"
+            if box.run_ended(workflow.submission.job, failed, now):
+                inputs = {"closed_s": round(box.closed_until - now, 1)}
+                effects.append(Noted("box_put_aside", life, inputs))
+        self._state.changed(workflow)
+        if row.how == "done":
+            return effects + self._done(task, row, now)
+        current = row.run == task.run and task.placed and task.box == life
+        if row.how == "failed" and not task.spec.lasting:
+            task.failures += 1
+        if row.saved:
+            task.checkpoint = row.saved
+        if current:
+            self.requeue(task)
+        if task.failures >= self._attempts(workflow) and not workflow.terminal:
+            why = {"task": task.name, "failures": task.failures, "box": life}
+            effects += self.end(workflow, "failed", now, why)
+        return effects
+
+    def _attempts(self, workflow: Workflow) -> int:
+        queue = self._state.queues.get(workflow.submission.queue)
+        return queue.max_attempts if queue is not None else DEFAULT_ATTEMPTS
+
+    def _done(self, task: Task, row: EndedRun, now: float) -> list[Decision]:
+        workflow = task.workflow
+        if task.spec.lasting:
+            if row.run == task.run and task.placed:
+                self.requeue(task)
+            return []
+        effects: list[Decision] = []
+        members = [task]
+        if task.spec.gang:
+            members = workflow.step_tasks(task.occurrence, task.step)
+        for member in members:
+            effects += self._finish(member, row.run)
+        if workflow.all_done:
+            return effects + self.end(workflow, "completed", now, {"last": row.task})
+        self._state.enter_steps(workflow)
+        return effects
+
+    def _finish(self, task: Task, run: int) -> list[Decision]:
+        """Count a task as done; another run of it must stop."""
+        effects: list[Decision] = []
+        if task.placed and task.run != run:
+            effects.append(StopTask(task.box, task.name, task.run))
+        key = (task.workflow.submission.job, task.occurrence, task.step)
+        waiting = self._state.waiting.get(key)
+        if waiting is not None:
+            waiting.tasks.pop(task.name, None)
+        self._state.free(task)
+        task.workflow.mark_done(task)
+        return effects
+
+    def requeue(self, task: Task) -> None:
+        """Take a task off its box and let it wait again."""
+        self._state.free(task)
+        task.state = PENDING
+        self._state.changed(task.workflow)
+        self._state.enter(task)
+
+    def stop(self, task: Task, now: float) -> list[Decision]:
+        """Order the end of a placed task's run."""
+        task.state = STOPPING
+        task.stop_sent_at = now
+        task.confirmed_at = 0.0
+        return [StopTask(task.box, task.name, task.run)]
+
+    def end(
+        self,
+        workflow: Workflow,
+        state: WorkflowState,
+        now: float,
+        inputs: t.Mapping[str, t.Any],
+    ) -> list[Decision]:
+        """Give a job its final state and stop what is left of it."""
+        workflow.ended = state
+        workflow.ended_at = now
+        self._state.changed(workflow)
+        self._state.forget_waiting(workflow)
+        effects: list[Decision] = [
+            Noted(f"job_{state}", workflow.submission.job, inputs)
+        ]
+        for task in workflow.tasks.values():
+            if task.placed:
+                effects += self.stop(task, now)
+        return effects
--- a/src/granitetrestle/reducer.py
+++ b/src/granitetrestle/reducer.py
@@ -21,14 +21,18 @@
 from .keys import key_shard
 from .lending import LendingTerms
 from .messages import BeatSent
+from .messages import CallAnswered
+from .messages import CallForwarded
 from .messages import HallDigest
 from .messages import HallDigests
 from .messages import KeyAsked
 from .messages import KeyReturned
 from .messages import KeyVerdict
+from .messages import LeaderResigned
 from .messages import LoansGranted
 from .messages import LoansHeld
 from .messages import Message
+from .messages import NodeStatus
 from .outcomes import Accepted
 from .ownership import Ownership
 from .ownership import OwnershipTerms
@@ -490,6 +494,9 @@
                 return []
             case LoansHeld() | KeyAsked():
                 return self._answer_peer(event, message)
+            case NodeStatus() | LeaderResigned() | CallForwarded() | CallAnswered():
+                # These go between processes that serve jobs of steps.
+                return []
 
     def _answer_peer(
         self, event: ev.PeerMessage, message: LoansHeld | KeyAsked
--- /dev/null
+++ b/src/granitetrestle/registry.py
@@ -0,0 +1,80 @@
+"""Who the processes of the system are and who decides, as kept in the store: read at
+the start, and when a process hears nobody."""
+
+import typing as t
+
+import msgspec
+
+from .outside import Appended
+from .outside import Newest
+from .outside import Record
+from .outside import Store
+from .outside import StoreUnavailable
+
+__all__ = ["Known", "LeaderEntry", "NodeEntry", "Registry"]
+
+NODES_TOPIC: t.Final = "keyed.nodes"
+LEADER_KEY: t.Final = "leader"
+NODE_KEY: t.Final = "node/"
+TIMEOUT_S: t.Final = 0.6
+
+
+class NodeEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Where a process listens for its peers, and its data hall."""
+
+    address: str
+    hall: str
+
+
+class LeaderEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Who decides; ``beat`` rises while it does."""
+
+    epoch: int = 0
+    node: str = ""
+    beat: int = 0
+
+
+class Known(t.NamedTuple):
+    """What the store shows."""
+
+    nodes: dict[str, NodeEntry]
+    leader: LeaderEntry
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_nodes = msgspec.msgpack.Decoder(NodeEntry)
+_leaders = msgspec.msgpack.Decoder(LeaderEntry)
+
+
+class Registry:
+    """Reads and writes the entries."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    async def read(self) -> Known | StoreUnavailable:
+        """Return all processes and the newest decider."""
+        outcome = await self._store.newest(NODES_TOPIC)
+        if not isinstance(outcome, Newest):
+            return outcome
+        nodes: dict[str, NodeEntry] = {}
+        leader = LeaderEntry()
+        for key, value in outcome.records:
+            if value and key == LEADER_KEY:
+                leader = _leaders.decode(value)
+            elif value and key.startswith(NODE_KEY):
+                nodes[key.removeprefix(NODE_KEY)] = _nodes.decode(value)
+        return Known(nodes, leader)
+
+    async def enter(self, node: str, entry: NodeEntry) -> bool:
+        """Enter a process; says whether the store took it."""
+        return await self._write(NODE_KEY + node, _encode(entry))
+
+    async def beat(self, epoch: int, node: str, beat: int) -> bool:
+        """Show that the decider of ``epoch`` is at work."""
+        return await self._write(LEADER_KEY, _encode(LeaderEntry(epoch, node, beat)))
+
+    async def _write(self, key: str, value: bytes) -> bool:
+        records = (Record(key, value),)
+        outcome = await self._store.append(NODES_TOPIC, records, None, TIMEOUT_S)
+        return isinstance(outcome, Appended)
--- /dev/null
+++ b/src/granitetrestle/session.py
@@ -0,0 +1,389 @@
+"""One term of office of a shard's decider: reads what its predecessor wrote, adopts
+the boxes, and carries out the reducer's decisions until a newer epoch is met."""
+
+import time
+import typing as t
+
+import anyio
+import anyio.abc
+import msgspec
+
+from .boxlife import BoxKeeper
+from .decider import Decider
+from .decisions import GATED
+from .decisions import AnswerCall
+from .decisions import Decision
+from .decisions import EndsKnown
+from .decisions import LeaveBox
+from .decisions import Noted
+from .decisions import PaceTask
+from .decisions import StartTask
+from .decisions import StepDown
+from .decisions import StopTask
+from .decisions import WatchBox
+from .forwarding import Deposed
+from .jobcalls import JobCall
+from .jobcalls import JobOutcome
+from .journal import Journal
+from .nodelog import NodeLog
+from .nodemetrics import NodeMetrics
+from .outside import BoxCalls
+from .outside import BoxEntry
+from .outside import Config
+from .outside import Fenced
+from .outside import Newest
+from .outside import Record
+from .outside import Records
+from .outside import RecordsGone
+from .outside import Store
+from .outside import StoreUnavailable
+from .outside import Writer
+from .shardstate import DeciderTerms
+
+__all__ = ["Session", "Sources", "take_over"]
+
+JOBS_TOPIC: t.Final = "keyed.jobs"
+# Boxes write every second or two; a change of theirs should be seen well within
+# the two seconds that a leaving box may still be given work.
+LIST_EVERY_S: t.Final = 0.4
+CONFIG_WAIT_S: t.Final = 0.8
+# Nothing is decided for clients on a configuration that was confirmed longer ago.
+CONFIG_FRESH_S: t.Final = 1.8
+# A store that has not answered for so long is away: new work is refused.
+STORE_AWAY_S: t.Final = 0.5
+# An answer may rest on being the decider if that was confirmed so recently.
+CONFIRMED_S: t.Final = 0.6
+TAKE_OVER_TIMEOUT_S: t.Final = 0.5
+RETRY_S: t.Final = 0.1
+READ_TRIES: t.Final = 20
+
+
+class Sources(t.NamedTuple):
+    """Where a session reads from, and how records there are decoded.
+
+    :param decode_config: returns the configuration under a key, or ``None`` if the
+        record is about something else.
+    """
+
+    store: Store
+    boxes: BoxCalls
+    config_topic: str
+    box_topic: str
+    decode_config: t.Callable[[Record], Config | None]
+    decode_box: t.Callable[[Record], BoxEntry | None]
+
+
+async def take_over(store: Store, epoch: int) -> bool | StoreUnavailable:
+    """Raise the epoch at the store; says whether this process decides now."""
+    outcome = await store.append(JOBS_TOPIC, (), Writer(epoch, 1), TAKE_OVER_TIMEOUT_S)
+    if isinstance(outcome, StoreUnavailable):
+        return outcome
+    return not isinstance(outcome, Fenced)
+
+
+class Session:
+    """Decides for a shard in one epoch."""
+
+    def __init__(
+        self,
+        sources: Sources,
+        epoch: int,
+        terms: DeciderTerms,
+        log: NodeLog,
+        metrics: NodeMetrics,
+    ) -> None:
+        self._sources = sources
+        self._epoch = epoch
+        self._terms = terms
+        self._log = log
+        self._metrics = metrics
+        self._decider = Decider(terms, time.monotonic())
+        self._journal = Journal(
+            sources.store,
+            JOBS_TOPIC,
+            epoch,
+            self._prepare,
+            self._release,
+            time.monotonic,
+        )
+        self._entries: dict[str, BoxEntry] = {}
+        self._keepers: dict[str, BoxKeeper] = {}
+        self._callers: dict[str, _Caller] = {}
+        self._config: Config | None = None
+        self._config_at = -1e9
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._over = False
+        self._orders_open = 0
+
+    @property
+    def epoch(self) -> int:
+        """The epoch in which this session decides."""
+        return self._epoch
+
+    @property
+    def config(self) -> Config | None:
+        """The configuration in force."""
+        return self._config
+
+    @property
+    def decider(self) -> Decider:
+        """The reducer."""
+        return self._decider
+
+    @property
+    def store_away(self) -> bool:
+        """Whether the store has not taken an append for a while."""
+        since = self._journal.status.waiting_since
+        return since is not None and time.monotonic() - since > STORE_AWAY_S
+
+    @property
+    def serving(self) -> bool:
+        """Whether clients can be answered: configuration known and fresh."""
+        fresh = time.monotonic() - self._config_at < CONFIG_FRESH_S
+        return self._config is not None and fresh and not self._over
+
+    async def run(self, ready: t.Callable[[], None]) -> None:
+        """Decide until deposed or cancelled.
+
+        :param ready: called once clients can be served.
+        """
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                if not await self._begin():
+                    return
+                tasks.start_soon(self._journal_loop, tasks)
+                tasks.start_soon(self._config_loop)
+                tasks.start_soon(self._list_loop)
+                ready()
+        finally:
+            self._over = True
+            for caller in self._callers.values():
+                caller.news.set()
+
+    async def _begin(self) -> bool:
+        """Read what a predecessor left; no other can write meanwhile."""
+        started = time.monotonic()
+        read: dict[str, Newest | None] = {}
+
+        async def fetch(topic: str) -> None:
+            read[topic] = await self._newest(topic)
+
+        config_topic, box_topic = self._sources.config_topic, self._sources.box_topic
+        async with anyio.create_task_group() as tasks:
+            for topic in (JOBS_TOPIC, config_topic, box_topic):
+                tasks.start_soon(fetch, topic)
+        jobs, config, boxes = read[JOBS_TOPIC], read[config_topic], read[box_topic]
+        if jobs is None or config is None or boxes is None:
+            self._log.event("take_over_failed", reason="store", epoch=self._epoch)
+            return False
+        now = time.monotonic()
+        count = self._decider.restore(jobs.records, now)
+        self._config_from, self._boxes_from = config.end, boxes.end
+        self._take_config(config.records)
+        self._config_at = now
+        self._take_boxes(boxes.records)
+        self._log.event(
+            "took_over",
+            epoch=self._epoch,
+            jobs=count,
+            boxes=len(self._entries),
+            config=self._config.version if self._config else None,
+            took_s=round(now - started, 3),
+        )
+        return True
+
+    async def _newest(self, topic: str) -> Newest | None:
+        for _ in range(READ_TRIES):
+            outcome = await self._sources.store.newest(topic)
+            if isinstance(outcome, Newest):
+                return outcome
+            await anyio.sleep(RETRY_S)
+        return None
+
+    async def _journal_loop(self, tasks: anyio.abc.TaskGroup) -> None:
+        await self._journal.run()
+        self._step_down("store")
+        tasks.cancel_scope.cancel()
+
+    def _step_down(self, where: str) -> None:
+        if not self._over:
+            self._over = True
+            self._log.event("stepped_down", epoch=self._epoch, met_newer_epoch=where)
+            if self._tasks is not None:
+                self._tasks.cancel_scope.cancel()
+
+    def _prepare(self) -> list[Record]:
+        now = time.monotonic()
+        self._apply(self._decider.decide(now, time.time_ns() // 1_000_000))
+        return self._decider.take_writes()
+
+    def _apply(self, decisions: list[Decision]) -> None:
+        """Carry out decisions, or hold them back until they are durable."""
+        for decision in decisions:
+            if isinstance(decision, GATED):
+                self._journal.hold(decision)
+            elif isinstance(decision, Noted):
+                self._log.event(
+                    decision.event, subject=decision.subject, **decision.inputs
+                )
+                self._metrics.count(decision.event)
+            elif isinstance(decision, WatchBox):
+                self._watch(decision)
+            elif isinstance(decision, LeaveBox):
+                keeper = self._keepers.pop(decision.life, None)
+                if keeper is not None:
+                    keeper.leave()
+            elif isinstance(decision, PaceTask):
+                self._order(decision)
+            elif isinstance(decision, StepDown):
+                self._step_down(decision.where)
+        if self._decider.has_writes or self._decider.state.waiting:
+            self._journal.nudge()
+
+    def _watch(self, decision: WatchBox) -> None:
+        assert self._tasks is not None
+        keeper = BoxKeeper(
+            decision.life,
+            decision.address,
+            self._epoch,
+            self._sources.boxes,
+            self._decider,
+            self._apply,
+            self._may_renew,
+            self._metrics,
+        )
+        self._keepers[decision.life] = keeper
+        self._tasks.start_soon(keeper.run)
+
+    def _may_renew(self) -> bool:
+        age = time.monotonic() - self._journal.status.confirmed_at
+        return age < self._terms.orphan_s
+
+    def _release(self, held: list[t.Any]) -> None:
+        for decision in held:
+            if isinstance(decision, AnswerCall):
+                self._answer(decision)
+            elif isinstance(decision, StartTask | StopTask):
+                self._order(decision)
+            elif isinstance(decision, EndsKnown):
+                keeper = self._keepers.get(decision.life)
+                if keeper is not None:
+                    keeper.ends_durable(decision.number)
+
+    def _order(self, decision: StartTask | StopTask | PaceTask) -> None:
+        keeper = self._keepers.get(decision.life)
+        if keeper is None or self._tasks is None:
+            return
+        self._tasks.start_soon(keeper.carry_out, decision)
+
+    def _answer(self, decision: AnswerCall) -> None:
+        caller = self._callers.get(decision.request)
+        if caller is not None:
+            caller.outcome = decision.outcome
+            caller.news.set()
+
+    async def call(self, request: str, call: JobCall) -> JobOutcome:
+        """Decide on a client's call; the answer is durable.
+
+        :raises Deposed: if this session ended first; the call may have been taken.
+        """
+        if self._over:
+            raise Deposed
+        caller = self._callers[request] = _Caller()
+        try:
+            self._apply(self._decider.called(request, call, time.monotonic()))
+            while caller.outcome is None and not self._over:
+                await caller.news.wait()
+        finally:
+            del self._callers[request]
+        if caller.outcome is None:
+            raise Deposed
+        return caller.outcome
+
+    async def confirm(self) -> None:
+        """Return once this process is proved to decide still.
+
+        :raises Deposed: if it does not.
+        """
+        if time.monotonic() - self._journal.status.confirmed_at < CONFIRMED_S:
+            return
+        asked = time.monotonic()
+        while self._journal.status.confirmed_at < asked:
+            if self._over:
+                raise Deposed
+            self._journal.nudge()
+            await anyio.sleep(RETRY_S)
+
+    async def drain(self) -> None:
+        """Return once all that was decided is durable and its effects are out."""
+        while not self._journal.idle and not self._over:
+            await anyio.sleep(RETRY_S / 10)
+
+    async def _config_loop(self) -> None:
+        topic = self._sources.config_topic
+        while True:
+            outcome = await self._sources.store.read(
+                topic, self._config_from, CONFIG_WAIT_S
+            )
+            if isinstance(outcome, RecordsGone):
+                newest = await self._newest(topic)
+                if newest is None:
+                    continue
+                outcome = Records(newest.records, newest.end)
+            if isinstance(outcome, StoreUnavailable):
+                await anyio.sleep(RETRY_S)
+                continue
+            self._config_from = outcome.end
+            self._config_at = time.monotonic()
+            self._take_config(outcome.records)
+
+    def _take_config(self, records: t.Iterable[Record]) -> None:
+        for record in records:
+            try:
+                config = self._sources.decode_config(record)
+            except msgspec.DecodeError as error:
+                self._log.event("config_malformed", key=record.key, error=str(error))
+                continue
+            if config is not None:
+                self._apply(self._decider.configured(config))
+                self._config = self._decider.state.config
+
+    async def _list_loop(self) -> None:
+        topic = self._sources.box_topic
+        while True:
+            await anyio.sleep(LIST_EVERY_S)
+            outcome = await self._sources.store.read(topic, self._boxes_from, 0.0)
+            if isinstance(outcome, RecordsGone):
+                newest = await self._newest(topic)
+                if newest is None:
+                    continue
+                self._entries.clear()
+                outcome = Records(newest.records, newest.end)
+            if isinstance(outcome, StoreUnavailable):
+                continue
+            self._boxes_from = outcome.end
+            self._take_boxes(outcome.records)
+
+    def _take_boxes(self, records: t.Iterable[Record]) -> None:
+        for record in records:
+            try:
+                entry = self._sources.decode_box(record)
+            except msgspec.DecodeError as error:
+                self._log.event("box_malformed", box=record.key, error=str(error))
+                continue
+            if entry is None:
+                self._entries.pop(record.key, None)
+            else:
+                self._entries[record.key] = entry
+        self._apply(self._decider.fleet.listed(self._entries, time.monotonic()))
+
+
+class _Caller:
+    """Somebody waiting for the outcome of a call."""
+
+    __slots__ = ("news", "outcome")
+
+    def __init__(self) -> None:
+        self.news = anyio.Event()
+        self.outcome: JobOutcome | None = None
--- /dev/null
+++ b/src/granitetrestle/shardstate.py
@@ -0,0 +1,205 @@
+"""What one decider knows: jobs, boxes, configuration, and which jobs have changed
+since they were last written. The parts of the decider share it."""
+
+import typing as t
+
+from .boxes import BoxView
+from .outside import Config
+from .outside import Queue
+from .outside import Record
+from .workflows import PENDING
+from .workflows import Submission
+from .workflows import Task
+from .workflows import Workflow
+from .workflows import decode_row
+from .workflows import decode_submission
+from .workflows import encode_row
+from .workflows import encode_submission
+from .workflows import parse_task_name
+
+__all__ = ["DeciderTerms", "ShardState", "WaitingStep"]
+
+SUBMISSION_KEY: t.Final = "s/"
+PROGRESS_KEY: t.Final = "p/"
+
+
+class DeciderTerms(t.NamedTuple):
+    """Durations in seconds.
+
+    :param lease_s: longest lease that a box grants.
+    :param orphan_s: how long an unconfirmed decider goes on renewing leases; its
+        successor counts on that.
+    :param clock_slack: how much slower than ours a box's clock may run.
+    :param keep_s: how long an ended job can be asked about.
+    """
+
+    lease_s: float = 10.0
+    orphan_s: float = 8.0
+    clock_slack: float = 0.03
+    keep_s: float = 120.0
+
+    @property
+    def lease_bound_s(self) -> float:
+        """How long a lease that is renewed now may last by our clock."""
+        return self.lease_s * (1.0 + self.clock_slack) + 0.3
+
+
+class WaitingStep:
+    """Tasks of one step that wait for a box."""
+
+    __slots__ = ("latest_start", "occurrence", "priority", "step", "tasks", "workflow")
+
+    def __init__(
+        self,
+        workflow: Workflow,
+        occurrence: int,
+        step: int,
+        priority: int,
+        latest_start: float,
+    ) -> None:
+        self.workflow = workflow
+        self.occurrence = occurrence
+        self.step = step
+        self.priority = priority
+        self.latest_start = latest_start
+        self.tasks: dict[str, Task] = {}
+
+
+class ShardState:
+    """Jobs, boxes and configuration of one shard."""
+
+    def __init__(self, terms: DeciderTerms) -> None:
+        self.terms = terms
+        self.workflows: dict[str, Workflow] = {}
+        self.boxes: dict[str, BoxView] = {}
+        self.config: Config | None = None
+        self.queues: dict[str, Queue] = {}
+        self.waiting: dict[tuple[str, int, int], WaitingStep] = {}
+        self.stuck: dict[str, float] = {}
+        self._unwritten: set[str] = set()
+        self._changed: set[str] = set()
+        self._dropped: set[str] = set()
+
+    def add(self, submission: Submission, now: float) -> Workflow:
+        """Enter an accepted job; it must be written."""
+        workflow = Workflow(submission, now)
+        self.workflows[submission.job] = workflow
+        self._unwritten.add(submission.job)
+        return workflow
+
+    def changed(self, workflow: Workflow) -> None:
+        """Note that a job's progress must be written."""
+        self._changed.add(workflow.submission.job)
+
+    def drop(self, job: str) -> None:
+        """Forget a job for good."""
+        del self.workflows[job]
+        self._changed.discard(job)
+        self._dropped.add(job)
+
+    @property
+    def has_writes(self) -> bool:
+        """Whether something must be written."""
+        return bool(self._unwritten or self._changed or self._dropped)
+
+    def take_writes(self) -> list[Record]:
+        """Return what changed since the last call, as records."""
+        records = []
+        for job in self._unwritten:
+            value = encode_submission(self.workflows[job].submission)
+            records.append(Record(SUBMISSION_KEY + job, value))
+        for job in self._changed:
+            value = encode_row(self.workflows[job].row())
+            records.append(Record(PROGRESS_KEY + job, value))
+        for job in self._dropped:
+            records.append(Record(SUBMISSION_KEY + job, None))
+            records.append(Record(PROGRESS_KEY + job, None))
+        self._unwritten.clear()
+        self._changed.clear()
+        self._dropped.clear()
+        return records
+
+    def restore(self, records: t.Iterable[Record], now: float) -> int:
+        """Take up what a predecessor wrote; returns the number of jobs.
+
+        :raises msgspec.DecodeError: if a record is not what a decider writes.
+        """
+        rows: dict[str, bytes] = {}
+        for record in records:
+            kind, job = record.key[:2], record.key[2:]
+            if record.value is None:
+                continue
+            if kind == SUBMISSION_KEY:
+                submission = decode_submission(record.value)
+                self.workflows[job] = Workflow(submission, now)
+            elif kind == PROGRESS_KEY:
+                rows[job] = record.value
+        for job, value in rows.items():
+            if job in self.workflows:
+                self.workflows[job].restore(decode_row(value), now)
+        return len(self.workflows)
+
+    def find_task(self, name: str) -> Task | None:
+        """Return a task by its name."""
+        parsed = parse_task_name(name)
+        if parsed is None or parsed[0] not in self.workflows:
+            return None
+        return self.workflows[parsed[0]].tasks.get(parsed[1])
+
+    def service_of(self, workflow: Workflow) -> str:
+        """Return the pool that runs a job's tasks by the newest configuration."""
+        queue = self.queues.get(workflow.submission.queue)
+        return queue.service if queue else workflow.submission.service
+
+    def free(self, task: Task) -> None:
+        """Take a task off its box."""
+        box = self.boxes.get(task.box)
+        if box is not None:
+            box.free(task)
+        self.stuck.pop(task.name, None)
+        task.box = ""
+        task.pace = 100
+
+    def enter_steps(self, workflow: Workflow) -> None:
+        """Let the tasks of all steps whose turn has come wait for a box."""
+        for (occurrence, number), undone in workflow.undone.items():
+            if undone and workflow.step_ready(occurrence, number):
+                for task in workflow.step_tasks(occurrence, number):
+                    if task.state == PENDING:
+                        self.enter(task)
+
+    def enter(self, task: Task) -> None:
+        """Let a task wait for a box, if its job still wants it."""
+        workflow = task.workflow
+        if workflow.terminal or not workflow.step_ready(task.occurrence, task.step):
+            return
+        key = (workflow.submission.job, task.occurrence, task.step)
+        entry = self.waiting.get(key)
+        if entry is None:
+            entry = self.waiting[key] = self._waiting_step(task)
+        entry.tasks[task.name] = task
+
+    def _waiting_step(self, task: Task) -> WaitingStep:
+        workflow = task.workflow
+        queue = self.queues.get(workflow.submission.queue)
+        stretch, target, priority = 1.5, 1000.0, 1
+        if queue is not None:
+            stretch, target = queue.stretch, queue.target_ms
+            priority = queue.priority
+        left = workflow.chain_ms(task.step, _estimate)
+        whole = max(
+            workflow.chain_ms(number, _estimate)
+            for number in range(len(workflow.submission.steps))
+        )
+        latest = workflow.accepted_at + (whole * stretch + target - left) / 1000.0
+        return WaitingStep(workflow, task.occurrence, task.step, priority, latest)
+
+    def forget_waiting(self, workflow: Workflow) -> None:
+        """Let nothing of a job wait."""
+        job = workflow.submission.job
+        for key in [key for key in self.waiting if key[0] == job]:
+            del self.waiting[key]
+
+
+def _estimate(step: t.Any) -> float:
+    return float(step.estimate_ms)
--- /dev/null
+++ b/src/granitetrestle/workflows.py
@@ -0,0 +1,309 @@
+"""Jobs of several steps: what a client account asked for, how far each task has
+come, and how both are written so that a successor can go on from them. Nothing
+here decides; :mod:`.decider` does."""
+
+import typing as t
+
+import msgspec
+
+__all__ = [
+    "DONE",
+    "PENDING",
+    "RUNNING",
+    "STARTING",
+    "STOPPING",
+    "Step",
+    "Submission",
+    "Task",
+    "Workflow",
+    "WorkflowRow",
+    "WorkflowState",
+    "decode_row",
+    "decode_submission",
+    "encode_row",
+    "encode_submission",
+    "parse_task_name",
+]
+
+PENDING: t.Final = 0
+STARTING: t.Final = 1
+RUNNING: t.Final = 2
+STOPPING: t.Final = 3
+DONE: t.Final = 4
+
+WorkflowState: t.TypeAlias = t.Literal[
+    "queued", "running", "completed", "failed", "cancelled"
+]
+TERMINAL: t.Final = frozenset({"completed", "failed", "cancelled"})
+
+
+class Step(msgspec.Struct, frozen=True, array_like=True):
+    """Tasks that are alike. Durations are in milliseconds.
+
+    :param cpu: thousandths of a core for each task.
+    :param depends_on: numbers of earlier steps that must be done first.
+    :param gang: the tasks work only together.
+    :param required_labels: labels that a box must carry.
+    :param affinity: rack that holds the data; empty for none.
+    :param per_box: most tasks of this step on one box; 0 for no bound.
+    :param speculative: copies of a task may run at the same time.
+    :param lasting: tasks run until the job is cancelled.
+    :param image: what the tasks run; tasks of one image behave alike.
+    :param target_ms: bound for the tail latency of a task that serves; 0 for none.
+    :param fills: takes only processor time that others leave unused.
+    :param may_miss: tasks of a lasting step that may be away at once.
+    """
+
+    count: int
+    cpu: int = 0
+    memory_mb: int = 0
+    gpu: int = 0
+    estimate_ms: int = 0
+    depends_on: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    rack_local: bool = False
+    required_labels: tuple[str, ...] = ()
+    affinity: str = ""
+    per_box: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    image: str = ""
+    target_ms: float = 0.0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class Submission(msgspec.Struct, frozen=True, array_like=True):
+    """A job as accepted.
+
+    :param queue: name of the queue that took it.
+    :param service: pool of boxes that ran the queue's tasks at that time.
+    :param spec: opaque text for the tasks.
+    :param repeat_count: how many times the steps run; 0 for once, at once.
+    :param start_at_ms: wall time in milliseconds since 1970 of the first time.
+    """
+
+    job: str
+    queue: str
+    service: str
+    spec: str
+    steps: tuple[Step, ...]
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+class WorkflowRow(msgspec.Struct, frozen=True, array_like=True):
+    """The durable part of a job's progress.
+
+    :param state: a terminal state, or empty.
+    :param tasks: for each task that was ever started: occurrence, step, index,
+        run, state, box, failures, checkpoint.
+    """
+
+    state: str
+    tasks: list[tuple[int, int, int, int, int, str, int, str]]
+
+
+class Task:
+    """One task: ``run`` is the number of its latest start, 0 before the first."""
+
+    __slots__ = (
+        "box",
+        "checkpoint",
+        "confirmed_at",
+        "failures",
+        "index",
+        "name",
+        "occurrence",
+        "pace",
+        "run",
+        "started_at",
+        "state",
+        "step",
+        "stop_sent_at",
+        "ticket",
+        "workflow",
+    )
+
+    def __init__(
+        self, workflow: "Workflow", occurrence: int, step: int, index: int
+    ) -> None:
+        self.workflow = workflow
+        self.occurrence = occurrence
+        self.step = step
+        self.index = index
+        self.name = f"{workflow.submission.job}.{occurrence}.{step}.{index}"
+        self.run = 0
+        self.state = PENDING
+        self.box = ""
+        self.failures = 0
+        self.checkpoint = ""
+        self.started_at = 0.0
+        self.confirmed_at = 0.0
+        self.stop_sent_at = 0.0
+        self.pace = 100
+        self.ticket = ""
+
+    @property
+    def spec(self) -> Step:
+        """What the task asks for."""
+        return self.workflow.submission.steps[self.step]
+
+    @property
+    def placed(self) -> bool:
+        """Whether it takes room on a box."""
+        return self.state in (STARTING, RUNNING, STOPPING)
+
+
+class Workflow:
+    """A job, its tasks and its state."""
+
+    def __init__(self, submission: Submission, accepted_at: float) -> None:
+        self.submission = submission
+        self.accepted_at = accepted_at
+        self.ended: WorkflowState | None = None
+        self.ended_at = 0.0
+        self.begun = False
+        self.tasks: dict[tuple[int, int, int], Task] = {}
+        self.undone: dict[tuple[int, int], int] = {}
+        for occurrence in range(max(1, submission.repeat_count)):
+            self._open(occurrence)
+
+    def _open(self, occurrence: int) -> None:
+        for number, step in enumerate(self.submission.steps):
+            self.undone[(occurrence, number)] = step.count
+            for index in range(step.count):
+                task = Task(self, occurrence, number, index)
+                self.tasks[(occurrence, number, index)] = task
+
+    @property
+    def state(self) -> WorkflowState:
+        """The state as shown to its client account."""
+        if self.ended is not None:
+            return self.ended
+        return "running" if self.begun else "queued"
+
+    @property
+    def terminal(self) -> bool:
+        """Whether nothing of it will be started again."""
+        return self.ended is not None
+
+    def due_at_ms(self, occurrence: int) -> int:
+        """Return when an occurrence is due, in wall milliseconds; 0 for at once."""
+        submission = self.submission
+        if not submission.repeat_count:
+            return 0
+        return submission.start_at_ms + occurrence * submission.interval_ms
+
+    def step_ready(self, occurrence: int, step: int) -> bool:
+        """Say whether all steps that ``step`` depends on are done."""
+        needs = self.submission.steps[step].depends_on
+        return all(self.undone[(occurrence, number)] == 0 for number in needs)
+
+    def step_tasks(self, occurrence: int, step: int) -> list[Task]:
+        """Return the tasks of one step, by index."""
+        count = self.submission.steps[step].count
+        return [self.tasks[(occurrence, step, index)] for index in range(count)]
+
+    def mark_done(self, task: Task) -> None:
+        """Count a task as done, once."""
+        if task.state != DONE:
+            task.state = DONE
+            self.undone[(task.occurrence, task.step)] -= 1
+
+    @property
+    def all_done(self) -> bool:
+        """Whether every task is done."""
+        return not any(self.undone.values())
+
+    def chain_ms(self, step: int, estimates: t.Callable[[Step], float]) -> float:
+        """Return the longest chain of work from ``step`` to the end, in ms."""
+        steps = self.submission.steps
+        longest = [0.0] * len(steps)
+        for number in range(len(steps) - 1, -1, -1):
+            after = [
+                longest[later]
+                for later in range(number + 1, len(steps))
+                if number in steps[later].depends_on
+            ]
+            longest[number] = estimates(steps[number]) + max(after, default=0.0)
+        return longest[step]
+
+    def row(self) -> WorkflowRow:
+        """Return the durable part of the progress."""
+        tasks = [
+            (
+                task.occurrence,
+                task.step,
+                task.index,
+                task.run,
+                task.state,
+                task.box,
+                task.failures,
+                task.checkpoint,
+            )
+            for task in self.tasks.values()
+            if task.run
+        ]
+        return WorkflowRow(self.ended or "", tasks)
+
+    def restore(self, row: WorkflowRow, now: float) -> None:
+        """Take up the progress that a predecessor wrote."""
+        for occurrence, step, index, run, state, box, failures, saved in row.tasks:
+            task = self.tasks[(occurrence, step, index)]
+            task.run = run
+            task.failures = failures
+            task.checkpoint = saved
+            self.begun = True
+            if state == DONE:
+                self.mark_done(task)
+                continue
+            task.state = state
+            task.box = box if task.placed else ""
+            task.started_at = now
+        if row.state in TERMINAL:
+            self.ended = t.cast(WorkflowState, row.state)
+            self.ended_at = now
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_rows = msgspec.msgpack.Decoder(WorkflowRow)
+_submissions = msgspec.msgpack.Decoder(Submission)
+
+
+def encode_row(row: WorkflowRow) -> bytes:
+    """Return the stored form of a job's progress."""
+    return _encode(row)
+
+
+def decode_row(data: bytes) -> WorkflowRow:
+    """Return the progress in ``data``.
+
+    :raises msgspec.DecodeError: if ``data`` is not one.
+    """
+    return _rows.decode(data)
+
+
+def encode_submission(submission: Submission) -> bytes:
+    """Return the stored form of an accepted job."""
+    return _encode(submission)
+
+
+def decode_submission(data: bytes) -> Submission:
+    """Return the accepted job in ``data``.
+
+    :raises msgspec.DecodeError: if ``data`` is not one.
+    """
+    return _submissions.decode(data)
+
+
+def parse_task_name(name: str) -> tuple[str, tuple[int, int, int]] | None:
+    """Split a task's name into its job and its place there."""
+    job, *numbers = name.split(".")
+    try:
+        occurrence, step, index = map(int, numbers)
+    except ValueError:
+        return None
+    return job, (occurrence, step, index)
--- /dev/null
+++ b/tools/build_deploy.py
@@ -0,0 +1,46 @@
+"""Puts what runs on the platform under target/deps: the libraries of the daemon, at
+the versions in constraints.txt, and this package, compiled. Libraries are installed
+again only when the lists of them have changed."""
+
+import compileall
+import hashlib
+import pathlib
+import shutil
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DEPS = ROOT / "target" / "deps"
+STAMP = ROOT / "target" / "deps.stamp"
+# What a process on the platform imports; the rest of the product's libraries would
+# only cost memory and time at each start.
+LIBRARIES = (
+    "anyio",
+    "httpcore",
+    "httptools",
+    "msgspec",
+    "absl-py",
+    "prometheus-client",
+    "pyzmq",
+    "structlog",
+    "uvicorn",
+)
+
+
+def main() -> None:
+    """Build into target/deps."""
+    constraints = ROOT / "constraints.txt"
+    wanted = hashlib.sha256(constraints.read_bytes() + repr(LIBRARIES).encode())
+    if not STAMP.exists() or STAMP.read_text() != wanted.hexdigest():
+        shutil.rmtree(DEPS, ignore_errors=True)
+        install = [sys.executable, "-m", "pip", "install", "-q"]
+        install += ["--disable-pip-version-check", "--target", str(DEPS)]
+        subprocess.run([*install, "-c", str(constraints), *LIBRARIES], check=True)
+        STAMP.write_text(wanted.hexdigest())
+    package = DEPS / "granitetrestle"
+    shutil.rmtree(package, ignore_errors=True)
+    shutil.copytree(ROOT / "src" / "granitetrestle", package)
+    compileall.compile_dir(str(DEPS), quiet=2, workers=1)
+
+
+main()
