--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -45,6 +45,7 @@
 
     :param prepare: makes the decisions that are due and returns what to write.
     :param release: carries out what the batch held back.
+    :param unanswered: told why an append is repeated, and how long it has taken.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         prepare: t.Callable[[], list[Record]],
         release: t.Callable[[list[t.Any]], None],
         clock: t.Callable[[], float],
+        unanswered: t.Callable[[str, float], None],
     ) -> None:
         self._store = store
         self._topic = topic
@@ -63,6 +65,7 @@
         self._prepare = prepare
         self._release = release
         self._clock = clock
+        self._unanswered = unanswered
         self._held: list[t.Any] = []
         self._wake = anyio.Event()
         self._confirmed_at = clock()
@@ -109,8 +112,11 @@
         return self._clock() - self._confirmed_at > CONFIRM_EVERY_S
 
     async def _append(self, records: t.Sequence[Record]) -> Appended | Fenced:
-        self._sequence += 1
-        writer = Writer(self._epoch, self._sequence)
+        # An empty append takes no number: the store counts those with records.
+        number = self._sequence + 1
+        if records:
+            self._sequence = number
+        writer = Writer(self._epoch, number)
         self._waiting_since = self._clock()
         timeout_s = max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * self._usual_s)
         while True:
@@ -122,6 +128,7 @@
             if isinstance(outcome, Appended | Fenced):
                 break
             self.repeats += 1
+            self._unanswered(outcome.reason, self._clock() - self._waiting_since)
             timeout_s *= 2
             await anyio.sleep(RETRY_EVERY_S)
         if isinstance(outcome, Appended):
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -157,6 +157,17 @@
             return self._leader_store_lost + STORE_LOST_S
         return None
 
+    def why(self, now: float) -> dict[str, t.Any]:
+        """Return what a try to take over rests on, for the log."""
+        lost = self._leader_store_lost
+        return {
+            "leader": self._leader,
+            "epoch": self._epoch,
+            "leader_heard_s_ago": round(now - self._leader_heard, 2),
+            "leader_without_store_s": None if lost is None else round(now - lost, 2),
+            "live_peers": len(self._live(now)),
+        }
+
     def _patience(self) -> float:
         if not self._successors:
             return STAGGER_S * self._jitter
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -288,6 +288,7 @@
         if self._leadership.isolated(now) and await self._alive_elsewhere(now):
             return
         self._leadership.tried(now)
+        self._log.event("taking_over", **self._leadership.why(now))
         await self._try_to_lead(tasks)
 
     async def _alive_elsewhere(self, now: float) -> bool:
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -90,7 +90,7 @@
             return Appended(answer.end)
         if reply.status == CONFLICT and answer.reason == "fenced":
             return Fenced()
-        return StoreUnavailable(f"{reply.status} {answer.reason}", undone=True)
+        return StoreUnavailable(f"{reply.status} {reply.body[:80]!r}", undone=True)
 
     async def newest(self, topic: str) -> Newest | StoreUnavailable:
         """See :meth:`.outside.Store.newest`."""
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -105,6 +105,7 @@
             self._prepare,
             self._release,
             time.monotonic,
+            self._append_unanswered,
         )
         self._entries: dict[str, BoxEntry] = {}
         self._keepers: dict[str, BoxKeeper] = {}
@@ -206,6 +207,15 @@
         self._step_down("store")
         tasks.cancel_scope.cancel()
 
+    def _append_unanswered(self, reason: str, waiting_s: float) -> None:
+        self._log.event(
+            "append_repeated",
+            epoch=self._epoch,
+            reason=reason,
+            waiting_s=round(waiting_s, 3),
+        )
+        self._metrics.count("append_repeated")
+
     def _step_down(self, where: str) -> None:
         if not self._over:
             self._over = True
