--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -13,6 +13,9 @@
 # A box that fails this many runs in a row, of more than one job, is put aside.
 FAILURES_TO_QUARANTINE: t.Final = 3
 QUARANTINE_S: t.Final = 4.0
+# Share of what serving tasks reserve that they use at the mean, with some slack for
+# its swings.
+SERVING_LOAD: t.Final = 0.6
 MAX_QUARANTINE_S: t.Final = 16.0
 
 
@@ -32,7 +35,7 @@
         self.fill_cpu = 0
         self.memory_used = 0
         self.gpu_used = 0
-        self.serving = 0
+        self.serving: dict[str, Task] = {}
         self.known = 0
         self.durable_known = 0
         self.clock_ms = 0
@@ -40,8 +43,6 @@
         self.lease_ends = lease_ends
         self.silent_since: float | None = None
         self.closed_until = 0.0
-        self.pace = 100
-        self.paced_at = 0.0
         self._failed_jobs: set[str] = set()
         self._failed_runs = 0
         self._quarantine_s = QUARANTINE_S
@@ -57,9 +58,10 @@
         return self.entry.cpu - self.cpu_used
 
     @property
-    def cpu_unused(self) -> int:
-        """What is left for tasks that fill; below 0 when they share."""
-        return self.cpu_free - self.fill_cpu
+    def cpu_unused(self) -> float:
+        """What tasks that fill may find unused, expected; below 0 when they share."""
+        reserved = sum(task.spec.cpu for task in self.serving.values())
+        return self.cpu_free + reserved * (1.0 - SERVING_LOAD) - self.fill_cpu
 
     def open_for_work(self, now: float) -> bool:
         """Say whether new tasks may go here."""
@@ -83,11 +85,14 @@
     def place(self, task: Task) -> None:
         """Take the room of a task."""
         self.tasks[task.name] = task
+        if task.spec.target_ms:
+            self.serving[task.name] = task
         self._count(task.spec, 1)
 
     def free(self, task: Task) -> None:
         """Give back the room of a task."""
         if self.tasks.pop(task.name, None) is not None:
+            self.serving.pop(task.name, None)
             self._count(task.spec, -1)
 
     def _count(self, step: Step, sign: int) -> None:
@@ -97,7 +102,6 @@
             self.cpu_used += sign * step.cpu
         self.memory_used += sign * step.memory_mb
         self.gpu_used += sign * step.gpu
-        self.serving += sign * bool(step.target_ms)
 
     def step_tasks(self, job: str, occurrence: int, step: int) -> int:
         """Return how many tasks of a step are here."""
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -36,6 +36,7 @@
 from .shardstate import DeciderTerms
 from .shardstate import ShardState
 from .shardstate import WaitingStep
+from .workflows import FULL_PACE
 from .workflows import PENDING
 from .workflows import RUNNING
 from .workflows import STARTING
@@ -190,7 +191,7 @@
             return self._place_gang(entry, step, boxes, now)
         effects: list[Decision] = []
         for task in list(entry.tasks.values()):
-            box = self._box_for(task, step, boxes)
+            box = self._box_for(task, step, boxes, now)
             if box is None:
                 break
             del entry.tasks[task.name]
@@ -206,7 +207,7 @@
             return []
         chosen: list[tuple[Task, BoxView]] = []
         for task in members:
-            box = self._box_for(task, step, boxes)
+            box = self._box_for(task, step, boxes, now)
             if box is None:
                 break
             box.place(task)
@@ -222,12 +223,14 @@
             task.run, task.checkpoint = run, checkpoint
         return [self._start(task, box, now) for task, box in chosen]
 
-    def _box_for(self, task: Task, step: Step, boxes: list[BoxView]) -> BoxView | None:
+    def _box_for(
+        self, task: Task, step: Step, boxes: list[BoxView], now: float
+    ) -> BoxView | None:
         able = [box for box in boxes if box.fits(step) and _allowed(task, step, box)]
         if step.affinity:
             near = [box for box in able if box.entry.rack == step.affinity]
             able = near or able
-        return self._packer.choose(task, able)
+        return self._packer.choose(task, able, self._state.interference, now)
 
     def _start(self, task: Task, box: BoxView, now: float) -> StartTask:
         task.run += 1
@@ -236,7 +239,7 @@
         task.started_at = now
         task.confirmed_at = 0.0
         task.stop_sent_at = 0.0
-        task.pace = 100
+        task.set_pace(FULL_PACE, now)
         box.place(task)
         task.workflow.begun = True
         self._state.changed(task.workflow)
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -17,7 +17,9 @@
 from .outside import Look
 from .outside import LookOutcome
 from .outside import OrderRejected
+from .pacing import learn
 from .pacing import pace_changes
+from .pacing import to_move
 from .progress import Progress
 from .shardstate import ShardState
 from .workflows import RUNNING
@@ -202,9 +204,21 @@
             box.adopted = True
             inputs = {"running": len(look.running), "ended": len(look.ended)}
             effects.append(Noted("box_adopted", box.life, inputs))
-        for task, percent in pace_changes(box, now):
-            task.pace = percent
+        return effects + self._keep_targets(box, now)
+
+    def _keep_targets(self, box: BoxView, now: float) -> list[Decision]:
+        """Slow down or move what disturbs serving tasks."""
+        if not box.serving:
+            return []
+        effects: list[Decision] = []
+        learn(box, self._state.interference, now)
+        for task, percent in pace_changes(box, self._state.interference, now):
+            task.set_pace(percent, now)
             effects.append(PaceTask(box.life, task.name, task.run, percent))
+        for task in to_move(box, now):
+            inputs = {"box": box.life, "pace": task.pace, "image": task.spec.image}
+            effects.append(Noted("moved_for_targets", task.name, inputs))
+            effects += self._progress.stop(task, now)
         return effects
 
     def _compare(self, box: BoxView, sent: float, now: float) -> list[Decision]:
@@ -220,6 +234,7 @@
             if task.state == STARTING:
                 task.state = RUNNING
                 task.confirmed_at = now
+                task.paced_at = now
         for task in list(box.tasks.values()):
             row_or_none = box.running.get(task.name)
             if row_or_none is None or row_or_none.run != task.run:
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from .boxes import BoxView
+from .interference import Interference
 from .outside import Config
 from .outside import Queue
 from .outside import Record
@@ -75,7 +76,7 @@
         self.config: Config | None = None
         self.queues: dict[str, Queue] = {}
         self.waiting: dict[tuple[str, int, int], WaitingStep] = {}
-        self.stuck: dict[str, float] = {}
+        self.interference = Interference()
         self._unwritten: set[str] = set()
         self._changed: set[str] = set()
         self._dropped: set[str] = set()
@@ -156,9 +157,7 @@
         box = self.boxes.get(task.box)
         if box is not None:
             box.free(task)
-        self.stuck.pop(task.name, None)
         task.box = ""
-        task.pace = 100
 
     def enter_steps(self, workflow: Workflow) -> None:
         """Let the tasks of all steps whose turn has come wait for a box."""
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -30,6 +30,7 @@
 RUNNING: t.Final = 2
 STOPPING: t.Final = 3
 DONE: t.Final = 4
+FULL_PACE: t.Final = 100
 
 WorkflowState: t.TypeAlias = t.Literal[
     "queued", "running", "completed", "failed", "cancelled"
@@ -118,7 +119,9 @@
         "name",
         "occurrence",
         "pace",
+        "paced_at",
         "run",
+        "slow_since",
         "started_at",
         "state",
         "step",
@@ -143,7 +146,9 @@
         self.started_at = 0.0
         self.confirmed_at = 0.0
         self.stop_sent_at = 0.0
-        self.pace = 100
+        self.pace = FULL_PACE
+        self.paced_at = 0.0
+        self.slow_since = 0.0
         self.ticket = ""
 
     @property
@@ -156,6 +161,13 @@
         """Whether it takes room on a box."""
         return self.state in (STARTING, RUNNING, STOPPING)
 
+    def set_pace(self, percent: int, now: float) -> None:
+        """Note the share of its speed that the task was given."""
+        if FULL_PACE in (percent, self.pace):
+            self.slow_since = now
+        self.pace = percent
+        self.paced_at = now
+
 
 class Workflow:
     """A job, its tasks and its state."""
