A model of interference: stretch by pair, load at rest followed, paces computed

A task that would be slowed to a stand waits instead; slowed ones move to where they disturb nobody.

--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -3,8 +3,10 @@
 
 import typing as t
 
+from .interference import AtRest
 from .outside import BoxEntry
 from .outside import RunningTask
+from .workflows import FULL_PACE
 from .workflows import Step
 from .workflows import Task
 
@@ -36,6 +38,9 @@
         self.memory_used = 0
         self.gpu_used = 0
         self.serving: dict[str, Task] = {}
+        self.at_rest: dict[str, AtRest] = {}
+        self.fill_seen: dict[str, float] = {}
+        self.observed_at = 0.0
         self.known = 0
         self.durable_known = 0
         self.clock_ms = 0
@@ -61,7 +66,16 @@
     def cpu_unused(self) -> float:
         """What tasks that fill may find unused, expected; below 0 when they share."""
         reserved = sum(task.spec.cpu for task in self.serving.values())
-        return self.cpu_free + reserved * (1.0 - SERVING_LOAD) - self.fill_cpu
+        return self.cpu_free + reserved * (1.0 - SERVING_LOAD) - self.fill_paced
+
+    @property
+    def fill_paced(self) -> float:
+        """What tasks that fill take at their paces, in thousandths of a core."""
+        return sum(
+            task.spec.cpu * max(0, task.pace) / FULL_PACE
+            for task in self.tasks.values()
+            if task.spec.fills
+        )
 
     def open_for_work(self, now: float) -> bool:
         """Say whether new tasks may go here."""
@@ -93,6 +107,7 @@
         """Give back the room of a task."""
         if self.tasks.pop(task.name, None) is not None:
             self.serving.pop(task.name, None)
+            self.at_rest.pop(task.name, None)
             self._count(task.spec, -1)
 
     def _count(self, step: Step, sign: int) -> None:
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -30,8 +30,10 @@
 from .outside import OrderOutcome
 from .outside import OrderRejected
 from .outside import Record
+from .pacing import slowed_tasks
 from .packing import KeepApart
 from .packing import Packer
+from .packing import better_box
 from .progress import Progress
 from .shardstate import DeciderTerms
 from .shardstate import ShardState
@@ -53,6 +55,8 @@
 # How often ended jobs are looked through for those nobody may ask about any more.
 PACE_UNKNOWN: t.Final = -1
 ENDED_SWEEP_S: t.Final = 2.0
+# One task at a time is moved, so that the next choice sees where it went.
+MOVE_EVERY_S: t.Final = 0.05
 
 
 class Decider:
@@ -66,6 +70,7 @@
         self._fleet = Fleet(self._state, self._progress, now)
         self._packer = packer or KeepApart()
         self._swept_at = now
+        self._moved_at = now
 
     @property
     def state(self) -> ShardState:
@@ -154,7 +159,7 @@
         if now - self._swept_at > ENDED_SWEEP_S:
             self._swept_at = now
             self._sweep(now)
-        return effects + self._place(now, wall_ms)
+        return effects + self._move_slowed(now) + self._place(now, wall_ms)
 
     def _sweep(self, now: float) -> None:
         keep = self._state.terms.keep_s
@@ -183,6 +188,30 @@
                 del waiting[key]
         return effects
 
+    def _move_slowed(self, now: float) -> list[Decision]:
+        """Move tasks that are kept slow to where they disturb nobody."""
+        if now - self._moved_at < MOVE_EVERY_S:
+            return []
+        self._moved_at = now
+        boxes = [b for b in self._state.boxes.values() if b.open_for_work(now)]
+        for task in slowed_tasks(boxes, now):
+            service = self._state.service_of(task.workflow)
+            able = [
+                box
+                for box in boxes
+                if box.entry.service == service
+                and box.fits(task.spec)
+                and _allowed(task, task.spec, box)
+            ]
+            box = better_box(task, able, self._state.interference)
+            if box is not None:
+                inputs = {"from": task.box, "to": box.life, "pace": task.pace}
+                return [
+                    Noted("moved_for_targets", task.name, inputs),
+                    *self._progress.stop(task, now),
+                ]
+        return []
+
     def _place_step(
         self, entry: WaitingStep, boxes: list[BoxView], now: float
     ) -> list[Decision]:
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -17,9 +17,8 @@
 from .outside import Look
 from .outside import LookOutcome
 from .outside import OrderRejected
-from .pacing import learn
+from .pacing import observe
 from .pacing import pace_changes
-from .pacing import to_move
 from .progress import Progress
 from .shardstate import ShardState
 from .workflows import RUNNING
@@ -207,18 +206,14 @@
         return effects + self._keep_targets(box, now)
 
     def _keep_targets(self, box: BoxView, now: float) -> list[Decision]:
-        """Slow down or move what disturbs serving tasks."""
+        """Slow down what disturbs serving tasks."""
         if not box.serving:
             return []
         effects: list[Decision] = []
-        learn(box, self._state.interference, now)
-        for task, percent in pace_changes(box, self._state.interference, now):
+        observe(box, self._state.interference, now)
+        for task, percent in pace_changes(box, self._state.interference):
             task.set_pace(percent, now)
             effects.append(PaceTask(box.life, task.name, task.run, percent))
-        for task in to_move(box, now):
-            inputs = {"box": box.life, "pace": task.pace, "image": task.spec.image}
-            effects.append(Noted("moved_for_targets", task.name, inputs))
-            effects += self._progress.stop(task, now)
         return effects
 
     def _compare(self, box: BoxView, sent: float, now: float) -> list[Decision]:
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -1,30 +1,33 @@
 """Keeps the tail latency of serving tasks below their target: learns from each look
-which images disturb them, slows those down, and moves what would have to stay slow."""
+which images disturb them, and slows those down by as much as the model asks."""
 
+import math
 import typing as t
 
 from .boxes import BoxView
+from .interference import FIGURE_LAG_S
+from .interference import MEAN_BUSY
+from .interference import AtRest
 from .interference import Interference
-from .interference import Sighting
+from .interference import busy_share
 from .workflows import FULL_PACE
 from .workflows import RUNNING
 from .workflows import Task
 
-__all__ = ["PaceChange", "learn", "pace_changes", "to_move"]
+__all__ = ["PaceChange", "fill_shares", "observe", "pace_changes", "slowed_tasks"]
 
-# Shares of the target at which a disturbing neighbour is slowed down, and from which
-# it may speed up again. Figures are rough, so the two lie well apart.
-SLOW_DOWN_AT: t.Final = 0.85
-SPEED_UP_BELOW: t.Final = 0.55
-SPEED_UP_BY: t.Final = 25
-SLOWED: t.Final = 30
-# A figure covers half a second: what came later is not its cause.
-FIGURE_S: t.Final = 0.55
-# A pair more likely than this to disturb is acted on.
+# Share of busy time to aim at: at 0.83 the tail is at its target.
+AIM_BUSY: t.Final = 0.79
+# Looks closer than this show the same figures again.
+LEAST_APART_S: t.Final = 0.3
+# A pair more likely than this to disturb is slowed down when need be.
 SUSPECT: t.Final = 0.3
-# A task that is kept slow for so long is better off on another box.
-MOVE_AFTER_S: t.Final = 1.0
-SPEED_UP_AFTER_S: t.Final = 0.8
+# Paces are rounded to this, and raised by no more than that in one look.
+PACE_STEP: t.Final = 10
+RAISE_BY: t.Final = 30
+# A task that is kept this slow for so long is better off elsewhere.
+SLOWED: t.Final = 30
+MOVE_AFTER_S: t.Final = 1.2
 
 
 class PaceChange(t.NamedTuple):
@@ -34,80 +37,104 @@
     percent: int
 
 
-class _Serving(t.NamedTuple):
-    task: Task
-    level: float
-
-
-def _serving(box: BoxView) -> list[_Serving]:
-    """Return the serving tasks, with their tail latency as a share of the target."""
-    found = []
-    for name, row in box.running.items():
-        task = box.tasks.get(name)
-        if task is not None and task.spec.target_ms and row.figure:
-            found.append(_Serving(task, row.figure / task.spec.target_ms))
-    return found
-
-
 def _fillers(box: BoxView) -> list[Task]:
     return [
         task for task in box.tasks.values() if task.spec.fills and task.state == RUNNING
     ]
 
 
-def learn(box: BoxView, interference: Interference, now: float) -> None:
-    """Revise what is known of the images on ``box`` by its newest look."""
-    beside = frozenset(
-        task.spec.image
-        for task in _fillers(box)
-        if task.pace > SLOWED and now - task.paced_at > FIGURE_S
-    )
-    if not beside:
-        return
-    for task, level in _serving(box):
-        interference.saw(Sighting(task.spec.image, level > 1.0, beside))
+def fill_shares(box: BoxView, paced: bool = True) -> dict[str, float]:
+    """Return for each image that fills a box the share of processors it takes.
+
+    :param paced: count slowed tasks for what they take now.
+    """
+    shares: dict[str, float] = {}
+    for task in box.tasks.values():
+        step = task.spec
+        if step.fills:
+            pace = max(0, task.pace) / FULL_PACE if paced else 1.0
+            share = pace * step.cpu / box.entry.cpu
+            shares[step.image] = shares.get(step.image, 0.0) + share
+    return shares
 
 
-def pace_changes(
-    box: BoxView, interference: Interference, now: float
-) -> list[PaceChange]:
+def observe(box: BoxView, interference: Interference, now: float) -> None:
+    """Take up the figures of the newest look, and learn from them."""
+    seen_s = now - box.observed_at
+    if seen_s < LEAST_APART_S:
+        return
+    box.observed_at = now
+    _remember_fill(box, seen_s)
+    for name, row in box.running.items():
+        task = box.serving.get(name)
+        if task is None or not row.figure:
+            continue
+        busy = busy_share(row.figure / task.spec.target_ms)
+        at_rest = box.at_rest.get(name)
+        if at_rest is None:
+            at_rest = box.at_rest[name] = AtRest(min(busy, MEAN_BUSY), now)
+        interference.saw(task.spec.image, busy, box.fill_seen, at_rest, now)
+
+
+def _remember_fill(box: BoxView, seen_s: float) -> None:
+    """Follow what each image takes, as slowly as the figures do."""
+    newest: dict[str, float] = {}
+    for name, row in box.running.items():
+        task = box.tasks.get(name)
+        if task is not None and task.spec.fills:
+            image = task.spec.image
+            newest[image] = newest.get(image, 0.0) + row.figure / box.entry.cpu
+    keep = math.exp(-seen_s / FIGURE_LAG_S)
+    for image in {*newest, *box.fill_seen}:
+        before = box.fill_seen.get(image, 0.0)
+        share = before * keep + newest.get(image, 0.0) * (1.0 - keep)
+        box.fill_seen[image] = share
+    box.fill_seen = {i: share for i, share in box.fill_seen.items() if share > 0.005}
+
+
+def pace_changes(box: BoxView, interference: Interference) -> list[PaceChange]:
     """Return the tasks whose pace is to change."""
-    serving = _serving(box)
+    fillers = _fillers(box)
+    if not fillers:
+        return []
+    full_shares = fill_shares(box, paced=False)
+    allowed: dict[str, float] = {}
+    for name, task in box.serving.items():
+        at_rest = box.at_rest.get(name)
+        if at_rest is None:
+            continue
+        image = task.spec.image
+        full = interference.stretch(image, full_shares)
+        bearable = AIM_BUSY / at_rest.busy - 1.0
+        if bearable >= full:
+            continue
+        share = max(0.0, bearable / full)
+        for filler in full_shares:
+            if interference.probability(image, filler) > SUSPECT:
+                allowed[filler] = min(share, allowed.get(filler, 1.0))
     changes = []
-    for task in _fillers(box):
-        pace = _next_pace(task, serving, interference, now)
+    for task in fillers:
+        pace = _next_pace(task.pace, allowed.get(task.spec.image, 1.0))
         if pace != task.pace:
             changes.append(PaceChange(task, pace))
     return changes
 
 
-def _next_pace(
-    task: Task,
-    serving: t.Sequence[_Serving],
-    interference: Interference,
-    now: float,
-) -> int:
-    worst = 0.0
-    for other, level in serving:
-        likely = interference.probability(other.spec.image, task.spec.image)
-        if likely > SUSPECT:
-            worst = max(worst, level)
-    if worst > 1.0:
-        return 0
-    if worst > SLOW_DOWN_AT:
-        return min(task.pace, SLOWED)
-    settled = now - task.paced_at > SPEED_UP_AFTER_S
-    if worst < SPEED_UP_BELOW and settled:
-        return min(FULL_PACE, task.pace + SPEED_UP_BY)
-    return max(task.pace, 0)
-
-
-def to_move(box: BoxView, now: float) -> list[Task]:
-    """Return tasks that have been kept slow and lose nothing by a move."""
+def slowed_tasks(boxes: t.Iterable[BoxView], now: float) -> list[Task]:
+    """Return the tasks that are kept slow and lose nothing by a move."""
     return [
         task
+        for box in boxes
         for task in _fillers(box)
         if task.spec.checkpointing
         and 0 <= task.pace <= SLOWED
         and now - task.slow_since > MOVE_AFTER_S
+        and now - task.started_at > MOVE_AFTER_S
     ]
+
+
+def _next_pace(pace: int, allowed: float) -> int:
+    wanted = int(allowed * FULL_PACE / PACE_STEP) * PACE_STEP
+    if wanted <= pace:
+        return wanted
+    return min(wanted, max(pace, 0) + RAISE_BY)
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -5,16 +5,26 @@
 import typing as t
 
 from .boxes import BoxView
+from .interference import MEAN_BUSY
 from .interference import Interference
+from .pacing import fill_shares
 from .workflows import Step
 from .workflows import Task
 
-__all__ = ["FirstBox", "KeepApart", "Packer"]
+__all__ = ["FirstBox", "KeepApart", "Packer", "better_box"]
 
 # Share of its rated processor time that a task which fills must find unused.
 FILL_NEED: t.Final = 0.9
-# How much unused room, as a share of the box, weighs against one task disturbed.
-ROOM_WEIGHT: t.Final = 0.5
+# How much unused room, as a share of the box, weighs against overload.
+ROOM_WEIGHT: t.Final = 0.2
+BEARABLE_BUSY: t.Final = 0.75
+# A box that would be overloaded by more is not worth going to: the task would be
+# slowed to a stand.
+WAIT_OVERLOAD: t.Final = 0.3
+# A task that is slowed moves only to where it will not be.
+MOVE_OVERLOAD: t.Final = 0.03
+# How much a load may rise while a task runs.
+SOON: t.Final = 0.1
 
 
 class Packer(abc.ABC):
@@ -31,6 +41,14 @@
         """Return the box for ``task``; ``boxes`` all have room and may run it."""
 
 
+def better_box(
+    task: Task, boxes: t.Sequence[BoxView], interference: Interference
+) -> BoxView | None:
+    """Return a box where a slowed task that fills would disturb nobody."""
+    others = [box for box in boxes if box.life != task.box]
+    return _place_filler(task.spec, others, interference, MOVE_OVERLOAD)
+
+
 class FirstBox(Packer):
     """Baseline: the first box with room."""
 
@@ -71,7 +89,10 @@
 
 
 def _place_filler(
-    step: Step, boxes: t.Sequence[BoxView], interference: Interference
+    step: Step,
+    boxes: t.Sequence[BoxView],
+    interference: Interference,
+    most_overload: float = WAIT_OVERLOAD,
 ) -> BoxView | None:
     best: BoxView | None = None
     best_cost = 0.0
@@ -79,14 +100,33 @@
         unused = box.cpu_unused
         if unused < step.cpu * FILL_NEED:
             continue
-        serving = [task.spec for task in box.serving.values()]
-        risk = interference.risk(serving, step)
-        cost = risk - ROOM_WEIGHT * unused / box.entry.cpu
+        room = ROOM_WEIGHT * unused / box.entry.cpu
+        overload = _overload(step, box, interference)
+        if overload > most_overload:
+            continue
+        cost = overload - room
         if best is None or cost < best_cost:
             best, best_cost = box, cost
     return best
 
 
+def _overload(step: Step, box: BoxView, interference: Interference) -> float:
+    """Return how far ``step`` would push serving tasks beyond what they bear."""
+    if not box.serving:
+        return 0.0
+    shares = fill_shares(box, paced=False)
+    share = step.cpu / box.entry.cpu
+    shares[step.image] = shares.get(step.image, 0.0) + share
+    overload = 0.0
+    for name, task in box.serving.items():
+        known = box.at_rest.get(name)
+        at_rest = MEAN_BUSY if known is None else known.busy + SOON
+        busy = max(at_rest, MEAN_BUSY)
+        busy *= 1.0 + interference.stretch(task.spec.image, shares)
+        overload += max(0.0, busy - BEARABLE_BUSY)
+    return overload
+
+
 def _disturbing(step: Step, box: BoxView, interference: Interference) -> float:
     """Return how much of what fills a box is likely to disturb ``step``."""
     if not box.fill_cpu:
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -163,7 +163,7 @@
 
     def set_pace(self, percent: int, now: float) -> None:
         """Note the share of its speed that the task was given."""
-        if FULL_PACE in (percent, self.pace):
+        if self.pace == FULL_PACE:
             self.slow_since = now
         self.pace = percent
         self.paced_at = now
