--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -90,6 +90,14 @@
             self._leader_heard = now
             self._leader_store_lost = None
 
+    def was_leading(self, epoch: int, node: str, now: float) -> None:
+        """Learn from the store who decided last. If that was an earlier life of this
+        process, nobody does now."""
+        self.leads(epoch, node, now)
+        if self._leader == self._node:
+            self._leader = ""
+            self._leader_heard = now - SILENT_S
+
     def deposed(self) -> None:
         """This process decides no more; who does is not known yet."""
         if self._leader == self._node:
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -187,7 +187,7 @@
             self._learn(node, other.address)
         if known.leader.epoch:
             now = time.monotonic()
-            self._leadership.leads(known.leader.epoch, known.leader.node, now)
+            self._leadership.was_leading(known.leader.epoch, known.leader.node, now)
 
     def _learn(self, node: str, address: str) -> None:
         if node != self._terms.node and self._addresses.get(node) != address:
