--- a/src/granitetrestle/forwarding.py
+++ b/src/granitetrestle/forwarding.py
@@ -107,7 +107,7 @@
         """Answer a request within ``left_s`` seconds."""
         number = next(self._numbers)
         waiting = self._waiting[number] = _Waiting()
-        asked: set[Target] = set()
+        asked: list[Target] = []
         try:
             with anyio.move_on_after(left_s):
                 answer = await self._bring(number, waiting, call, left_s, leader, asked)
@@ -123,7 +123,7 @@
         call: ClientCall,
         left_s: float,
         leader: t.Callable[[], Target | None],
-        asked: set[Target],
+        asked: list[Target],
     ) -> ClientAnswer:
         began = time.monotonic()
         while waiting.answer is None:
@@ -135,13 +135,13 @@
                     return _refusal()
                 await _news(waiting, WAIT_FOR_LEADER_S / 3)
             elif target.node == self._node:
-                asked.add(target)
+                asked.append(target)
                 try:
                     return await self._answer_here(call)
                 except Deposed:
                     await anyio.sleep(PAUSE_S)
             else:
-                asked.add(target)
+                asked.append(target)
                 message = CallForwarded(
                     number,
                     call.method,
@@ -165,9 +165,10 @@
 
 
 def _truthful(
-    call: ClientCall, answer: ClientAnswer, asked: set[Target]
+    call: ClientCall, answer: ClientAnswer, asked: list[Target]
 ) -> ClientAnswer:
-    """A refusal by one decider says nothing of what another may have taken."""
+    """A refusal is true only if the request was sent once: another message of it may
+    still be on its way, or have been taken by another decider."""
     if call.method == "POST" and answer.status in REFUSALS and len(asked) > 1:
         return ClientAnswer(NO_ANSWER)
     return answer
--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -26,6 +26,7 @@
 __all__ = [
     "CONFIG_KEY",
     "Answer",
+    "Asked",
     "QueueIndex",
     "UnknownQueue",
     "decode_call",
@@ -57,6 +58,9 @@
     """No queue has this host and path."""
 
 
+Asked: t.TypeAlias = JobCall | UnknownQueue
+
+
 class _Advice(msgspec.Struct):
     decide_ms: float = 0.0
     each_ms: float = 0.0
@@ -178,7 +182,7 @@
 
 def decode_call(
     index: QueueIndex, method: str, host: str, path: str, body: bytes
-) -> JobCall | UnknownQueue:
+) -> Asked:
     """Return what a client asks.
 
     :raises InvalidInput: if the request is malformed; nothing was done.
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -46,26 +46,34 @@
     ) -> ClientAnswer:
         """See :class:`..node.Responder`."""
         config = session.config
-        if config is None or not session.serving:
+        if config is None:
             return _come_back()
         method, host, path, body = call
         try:
             asked = front.decode_call(self._index(config), method, host, path, body)
         except InvalidInput as error:
             return ClientAnswer(400, error.message.encode())
+        refused = not session.serving or (
+            isinstance(asked, SubmitJob) and session.store_away
+        )
+        if refused and not _taken(session, asked):
+            return _come_back()
+        await session.confirm()
         if isinstance(asked, front.UnknownQueue):
-            await session.confirm()
             return ClientAnswer(404)
-        if isinstance(asked, SubmitJob) and session.store_away:
-            known = asked.submission.job in session.decider.state.workflows
-            if not known:
-                return _come_back()
-        await session.confirm()
         outcome = await session.call(request, asked)
         answer = front.encode_outcome(outcome)
         return ClientAnswer(answer.status, answer.body)
 
 
+def _taken(session: Session, asked: front.Asked) -> bool:
+    """Say whether a job was taken, perhaps not yet durably: to refuse it now would
+    be untrue."""
+    if not isinstance(asked, SubmitJob):
+        return False
+    return asked.submission.job in session.decider.state.workflows
+
+
 def _come_back() -> ClientAnswer:
     return ClientAnswer(503, retry_after_s=STOPPED_COME_BACK_S)
 
--- /dev/null
+++ b/src/granitetrestle_standins/shardworld.py
@@ -0,0 +1,416 @@
+"""The real decider among model boxes and a model store, in virtual time. Deciders are
+killed, frozen and replaced; orders and answers are lost or come late; boxes crash, are
+cut off and come back. After each step it is checked what really ran."""
+
+import random
+import typing as t
+
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import GATED
+from granitetrestle.decisions import AnswerCall
+from granitetrestle.decisions import Decision
+from granitetrestle.decisions import EndsKnown
+from granitetrestle.decisions import PaceTask
+from granitetrestle.decisions import StartTask
+from granitetrestle.decisions import StepDown
+from granitetrestle.decisions import StopTask
+from granitetrestle.jobcalls import CancelJob
+from granitetrestle.jobcalls import JobAccepted
+from granitetrestle.jobcalls import JobCall
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.outside import Appended
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import BoxNoAnswer
+from granitetrestle.outside import BoxReplaced
+from granitetrestle.outside import Config
+from granitetrestle.outside import LookOutcome
+from granitetrestle.outside import OrderOutcome
+from granitetrestle.outside import Queue
+from granitetrestle.outside import Writer
+from granitetrestle.shardstate import DeciderTerms
+from granitetrestle.workflows import DONE
+from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+from granitetrestle_standins.nativebox import BoxModel
+from granitetrestle_standins.nativebox import BoxRun
+from granitetrestle_standins.nativestore import StoreModel
+
+__all__ = ["PromiseBroken", "ShardWorld"]
+
+JOBS = "keyed.jobs"
+STEP_S = 0.05
+TASK_S = 0.6
+MAX_ATTEMPTS = 3
+QUEUE = Queue("q", "host", "/q/", "pool", 0, MAX_ATTEMPTS, 1.5, 1000.0)
+CONFIG = Config(1, (QUEUE,), {"pool": True}, 262144)
+Order: t.TypeAlias = StartTask | StopTask | PaceTask
+
+
+class PromiseBroken(AssertionError):
+    """What ran is not what may run."""
+
+
+class _Late(t.NamedTuple):
+    """An order that will be carried out later, unasked and unanswered."""
+
+    at: float
+    token: int
+    until_ms: int
+    order: Order
+
+
+class DeciderProcess:
+    """One decider with its journal and its looks at boxes."""
+
+    def __init__(self, world: "ShardWorld", epoch: int) -> None:
+        self.world = world
+        self.epoch = epoch
+        self.frozen = False
+        self.over = False
+        self.confirmed_at = world.now
+        self.sequence = 1
+        self.decider = Decider(world.terms, world.now)
+        self.held: list[Decision] = []
+        self.looked_at: dict[str, float] = {}
+        self.apply(self.decider.configured(CONFIG))
+        world.store.append(JOBS, (), Writer(epoch, 1))
+        self.decider.restore(world.store.newest(JOBS).records, world.now)
+        self.list_boxes()
+
+    def list_boxes(self) -> None:
+        """Take up the newest list of boxes."""
+        entries = dict(self.world.entries)
+        self.apply(self.decider.fleet.listed(entries, self.world.now))
+
+    def apply(self, decisions: t.Sequence[Decision]) -> None:
+        """Hold back or carry out decisions."""
+        for decision in decisions:
+            if isinstance(decision, GATED):
+                self.held.append(decision)
+            elif isinstance(decision, StepDown):
+                self.over = True
+            elif isinstance(decision, PaceTask):
+                self.world.send(self, decision)
+
+    def tick(self) -> None:
+        """Decide, write, release, look."""
+        if self.over or self.frozen:
+            return
+        self.apply(self.decider.decide(self.world.now, int(self.world.now * 1000)))
+        self._write()
+        for life in list(self.decider.state.boxes):
+            if not self.over:
+                self._look(life)
+
+    def _write(self) -> None:
+        if self.world.store_down:
+            return
+        records = self.decider.take_writes()
+        writer = Writer(self.epoch, self.sequence + 1)
+        outcome = self.world.store.append(JOBS, records, writer)
+        if not isinstance(outcome, Appended):
+            self.over = True
+            return
+        self.sequence += bool(records)
+        self.confirmed_at = self.world.now
+        held, self.held = self.held, []
+        for decision in held:
+            self._release(decision)
+
+    def _release(self, decision: Decision) -> None:
+        if isinstance(decision, StartTask | StopTask):
+            self.world.send(self, decision)
+        elif isinstance(decision, AnswerCall):
+            self.world.answered(decision)
+        elif isinstance(decision, EndsKnown):
+            box = self.decider.state.boxes.get(decision.life)
+            if box is not None:
+                box.durable_known = max(box.durable_known, decision.number)
+
+    def _look(self, life: str) -> None:
+        now = self.world.now
+        if now - self.looked_at.get(life, -1.0) < 2 * STEP_S:
+            return
+        self.looked_at[life] = now
+        renew = now - self.confirmed_at < self.world.terms.orphan_s
+        plan = self.decider.fleet.plan_look(life, now, renew)
+        if plan is None:
+            return
+        outcome = self.world.look(self, life, plan.known, plan.until_ms)
+        self.apply(self.decider.fleet.looked(life, now, now, outcome))
+
+
+class ShardWorld:
+    """Boxes, store and deciders; faults are calls on it."""
+
+    def __init__(self, seed: int, boxes: int) -> None:
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.terms = DeciderTerms(lease_s=3.0, orphan_s=2.0, keep_s=600.0)
+        self.store = StoreModel()
+        self.store_down = False
+        self.boxes: dict[str, BoxModel] = {}
+        self.entries: dict[str, BoxEntry] = {}
+        self.cut: dict[str, float] = {}
+        self.late_share = 0.0
+        self.lost_share = 0.0
+        self.fail_share = 0.0
+        self.accepted: dict[str, Submission] = {}
+        self.cancelled: dict[str, float] = {}
+        self._asked: dict[str, JobCall] = {}
+        self._late: list[_Late] = []
+        self._done: dict[str, float] = {}
+        self._failed: dict[str, int] = {}
+        self._judged: set[int] = set()
+        self._serial = 0
+        for _ in range(boxes):
+            self.add_box()
+        self.processes: list[DeciderProcess] = []
+        self.take_over()
+
+    def add_box(self) -> str:
+        """Add an empty box."""
+        self._serial += 1
+        life = f"b{self._serial}"
+        self.boxes[life] = BoxModel(life, self.terms.lease_s)
+        self.entries[life] = BoxEntry(
+            life,
+            f"a{self._serial}",
+            "pool",
+            "h",
+            "r",
+            frozenset(),
+            4000,
+            8000,
+            0,
+            False,
+            None,
+        )
+        return life
+
+    @property
+    def leader(self) -> DeciderProcess:
+        """The decider of the newest epoch."""
+        return self.processes[-1]
+
+    def take_over(self) -> None:
+        """Let a new decider take over; the old one may not know."""
+        epoch = self.processes[-1].epoch + 1 if self.processes else 1
+        if not self.store_down:
+            self.processes.append(DeciderProcess(self, epoch))
+
+    def kill(self) -> None:
+        """Kill the decider, whatever it holds back."""
+        self.leader.over = True
+
+    def crash_box(self, choice: int) -> None:
+        """End a box's life; another one begins at its address a little later."""
+        life = self._pick(choice)
+        if life is not None:
+            self.boxes[life].crash(self.now)
+            entry = self.entries.pop(life)
+            self._serial += 1
+            again = f"b{self._serial}"
+            self.boxes[again] = BoxModel(again, self.terms.lease_s)
+            self.entries[again] = entry._replace(life=again)
+
+    def cut_box(self, choice: int, seconds: float) -> None:
+        """Cut a box off from every decider; it runs on."""
+        life = self._pick(choice)
+        if life is not None:
+            self.cut[life] = self.now + seconds
+
+    def _pick(self, choice: int) -> str | None:
+        alive = sorted(self.entries)
+        return alive[choice % len(alive)] if alive else None
+
+    def submit(self, steps: tuple[Step, ...]) -> str:
+        """Hand in a job."""
+        job = f"{len(self._asked):016x}"
+        submission = Submission(job, "q", "pool", f"spec-{job}", steps)
+        self.ask(SubmitJob(submission), job)
+        return job
+
+    def cancel(self, job: str) -> None:
+        """Cancel a job."""
+        self.ask(CancelJob(job), f"cancel-{job}")
+
+    def ask(self, call: JobCall, request: str) -> None:
+        """Hand a call to the decider; its answer may never come."""
+        self._asked[request] = call
+        if not self.leader.over and not self.leader.frozen:
+            leader = self.leader
+            leader.apply(leader.decider.called(request, call, self.now))
+
+    def answered(self, decision: AnswerCall) -> None:
+        """Note what a caller was told."""
+        call = self._asked[decision.request]
+        if isinstance(call, SubmitJob) and isinstance(decision.outcome, JobAccepted):
+            self.accepted[call.submission.job] = call.submission
+        elif isinstance(call, CancelJob):
+            self.cancelled.setdefault(call.job, self.now)
+
+    def send(self, sender: DeciderProcess, order: Order) -> None:
+        """Carry an order to its box, or lose it, or let it come late."""
+        draw = self.random.random()
+        box = sender.decider.state.boxes.get(order.life)
+        until = 0
+        if isinstance(order, StartTask) and box is not None:
+            until = sender.decider.fleet.lease_until(box, self.now) or 0
+        if draw < self.late_share:
+            at = self.now + self.random.uniform(0.2, 6.0)
+            self._late.append(_Late(at, sender.epoch, until, order))
+            outcome: OrderOutcome = BoxNoAnswer("late")
+        elif self._unreachable(order.life):
+            outcome = BoxNoAnswer("cut")
+        else:
+            outcome = self._carry_out(order, until, sender.epoch)
+            if draw > 1.0 - self.lost_share:
+                outcome = BoxNoAnswer("answer lost")
+        decider = sender.decider
+        if isinstance(order, StartTask):
+            sender.apply(
+                decider.start_answered(
+                    order.life, order.task, order.run, outcome, self.now
+                )
+            )
+        elif isinstance(order, StopTask):
+            sender.apply(
+                decider.stop_answered(
+                    order.life, order.task, order.run, outcome, self.now
+                )
+            )
+
+    def _carry_out(self, order: Order, until: int, token: int) -> OrderOutcome:
+        box = self.boxes[order.life]
+        if not box.alive:
+            return BoxReplaced()
+        if isinstance(order, StartTask):
+            outcome = box.start(
+                order.task, order.run, order.spec, until, token, self.now
+            )
+        elif isinstance(order, StopTask):
+            outcome = box.stop(order.task, order.run, token, self.now)
+        else:
+            outcome = box.pace(order.task, order.run, order.percent, token, self.now)
+        self.check()
+        return outcome
+
+    def look(
+        self, sender: DeciderProcess, life: str, known: int, until_ms: int | None
+    ) -> LookOutcome:
+        """Look at a box."""
+        if self._unreachable(life):
+            return BoxNoAnswer("cut")
+        box = self.boxes[life]
+        if not box.alive:
+            return BoxReplaced()
+        for row in box.unconfirmed():
+            if row.number <= known:
+                self._confirmed(row.task, row.how)
+        return box.look(known, until_ms, sender.epoch, self.now)
+
+    def _confirmed(self, task: str, how: str) -> None:
+        if how == "done":
+            self._done.setdefault(task, self.now)
+        elif how == "failed":
+            self._failed[task] = self._failed.get(task, 0) + 1
+
+    def _unreachable(self, life: str) -> bool:
+        return self.now < self.cut.get(life, 0.0)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(max(1, round(seconds / STEP_S))):
+            self.now += STEP_S
+            self._run_boxes()
+            for process in self.processes:
+                process.tick()
+                process.list_boxes()
+            self.processes = [
+                p for p in self.processes if not p.over or p is self.processes[-1]
+            ]
+            self.check()
+
+    def _run_boxes(self) -> None:
+        due = [late for late in self._late if late.at <= self.now]
+        self._late = [late for late in self._late if late.at > self.now]
+        for late in due:
+            if self.boxes[late.order.life].alive:
+                self._carry_out(late.order, late.until_ms, late.token)
+        for box in self.boxes.values():
+            box.tick(self.now)
+            for run in list(box.running.values()):
+                if self.now - run.began > TASK_S:
+                    failed = self.random.random() < self.fail_share
+                    box.end(run.task, "failed" if failed else "done", self.now)
+
+    def check(self) -> None:
+        """Judge what runs now and what began since the last look.
+
+        :raises PromiseBroken: naming the task.
+        """
+        where: dict[str, str] = {}
+        for box in self.boxes.values():
+            for run in box.running.values():
+                if run.task in where:
+                    raise PromiseBroken(f"{run.task} runs on two boxes")
+                where[run.task] = box.life
+            for run in box.history:
+                if id(run) not in self._judged:
+                    self._judged.add(id(run))
+                    self._judge(run)
+
+    def _judge(self, run: BoxRun) -> None:
+        job = run.task.split(".")[0]
+        if run.task in self._done:
+            raise PromiseBroken(f"{run.task} began again after it was done")
+        if self._failed.get(run.task, 0) >= MAX_ATTEMPTS:
+            raise PromiseBroken(f"{run.task} began after its last attempt failed")
+        if run.spec != f"spec-{job}" or job not in self._asked:
+            raise PromiseBroken(f"{run.task} was not asked for")
+        self._judge_order(run, job)
+
+    def _judge_order(self, run: BoxRun, job: str) -> None:
+        call = self._asked[job]
+        assert isinstance(call, SubmitJob)
+        step = int(run.task.split(".")[2])
+        ended_done = {
+            other.task
+            for box in self.boxes.values()
+            for other in box.history
+            if other.how == "done"
+        }
+        for earlier in call.submission.steps[step].depends_on:
+            for index in range(call.submission.steps[earlier].count):
+                if f"{job}.0.{earlier}.{index}" not in ended_done:
+                    raise PromiseBroken(f"{run.task} began before step {earlier}")
+
+    def settle(self, seconds: float) -> None:
+        """Mend everything, and check that every accepted job comes to its end.
+
+        :raises PromiseBroken: if one was lost or stands still.
+        """
+        self.late_share = self.lost_share = self.fail_share = 0.0
+        self.cut.clear()
+        self.store_down = False
+        if self.leader.over or self.leader.frozen:
+            self.take_over()
+        state = self.leader.decider.state
+        while seconds > 0 and not all(w.terminal for w in state.workflows.values()):
+            self.advance(1.0)
+            seconds -= 1.0
+        # What is left of ended jobs stops within a look or two.
+        self.advance(1.0)
+        for job in self.accepted:
+            workflow = state.workflows.get(job)
+            if workflow is None:
+                raise PromiseBroken(f"{job} was accepted and is not known")
+            if not workflow.terminal:
+                left = [t.name for t in workflow.tasks.values() if t.state != DONE]
+                raise PromiseBroken(f"{job} did not end: {left}")
+            if workflow.ended == "cancelled" and job not in self.cancelled:
+                raise PromiseBroken(f"{job} counts as cancelled")
+        running = [run for box in self.boxes.values() for run in box.running]
+        if running:
+            raise PromiseBroken(f"{running[0]} still runs at the end")
