--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -6,7 +6,6 @@
 from .interference import AtRest
 from .outside import BoxEntry
 from .outside import RunningTask
-from .workflows import FULL_PACE
 from .workflows import Step
 from .workflows import Task
 
@@ -15,9 +14,6 @@
 # A box that fails this many runs in a row, of more than one job, is put aside.
 FAILURES_TO_QUARANTINE: t.Final = 3
 QUARANTINE_S: t.Final = 4.0
-# Share of what serving tasks reserve that they use at the mean, with some slack for
-# its swings.
-SERVING_LOAD: t.Final = 0.6
 MAX_QUARANTINE_S: t.Final = 16.0
 
 
@@ -25,6 +21,8 @@
     """One life of a box. Times are in seconds on the decider's steady clock.
 
     :param lease_ends: no lease there can outlast this.
+    :ivar version: rises with each change of what is placed or seen here.
+    :ivar load: what :mod:`.overload` computed for a version.
     """
 
     def __init__(self, entry: BoxEntry, lease_ends: float) -> None:
@@ -38,6 +36,9 @@
         self.memory_used = 0
         self.gpu_used = 0
         self.serving: dict[str, Task] = {}
+        self.fillers: dict[str, Task] = {}
+        self.version = 0
+        self.load: t.Any = None
         self.at_rest: dict[str, AtRest] = {}
         self.fill_seen: dict[str, float] = {}
         self.observed_at = 0.0
@@ -62,21 +63,6 @@
         """Thousandths of a core that nothing has reserved."""
         return self.entry.cpu - self.cpu_used
 
-    @property
-    def cpu_unused(self) -> float:
-        """What tasks that fill may find unused, expected; below 0 when they share."""
-        reserved = sum(task.spec.cpu for task in self.serving.values())
-        return self.cpu_free + reserved * (1.0 - SERVING_LOAD) - self.fill_paced
-
-    @property
-    def fill_paced(self) -> float:
-        """What tasks that fill take at their paces, in thousandths of a core."""
-        return sum(
-            task.spec.cpu * max(0, task.pace) / FULL_PACE
-            for task in self.tasks.values()
-            if task.spec.fills
-        )
-
     def open_for_work(self, now: float) -> bool:
         """Say whether new tasks may go here."""
         return (
@@ -101,6 +87,8 @@
         self.tasks[task.name] = task
         if task.spec.target_ms:
             self.serving[task.name] = task
+        if task.spec.fills:
+            self.fillers[task.name] = task
         self._count(task.spec, 1)
 
     def free(self, task: Task) -> None:
@@ -108,9 +96,11 @@
         if self.tasks.pop(task.name, None) is not None:
             self.serving.pop(task.name, None)
             self.at_rest.pop(task.name, None)
+            self.fillers.pop(task.name, None)
             self._count(task.spec, -1)
 
     def _count(self, step: Step, sign: int) -> None:
+        self.version += 1
         if step.fills:
             self.fill_cpu += sign * step.cpu
         else:
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -55,6 +55,8 @@
 # How often ended jobs are looked through for those nobody may ask about any more.
 PACE_UNKNOWN: t.Final = -1
 ENDED_SWEEP_S: t.Final = 2.0
+# Figures that decide where what fills may go come twice a second from each box.
+FILL_EVERY_S: t.Final = 0.08
 # One task at a time is moved, so that the next choice sees where it went.
 MOVE_EVERY_S: t.Final = 0.05
 
@@ -71,6 +73,9 @@
         self._packer = packer or KeepApart()
         self._swept_at = now
         self._moved_at = now
+        self._filled_at = 0.0
+        # Kinds of task that found no box in the pass under way.
+        self._no_box: set[tuple[t.Any, ...]] = set()
 
     @property
     def state(self) -> ShardState:
@@ -177,9 +182,15 @@
         for box in self._state.boxes.values():
             if box.open_for_work(now):
                 open_boxes.setdefault(box.entry.service, []).append(box)
+        fill = now - self._filled_at >= FILL_EVERY_S
+        if fill:
+            self._filled_at = now
+        self._no_box.clear()
         order = sorted(waiting.items(), key=lambda item: _urgency(item[1], now))
         effects: list[Decision] = []
         for key, entry in order:
+            if not fill and entry.workflow.submission.steps[entry.step].fills:
+                continue
             service = self._state.service_of(entry.workflow)
             boxes = open_boxes.get(service, [])
             if boxes and entry.workflow.due_at_ms(entry.occurrence) <= wall_ms:
@@ -219,9 +230,14 @@
         if step.gang:
             return self._place_gang(entry, step, boxes, now)
         effects: list[Decision] = []
+        kind = (step.image, step.cpu, step.memory_mb, step.required_labels, step.fills)
         for task in list(entry.tasks.values()):
+            if kind in self._no_box:
+                break
             box = self._box_for(task, step, boxes, now)
             if box is None:
+                if not step.per_box:
+                    self._no_box.add(kind)
                 break
             del entry.tasks[task.name]
             effects.append(self._start(task, box, now))
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -213,6 +213,7 @@
         observe(box, self._state.interference, now)
         for task, percent in pace_changes(box, self._state.interference):
             task.set_pace(percent, now)
+            box.version += 1
             effects.append(PaceTask(box.life, task.name, task.run, percent))
         return effects
 
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -10,11 +10,12 @@
 from .interference import AtRest
 from .interference import Interference
 from .interference import busy_share
+from .overload import fill_shares
 from .workflows import FULL_PACE
 from .workflows import RUNNING
 from .workflows import Task
 
-__all__ = ["PaceChange", "fill_shares", "observe", "pace_changes", "slowed_tasks"]
+__all__ = ["PaceChange", "observe", "pace_changes", "slowed_tasks"]
 
 # Share of busy time to aim at: at 0.83 the tail is at its target.
 AIM_BUSY: t.Final = 0.79
@@ -38,24 +39,7 @@
 
 
 def _fillers(box: BoxView) -> list[Task]:
-    return [
-        task for task in box.tasks.values() if task.spec.fills and task.state == RUNNING
-    ]
-
-
-def fill_shares(box: BoxView, paced: bool = True) -> dict[str, float]:
-    """Return for each image that fills a box the share of processors it takes.
-
-    :param paced: count slowed tasks for what they take now.
-    """
-    shares: dict[str, float] = {}
-    for task in box.tasks.values():
-        step = task.spec
-        if step.fills:
-            pace = max(0, task.pace) / FULL_PACE if paced else 1.0
-            share = pace * step.cpu / box.entry.cpu
-            shares[step.image] = shares.get(step.image, 0.0) + share
-    return shares
+    return [task for task in box.fillers.values() if task.state == RUNNING]
 
 
 def observe(box: BoxView, interference: Interference, now: float) -> None:
@@ -64,6 +48,7 @@
     if seen_s < LEAST_APART_S:
         return
     box.observed_at = now
+    box.version += 1
     _remember_fill(box, seen_s)
     for name, row in box.running.items():
         task = box.serving.get(name)
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -5,9 +5,9 @@
 import typing as t
 
 from .boxes import BoxView
-from .interference import MEAN_BUSY
 from .interference import Interference
-from .pacing import fill_shares
+from .overload import box_load
+from .overload import overload
 from .workflows import Step
 from .workflows import Task
 
@@ -17,14 +17,11 @@
 FILL_NEED: t.Final = 0.9
 # How much unused room, as a share of the box, weighs against overload.
 ROOM_WEIGHT: t.Final = 0.2
-BEARABLE_BUSY: t.Final = 0.75
 # A box that would be overloaded by more is not worth going to: the task would be
 # slowed to a stand.
 WAIT_OVERLOAD: t.Final = 0.3
 # A task that is slowed moves only to where it will not be.
 MOVE_OVERLOAD: t.Final = 0.03
-# How much a load may rise while a task runs.
-SOON: t.Final = 0.1
 
 
 class Packer(abc.ABC):
@@ -97,41 +94,23 @@
     best: BoxView | None = None
     best_cost = 0.0
     for box in boxes:
-        unused = box.cpu_unused
-        if unused < step.cpu * FILL_NEED:
+        load = box_load(box, interference)
+        if load.unused < step.cpu * FILL_NEED:
             continue
-        room = ROOM_WEIGHT * unused / box.entry.cpu
-        overload = _overload(step, box, interference)
-        if overload > most_overload:
+        over = overload(step, box, load, interference)
+        if over > most_overload:
             continue
-        cost = overload - room
+        cost = over - ROOM_WEIGHT * load.unused / box.entry.cpu
         if best is None or cost < best_cost:
             best, best_cost = box, cost
     return best
 
 
-def _overload(step: Step, box: BoxView, interference: Interference) -> float:
-    """Return how far ``step`` would push serving tasks beyond what they bear."""
-    if not box.serving:
-        return 0.0
-    shares = fill_shares(box, paced=False)
-    share = step.cpu / box.entry.cpu
-    shares[step.image] = shares.get(step.image, 0.0) + share
-    overload = 0.0
-    for name, task in box.serving.items():
-        known = box.at_rest.get(name)
-        at_rest = MEAN_BUSY if known is None else known.busy + SOON
-        busy = max(at_rest, MEAN_BUSY)
-        busy *= 1.0 + interference.stretch(task.spec.image, shares)
-        overload += max(0.0, busy - BEARABLE_BUSY)
-    return overload
-
-
 def _disturbing(step: Step, box: BoxView, interference: Interference) -> float:
     """Return how much of what fills a box is likely to disturb ``step``."""
     if not box.fill_cpu:
         return 0.0
-    images = {task.spec.image for task in box.tasks.values() if task.spec.fills}
+    images = {task.spec.image for task in box.fillers.values()}
     likely = [interference.probability(step.image, image) for image in images]
     return round(sum(likely), 1)
 
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -108,7 +108,11 @@
 
 
 class Task:
-    """One task: ``run`` is the number of its latest start, 0 before the first."""
+    """One task.
+
+    :ivar spec: what it asks for.
+    :ivar run: number of its latest start, 0 before the first.
+    """
 
     __slots__ = (
         "box",
@@ -122,6 +126,7 @@
         "paced_at",
         "run",
         "slow_since",
+        "spec",
         "started_at",
         "state",
         "step",
@@ -138,6 +143,7 @@
         self.step = step
         self.index = index
         self.name = f"{workflow.submission.job}.{occurrence}.{step}.{index}"
+        self.spec = workflow.submission.steps[step]
         self.run = 0
         self.state = PENDING
         self.box = ""
@@ -151,11 +157,6 @@
         self.slow_since = 0.0
         self.ticket = ""
 
-    @property
-    def spec(self) -> Step:
-        """What the task asks for."""
-        return self.workflow.submission.steps[self.step]
-
     @property
     def placed(self) -> bool:
         """Whether it takes room on a box."""
