--- a/src/granitetrestle/interference.py
+++ b/src/granitetrestle/interference.py
@@ -6,7 +6,15 @@
 import math
 import typing as t
 
-__all__ = ["FIGURE_LAG_S", "MEAN_BUSY", "AtRest", "Interference", "busy_share"]
+__all__ = [
+    "FIGURE_LAG_S",
+    "MEAN_BUSY",
+    "STRETCH",
+    "SUSPECT",
+    "AtRest",
+    "Interference",
+    "busy_share",
+]
 
 # Tail latency of an idle serving task as a share of its target. Measured on quiet
 # days of both deployments with nothing beside (2,127 looks: 5% at 0.22).
@@ -16,12 +24,14 @@
 LEAST_BUSY: t.Final = 0.2
 MEAN_BUSY: t.Final = 0.5
 MOST_BUSY: t.Final = 0.76
-DRIFT_PER_S: t.Final = 0.1
+DRIFT_PER_S: t.Final = 0.15
 # How much a disturbing image stretches work when it takes the whole box; measured
 # on the same days without pacing (4.5 to 7 by pair).
 STRETCH: t.Final = 6.0
 # What is believed of a pair never seen.
 PRIOR: t.Final = 0.45
+# A pair more likely than this to disturb is slowed down when need be.
+SUSPECT: t.Final = 0.3
 # Scatter of a busy share computed from one rough figure.
 SCATTER: t.Final = 0.07
 # Looks half a second apart tell nearly the same: each counts for less than one.
--- a/src/granitetrestle/overload.py
+++ b/src/granitetrestle/overload.py
@@ -1,22 +1,24 @@
-"""How far one more task that fills would overload the serving tasks of a box. What
-does not depend on the task is computed once for each change of the box, since a
-decision asks this of every box."""
+"""At what pace one more task that fills could run on a box without pushing serving
+tasks over their target. What does not depend on the task is computed once for each
+change of the box, since a decision asks this of every box."""
 
 import typing as t
 
 from .boxes import BoxView
 from .interference import MEAN_BUSY
 from .interference import STRETCH
+from .interference import SUSPECT
 from .interference import Interference
 from .workflows import FULL_PACE
 from .workflows import Step
 
-__all__ = ["BoxLoad", "box_load", "fill_shares", "overload"]
+__all__ = ["AIM_BUSY", "BoxLoad", "bearable_pace", "box_load", "fill_shares"]
 
-# Share of busy time that a serving task bears; its target is at 0.83.
-BEARABLE_BUSY: t.Final = 0.75
-# How much a load may rise while a task runs.
-SOON: t.Final = 0.1
+# Share of busy time to aim at: at 0.83 the tail is at its target.
+AIM_BUSY: t.Final = 0.79
+# How much a load may rise while a task runs, and the least that it soon has.
+SOON: t.Final = 0.05
+SOON_AT_LEAST: t.Final = 0.42
 # Share of what serving tasks reserve that they use at the mean, with some slack for
 # its swings.
 SERVING_LOAD: t.Final = 0.6
@@ -25,13 +27,13 @@
 class ServingLoad(t.NamedTuple):
     """A serving task.
 
-    :param at_rest: how busy it would be soon with nothing beside.
-    :param stretched: by how much what fills already stretches its work.
+    :param bearable: by how much its work may be stretched.
+    :param stretch: by how much what fills stretches it at full pace.
     """
 
     image: str
-    at_rest: float
-    stretched: float
+    bearable: float
+    stretch: float
 
 
 class BoxLoad(t.NamedTuple):
@@ -77,23 +79,27 @@
     serving = []
     for name, task in box.serving.items():
         rest = box.at_rest.get(name)
-        at_rest = MEAN_BUSY if rest is None else max(rest.busy + SOON, MEAN_BUSY)
+        at_rest = MEAN_BUSY
+        if rest is not None:
+            at_rest = max(rest.busy + SOON, SOON_AT_LEAST)
         image = task.spec.image
-        stretched = 1.0 + interference.stretch(image, shares)
-        serving.append(ServingLoad(image, at_rest, stretched))
+        stretch = interference.stretch(image, shares)
+        serving.append(ServingLoad(image, AIM_BUSY / at_rest - 1.0, stretch))
     unused = box.cpu_free + reserved * (1.0 - SERVING_LOAD) - paced
     return BoxLoad(unused, tuple(serving))
 
 
-def overload(
+def bearable_pace(
     step: Step, box: BoxView, load: BoxLoad, interference: Interference
 ) -> float:
-    """Return how far ``step`` would push serving tasks beyond what they bear."""
+    """Return the share of its speed that ``step`` could run at, with what fills."""
     stretch = STRETCH * step.cpu / box.entry.cpu
-    total = 0.0
-    for image, at_rest, stretched in load.serving:
+    pace = 1.0
+    for image, bearable, others in load.serving:
         likely = interference.probability(image, step.image)
-        busy = at_rest * (stretched + stretch * likely)
-        if busy > BEARABLE_BUSY:
-            total += busy - BEARABLE_BUSY
-    return total
+        if likely <= SUSPECT:
+            continue
+        full = others + stretch * likely
+        if full > bearable:
+            pace = min(pace, max(0.0, bearable) / full)
+    return pace
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -7,9 +7,11 @@
 from .boxes import BoxView
 from .interference import FIGURE_LAG_S
 from .interference import MEAN_BUSY
+from .interference import SUSPECT
 from .interference import AtRest
 from .interference import Interference
 from .interference import busy_share
+from .overload import AIM_BUSY
 from .overload import fill_shares
 from .workflows import FULL_PACE
 from .workflows import RUNNING
@@ -17,12 +19,8 @@
 
 __all__ = ["PaceChange", "observe", "pace_changes", "slowed_tasks"]
 
-# Share of busy time to aim at: at 0.83 the tail is at its target.
-AIM_BUSY: t.Final = 0.79
 # Looks closer than this show the same figures again.
 LEAST_APART_S: t.Final = 0.3
-# A pair more likely than this to disturb is slowed down when need be.
-SUSPECT: t.Final = 0.3
 # Paces are rounded to this, and raised by no more than that in one look.
 PACE_STEP: t.Final = 10
 RAISE_BY: t.Final = 30
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -6,8 +6,8 @@
 
 from .boxes import BoxView
 from .interference import Interference
+from .overload import bearable_pace
 from .overload import box_load
-from .overload import overload
 from .workflows import Step
 from .workflows import Task
 
@@ -15,13 +15,12 @@
 
 # Share of its rated processor time that a task which fills must find unused.
 FILL_NEED: t.Final = 0.9
-# How much unused room, as a share of the box, weighs against overload.
+# How much unused room, as a share of the box, weighs against pace.
 ROOM_WEIGHT: t.Final = 0.2
-# A box that would be overloaded by more is not worth going to: the task would be
-# slowed to a stand.
-WAIT_OVERLOAD: t.Final = 0.3
-# A task that is slowed moves only to where it will not be.
-MOVE_OVERLOAD: t.Final = 0.03
+# A task that would have to run slower than this waits for a better box.
+WAIT_PACE: t.Final = 0.35
+# A slowed task moves only to where it will hardly be.
+MOVE_PACE: t.Final = 0.9
 
 
 class Packer(abc.ABC):
@@ -43,7 +42,7 @@
 ) -> BoxView | None:
     """Return a box where a slowed task that fills would disturb nobody."""
     others = [box for box in boxes if box.life != task.box]
-    return _place_filler(task.spec, others, interference, MOVE_OVERLOAD)
+    return _place_filler(task.spec, others, interference, MOVE_PACE)
 
 
 class FirstBox(Packer):
@@ -89,20 +88,20 @@
     step: Step,
     boxes: t.Sequence[BoxView],
     interference: Interference,
-    most_overload: float = WAIT_OVERLOAD,
+    least_pace: float = WAIT_PACE,
 ) -> BoxView | None:
     best: BoxView | None = None
-    best_cost = 0.0
+    best_worth = 0.0
     for box in boxes:
         load = box_load(box, interference)
         if load.unused < step.cpu * FILL_NEED:
             continue
-        over = overload(step, box, load, interference)
-        if over > most_overload:
+        pace = bearable_pace(step, box, load, interference)
+        if pace < least_pace:
             continue
-        cost = over - ROOM_WEIGHT * load.unused / box.entry.cpu
-        if best is None or cost < best_cost:
-            best, best_cost = box, cost
+        worth = pace + ROOM_WEIGHT * load.unused / box.entry.cpu
+        if best is None or worth > best_worth:
+            best, best_worth = box, worth
     return best
 
 
