--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -3,7 +3,6 @@
 
 import typing as t
 
-from .interference import AtRest
 from .outside import BoxEntry
 from .outside import RunningTask
 from .workflows import Step
@@ -39,7 +38,8 @@
         self.fillers: dict[str, Task] = {}
         self.version = 0
         self.load: t.Any = None
-        self.at_rest: dict[str, AtRest] = {}
+        self.at_rest: dict[str, float] = {}
+        self.over: dict[str, float] = {}
         self.fill_seen: dict[str, float] = {}
         self.observed_at = 0.0
         self.known = 0
@@ -96,6 +96,7 @@
         if self.tasks.pop(task.name, None) is not None:
             self.serving.pop(task.name, None)
             self.at_rest.pop(task.name, None)
+            self.over.pop(task.name, None)
             self.fillers.pop(task.name, None)
             self._count(task.spec, -1)
 
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -214,7 +214,7 @@
                 and box.fits(task.spec)
                 and _allowed(task, task.spec, box)
             ]
-            box = better_box(task, able, self._state.interference)
+            box = better_box(task, able, self._state.interference, now)
             if box is not None:
                 inputs = {"from": task.box, "to": box.life, "pace": task.pace}
                 return [
@@ -314,6 +314,10 @@
             if task.state == STARTING:
                 task.state = RUNNING
                 task.confirmed_at = now
+                box = self._state.boxes.get(life)
+                if box is not None and task.spec.fills and box.serving:
+                    # What it disturbs should not wait for the next look.
+                    return self._fleet.repace(box, now)
             return []
         if isinstance(outcome, OrderRejected):
             return self._start_rejected(life, task, outcome, now)
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -209,9 +209,13 @@
         """Slow down what disturbs serving tasks."""
         if not box.serving:
             return []
+        observe(box, self._state.loads, self._state.interference, now)
+        return self.repace(box, now)
+
+    def repace(self, box: BoxView, now: float) -> list[Decision]:
+        """Give what fills a box the paces that its serving tasks bear."""
         effects: list[Decision] = []
-        observe(box, self._state.interference, now)
-        for task, percent in pace_changes(box, self._state.interference):
+        for task, percent in pace_changes(box, self._state.interference, now):
             task.set_pace(percent, now)
             box.version += 1
             effects.append(PaceTask(box.life, task.name, task.run, percent))
--- a/src/granitetrestle/overload.py
+++ b/src/granitetrestle/overload.py
@@ -6,16 +6,17 @@
 
 from .boxes import BoxView
 from .interference import MEAN_BUSY
-from .interference import STRETCH
 from .interference import SUSPECT
 from .interference import Interference
 from .workflows import FULL_PACE
 from .workflows import Step
 
-__all__ = ["AIM_BUSY", "BoxLoad", "bearable_pace", "box_load", "fill_shares"]
+__all__ = ["BoxLoad", "bearable_pace", "bearable_stretch", "box_load", "fill_shares"]
 
 # Share of busy time to aim at: at 0.83 the tail is at its target.
 AIM_BUSY: t.Final = 0.79
+# A tail over the target stops what may cause it for so long.
+BACKLOG_S: t.Final = 0.6
 # How much a load may rise while a task runs, and the least that it soon has.
 SOON: t.Final = 0.05
 SOON_AT_LEAST: t.Final = 0.42
@@ -60,17 +61,25 @@
     return shares
 
 
-def box_load(box: BoxView, interference: Interference) -> BoxLoad:
+def bearable_stretch(box: BoxView, name: str, now: float) -> float:
+    """Return by how much the work of a serving task may be stretched now."""
+    if now - box.over.get(name, -BACKLOG_S) < BACKLOG_S:
+        # A backlog has built up: it drains only when nothing is in its way.
+        return 0.0
+    return AIM_BUSY / box.at_rest.get(name, MEAN_BUSY) - 1.0
+
+
+def box_load(box: BoxView, interference: Interference, now: float) -> BoxLoad:
     """Return what a box bears, computed anew after a change of the box."""
     known: tuple[int, BoxLoad] | None = box.load
     if known is not None and known[0] == box.version:
         return known[1]
-    load = _compute(box, interference)
+    load = _compute(box, interference, now)
     box.load = (box.version, load)
     return load
 
 
-def _compute(box: BoxView, interference: Interference) -> BoxLoad:
+def _compute(box: BoxView, interference: Interference, now: float) -> BoxLoad:
     reserved = sum(task.spec.cpu for task in box.serving.values())
     paced = sum(
         task.spec.cpu * max(0, task.pace) / FULL_PACE for task in box.fillers.values()
@@ -78,13 +87,11 @@
     shares = fill_shares(box, paced=False)
     serving = []
     for name, task in box.serving.items():
-        rest = box.at_rest.get(name)
-        at_rest = MEAN_BUSY
-        if rest is not None:
-            at_rest = max(rest.busy + SOON, SOON_AT_LEAST)
+        at_rest = max(box.at_rest.get(name, MEAN_BUSY) + SOON, SOON_AT_LEAST)
+        bearable = min(AIM_BUSY / at_rest - 1.0, bearable_stretch(box, name, now))
         image = task.spec.image
         stretch = interference.stretch(image, shares)
-        serving.append(ServingLoad(image, AIM_BUSY / at_rest - 1.0, stretch))
+        serving.append(ServingLoad(image, bearable, stretch))
     unused = box.cpu_free + reserved * (1.0 - SERVING_LOAD) - paced
     return BoxLoad(unused, tuple(serving))
 
@@ -93,13 +100,13 @@
     step: Step, box: BoxView, load: BoxLoad, interference: Interference
 ) -> float:
     """Return the share of its speed that ``step`` could run at, with what fills."""
-    stretch = STRETCH * step.cpu / box.entry.cpu
+    share = step.cpu / box.entry.cpu
     pace = 1.0
     for image, bearable, others in load.serving:
-        likely = interference.probability(image, step.image)
-        if likely <= SUSPECT:
+        strength = interference.strength(image, step.image)
+        if strength <= SUSPECT:
             continue
-        full = others + stretch * likely
+        full = others + share * strength
         if full > bearable:
             pace = min(pace, max(0.0, bearable) / full)
     return pace
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -5,22 +5,30 @@
 import typing as t
 
 from .boxes import BoxView
-from .interference import FIGURE_LAG_S
-from .interference import MEAN_BUSY
 from .interference import SUSPECT
-from .interference import AtRest
 from .interference import Interference
+from .interference import StepLoad
 from .interference import busy_share
-from .overload import AIM_BUSY
+from .overload import bearable_stretch
 from .overload import fill_shares
 from .workflows import FULL_PACE
 from .workflows import RUNNING
 from .workflows import Task
 
-__all__ = ["PaceChange", "observe", "pace_changes", "slowed_tasks"]
+__all__ = ["PaceChange", "StepLoads", "observe", "pace_changes", "slowed_tasks"]
 
 # Looks closer than this show the same figures again.
 LEAST_APART_S: t.Final = 0.3
+# From this share of the target on, a serving task is about to miss it.
+OVER: t.Final = 0.95
+# How long a tail may stay long after its cause has gone.
+DRAIN_S: t.Final = 1.5
+# Figures follow a change of what fills within about this time.
+FIGURE_LAG_S: t.Final = 0.5
+# Less than this of a box can't be told from nothing.
+LEAST_SHARE: t.Final = 0.005
+# Tasks of one step that must be seen to tell their load from what disturbs them.
+LEAST_COMPARED: t.Final = 3
 # Paces are rounded to this, and raised by no more than that in one look.
 PACE_STEP: t.Final = 10
 RAISE_BY: t.Final = 30
@@ -29,6 +37,26 @@
 MOVE_AFTER_S: t.Final = 1.2
 
 
+class StepLoads:
+    """The loads of all serving steps of a shard."""
+
+    def __init__(self) -> None:
+        self._loads: dict[tuple[str, int, int], StepLoad] = {}
+
+    def of(self, task: Task) -> StepLoad:
+        """Return the load of the step that ``task`` belongs to."""
+        key = (task.workflow.submission.job, task.occurrence, task.step)
+        load = self._loads.get(key)
+        if load is None:
+            load = self._loads[key] = StepLoad()
+        return load
+
+    def forget(self, job: str) -> None:
+        """Drop the loads of an ended job."""
+        for key in [key for key in self._loads if key[0] == job]:
+            del self._loads[key]
+
+
 class PaceChange(t.NamedTuple):
     """The pace that a task is to have, in percent."""
 
@@ -40,7 +68,9 @@
     return [task for task in box.fillers.values() if task.state == RUNNING]
 
 
-def observe(box: BoxView, interference: Interference, now: float) -> None:
+def observe(
+    box: BoxView, loads: StepLoads, interference: Interference, now: float
+) -> None:
     """Take up the figures of the newest look, and learn from them."""
     seen_s = now - box.observed_at
     if seen_s < LEAST_APART_S:
@@ -50,21 +80,38 @@
     _remember_fill(box, seen_s)
     for name, row in box.running.items():
         task = box.serving.get(name)
-        if task is None or not row.figure:
-            continue
-        busy = busy_share(row.figure / task.spec.target_ms)
-        at_rest = box.at_rest.get(name)
-        if at_rest is None:
-            at_rest = box.at_rest[name] = AtRest(min(busy, MEAN_BUSY), now)
-        interference.saw(task.spec.image, busy, box.fill_seen, at_rest, now)
+        if task is not None and row.figure:
+            level = row.figure / task.spec.target_ms
+            _observe_task(box, task, level, loads, interference, now)
+
+
+def _observe_task(
+    box: BoxView,
+    task: Task,
+    level: float,
+    loads: StepLoads,
+    interference: Interference,
+    now: float,
+) -> None:
+    busy = busy_share(level)
+    load = loads.of(task)
+    load.saw(task.name, busy, now)
+    box.at_rest[task.name] = load.at_rest(now)
+    # A backlog shows in the tail long after its cause: learn from its rise alone.
+    draining = now - box.over.get(task.name, -DRAIN_S) < DRAIN_S
+    if level > OVER:
+        box.over[task.name] = now
+    if not draining and load.compared(now) >= LEAST_COMPARED:
+        at_rest = box.at_rest[task.name]
+        interference.saw(task.spec.image, busy, at_rest, box.fill_seen)
 
 
 def _remember_fill(box: BoxView, seen_s: float) -> None:
     """Follow what each image takes, as slowly as the figures do."""
     newest: dict[str, float] = {}
     for name, row in box.running.items():
-        task = box.tasks.get(name)
-        if task is not None and task.spec.fills:
+        task = box.fillers.get(name)
+        if task is not None:
             image = task.spec.image
             newest[image] = newest.get(image, 0.0) + row.figure / box.entry.cpu
     keep = math.exp(-seen_s / FIGURE_LAG_S)
@@ -72,10 +119,14 @@
         before = box.fill_seen.get(image, 0.0)
         share = before * keep + newest.get(image, 0.0) * (1.0 - keep)
         box.fill_seen[image] = share
-    box.fill_seen = {i: share for i, share in box.fill_seen.items() if share > 0.005}
+    box.fill_seen = {
+        image: share for image, share in box.fill_seen.items() if share > LEAST_SHARE
+    }
 
 
-def pace_changes(box: BoxView, interference: Interference) -> list[PaceChange]:
+def pace_changes(
+    box: BoxView, interference: Interference, now: float
+) -> list[PaceChange]:
     """Return the tasks whose pace is to change."""
     fillers = _fillers(box)
     if not fillers:
@@ -83,17 +134,14 @@
     full_shares = fill_shares(box, paced=False)
     allowed: dict[str, float] = {}
     for name, task in box.serving.items():
-        at_rest = box.at_rest.get(name)
-        if at_rest is None:
-            continue
+        bearable = bearable_stretch(box, name, now)
         image = task.spec.image
         full = interference.stretch(image, full_shares)
-        bearable = AIM_BUSY / at_rest.busy - 1.0
         if bearable >= full:
             continue
         share = max(0.0, bearable / full)
         for filler in full_shares:
-            if interference.probability(image, filler) > SUSPECT:
+            if interference.strength(image, filler) > SUSPECT:
                 allowed[filler] = min(share, allowed.get(filler, 1.0))
     changes = []
     for task in fillers:
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -38,11 +38,11 @@
 
 
 def better_box(
-    task: Task, boxes: t.Sequence[BoxView], interference: Interference
+    task: Task, boxes: t.Sequence[BoxView], interference: Interference, now: float
 ) -> BoxView | None:
     """Return a box where a slowed task that fills would disturb nobody."""
     others = [box for box in boxes if box.life != task.box]
-    return _place_filler(task.spec, others, interference, MOVE_PACE)
+    return _place_filler(task.spec, others, interference, now, MOVE_PACE)
 
 
 class FirstBox(Packer):
@@ -73,7 +73,7 @@
         """Return the box where ``task`` harms and is harmed least."""
         step = task.spec
         if step.fills:
-            return _place_filler(step, boxes, interference)
+            return _place_filler(step, boxes, interference, now)
         if step.target_ms:
 
             def cost(box: BoxView) -> tuple[float, int, int, str]:
@@ -88,12 +88,13 @@
     step: Step,
     boxes: t.Sequence[BoxView],
     interference: Interference,
+    now: float,
     least_pace: float = WAIT_PACE,
 ) -> BoxView | None:
     best: BoxView | None = None
     best_worth = 0.0
     for box in boxes:
-        load = box_load(box, interference)
+        load = box_load(box, interference, now)
         if load.unused < step.cpu * FILL_NEED:
             continue
         pace = bearable_pace(step, box, load, interference)
@@ -110,8 +111,8 @@
     if not box.fill_cpu:
         return 0.0
     images = {task.spec.image for task in box.fillers.values()}
-    likely = [interference.probability(step.image, image) for image in images]
-    return round(sum(likely), 1)
+    strengths = [interference.strength(step.image, image) for image in images]
+    return round(sum(strengths))
 
 
 def _alike(step: Step, box: BoxView) -> int:
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -8,6 +8,7 @@
 from .outside import Config
 from .outside import Queue
 from .outside import Record
+from .pacing import StepLoads
 from .workflows import PENDING
 from .workflows import Submission
 from .workflows import Task
@@ -77,6 +78,7 @@
         self.queues: dict[str, Queue] = {}
         self.waiting: dict[tuple[str, int, int], WaitingStep] = {}
         self.interference = Interference()
+        self.loads = StepLoads()
         self._unwritten: set[str] = set()
         self._changed: set[str] = set()
         self._dropped: set[str] = set()
@@ -96,6 +98,7 @@
         """Forget a job for good."""
         del self.workflows[job]
         self._changed.discard(job)
+        self.loads.forget(job)
         self._dropped.add(job)
 
     @property
