--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -23,7 +23,7 @@
 OVER: t.Final = 0.95
 # Over the target for so long, a task is protected from all that fills. The promise to
 # its account is four seconds, of which a backlog takes one or two to drain.
-OVER_TOO_LONG_S: t.Final = 0.9
+OVER_TOO_LONG_S: t.Final = 2.0
 # How long a tail may stay long after its cause has gone.
 DRAIN_S: t.Final = 1.5
 # Figures follow a change of what fills within about this time.
