--- a/tools/build_deploy.py
+++ b/tools/build_deploy.py
@@ -12,6 +12,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEPS = ROOT / "target" / "deps"
 STAMP = ROOT / "target" / "deps.stamp"
+SOURCE_STAMP = ROOT / "target" / "source.stamp"
 # What a process on the platform imports; the rest of the product's libraries would
 # only cost memory and time at each start.
 LIBRARIES = (
@@ -36,10 +37,25 @@
         install += ["--disable-pip-version-check", "--target", str(DEPS)]
         subprocess.run([*install, "-c", str(constraints), *LIBRARIES], check=True)
         STAMP.write_text(wanted.hexdigest())
+    source = ROOT / "src" / "granitetrestle"
+    seen = _digest(source)
     package = DEPS / "granitetrestle"
+    # A second build beside running processes must not take their files away.
+    if package.exists() and SOURCE_STAMP.exists() and SOURCE_STAMP.read_text() == seen:
+        return
     shutil.rmtree(package, ignore_errors=True)
-    shutil.copytree(ROOT / "src" / "granitetrestle", package)
+    shutil.copytree(source, package)
     compileall.compile_dir(str(DEPS), quiet=2, workers=1)
+    SOURCE_STAMP.write_text(seen)
+
+
+def _digest(folder: pathlib.Path) -> str:
+    """Return a digest of all sources in ``folder``."""
+    digest = hashlib.sha256()
+    for path in sorted(folder.rglob("*.py")):
+        digest.update(str(path.relative_to(folder)).encode())
+        digest.update(path.read_bytes())
+    return digest.hexdigest()
 
 
 main()
