--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -42,6 +42,7 @@
         self.over: dict[str, float] = {}
         self.over_since: dict[str, float] = {}
         self.fill_seen: dict[str, float] = {}
+        self.fill_grew = True
         self.observed_at = 0.0
         self.known = 0
         self.durable_known = 0
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -107,7 +107,9 @@
         box.over_since.setdefault(task.name, now)
     else:
         box.over_since.pop(task.name, None)
-    if not draining and load.compared(now) >= LEAST_COMPARED:
+    if draining and not box.fill_grew:
+        return
+    if load.compared(now) >= LEAST_COMPARED:
         at_rest = box.at_rest[task.name]
         interference.saw(task.spec.image, busy, at_rest, box.fill_seen)
 
@@ -120,14 +122,16 @@
         if task is not None:
             image = task.spec.image
             newest[image] = newest.get(image, 0.0) + row.figure / box.entry.cpu
+    before = sum(box.fill_seen.values())
     keep = math.exp(-seen_s / FIGURE_LAG_S)
     for image in {*newest, *box.fill_seen}:
-        before = box.fill_seen.get(image, 0.0)
-        share = before * keep + newest.get(image, 0.0) * (1.0 - keep)
+        share = box.fill_seen.get(image, 0.0) * keep
+        share += newest.get(image, 0.0) * (1.0 - keep)
         box.fill_seen[image] = share
     box.fill_seen = {
         image: share for image, share in box.fill_seen.items() if share > LEAST_SHARE
     }
+    box.fill_grew = sum(box.fill_seen.values()) >= before
 
 
 def pace_changes(
