--- a/features/native_whole_path.feature
+++ b/features/native_whole_path.feature
@@ -49,3 +49,4 @@
     Then it is refused with a time to come back
     And the logs tell the cause of the refusal from the request's path
     And the figures count the refusal and the lost store
+    And explain makes one timeline of all machines' logs, with the lost store in it
--- a/features/steps/native_steps.py
+++ b/features/steps/native_steps.py
@@ -4,6 +4,8 @@
 import json
 import os
 import signal
+import subprocess
+import sys
 import time
 
 from behave import given
@@ -220,3 +222,17 @@
     text = cluster.call("GET", address, "/metrics")[1].decode()
     assert 'granitetrestle_answers_total{kind="POST",status="503"}' in text, text
     assert 'granitetrestle_events_total{event="store_lost"}' in text, text
+
+
+@then("explain makes one timeline of all machines' logs, with the lost store in it")
+def explained(context):
+    cluster = context.cluster
+    logs = ",".join(str(context.folder / f"{name}.log") for name in cluster.nodes())
+    command = ["-m", "granitetrestle.cli", "explain", JOB, "--logs", logs, "--json"]
+    out = subprocess.run([sys.executable, *command], capture_output=True, check=True)
+    moments = json.loads(out.stdout)
+    events = [moment["event"] for moment in moments]
+    assert "store_lost" in events and "request_failed" in events, events
+    assert events.index("store_lost") < events.index("request_failed"), events
+    missing = [*command[:3], "ffffffffffffffff", *command[4:]]
+    assert subprocess.run([sys.executable, *missing], check=False).returncode == 4
--- a/src/granitetrestle/cli.py
+++ b/src/granitetrestle/cli.py
@@ -15,6 +15,8 @@
 from .errors import InvalidInput
 from .errors import NotFound
 from .errors import UnreachableError
+from .timeline import read_lines
+from .timeline import timeline
 
 __all__ = ["main"]
 
@@ -245,11 +247,29 @@
     return Result(answer, header, rows)
 
 
+def _explain_flags(values: flags.FlagValues) -> None:
+    flags.DEFINE_list(
+        "logs", [], "log files of all machines: explain from them", flag_values=values
+    )
+
+
 def _explain(client: Client, args: list[str], options: t.Any) -> Result:
+    if options.logs:
+        return _explain_from_logs(args[0], options.logs)
     answer = client.call("GET", f"/v1/jobs/{args[0]}/explain")
     return Result(answer, ["TASK", "WHY"], [[k, v] for k, v in answer.items()])
 
 
+def _explain_from_logs(job: str, paths: list[str]) -> Result:
+    moments = timeline(job, read_lines(paths))
+    rows = [
+        [m.at, m.node, m.about, m.event, msgspec.json.encode(m.inputs).decode()]
+        for m in moments
+    ]
+    answer = [moment._asdict() for moment in moments]
+    return Result(answer, ["AT", "NODE", "ABOUT", "EVENT", "INPUTS"], rows)
+
+
 COMMANDS: t.Final = (
     Command(("table", "show"), (), "show the table", _no_flags, _table_show),
     Command(
@@ -274,7 +294,9 @@
     Command(("box", "list"), (), "list boxes", _box_flags, _box_list),
     Command(("box", "drain"), ("BOX",), "empty a box", _drain_flags, _box_drain),
     Command(("status",), (), "halls, owners, offsets", _no_flags, _status),
-    Command(("explain",), ("JOB",), "why a job is where it is", _no_flags, _explain),
+    Command(
+        ("explain",), ("JOB",), "why a job is where it is", _explain_flags, _explain
+    ),
 )
 
 
--- a/src/granitetrestle/nodelog.py
+++ b/src/granitetrestle/nodelog.py
@@ -72,10 +72,17 @@
 class NodeLog:
     """The log of one process.
 
+    :param count: told the kind of each line, also of those that are dropped.
     :param bound: fields that stand in every line.
     """
 
-    def __init__(self, descriptor: int = 1, **bound: t.Any) -> None:
+    def __init__(
+        self,
+        descriptor: int = 1,
+        count: t.Callable[[str], None] | None = None,
+        **bound: t.Any,
+    ) -> None:
+        self._count = count
         self._sink = _NonBlocking(descriptor)
         self._budgets: dict[str, _Budget] = {}
         processors: list[t.Any] = [
@@ -95,6 +102,8 @@
 
     def event(self, event: str, /, **fields: t.Any) -> None:
         """Write a line, if its kind has budget left."""
+        if self._count is not None:
+            self._count(event)
         now = time.monotonic()
         budget = self._budgets.get(event)
         if budget is None:
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -65,7 +65,9 @@
     return front.decode_config(record.value)
 
 
-def _node(settings: PlatformSettings, caller: Caller, log: NodeLog) -> Node:
+def _node(
+    settings: PlatformSettings, caller: Caller, log: NodeLog, metrics: NodeMetrics
+) -> Node:
     address = f"{settings.ip}:{settings.ports[0]}"
     incarnation = f"{settings.node}-{uuid.uuid4().hex[:8]}"
     terms = NodeTerms(
@@ -81,7 +83,7 @@
     )
     peers = PeerLink(settings.node, incarnation, PEER_TOKEN, address)
     sources = _sources(settings, caller)
-    return Node(terms, sources, FrontResponder(), peers, log, NodeMetrics())
+    return Node(terms, sources, FrontResponder(), peers, log, metrics)
 
 
 def _listen(address: Address) -> socket.socket:
@@ -93,9 +95,9 @@
     return listener
 
 
-async def _main(settings: PlatformSettings, log: NodeLog) -> None:
+async def _main(settings: PlatformSettings, log: NodeLog, metrics: NodeMetrics) -> None:
     caller = Caller()
-    node = _node(settings, caller, log)
+    node = _node(settings, caller, log, metrics)
     stopping = False
     ready = settings.ready.port if settings.ready is not None else 0
     ports = Ports(ready=ready, metrics=METRICS_PORT)
@@ -158,5 +160,6 @@
     :raises SettingsError: if the settings file is malformed.
     """
     settings = load_boot_file(boot_file)
-    log = NodeLog(node=settings.node)
-    anyio.run(_main, settings, log, backend="asyncio")
+    metrics = NodeMetrics()
+    log = NodeLog(count=metrics.count, node=settings.node)
+    anyio.run(_main, settings, log, metrics, backend="asyncio")
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -217,7 +217,6 @@
                 reason=reason,
                 waiting_s=round(waiting_s, 3),
             )
-            self._metrics.count("store_lost")
 
     def _store_answers(self) -> None:
         if self._store_lost_at is not None:
@@ -246,7 +245,6 @@
                 self._log.event(
                     decision.event, subject=decision.subject, **decision.inputs
                 )
-                self._metrics.count(decision.event)
             elif isinstance(decision, WatchBox):
                 self._watch(decision)
             elif isinstance(decision, LeaveBox):
--- /dev/null
+++ b/src/granitetrestle/timeline.py
@@ -0,0 +1,135 @@
+"""What many machines wrote about one job, as one timeline: the lines that carry its
+id, and beside them who decided, whether the store answered, and what became of the
+boxes that the job's lines name. For whoever looks into a complaint afterwards."""
+
+import pathlib
+import re
+import typing as t
+
+import msgspec
+
+from .errors import InvalidInput
+from .errors import NotFound
+
+__all__ = ["Moment", "read_lines", "timeline"]
+
+# Changed beliefs that may be the cause of what befell a job at that time.
+AROUND: t.Final = frozenset(
+    {
+        "leader_lost",
+        "taking_over",
+        "took_over",
+        "take_over_failed",
+        "stepped_down",
+        "handed_over",
+        "store_lost",
+        "store_back",
+        "stood_still",
+        "started",
+        "stopping",
+        "config_in_force",
+    }
+)
+BOX_EVENTS: t.Final = frozenset(
+    {
+        "box_silent",
+        "box_answers",
+        "box_draining",
+        "box_over",
+        "box_put_aside",
+        "leases_lapsed",
+    }
+)
+# Beliefs that changed shortly before a job's first line may still be its cause.
+BEFORE_S: t.Final = 3.0
+# The fields that stand in every line.
+COMMON: t.Final = ("event", "node", "timestamp")
+TIMESTAMP: t.Final = re.compile(r"T(\d\d):(\d\d):(\d\d(?:\.\d+)?)Z$")
+
+
+class Moment(t.NamedTuple):
+    """One line of the timeline.
+
+    :param about: ``job`` if the line names the job, else ``around``.
+    """
+
+    at: str
+    node: str
+    about: t.Literal["job", "around"]
+    event: str
+    inputs: dict[str, t.Any]
+
+
+def read_lines(paths: t.Iterable[str]) -> list[dict[str, t.Any]]:
+    """Return the JSON lines of log files; what comes before a line's brace, such as
+    a collector's prefix, is left out, and lines without one are passed over.
+
+    :raises InvalidInput: if a file can't be read.
+    """
+    lines: list[dict[str, t.Any]] = []
+    for path in paths:
+        try:
+            text = pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            raise InvalidInput(f"{path}: {error.strerror}") from error
+        for line in text.splitlines():
+            start = line.find("{")
+            if start < 0:
+                continue
+            try:
+                fields = msgspec.json.decode(line[start:])
+            except msgspec.DecodeError:
+                continue
+            if isinstance(fields, dict) and all(
+                isinstance(fields.get(k), str) for k in COMMON
+            ):
+                lines.append(fields)
+    return lines
+
+
+def timeline(job: str, lines: t.Iterable[t.Mapping[str, t.Any]]) -> list[Moment]:
+    """Return what befell ``job``, in the order of the clocks of the machines.
+
+    :raises NotFound: if no line names it.
+    """
+    ordered = sorted(lines, key=lambda line: str(line["timestamp"]))
+    own = [line for line in ordered if _names(job, line)]
+    if not own:
+        raise NotFound(f"no line names {job}", "give the logs of all machines")
+    boxes = {
+        str(line[key]) for line in own for key in ("box", "from", "to") if key in line
+    }
+    first = _seconds(str(own[0]["timestamp"])) - BEFORE_S
+    last = _seconds(str(own[-1]["timestamp"]))
+    found = []
+    for line in ordered:
+        if _names(job, line):
+            found.append(_moment(line, "job"))
+        elif first <= _seconds(str(line["timestamp"])) <= last and _around(line, boxes):
+            found.append(_moment(line, "around"))
+    return found
+
+
+def _names(job: str, line: t.Mapping[str, t.Any]) -> bool:
+    values = (line.get(key) for key in ("subject", "path", "task", "last"))
+    return any(isinstance(value, str) and job in value for value in values)
+
+
+def _around(line: t.Mapping[str, t.Any], boxes: t.AbstractSet[str]) -> bool:
+    event = line["event"]
+    return event in AROUND or (event in BOX_EVENTS and line.get("subject") in boxes)
+
+
+def _moment(line: t.Mapping[str, t.Any], about: t.Literal["job", "around"]) -> Moment:
+    inputs = {key: value for key, value in line.items() if key not in COMMON}
+    at, node, event = (str(line[key]) for key in ("timestamp", "node", "event"))
+    return Moment(at, node, about, event, inputs)
+
+
+def _seconds(timestamp: str) -> float:
+    """Return the seconds since midnight; logs of one complaint are of one day."""
+    match = TIMESTAMP.search(timestamp)
+    if match is None:
+        return 0.0
+    hours, minutes, seconds = match.groups()
+    return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
