--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -29,3 +29,13 @@
     Given a shard of 1 boxes among models
     When a job is cancelled while its box is cut off for a second
     Then nothing of it runs two seconds later, and it is cancelled
+
+  Scenario: A step under advice runs only where it may, with its ticket
+    Given a shard of 3 boxes among models
+    When a job of a queue under advice is handed in, and one box is named as good
+    Then both of its tasks were started there, each with the ticket
+
+  Scenario: A gang is placed whole or not at all, under one run number
+    Given a shard of 1 boxes among models
+    When a gang of five that needs more room than there is is handed in, then a box comes
+    Then all five started together, with one run number
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -4,7 +4,15 @@
 from behave import then
 from behave import when
 
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import AskAdvice
+from granitetrestle.decisions import StartTask
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.outside import Advice
+from granitetrestle.outside import Look
 from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+from granitetrestle_standins.shardworld import CONFIG
 from granitetrestle_standins.shardworld import ShardWorld
 from native_machines import run_shard_machine
 
@@ -130,3 +138,46 @@
     context.world.advance(2.0)
     assert not any(box.running for box in context.world.boxes.values())
     assert state(context, context.job) == "cancelled"
+
+
+@when("a job of a queue under advice is handed in, and one box is named as good")
+def under_advice(context):
+    world = context.world
+    decider = context.decider = Decider(world.terms, 0.0)
+    queue = CONFIG.queues[0]._replace(advised=True)
+    decider.configured(CONFIG._replace(queues=(queue,)))
+    decider.fleet.listed(world.entries, 0.0)
+    for life in world.entries:
+        decider.fleet.looked(life, 0.0, 0.1, Look(100, (), ()))
+    decider.called("r", SubmitJob(Submission("1", "q", "pool", "", ONE)), 0.2)
+    (asked,) = decider.decide(0.3, 0)
+    assert isinstance(asked, AskAdvice) and len(asked.lives) == 3, asked
+    assert decider.decide(0.4, 0) == []
+    context.life = asked.lives[1]
+    decider.advised(asked, Advice({context.life: "good-ticket"}, 3.0), 0.5)
+    context.effects = decider.decide(0.6, 0)
+
+
+@then("both of its tasks were started there, each with the ticket")
+def with_ticket(context):
+    starts = context.effects
+    assert len(starts) == 2 and all(isinstance(s, StartTask) for s in starts), starts
+    assert {(s.life, s.ticket) for s in starts} == {(context.life, "good-ticket")}
+
+
+@when(
+    "a gang of five that needs more room than there is is handed in, then a box comes"
+)
+def gang_waits(context):
+    world = context.world
+    context.job = world.submit((Step(count=5, cpu=1000, memory_mb=10, gang=True),))
+    world.advance(1.0)
+    assert runs(context) == [], runs(context)
+    world.add_box()
+    world.advance(0.4)
+
+
+@then("all five started together, with one run number")
+def gang_started(context):
+    began = runs(context)
+    assert len(began) == 5 and {run for _, run, _ in began} == {1}, began
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -7,6 +7,7 @@
 
 from .boxes import BoxView
 from .decisions import AnswerCall
+from .decisions import AskAdvice
 from .decisions import Decision
 from .decisions import Noted
 from .decisions import PaceTask
@@ -24,6 +25,8 @@
 from .jobcalls import NoSuchJob
 from .jobcalls import SubmitJob
 from .jobcalls import WaitingCount
+from .outside import Advice
+from .outside import AdviceUnavailable
 from .outside import BoxReplaced
 from .outside import Config
 from .outside import OrderAccepted
@@ -55,6 +58,11 @@
 # How often ended jobs are looked through for those nobody may ask about any more.
 PACE_UNKNOWN: t.Final = -1
 ENDED_SWEEP_S: t.Final = 2.0
+# Asking takes a time for each box named, and calls wait for each other: the roomiest
+# boxes are named, and a step without an answer waits this long to ask again.
+ADVICE_BOXES: t.Final = 24
+ADVICE_AGAIN_S: t.Final = 1.5
+ADVICE_USED: t.Final = 0.8
 # Figures that decide where what fills may go come twice a second from each box.
 FILL_EVERY_S: t.Final = 0.08
 # One task at a time is moved, so that the next choice sees where it went.
@@ -227,6 +235,11 @@
         self, entry: WaitingStep, boxes: list[BoxView], now: float
     ) -> list[Decision]:
         step = entry.workflow.submission.steps[entry.step]
+        queue = self._state.queues.get(entry.workflow.submission.queue)
+        if queue is not None and queue.advised:
+            if now > entry.advice_until:
+                return self._ask_advice(entry, boxes, now)
+            boxes = [box for box in boxes if box.life in entry.tickets]
         if step.gang:
             return self._place_gang(entry, step, boxes, now)
         effects: list[Decision] = []
@@ -240,9 +253,36 @@
                     self._no_box.add(kind)
                 break
             del entry.tasks[task.name]
+            task.ticket = entry.tickets.get(box.life, "")
             effects.append(self._start(task, box, now))
         return effects
 
+    def _ask_advice(
+        self, entry: WaitingStep, boxes: list[BoxView], now: float
+    ) -> list[Decision]:
+        if now - entry.asked_at < ADVICE_AGAIN_S:
+            return []
+        entry.asked_at = now
+        roomy = sorted(boxes, key=lambda box: (-box.cpu_free, box.life))
+        lives = tuple(box.life for box in roomy[:ADVICE_BOXES])
+        job = entry.workflow.submission.job
+        return [AskAdvice(job, entry.occurrence, entry.step, lives)]
+
+    def advised(
+        self, asked: AskAdvice, advice: Advice | AdviceUnavailable, now: float
+    ) -> list[Decision]:
+        """Apply what came of asking which boxes may run a step."""
+        name = f"{asked.job}.{asked.occurrence}.{asked.step}"
+        if isinstance(advice, AdviceUnavailable):
+            return [Noted("advice_failed", name, {"reason": advice.reason})]
+        entry = self._state.waiting.get((asked.job, asked.occurrence, asked.step))
+        if entry is not None:
+            entry.tickets = advice.tickets
+            # A start takes a while to arrive.
+            entry.advice_until = now + advice.valid_s * ADVICE_USED
+        inputs = {"asked": len(asked.lives), "good": len(advice.tickets)}
+        return [Noted("advised", name, inputs)]
+
     def _place_gang(
         self, entry: WaitingStep, step: Step, boxes: list[BoxView], now: float
     ) -> list[Decision]:
@@ -266,6 +306,8 @@
         entry.tasks.clear()
         for task, _ in chosen:
             task.run, task.checkpoint = run, checkpoint
+        for task, box in chosen:
+            task.ticket = entry.tickets.get(box.life, "")
         return [self._start(task, box, now) for task, box in chosen]
 
     def _box_for(
--- a/src/granitetrestle/decisions.py
+++ b/src/granitetrestle/decisions.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "AnswerCall",
+    "AskAdvice",
     "Decision",
     "EndsKnown",
     "LeaveBox",
@@ -61,6 +62,15 @@
     percent: int
 
 
+class AskAdvice(t.NamedTuple):
+    """Ask which boxes may run a step of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+    lives: tuple[str, ...]
+
+
 class WatchBox(t.NamedTuple):
     """Begin to look at a box."""
 
@@ -98,6 +108,7 @@
     | StopTask
     | EndsKnown
     | PaceTask
+    | AskAdvice
     | WatchBox
     | LeaveBox
     | StepDown
--- a/src/granitetrestle/outside.py
+++ b/src/granitetrestle/outside.py
@@ -7,6 +7,9 @@
 import typing as t
 
 __all__ = [
+    "Advice",
+    "AdviceUnavailable",
+    "Advisor",
     "Appended",
     "BoxCalls",
     "BoxEntry",
@@ -257,6 +260,33 @@
 LookOutcome: t.TypeAlias = Look | OrderRejected | BoxReplaced | BoxNoAnswer
 
 
+class Advice(t.NamedTuple):
+    """Which boxes may run a step.
+
+    :param tickets: life of a box -> what a start there must bring.
+    :param valid_s: how long they hold, in seconds.
+    """
+
+    tickets: dict[str, str]
+    valid_s: float
+
+
+class AdviceUnavailable(t.NamedTuple):
+    """No advice came; it may be asked for again."""
+
+    reason: str
+
+
+class Advisor(abc.ABC):
+    """Knows which boxes may run the steps of some queues."""
+
+    @abc.abstractmethod
+    async def advise(
+        self, step: str, lives: t.Sequence[str]
+    ) -> Advice | AdviceUnavailable:
+        """Return which of ``lives`` may run ``step``."""
+
+
 class BoxCalls(abc.ABC):
     """Calls to boxes; each carries the caller's fencing token."""
 
--- /dev/null
+++ b/src/granitetrestle/platform/advice.py
@@ -0,0 +1,55 @@
+"""Asks the platform's advice service which boxes may run a step."""
+
+import typing as t
+
+import msgspec
+
+from ..calls import Caller
+from ..calls import CallFailure
+from ..outside import Advice
+from ..outside import AdviceUnavailable
+from ..outside import Advisor
+
+__all__ = ["PlatformAdvisor"]
+
+# It answers after a time for each box named, and one call of ours after the other.
+TIMEOUT_S: t.Final = 5.0
+OK: t.Final = 200
+
+
+class _Answer(msgspec.Struct):
+    """``good`` has rows of a box's life and its ticket."""
+
+    good: list[list[str]] = []
+    valid_ms: float = 0.0
+
+
+_answers = msgspec.json.Decoder(_Answer)
+
+
+class PlatformAdvisor(Advisor):
+    """The advice service over HTTP."""
+
+    def __init__(self, address: str, caller: Caller) -> None:
+        self._address = address
+        self._caller = caller
+
+    async def advise(
+        self, step: str, lives: t.Sequence[str]
+    ) -> Advice | AdviceUnavailable:
+        """See :meth:`.outside.Advisor.advise`."""
+        body = msgspec.json.encode({"step": step, "workers": list(lives)})
+        headers = ((b"content-type", b"application/json"),)
+        reply = await self._caller.call(
+            self._address, "/api/advise", headers, body, TIMEOUT_S
+        )
+        if isinstance(reply, CallFailure):
+            return AdviceUnavailable(reply.proof.detail)
+        if reply.status != OK:
+            return AdviceUnavailable(str(reply.status))
+        try:
+            answer = _answers.decode(reply.body)
+        except msgspec.DecodeError as error:
+            return AdviceUnavailable(f"malformed answer: {error}")
+        tickets = {row[0]: row[1] for row in answer.good if len(row) > 1}
+        return Advice(tickets, answer.valid_ms / 1000.0)
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -23,6 +23,7 @@
 from ..settings import Address
 from ..shardstate import DeciderTerms
 from . import front
+from .advice import PlatformAdvisor
 from .boxes import PlatformBoxes
 from .boxes import decode_entry
 from .server import FrontResponder
@@ -49,6 +50,9 @@
 
 
 def _sources(settings: PlatformSettings, caller: Caller) -> Sources:
+    advisor = None
+    if settings.advice is not None:
+        advisor = PlatformAdvisor(str(settings.advice), caller)
     return Sources(
         store=PlatformStore(str(settings.store), caller),
         boxes=PlatformBoxes(caller),
@@ -56,6 +60,7 @@
         box_topic=LIFE_TOPIC,
         decode_config=_decode_config,
         decode_box=decode_entry,
+        advisor=advisor,
     )
 
 
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -12,6 +12,7 @@
 from .decider import Decider
 from .decisions import GATED
 from .decisions import AnswerCall
+from .decisions import AskAdvice
 from .decisions import Decision
 from .decisions import EndsKnown
 from .decisions import LeaveBox
@@ -27,6 +28,9 @@
 from .journal import Journal
 from .nodelog import NodeLog
 from .nodemetrics import NodeMetrics
+from .outside import Advice
+from .outside import AdviceUnavailable
+from .outside import Advisor
 from .outside import BoxCalls
 from .outside import BoxEntry
 from .outside import Config
@@ -71,6 +75,7 @@
     box_topic: str
     decode_config: t.Callable[[Record], Config | None]
     decode_box: t.Callable[[Record], BoxEntry | None]
+    advisor: Advisor | None = None
 
 
 async def take_over(store: Store, epoch: int) -> bool | StoreUnavailable:
@@ -253,13 +258,14 @@
                     keeper.leave()
             elif isinstance(decision, PaceTask):
                 self._order(decision)
+            elif isinstance(decision, AskAdvice):
+                self._start(self._advise, decision)
             elif isinstance(decision, StepDown):
                 self._step_down(decision.where)
         if self._decider.has_writes or self._decider.state.waiting:
             self._journal.nudge()
 
     def _watch(self, decision: WatchBox) -> None:
-        assert self._tasks is not None
         keeper = BoxKeeper(
             decision.life,
             decision.address,
@@ -271,7 +277,20 @@
             self._metrics,
         )
         self._keepers[decision.life] = keeper
-        self._tasks.start_soon(keeper.run)
+        self._start(keeper.run)
+
+    def _start(
+        self, function: t.Callable[..., t.Coroutine[t.Any, t.Any, None]], *args: t.Any
+    ) -> None:
+        assert self._tasks is not None
+        self._tasks.start_soon(function, *args)
+
+    async def _advise(self, asked: AskAdvice) -> None:
+        advice: Advice | AdviceUnavailable = AdviceUnavailable("no service is known")
+        if self._sources.advisor is not None:
+            step = f"{asked.job}.{asked.occurrence}.{asked.step}"
+            advice = await self._sources.advisor.advise(step, asked.lives)
+        self._apply(self._decider.advised(asked, advice, time.monotonic()))
 
     def _may_renew(self) -> bool:
         age = time.monotonic() - self._journal.status.confirmed_at
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -47,9 +47,22 @@
 
 
 class WaitingStep:
-    """Tasks of one step that wait for a box."""
+    """Tasks of one step that wait for a box.
 
-    __slots__ = ("latest_start", "occurrence", "priority", "step", "tasks", "workflow")
+    :ivar tickets: for a queue under advice, the boxes that may run the step.
+    """
+
+    __slots__ = (
+        "advice_until",
+        "asked_at",
+        "latest_start",
+        "occurrence",
+        "priority",
+        "step",
+        "tasks",
+        "tickets",
+        "workflow",
+    )
 
     def __init__(
         self,
@@ -65,6 +78,9 @@
         self.priority = priority
         self.latest_start = latest_start
         self.tasks: dict[str, Task] = {}
+        self.tickets: dict[str, str] = {}
+        self.advice_until = 0.0
+        self.asked_at = -1e9
 
 
 class ShardState:
