--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -409,7 +409,12 @@
 
 def _urgency(entry: WaitingStep, now: float) -> tuple[int, bool, float]:
     # What is late already earns little: it gives way within its class.
-    return (entry.priority, entry.latest_start < now, entry.latest_start)
+    late = entry.latest_start < now
+    if entry.workflow.submission.steps[entry.step].fills:
+        # What fills is short of room for long: the smaller jobs go first, of which
+        # more are completed in time.
+        return (entry.priority, late, float(entry.workflow.work))
+    return (entry.priority, late, entry.latest_start)
 
 
 def _allowed(task: Task, step: Step, box: BoxView) -> bool:
--- a/src/granitetrestle/interference.py
+++ b/src/granitetrestle/interference.py
@@ -27,10 +27,9 @@
 STRONGEST: t.Final = 10.0
 # From this strength on a pair is slowed down when need be.
 SUSPECT: t.Final = 1.2
-# Step of the fit, and the share of a box below which little is learnt.
+# Step of the fit, and the share of a box below which little is learnt. Giving strengths
+# up more slowly than taking them was tried: docs/MEASUREMENTS.md.
 RATE: t.Final = 0.25
-# What disturbs does not do so all the time: strengths are given up slowly.
-RATE_DOWN: t.Final = 0.08
 FLOOR: t.Final = 0.003
 # A task this busy may be busier than can be told from its tail.
 SATURATED: t.Final = 0.9
@@ -104,9 +103,8 @@
             return
         # Where there is little load, a small error of it makes a large one here.
         error *= min(1.0, 2.0 * at_rest)
-        rate = RATE if error > 0.0 else RATE_DOWN
         norm = FLOOR + sum(share * share for share in beside.values())
         for filler, share in beside.items():
             before = self.strength(serving, filler)
-            after = before + rate * error * share / norm
+            after = before + RATE * error * share / norm
             self._pairs[(serving, filler)] = max(0.0, min(STRONGEST, after))
--- a/src/granitetrestle/overload.py
+++ b/src/granitetrestle/overload.py
@@ -13,9 +13,9 @@
 
 __all__ = ["BoxLoad", "bearable_pace", "bearable_stretch", "box_load"]
 
-# Share of busy time to aim at; at 0.83 the tail is at its target. Strengths lean high,
-# so that this leaves slack: 0.79 and 0.84 were tried (docs/MEASUREMENTS.md).
-AIM_BUSY: t.Final = 0.83
+# Share of busy time to aim at; at 0.83 the tail is at its target. 0.78 to 0.84 were
+# tried: docs/MEASUREMENTS.md.
+AIM_BUSY: t.Final = 0.8
 # A tail over the target stops what may cause it for so long.
 BACKLOG_S: t.Final = 0.6
 # How much a load may rise while a task runs, and the least that it soon has.
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -152,11 +152,11 @@
     return changes
 
 
-def _urgency(task: Task, now: float) -> tuple[bool, float, str]:
+def _urgency(task: Task, now: float) -> tuple[bool, int, str]:
     """Order tasks for what a box bears: the most urgent runs at full pace rather than
     all of them slowly, and what is late already gives way."""
-    due_at = task.workflow.due_at
-    return (due_at < now, due_at, task.name)
+    workflow = task.workflow
+    return (workflow.due_at < now, workflow.work, task.name)
 
 
 def _take(
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -173,6 +173,7 @@
 class Workflow:
     """A job, its tasks and its state.
 
+    :ivar work: what all its tasks are estimated to take, in millionths of a core-second.
     :ivar due_at: until when it should be completed, in seconds on the steady clock.
     """
 
@@ -180,6 +181,9 @@
         self.submission = submission
         self.accepted_at = accepted_at
         self.due_at = accepted_at
+        self.work = sum(
+            step.count * step.cpu * step.estimate_ms for step in submission.steps
+        )
         self.ended: WorkflowState | None = None
         self.ended_at = 0.0
         self.begun = False
