Orders to one box go out four at a time

Ruled out by reading: a job's state after a take-over (stops are sent again by looks), runs that are not ours (stopped at each look). The scenario (thirty stops at once) failed before: thirty connections.

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -68,3 +68,8 @@
   Scenario: The log is bounded and never blocks
     Given a log whose reader does not read
     Then ten thousand events are written in no time, and the drops are counted
+
+  Scenario: A wave of orders to one box goes out a few at a time
+    Given a box that counts the orders it is given at once
+    When thirty stops are ordered together
+    Then all thirty arrived, and never more than 4 at once
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -14,6 +14,9 @@
 from hypothesis import settings
 
 from granitetrestle.boxes import BoxView
+from granitetrestle.boxlife import BoxKeeper
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import StopTask
 from granitetrestle.errors import InvalidInput
 from granitetrestle.errors import SettingsError
 from granitetrestle.forwarding import ClientCall
@@ -29,8 +32,11 @@
 from granitetrestle.messages import CallAnswered
 from granitetrestle.messages import NodeStatus
 from granitetrestle.nodelog import NodeLog
+from granitetrestle.nodemetrics import NodeMetrics
+from granitetrestle.outside import BoxCalls
 from granitetrestle.outside import BoxEntry
 from granitetrestle.outside import Config
+from granitetrestle.outside import OrderAccepted
 from granitetrestle.outside import Queue
 from granitetrestle.outside import Record
 from granitetrestle.outside import RunningTask
@@ -47,6 +53,7 @@
 from granitetrestle.platform.settings import load_boot_file
 from granitetrestle.platform.store import decode_records
 from granitetrestle.platform.store import encode_record
+from granitetrestle.shardstate import DeciderTerms
 from granitetrestle.workflows import RUNNING
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
@@ -484,3 +491,55 @@
     assert context.log.dropped > 0
     for descriptor in context.pipe:
         os.close(descriptor)
+
+
+class CountingBox(BoxCalls):
+    """Notes how many orders are under way at once."""
+
+    def __init__(self):
+        self.now, self.most, self.stopped = 0, 0, []
+
+    async def look(self, *arguments):
+        raise NotImplementedError
+
+    start = pace = look
+
+    async def stop(self, order, token):
+        self.now += 1
+        self.most = max(self.most, self.now)
+        await anyio.sleep(0.01)
+        self.now -= 1
+        self.stopped.append(order.task)
+        return OrderAccepted(1)
+
+
+@given("a box that counts the orders it is given at once")
+def counting_box(context):
+    context.calls = CountingBox()
+
+
+@when("thirty stops are ordered together")
+def thirty_stops(context):
+    async def wave():
+        decider = Decider(DeciderTerms(), 0.0)
+        keeper = BoxKeeper(
+            "b1",
+            "a",
+            1,
+            context.calls,
+            decider,
+            lambda decisions: None,
+            lambda: True,
+            NodeMetrics(),
+        )
+        async with anyio.create_task_group() as tasks:
+            for number in range(30):
+                tasks.start_soon(keeper.carry_out, StopTask("b1", f"1.0.0.{number}", 1))
+
+    anyio.run(wave)
+
+
+@then("all thirty arrived, and never more than {most:d} at once")
+def few_at_once(context, most):
+    assert len(set(context.calls.stopped)) == 30
+    assert context.calls.most <= most, context.calls.most
--- a/src/granitetrestle/boxlife.py
+++ b/src/granitetrestle/boxlife.py
@@ -28,6 +28,9 @@
 PAUSES_S: t.Final = (0.1, 0.2, 0.4, 0.8)
 # An order that was not answered is given again, then counts as in doubt.
 ORDER_TRIES: t.Final = 3
+# Orders that go to one box at a time. Each has a connection of its own; a box takes 64
+# from everybody and drops what comes too fast, to be tried again only after a second.
+ORDERS_AT_ONCE: t.Final = 4
 
 
 class BoxKeeper:
@@ -58,6 +61,7 @@
         self._metrics = metrics
         self._durable = anyio.Event()
         self._left = anyio.CancelScope()
+        self._orders = anyio.Semaphore(ORDERS_AT_ONCE)
 
     def leave(self) -> None:
         """Look no more."""
@@ -158,7 +162,10 @@
         )
 
     async def _pace(self, order: PaceTask) -> None:
-        outcome = await self._boxes.pace(self._order(order), self._epoch, order.percent)
+        async with self._orders:
+            outcome = await self._boxes.pace(
+                self._order(order), self._epoch, order.percent
+            )
         if isinstance(outcome, BoxNoAnswer):
             self._decider.pace_unanswered(order)
 
@@ -171,7 +178,8 @@
         doubted = False
         outcome: OrderOutcome = BoxNoAnswer("not sent")
         for _ in range(ORDER_TRIES):
-            outcome = await send()
+            async with self._orders:
+                outcome = await send()
             if not isinstance(outcome, BoxNoAnswer):
                 break
             doubted = True
