--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -55,13 +55,15 @@
 # new for so long: one look's time, by which its own account is known.
 PAUSE_AFTER_REFUSAL_S: t.Final = 0.5
 PAUSE_UNHEALTHY_S: t.Final = 1.5
-# How often ended jobs are looked through for those nobody may ask about any more.
+# Pace of a task whose last order of pace was not answered: any other differs from it.
 PACE_UNKNOWN: t.Final = -1
+# How often ended jobs are looked through for those nobody may ask about any more.
 ENDED_SWEEP_S: t.Final = 2.0
 # Asking takes a time for each box named, and calls wait for each other: the roomiest
 # boxes are named, and a step without an answer waits this long to ask again.
 ADVICE_BOXES: t.Final = 24
 ADVICE_AGAIN_S: t.Final = 1.5
+# Share of an advice's validity in which starts are made; the rest is for their way.
 ADVICE_USED: t.Final = 0.8
 # Figures that decide where what fills may go come twice a second from each box.
 FILL_EVERY_S: t.Final = 0.08
