A failed run that is listed again counts once

Cause, from the report: run 1 of a task failed at 18.7 s while the store was 92 times slower and the decider was rolled; its successor read one failure from the store, and the box, not told yet that the end was known, listed it again: two, which is that queue's limit. Failures are now kept by run, in memory and in the store. The scenario failed before (two counted).

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -55,3 +55,8 @@
     When a long task runs and its box is cut off for two seconds, within its lease
     Then no task ever ran on two boxes, and the job completes
     And the long task ran once
+
+  Scenario: A failed run that is listed again to a successor counts once
+    Given a shard of 1 boxes among models
+    When a run fails, its end is written, and the decider is killed before it confirms it
+    Then the successor counts one failure, and the job completes
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -234,3 +234,33 @@
 def long_once(context):
     long_runs = [how for task, _, how in runs(context) if task.endswith(".2")]
     assert long_runs == ["done"], runs(context)
+
+
+@when(
+    "a run fails, its end is written, and the decider is killed before it confirms it"
+)
+def failed_unconfirmed(context):
+    world = context.world
+    world.fail_share = 1.1
+    context.job = world.submit((Step(count=1, cpu=100, memory_mb=10),))
+    context.task = f"{context.job}.0.0.0"
+    for _ in range(40):
+        world.advance(0.05)
+        if world.leader.decider.state.find_task(context.task).failures:
+            break
+    # One more step writes the end; the look that would confirm it comes after that.
+    world.advance(0.05)
+    (box,) = world.boxes.values()
+    assert [row.how for row in box.unconfirmed()] == ["failed"], box.unconfirmed()
+    world.fail_share = 0.0
+    world.kill()
+    world.take_over()
+    world.advance(0.3)
+
+
+@then("the successor counts one failure, and the job completes")
+def counted_once(context):
+    world = context.world
+    assert world.leader.decider.state.find_task(context.task).failures == 1
+    world.settle(10.0)
+    assert state(context, context.job) == "completed"
--- a/src/granitetrestle/progress.py
+++ b/src/granitetrestle/progress.py
@@ -44,7 +44,9 @@
             return effects + self._done(task, row, now)
         current = row.run == task.run and task.placed and task.box == life
         if row.how == "failed" and not task.spec.lasting:
-            task.failures += 1
+            # A successor is told again of ends that its predecessor wrote down, but
+            # had not confirmed to the box yet.
+            task.failed_runs.add(row.run)
         if row.saved:
             task.checkpoint = row.saved
         if current:
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -100,11 +100,11 @@
 
     :param state: a terminal state, or empty.
     :param tasks: for each task that was ever started: occurrence, step, index,
-        run, state, box, failures, checkpoint.
+        run, state, box, failed runs, checkpoint.
     """
 
     state: str
-    tasks: list[tuple[int, int, int, int, int, str, int, str]]
+    tasks: list[tuple[int, int, int, int, int, str, list[int], str]]
 
 
 class Task:
@@ -118,7 +118,7 @@
         "box",
         "checkpoint",
         "confirmed_at",
-        "failures",
+        "failed_runs",
         "index",
         "name",
         "occurrence",
@@ -147,7 +147,7 @@
         self.run = 0
         self.state = PENDING
         self.box = ""
-        self.failures = 0
+        self.failed_runs: set[int] = set()
         self.checkpoint = ""
         self.started_at = 0.0
         self.confirmed_at = 0.0
@@ -157,6 +157,11 @@
         self.slow_since = 0.0
         self.ticket = ""
 
+    @property
+    def failures(self) -> int:
+        """How many runs have failed; an end that is listed again counts once."""
+        return len(self.failed_runs)
+
     @property
     def placed(self) -> bool:
         """Whether it takes room on a box."""
@@ -262,7 +267,7 @@
                 task.run,
                 task.state,
                 task.box,
-                task.failures,
+                sorted(task.failed_runs),
                 task.checkpoint,
             )
             for task in self.tasks.values()
@@ -272,10 +277,10 @@
 
     def restore(self, row: WorkflowRow, now: float) -> None:
         """Take up the progress that a predecessor wrote."""
-        for occurrence, step, index, run, state, box, failures, saved in row.tasks:
+        for occurrence, step, index, run, state, box, failed, saved in row.tasks:
             task = self.tasks[(occurrence, step, index)]
             task.run = run
-            task.failures = failures
+            task.failed_runs = set(failed)
             task.checkpoint = saved
             self.begun = True
             if state == DONE:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -269,7 +269,7 @@
     ),
     Mutant(
         "native: failed runs are not counted",
-        (("progress.py", "task.failures += 1", "task.failures += 0"),),
+        (("progress.py", "task.failed_runs.add(row.run)", "pass"),),
         "native_decider",
     ),
     Mutant(
