--- /dev/null
+++ b/features/steps/native_steps.py
@@ -0,0 +1,222 @@
+"""Steps of the scenarios over real processes on the platform in small."""
+
+import concurrent.futures
+import json
+import os
+import signal
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from native_cluster import NativeCluster
+
+JOB = "00000000000000a1"
+TWO_STEPS = [
+    {"count": 3, "cpu": 1000, "mem_mb": 100},
+    {"count": 2, "cpu": 1000, "mem_mb": 100, "depends_on": [0]},
+]
+
+
+@given("{nodes:d} nodes on the platform with {boxes:d} boxes")
+def native_cluster(context, nodes, boxes):
+    context.cluster = NativeCluster(context.folder, nodes, boxes)
+    cluster = context.cluster
+    for name in cluster.nodes():
+        cluster.wait(
+            lambda n=name: (
+                cluster.call("GET", cluster.readies[n], "/api/readyz")[0] == 200
+            ),
+            f"{name} ready",
+        )
+    cluster.wait(lambda: cluster.state(JOB) == "gone", "a decider")
+
+
+@when("a job of 3 tasks, then 2 that depend on them, is handed in")
+def hand_in(context):
+    context.cluster.submit(JOB, TWO_STEPS)
+
+
+@then("it is {state} as every node tells")
+def told(context, state):
+    cluster = context.cluster
+    alive = [n for n in cluster.nodes() if cluster.processes[n].poll() is None]
+    for name in alive:
+        cluster.wait(
+            lambda n=name: cluster.state(JOB, n) == state, f"{state} at {name}"
+        )
+
+
+@then("each task ran once, the second step after the first")
+def ran_once(context):
+    rows = context.cluster.history()
+    done = [task for task, _, how in rows if how == "done"]
+    assert sorted(done) == [
+        *(f"{JOB}.0.0.{i}" for i in range(3)),
+        *(f"{JOB}.0.1.{i}" for i in range(2)),
+    ], rows
+    assert all(how == "done" for _, _, how in rows), rows
+
+
+@then("no two runs of a task were done")
+def done_once(context):
+    done = [task for task, _, how in context.cluster.history() if how == "done"]
+    assert len(done) == len(set(done)), done
+
+
+@then("the same id handed in again is the same job")
+def same_job(context):
+    before = context.cluster.history()
+    context.cluster.submit(JOB, TWO_STEPS)
+    time.sleep(0.5)
+    assert context.cluster.history() == before
+    assert context.cluster.state(JOB) == "completed"
+
+
+@when("a job that runs for a minute is handed in and cancelled while it runs")
+def cancel_running(context):
+    cluster = context.cluster
+    cluster.submit(JOB, [{"count": 2, "cpu": 1000, "mem_mb": 100}], spec="60000")
+    cluster.wait(lambda: len(cluster.history()) == 2, "both tasks started")
+    status, _, _ = cluster.call("DELETE", cluster.fronts["n1"], f"/work/{JOB}")
+    assert status == 200, status
+
+
+@then("all its tasks have stopped")
+def all_stopped(context):
+    cluster = context.cluster
+    stopped = ["stopped", "stopped"]
+    cluster.wait(lambda: [how for _, _, how in cluster.history()] == stopped, "stopped")
+    time.sleep(0.5)
+    assert len(cluster.history()) == 2
+
+
+@when("a job runs and the decider is killed")
+def kill_decider(context):
+    cluster = context.cluster
+    cluster.submit(JOB, TWO_STEPS, spec="1500")
+    cluster.wait(lambda: len(cluster.history()) == 3, "first step started")
+    cluster.kill(cluster.leader())
+
+
+@when("every node is killed right after a job was accepted, and started again")
+def kill_all(context):
+    cluster = context.cluster
+    cluster.submit(JOB, TWO_STEPS)
+    for name in cluster.nodes():
+        cluster.kill(name)
+    for name in cluster.nodes():
+        cluster.restart(name)
+
+
+@when("the answers to the next {count:d} appends are lost and a job is handed in")
+def lose_answers(context, count):
+    context.cluster.store(f"/test/lose?n={count}")
+    context.cluster.submit(JOB, TWO_STEPS)
+
+
+@when("the decider gets SIGTERM while jobs are handed in on open connections")
+def stop_decider(context):
+    cluster = context.cluster
+    leader = cluster.leader()
+    step = [{"count": 1, "cpu": 100, "mem_mb": 10}]
+    context.jobs = [f"{number:016x}" for number in range(40)]
+    context.answers = []
+
+    def hand_in_some(jobs):
+        for job in jobs:
+            body = {"spec": "50", "steps": step}
+            # The balancer sends new connections elsewhere; open ones stay.
+            answer = cluster.call("POST", cluster.fronts[leader], f"/work/{job}", body)
+            context.answers.append(answer[0])
+            time.sleep(0.04)
+
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        parts = [pool.submit(hand_in_some, context.jobs[i::4]) for i in range(4)]
+        time.sleep(0.15)
+        cluster.kill(leader, signal.SIGTERM)
+        for part in parts:
+            part.result()
+    cluster.processes[leader].wait(6)
+
+
+@then("no request was cut and no answer was late or unclear")
+def none_cut(context):
+    assert context.answers == [200] * 40, context.answers
+
+
+@then("all jobs that were accepted complete")
+def all_complete(context):
+    cluster = context.cluster
+    for job in context.jobs:
+        cluster.wait(lambda j=job: cluster.state(j) == "completed", f"{job} completed")
+
+
+@then("malformed requests are answered 400, 404, 410 or 413, and nothing is kept")
+def malformed(context):
+    cluster = context.cluster
+    front = cluster.fronts["n1"]
+
+    def post(body, path=f"/work/{JOB}", host="jobs.example"):
+        return cluster.call("POST", front, path, body, host)[0]
+
+    step = {"count": 1, "cpu": 1, "mem_mb": 1}
+    assert post(b'{"steps":[{"cou') == 400
+    assert post(b"\xff\xfe") == 400
+    assert post({"steps": []}) == 400
+    assert post({"steps": [{**step, "count": -1}]}) == 400
+    assert post({"steps": [{**step, "depends_on": [0]}]}) == 400
+    assert post({"steps": [step], "spec": "x" * 4001}) == 400
+    assert post({"steps": [step]}, path="/work/not-an-id") == 400
+    assert post({"steps": [step]}, path=f"/other/{JOB}") == 404
+    assert post({"steps": [step]}, host="other.example") == 404
+    assert post(b"x" * 2_000_000) == 413
+    assert cluster.call("GET", front, f"/work/{JOB}")[0] == 410
+    assert cluster.call("DELETE", front, f"/work/{JOB}")[0] == 410
+    status, content, _ = cluster.call("GET", front, "/work/")
+    assert (status, json.loads(content)) == (200, {"pending": 0})
+
+
+@when("the store goes away and a job is handed in")
+def store_away(context):
+    cluster = context.cluster
+    os.kill(cluster.processes["platform"].pid, signal.SIGSTOP)
+    time.sleep(2.5)
+    context.answer = cluster.call(
+        "POST",
+        cluster.fronts[cluster.leader()],
+        f"/work/{JOB}",
+        {"spec": "1", "steps": [{"count": 1}]},
+    )
+    os.kill(cluster.processes["platform"].pid, signal.SIGCONT)
+
+
+@then("it is refused with a time to come back")
+def refused(context):
+    assert context.answer[0] == 503, context.answer
+    assert int(context.answer[2]) > 0, context.answer
+
+
+@then("the logs tell the cause of the refusal from the request's path")
+def cause_in_logs(context):
+    cluster = context.cluster
+    lines = cluster.log(cluster.leader())
+    failed = [
+        line
+        for line in lines
+        if line["event"] == "request_failed" and line["path"] == f"/work/{JOB}"
+    ]
+    assert failed, lines
+    assert failed[0]["why"] == "store away", failed
+    assert any(line["event"] == "store_lost" for line in lines), lines
+
+
+@then("the figures count the refusal and the lost store")
+def figures(context):
+    cluster = context.cluster
+    leader = cluster.leader()
+    address = cluster.fronts[leader].split(":")[0] + ":9464"
+    text = cluster.call("GET", address, "/metrics")[1].decode()
+    assert 'granitetrestle_answers_total{kind="POST",status="503"}' in text, text
+    assert 'granitetrestle_events_total{event="store_lost"}' in text, text
--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -40,6 +40,7 @@
         self.load: t.Any = None
         self.at_rest: dict[str, float] = {}
         self.over: dict[str, float] = {}
+        self.over_since: dict[str, float] = {}
         self.fill_seen: dict[str, float] = {}
         self.observed_at = 0.0
         self.known = 0
@@ -97,6 +98,7 @@
             self.serving.pop(task.name, None)
             self.at_rest.pop(task.name, None)
             self.over.pop(task.name, None)
+            self.over_since.pop(task.name, None)
             self.fillers.pop(task.name, None)
             self._count(task.spec, -1)
 
--- a/src/granitetrestle/forwarding.py
+++ b/src/granitetrestle/forwarding.py
@@ -39,11 +39,16 @@
 
 
 class ClientAnswer(t.NamedTuple):
-    """What a client is told; ``retry_after_s`` 0 for no advice."""
+    """What a client is told.
+
+    :param retry_after_s: when to come back; 0 for no advice.
+    :param why: cause of a failure, for the log of the process that took the request.
+    """
 
     status: int
     body: bytes = b""
     retry_after_s: int = 0
+    why: str = ""
 
 
 class Target(t.NamedTuple):
@@ -97,7 +102,7 @@
         waiting = self._waiting.get(message.number)
         if waiting is not None and waiting.answer is None:
             waiting.answer = ClientAnswer(
-                message.status, message.body, message.retry_after_s
+                message.status, message.body, message.retry_after_s, message.why
             )
             waiting.news.set()
 
@@ -114,7 +119,9 @@
                 return _truthful(call, answer, asked)
         finally:
             del self._waiting[number]
-        return ClientAnswer(NO_ANSWER) if asked else _refusal()
+        if not asked:
+            return _refusal()
+        return ClientAnswer(NO_ANSWER, why=f"no answer; {_described(asked)}")
 
     async def _bring(
         self,
@@ -161,7 +168,12 @@
 
 
 def _refusal() -> ClientAnswer:
-    return ClientAnswer(UNAVAILABLE, retry_after_s=COME_BACK_S)
+    return ClientAnswer(UNAVAILABLE, b"", COME_BACK_S, "no decider is known")
+
+
+def _described(asked: list[Target]) -> str:
+    last = asked[-1]
+    return f"sent {len(asked)} times, last to {last.node} of epoch {last.epoch}"
 
 
 def _truthful(
@@ -170,5 +182,6 @@
     """A refusal is true only if the request was sent once: another message of it may
     still be on its way, or have been taken by another decider."""
     if call.method == "POST" and answer.status in REFUSALS and len(asked) > 1:
-        return ClientAnswer(NO_ANSWER)
+        why = f"refused ({answer.why}), but {_described(asked)}"
+        return ClientAnswer(NO_ANSWER, why=why)
     return answer
--- a/src/granitetrestle/messages.py
+++ b/src/granitetrestle/messages.py
@@ -195,12 +195,14 @@
     """The decider's answer to a forwarded request.
 
     :param retry_after_s: when to come back; 0 for no advice.
+    :param why: cause of a failure, for the log of the process that took the request.
     """
 
     number: int
     status: int
     body: bytes
     retry_after_s: int
+    why: str = ""
 
 
 Message: t.TypeAlias = (
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -237,10 +237,7 @@
                 # The sender asks the next decider; an answer now would only be in
                 # its way.
                 return
-            reply = CallAnswered(
-                message.number, answer.status, answer.body, answer.retry_after_s
-            )
-            self._peers.send(sender, reply)
+            self._peers.send(sender, CallAnswered(message.number, *answer))
 
     async def _tick_loop(self, tasks: anyio.abc.TaskGroup) -> None:
         self._tasks = tasks
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -21,6 +21,9 @@
 LEAST_APART_S: t.Final = 0.3
 # From this share of the target on, a serving task is about to miss it.
 OVER: t.Final = 0.95
+# Over the target for so long, a task is protected from all that fills. The promise to
+# its account is four seconds, of which a backlog takes one or two to drain.
+OVER_TOO_LONG_S: t.Final = 0.9
 # How long a tail may stay long after its cause has gone.
 DRAIN_S: t.Final = 1.5
 # Figures follow a change of what fills within about this time.
@@ -101,6 +104,9 @@
     draining = now - box.over.get(task.name, -DRAIN_S) < DRAIN_S
     if level > OVER:
         box.over[task.name] = now
+        box.over_since.setdefault(task.name, now)
+    else:
+        box.over_since.pop(task.name, None)
     if not draining and load.compared(now) >= LEAST_COMPARED:
         at_rest = box.at_rest[task.name]
         interference.saw(task.spec.image, busy, at_rest, box.fill_seen)
@@ -131,6 +137,9 @@
     fillers = _fillers(box)
     if not fillers:
         return []
+    if any(now - since > OVER_TOO_LONG_S for since in box.over_since.values()):
+        # Whatever was learnt, something here does harm: nothing fills for now.
+        return [PaceChange(task, 0) for task in fillers if task.pace != 0]
     full_shares = fill_shares(box, paced=False)
     allowed: dict[str, float] = {}
     for name, task in box.serving.items():
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -26,6 +26,7 @@
 from .boxes import PlatformBoxes
 from .boxes import decode_entry
 from .server import FrontResponder
+from .server import Ports
 from .server import make_app
 from .settings import PlatformSettings
 from .settings import load_boot_file
@@ -96,8 +97,10 @@
     caller = Caller()
     node = _node(settings, caller, log)
     stopping = False
+    ready = settings.ready.port if settings.ready is not None else 0
+    ports = Ports(ready=ready, metrics=METRICS_PORT)
     config = uvicorn.Config(
-        make_app(node, lambda: stopping),
+        make_app(node, ports, lambda: stopping),
         loop="asyncio",
         http="httptools",
         lifespan="off",
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -13,17 +13,15 @@
 from ..session import Session
 from . import front
 
-__all__ = ["FrontResponder", "make_app"]
+__all__ = ["FrontResponder", "Ports", "make_app"]
 
-READY_PATH: t.Final = "/api/readyz"
-METRICS_PATH: t.Final = "/metrics"
 DEADLINE_HEADER: t.Final = b"deadline-ms"
 # What a client that names no time limit gets; the longest one on the sheets.
 DEFAULT_DEADLINE_S: t.Final = 3.0
 # Taken off a client's time limit, so that its answer still reaches it.
 ANSWER_SLACK_S: t.Final = 0.05
 MAX_BODY: t.Final = 1024 * 1024
-STOPPED_COME_BACK_S: t.Final = 1
+COME_BACK_S: t.Final = 1
 
 Scope: t.TypeAlias = t.MutableMapping[str, t.Any]
 Receive: t.TypeAlias = t.Callable[[], t.Awaitable[t.MutableMapping[str, t.Any]]]
@@ -47,17 +45,19 @@
         """See :class:`..node.Responder`."""
         config = session.config
         if config is None:
-            return _come_back()
+            return _come_back("no configuration yet")
         method, host, path, body = call
         try:
             asked = front.decode_call(self._index(config), method, host, path, body)
         except InvalidInput as error:
-            return ClientAnswer(400, error.message.encode())
-        refused = not session.serving or (
-            isinstance(asked, SubmitJob) and session.store_away
-        )
+            return ClientAnswer(400, error.message.encode(), why=error.message)
+        refused = ""
+        if isinstance(asked, SubmitJob) and session.store_away:
+            refused = "store away"
+        elif not session.serving:
+            refused = "the configuration was not confirmed of late"
         if refused and not _taken(session, asked):
-            return _come_back()
+            return _come_back(refused)
         await session.confirm()
         if isinstance(asked, front.UnknownQueue):
             return ClientAnswer(404)
@@ -74,11 +74,18 @@
     return asked.submission.job in session.decider.state.workflows
 
 
-def _come_back() -> ClientAnswer:
-    return ClientAnswer(503, retry_after_s=STOPPED_COME_BACK_S)
+def _come_back(why: str) -> ClientAnswer:
+    return ClientAnswer(503, b"", COME_BACK_S, why)
+
+
+class Ports(t.NamedTuple):
+    """Which port asks what; all others are for clients."""
+
+    ready: int
+    metrics: int
 
 
-def make_app(node: Node, stopping: t.Callable[[], bool]) -> t.Any:
+def make_app(node: Node, ports: Ports, stopping: t.Callable[[], bool]) -> t.Any:
     """Return the application.
 
     :param stopping: whether connections should be closed after their answer.
@@ -87,11 +94,11 @@
     async def app(scope: Scope, receive: Receive, send: Send) -> None:
         if scope["type"] != "http":
             return
-        path = scope["path"]
-        if path == READY_PATH:
+        port = scope["server"][1]
+        if port == ports.ready:
             await _reply(send, ClientAnswer(200 if node.ready else 503), False)
             return
-        if path == METRICS_PATH:
+        if port == ports.metrics:
             text = node.metrics.render(node.figures())
             await _reply(send, ClientAnswer(200, text), False)
             return
@@ -119,6 +126,7 @@
             method=call.method,
             path=call.path,
             status=answer.status,
+            why=answer.why,
             took_s=round(took_s, 3),
         )
     return answer
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -114,7 +114,7 @@
         self._config_at = -1e9
         self._tasks: anyio.abc.TaskGroup | None = None
         self._over = False
-        self._orders_open = 0
+        self._store_lost_at: float | None = None
 
     @property
     def epoch(self) -> int:
@@ -208,13 +208,22 @@
         tasks.cancel_scope.cancel()
 
     def _append_unanswered(self, reason: str, waiting_s: float) -> None:
-        self._log.event(
-            "append_repeated",
-            epoch=self._epoch,
-            reason=reason,
-            waiting_s=round(waiting_s, 3),
-        )
         self._metrics.count("append_repeated")
+        if self._store_lost_at is None:
+            self._store_lost_at = time.monotonic() - waiting_s
+            self._log.event(
+                "store_lost",
+                epoch=self._epoch,
+                reason=reason,
+                waiting_s=round(waiting_s, 3),
+            )
+            self._metrics.count("store_lost")
+
+    def _store_answers(self) -> None:
+        if self._store_lost_at is not None:
+            lost_s = time.monotonic() - self._store_lost_at
+            self._store_lost_at = None
+            self._log.event("store_back", epoch=self._epoch, lost_s=round(lost_s, 3))
 
     def _step_down(self, where: str) -> None:
         if not self._over:
@@ -271,6 +280,7 @@
         return age < self._terms.orphan_s
 
     def _release(self, held: list[t.Any]) -> None:
+        self._store_answers()
         for decision in held:
             if isinstance(decision, AnswerCall):
                 self._answer(decision)
