--- a/features/native_cluster.py
+++ b/features/native_cluster.py
@@ -163,7 +163,7 @@
         def accepted():
             for name in [node] if node else self.nodes():
                 status, _, _ = self.call(
-                    "POST", self.fronts[name], f"/work/{job}", body
+                    "POST", self.fronts[name], f"/jobs/{job}", body
                 )
                 if status == 200:
                     return True
@@ -174,7 +174,7 @@
     def state(self, job, node=None):
         for name in [node] if node else self.nodes():
             try:
-                status, content, _ = self.call("GET", self.fronts[name], f"/work/{job}")
+                status, content, _ = self.call("GET", self.fronts[name], f"/jobs/{job}")
             except (httpcore.NetworkError, httpcore.TimeoutException):
                 continue
             if status == 200:
--- a/src/granitetrestle/boxlife.py
+++ b/src/granitetrestle/boxlife.py
@@ -102,7 +102,7 @@
             plan.address,
             self._epoch,
             plan.known,
-            plan.until_ms,
+            plan.lease_ends_ms,
             plan.wait_ms,
         )
         now = time.monotonic()
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -43,12 +43,12 @@
 class LookPlan(t.NamedTuple):
     """What the next look at a box carries.
 
-    :param until_ms: new end of the lease on the box's clock; ``None`` for none.
+    :param lease_ends_ms: new end of the lease on the box's clock; ``None`` for none.
     """
 
     address: str
     known: int
-    until_ms: int | None
+    lease_ends_ms: int | None
     wait_ms: int
 
 
--- a/src/granitetrestle/outside.py
+++ b/src/granitetrestle/outside.py
@@ -297,12 +297,12 @@
         address: str,
         token: int,
         known: int,
-        until_ms: int | None,
+        lease_ends_ms: int | None,
         wait_ms: int,
     ) -> LookOutcome:
         """Confirm ends up to ``known``, extend the lease, return what runs.
 
-        :param until_ms: end of the lease of all that runs, on the box's clock.
+        :param lease_ends_ms: end of the lease of all that runs, on the box's clock.
         :param wait_ms: how long the answer may wait for an end.
         """
 
@@ -312,7 +312,7 @@
         order: TaskOrder,
         token: int,
         spec: str,
-        until_ms: int,
+        lease_ends_ms: int,
         checkpoint: str,
         ticket: str,
     ) -> OrderOutcome:
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -107,13 +107,13 @@
         address: str,
         token: int,
         known: int,
-        until_ms: int | None,
+        lease_ends_ms: int | None,
         wait_ms: int,
     ) -> LookOutcome:
         """See :meth:`.outside.BoxCalls.look`."""
         body: dict[str, t.Any] = {"fencing_token": token, "last_seen": known}
-        if until_ms is not None:
-            body["until_ms"] = until_ms
+        if lease_ends_ms is not None:
+            body["until_ms"] = lease_ends_ms
         if wait_ms:
             body["wait_ms"] = wait_ms
         timeout_s = LOOK_TIMEOUT_S + wait_ms / 1000.0
@@ -132,14 +132,14 @@
         order: TaskOrder,
         token: int,
         spec: str,
-        until_ms: int,
+        lease_ends_ms: int,
         checkpoint: str,
         ticket: str,
     ) -> OrderOutcome:
         """See :meth:`.outside.BoxCalls.start`."""
         body = _order(order, token)
         body["spec"] = spec
-        body["until_ms"] = until_ms
+        body["until_ms"] = lease_ends_ms
         if checkpoint:
             body["checkpoint"] = checkpoint
         if ticket:
--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -260,7 +260,7 @@
         image=raw.image,
         target_ms=raw.target_ms,
         fills=raw.fills,
-        may_miss=raw.may_miss,
+        may_be_away=raw.may_miss,
     )
 
 
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -52,7 +52,7 @@
     :param image: what the tasks run; tasks of one image behave alike.
     :param target_ms: bound for the tail latency of a task that serves; 0 for none.
     :param fills: takes only processor time that others leave unused.
-    :param may_miss: tasks of a lasting step that may be away at once.
+    :param may_be_away: tasks of a lasting step that may be away at once.
     """
 
     count: int
@@ -72,7 +72,7 @@
     image: str = ""
     target_ms: float = 0.0
     fills: bool = False
-    may_miss: int = 0
+    may_be_away: int = 0
 
 
 class Submission(msgspec.Struct, frozen=True, array_like=True):
--- a/src/granitetrestle_standins/nativeplatform.py
+++ b/src/granitetrestle_standins/nativeplatform.py
@@ -31,7 +31,7 @@
 Receive: t.TypeAlias = t.Callable[[], t.Awaitable[t.MutableMapping[str, t.Any]]]
 
 HOST = "jobs.example"
-PREFIX = "/work/"
+PREFIX = "/jobs/"
 TICK_S = 0.02
 ROUTE = {
     "name": "work",
