Pairs of images are weak or strong; loads are followed with their trend

Weak pairs were slowed as strong ones, strong ones let run; a successor began at nothing.

Now each pair keeps both hypotheses with their odds; a step's load is a Kalman filter of level and slope; weak pairs are never slowed; room on a box goes to what disturbs least, then to the smallest job; a filler that waits at pace 0 counts against the box as if it ran; serving tasks of one step share a box, and spread ones go together; what was learnt is written (i/IMAGE) every 3 s.

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -53,6 +53,12 @@
   Scenario: Strengths of pairs are found from siblings
     Given six serving tasks of one step, three beside an image that disturbs
     Then the disturbing image is found, and the harmless one is not blamed
+    And a successor that takes up what was written knows it too
+
+  Scenario: Room for what disturbs goes to one at a time
+    Given a box with serving tasks that bear little
+    Then weak ones run at full pace, and one strong one gets what is left
+    And a strong one is not sent there as if those that wait there were not
 
   Scenario: What fills stands still beside a task that stays over its target
     Given a serving task that is over its target beside an image held for harmless
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -10,7 +10,6 @@
 from granitetrestle.decider import Decider
 from granitetrestle.decisions import StopTask
 from granitetrestle.interference import Interference
-from granitetrestle.interference import StepLoad
 from granitetrestle.nodemetrics import NodeMetrics
 from granitetrestle.outside import BoxCalls
 from granitetrestle.outside import BoxEntry
@@ -21,34 +20,103 @@
 from granitetrestle.pacing import StepLoads
 from granitetrestle.pacing import observe
 from granitetrestle.pacing import pace_changes
+from granitetrestle.serviceload import StepLoad
 from granitetrestle.shardstate import DeciderTerms
 from granitetrestle.workflows import RUNNING
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle.workflows import Workflow
 
+# By how much each image stretches the work of serving tasks with a whole box.
+STRENGTHS = {"bad": 5.0, "mild": 0.3}
+
 
 @given("six serving tasks of one step, three beside an image that disturbs")
 def six_tasks(context):
     context.interference = Interference()
+    context.found_at = None
     load = StepLoad()
     for tick in range(60):
         now = tick * 0.5
-        at_rest = 0.3 + 0.3 * ((tick % 20) / 20.0)
+        at_rest = 0.3 + 0.3 * abs((tick % 20) / 10.0 - 1.0)
         for number in range(6):
-            disturbed = number < 3
-            beside = {"bad": 0.1, "mild": 0.1} if disturbed else {"mild": 0.1}
-            busy = min(0.97, at_rest * (1.5 if disturbed else 1.0))
-            load.saw(f"t{number}", busy, now)
-            if tick:
-                context.interference.saw("serving", busy, load.at_rest(now), beside)
+            beside = {"bad": 0.1, "mild": 0.1} if number < 3 else {"mild": 0.1}
+            busy = at_rest * (1.0 + sum(STRENGTHS[f] * x for f, x in beside.items()))
+            context.interference.saw(
+                "serving", busy, load.at(now), load.variance, beside
+            )
+            load.saw(
+                busy,
+                context.interference.stretch("serving", beside),
+                context.interference.doubt("serving", beside),
+                now,
+            )
+        strong = context.interference.strong
+        if strong("serving", "bad") and not strong("serving", "mild"):
+            context.found_at = context.found_at or now
+        if tick > 10:
+            assert abs(load.at(now) - at_rest) < 0.08, (now, load.at(now), at_rest)
 
 
 @then("the disturbing image is found, and the harmless one is not blamed")
 def found(context):
-    strength = context.interference.strength
-    assert strength("serving", "bad") > 3.0, strength("serving", "bad")
-    assert strength("serving", "mild") < 1.0, strength("serving", "mild")
+    assert context.found_at is not None and context.found_at <= 2.0, context.found_at
+    for filler, strength in STRENGTHS.items():
+        seen = context.interference.strength("serving", filler)
+        assert abs(seen - strength) < 1.0, (filler, seen)
+
+
+@then("a successor that takes up what was written knows it too")
+def handed_over(context):
+    successor = Interference()
+    for image, row in context.interference.take_rows().items():
+        successor.restore(image, row)
+    assert successor.strong("serving", "bad")
+    assert not successor.strong("serving", "mild")
+    assert successor.fillers == set(STRENGTHS)
+    assert not context.interference.take_rows(), "nothing has changed since"
+
+
+@given("a box with serving tasks that bear little")
+def busy_box(context):
+    context.interference = Interference()
+    for _ in range(20):
+        context.interference.saw("serving", 0.76, 0.5, 0.001, {"strong": 0.1})
+        context.interference.saw("serving", 0.51, 0.5, 0.001, {"weak": 0.1})
+    steps = (
+        Step(count=2, cpu=4000, lasting=True, image="serving", target_ms=100.0),
+        Step(count=2, cpu=8000, image="strong", fills=True),
+        Step(count=2, cpu=4000, image="weak", fills=True),
+    )
+    workflow = Workflow(Submission("1", "q", "pool", "", steps), 0.0)
+    entry = BoxEntry(
+        "b1", "a", "pool", "h", "r", frozenset(), 32000, 64000, 0, False, None
+    )
+    context.box = BoxView(entry, 0.0)
+    for task in workflow.tasks.values():
+        task.state = RUNNING
+        context.box.place(task)
+
+
+@then("weak ones run at full pace, and one strong one gets what is left")
+def weak_first(context):
+    changes = pace_changes(context.box, context.interference, 10.0)
+    paces = {change.task.spec.image: [] for change in changes}
+    for change in changes:
+        paces[change.task.spec.image].append(change.percent)
+    assert set(paces) == {"strong"}, paces
+    assert sorted(paces["strong"])[0] == 0 < sorted(paces["strong"])[1], paces
+
+
+@then("a strong one is not sent there as if those that wait there were not")
+def counts_waiting(context):
+    for task, percent in pace_changes(context.box, context.interference, 10.0):
+        task.set_pace(percent, 10.0)
+    step = Step(count=1, cpu=8000, image="strong", fills=True)
+    load = box_load(context.box, context.interference, 10.5)
+    assert bearable_pace(step, context.box, load, context.interference) == 0.0
+    weak = Step(count=1, cpu=1000, image="weak", fills=True)
+    assert bearable_pace(weak, context.box, load, context.interference) == 1.0
 
 
 @given("a serving task that is over its target beside an image held for harmless")
@@ -67,7 +135,7 @@
         box.place(task)
     context.interference = Interference()
     for _ in range(200):
-        context.interference.saw("serving", 0.5, 0.5, {"filler": 0.125})
+        context.interference.saw("serving", 0.5, 0.5, 0.001, {"filler": 0.125})
     context.names = [task.name for task in workflow.tasks.values()]
 
 
--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -5,6 +5,7 @@
 
 from .outside import BoxEntry
 from .outside import RunningTask
+from .serviceload import StepLoad
 from .workflows import Step
 from .workflows import Task
 
@@ -20,6 +21,7 @@
     """One life of a box. Times are in seconds on the decider's steady clock.
 
     :param lease_ends: no lease there can outlast this.
+    :ivar loads: serving task -> the load that it shares with its step.
     :ivar version: rises with each change of what is placed or seen here.
     :ivar load: what :mod:`.overload` computed for a version.
     """
@@ -38,7 +40,7 @@
         self.fillers: dict[str, Task] = {}
         self.version = 0
         self.load: t.Any = None
-        self.at_rest: dict[str, float] = {}
+        self.loads: dict[str, StepLoad] = {}
         self.over: dict[str, float] = {}
         self.over_since: dict[str, float] = {}
         self.fill_seen: dict[str, float] = {}
@@ -97,7 +99,7 @@
         """Give back the room of a task."""
         if self.tasks.pop(task.name, None) is not None:
             self.serving.pop(task.name, None)
-            self.at_rest.pop(task.name, None)
+            self.loads.pop(task.name, None)
             self.over.pop(task.name, None)
             self.over_since.pop(task.name, None)
             self.fillers.pop(task.name, None)
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -67,6 +67,8 @@
 ADVICE_USED: t.Final = 0.8
 # Figures that decide where what fills may go come twice a second from each box.
 FILL_EVERY_S: t.Final = 0.08
+# What was learnt of images is written this often; a successor loses no more than that.
+LEARNT_EVERY_S: t.Final = 3.0
 # One task at a time is moved, so that the next choice sees where it went.
 MOVE_EVERY_S: t.Final = 0.05
 
@@ -83,6 +85,7 @@
         self._packer = packer or KeepApart()
         self._swept_at = now
         self._moved_at = now
+        self._learnt_at = now
         self._filled_at = 0.0
         # Kinds of task that found no box in the pass under way.
         self._no_box: set[tuple[t.Any, ...]] = set()
@@ -174,6 +177,9 @@
         if now - self._swept_at > ENDED_SWEEP_S:
             self._swept_at = now
             self._sweep(now)
+        if now - self._learnt_at > LEARNT_EVERY_S:
+            self._learnt_at = now
+            self._state.note_interference()
         return effects + self._move_slowed(now) + self._place(now, wall_ms)
 
     def _sweep(self, now: float) -> None:
--- a/src/granitetrestle/interference.py
+++ b/src/granitetrestle/interference.py
@@ -1,88 +1,158 @@
 """Learns which images disturb which. The model: a serving task is busy for a share of
 its time; an image that fills beside it stretches its work in proportion to the
-processor time that it takes. The tasks of one step share their load, so the least
-busy of them show what the others would be at rest, and the difference is measured
-as stretch. For each pair of images its strength is fitted to that, look by look."""
+processor time that it takes. How strongly differs by pair of images and stays; looks
+show that a pair is either weak or strong, hardly anything between. So for each pair
+both are kept, each with its own estimate, and the odds between them."""
 
+import math
 import typing as t
 
-__all__ = [
-    "MEAN_BUSY",
-    "SUSPECT",
-    "Interference",
-    "StepLoad",
-    "busy_share",
-]
-
-# Tail latency of an idle serving task as a share of its target. Measured on quiet
-# days of both deployments with nothing beside (4,389 looks): the least levels lie at 0.22,
-# which is this at a load of a quarter.
-IDLE_TAIL: t.Final = 1.0 / 6.0
-# Share of busy time when nothing disturbs: least, mean, most; from the same looks.
-LEAST_BUSY: t.Final = 0.2
-MEAN_BUSY: t.Final = 0.5
-MOST_BUSY: t.Final = 0.76
-# How much a pair stretches work when the filler takes the whole box: what is believed
-# of one never seen, and the most. Measured without pacing: 0 to 1, or 4 to 8.
-PRIOR: t.Final = 2.0
+import msgspec
+
+__all__ = ["Interference", "PairRow"]
+
+# Strength: by how much a pair stretches work when the filler takes the whole box.
+# Means and variances of weak and of strong pairs, and the share of strong ones:
+# fitted to the looks of one quiet day on each deployment (89 pairs; weak ones lie at
+# 0 to 1, strong ones at 2 to 9; 38 are strong).
+WEAK: t.Final = 0.4
+WEAK_VARIANCE: t.Final = 0.09
+STRONG: t.Final = 4.6
+STRONG_VARIANCE: t.Final = 3.0
+STRONG_SHARE: t.Final = 0.5
 STRONGEST: t.Final = 10.0
-# From this strength on a pair is slowed down when need be.
-SUSPECT: t.Final = 1.2
-# Step of the fit, and the share of a box below which little is learnt. Giving strengths
-# up more slowly than taking them was tried: docs/MEASUREMENTS.md.
-RATE: t.Final = 0.25
-FLOOR: t.Final = 0.003
+# Figures are rough: deviation of a busy share from the fitted model, same looks.
+BUSY_NOISE: t.Final = 0.08
+# Looks that follow each other show much of the same figures, so each counts less.
+REPEATED: t.Final = 2.0
+# A pair can always be believed otherwise again within a few looks.
+MOST_LOG_ODDS: t.Final = 6.0
+# No estimate is taken for more certain than this (as a variance).
+LEAST_VARIANCE: t.Final = 0.02
+# Below this share of a box nothing is learnt of an image.
+LEAST_SHARE: t.Final = 0.01
 # A task this busy may be busier than can be told from its tail.
 SATURATED: t.Final = 0.9
-# Sightings of one step that are compared with each other.
-SIGHTING_S: t.Final = 1.2
 
 
-def busy_share(level: float) -> float:
-    """Return for which share of its time a serving task is busy.
+class PairRow(msgspec.Struct, frozen=True, array_like=True):
+    """What is kept of a pair, so that a successor need not learn it again."""
 
-    :param level: its tail latency as a share of its target.
-    """
-    if level <= IDLE_TAIL:
-        return 0.0
-    return 1.0 - IDLE_TAIL / level
+    filler: str
+    log_odds: float
+    weak: float
+    weak_variance: float
+    strong: float
+    strong_variance: float
 
 
-class StepLoad:
-    """The load that the tasks of one serving step share."""
+_encode = msgspec.msgpack.Encoder().encode
+_rows = msgspec.msgpack.Decoder(list[PairRow])
 
-    __slots__ = ("_seen",)
 
-    def __init__(self) -> None:
-        self._seen: dict[str, tuple[float, float]] = {}
+class _Belief:
+    """A Gaussian estimate of a strength."""
+
+    __slots__ = ("mean", "variance")
+
+    def __init__(self, mean: float, variance: float) -> None:
+        self.mean = mean
+        self.variance = variance
+
+    def surprise(self, stretch: float, share: float, noise: float) -> float:
+        """Return the log-likelihood of ``stretch``, up to a constant."""
+        variance = noise + share * share * self.variance
+        error = stretch - share * self.mean
+        return -0.5 * (error * error / variance + math.log(variance))
+
+    def learn(
+        self, stretch: float, share: float, noise: float, bounds: tuple[float, float]
+    ) -> None:
+        """Correct the estimate by what was seen (a Kalman step)."""
+        variance = noise + share * share * self.variance
+        gain = share * self.variance / variance
+        mean = self.mean + gain * (stretch - share * self.mean)
+        self.mean = max(bounds[0], min(bounds[1], mean))
+        self.variance = max(LEAST_VARIANCE, self.variance * (1.0 - gain * share))
+
+
+class _Pair:
+    """What is believed of one pair of images."""
+
+    __slots__ = ("log_odds", "strong", "weak")
 
-    def saw(self, task: str, busy: float, now: float) -> None:
-        """Take up how busy one of the tasks was seen."""
-        self._seen[task] = (busy, now)
+    def __init__(self) -> None:
+        self.log_odds = math.log(STRONG_SHARE / (1.0 - STRONG_SHARE))
+        self.weak = _Belief(WEAK, WEAK_VARIANCE)
+        self.strong = _Belief(STRONG, STRONG_VARIANCE)
+
+    @property
+    def chance_strong(self) -> float:
+        """Return how likely it is that the pair is a strong one."""
+        return 1.0 / (1.0 + math.exp(-self.log_odds))
+
+    @property
+    def mean(self) -> float:
+        """Return the expected strength."""
+        chance = self.chance_strong
+        return chance * self.strong.mean + (1.0 - chance) * self.weak.mean
+
+    @property
+    def variance(self) -> float:
+        """Return the variance of the strength."""
+        chance = self.chance_strong
+        apart = self.strong.mean - self.weak.mean
+        within = chance * self.strong.variance + (1.0 - chance) * self.weak.variance
+        return within + chance * (1.0 - chance) * apart * apart
+
+    def learn(self, stretch: float, share: float, noise: float, exact: bool) -> None:
+        """Learn from the stretch that this pair alone must have caused.
+
+        :param exact: whether the stretch was measured, not only known to be so great.
+        """
+        gained = self.strong.surprise(stretch, share, noise)
+        gained -= self.weak.surprise(stretch, share, noise)
+        odds = self.log_odds + gained
+        self.log_odds = max(-MOST_LOG_ODDS, min(MOST_LOG_ODDS, odds))
+        if not exact:
+            return
+        chance = self.chance_strong
+        # Each estimate learns as far as it is the one that holds.
+        if chance > 0.5:
+            self.strong.learn(stretch, share, noise / chance, (1.5, STRONGEST))
+        else:
+            self.weak.learn(stretch, share, noise / (1.0 - chance), (0.0, 1.2))
 
-    def compared(self, now: float) -> int:
-        """Return how many tasks were seen of late."""
-        return sum(now - at < SIGHTING_S for _, at in self._seen.values())
 
-    def at_rest(self, now: float) -> float:
-        """Return how busy a task is that nothing disturbs, between the bounds."""
-        recent = sorted(b for b, at in self._seen.values() if now - at < SIGHTING_S)
-        if not recent:
-            return MEAN_BUSY
-        # The least of several rough figures lies too low; the two least do not.
-        least = recent[:2]
-        return max(LEAST_BUSY, min(MOST_BUSY, sum(least) / len(least)))
+_UNSEEN: t.Final = _Pair()
 
 
 class Interference:
     """Strengths by pair of images."""
 
     def __init__(self) -> None:
-        self._pairs: dict[tuple[str, str], float] = {}
+        self._pairs: dict[str, dict[str, _Pair]] = {}
+        self._changed: set[str] = set()
+        self._means: dict[tuple[str, str], float] = {}
+        self.fillers: set[str] = set()
 
     def strength(self, serving: str, filler: str) -> float:
         """Return by how much ``filler`` stretches ``serving`` with a whole box."""
-        return self._pairs.get((serving, filler), PRIOR)
+        return self._means.get((serving, filler), _UNSEEN.mean)
+
+    def strong(self, serving: str, filler: str) -> bool:
+        """Say whether ``filler`` is known or must be expected to disturb ``serving``."""
+        return self._pair(serving, filler).chance_strong >= STRONG_SHARE
+
+    def openness(self, serving: t.Collection[str]) -> float:
+        """Return the share of the images that fill which disturb none of ``serving``."""
+        if not serving or not self.fillers:
+            return 1.0
+        harmless = sum(
+            not any(self.strong(image, filler) for image in serving)
+            for filler in self.fillers
+        )
+        return harmless / len(self.fillers)
 
     def stretch(self, serving: str, beside: t.Mapping[str, float]) -> float:
         """Return by how much the work of ``serving`` is expected to be stretched.
@@ -93,19 +163,88 @@
             share * self.strength(serving, filler) for filler, share in beside.items()
         )
 
+    def doubt(self, serving: str, beside: t.Mapping[str, float]) -> float:
+        """Return the variance of :meth:`stretch`."""
+        return sum(
+            share * share * self._pair(serving, filler).variance
+            for filler, share in beside.items()
+        )
+
+    def _pair(self, serving: str, filler: str) -> _Pair:
+        return self._pairs.get(serving, {}).get(filler, _UNSEEN)
+
     def saw(
-        self, serving: str, busy: float, at_rest: float, beside: t.Mapping[str, float]
+        self,
+        serving: str,
+        busy: float,
+        load: float,
+        load_variance: float,
+        beside: t.Mapping[str, float],
     ) -> None:
-        """Fit the pairs to a serving task seen ``busy``."""
+        """Learn from a serving task seen ``busy``.
+
+        :param load: for which share of its time it would be busy undisturbed.
+        :param beside: as for :meth:`stretch`.
+        """
+        beside = {image: x for image, x in beside.items() if x >= LEAST_SHARE}
         if not beside:
             return
-        error = busy / at_rest - 1.0 - self.stretch(serving, beside)
-        if busy > SATURATED and error < 0.0:
+        stretch = busy / load - 1.0
+        expected = self.stretch(serving, beside)
+        if busy > SATURATED and stretch < expected:
             return
-        # Where there is little load, a small error of it makes a large one here.
-        error *= min(1.0, 2.0 * at_rest)
-        norm = FLOOR + sum(share * share for share in beside.values())
-        for filler, share in beside.items():
-            before = self.strength(serving, filler)
-            after = before + RATE * error * share / norm
-            self._pairs[(serving, filler)] = max(0.0, min(STRONGEST, after))
+        noise = (BUSY_NOISE / load) ** 2
+        noise += load_variance * ((1.0 + expected) / load) ** 2
+        noise *= REPEATED
+        doubts = {
+            image: x * x * self._pair(serving, image).variance
+            for image, x in beside.items()
+        }
+        unsure = sum(doubts.values())
+        known = self._pairs.setdefault(serving, {})
+        error = stretch - expected
+        for image, share in beside.items():
+            pair = known.setdefault(image, _Pair())
+            self.fillers.add(image)
+            alone = error + share * self.strength(serving, image)
+            unsure_of_others = unsure - doubts[image]
+            pair.learn(alone, share, noise + unsure_of_others, busy <= SATURATED)
+        for image in beside:
+            self._means[(serving, image)] = known[image].mean
+        self._changed.add(serving)
+
+    def take_rows(self) -> dict[str, bytes]:
+        """Return what was learnt since the last call, by serving image."""
+        rows = {
+            serving: _encode(
+                [_row(image, p) for image, p in self._pairs[serving].items()]
+            )
+            for serving in self._changed
+        }
+        self._changed.clear()
+        return rows
+
+    def restore(self, serving: str, data: bytes) -> None:
+        """Take up what a predecessor learnt of one serving image.
+
+        :raises msgspec.DecodeError: if ``data`` is not what :meth:`take_rows` gave.
+        """
+        known = self._pairs.setdefault(serving, {})
+        for row in _rows.decode(data):
+            pair = known[row.filler] = _Pair()
+            pair.log_odds = row.log_odds
+            pair.weak = _Belief(row.weak, row.weak_variance)
+            pair.strong = _Belief(row.strong, row.strong_variance)
+            self._means[(serving, row.filler)] = pair.mean
+            self.fillers.add(row.filler)
+
+
+def _row(filler: str, pair: _Pair) -> PairRow:
+    return PairRow(
+        filler,
+        round(pair.log_odds, 2),
+        round(pair.weak.mean, 2),
+        round(pair.weak.variance, 3),
+        round(pair.strong.mean, 2),
+        round(pair.strong.variance, 3),
+    )
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -5,11 +5,10 @@
 import typing as t
 
 from .boxes import BoxView
-from .interference import SUSPECT
 from .interference import Interference
-from .interference import StepLoad
-from .interference import busy_share
 from .overload import bearable_stretch
+from .serviceload import StepLoad
+from .serviceload import busy_share
 from .workflows import FULL_PACE
 from .workflows import RUNNING
 from .workflows import Task
@@ -21,6 +20,8 @@
 # From this share of the target on, a serving task is about to miss it.
 OVER: t.Final = 0.95
 OVER_NO_MORE: t.Final = 0.75
+# From here on a tail tells of a backlog, not of the load.
+BACKLOG: t.Final = 1.3
 # Over the target for so long, a task is protected from all that fills. The promise to
 # its account is four seconds, of which a backlog takes one or two to drain.
 OVER_TOO_LONG_S: t.Final = 1.6
@@ -30,8 +31,6 @@
 FIGURE_LAG_S: t.Final = 0.5
 # Less than this of a box can't be told from nothing.
 LEAST_SHARE: t.Final = 0.005
-# Tasks of one step that must be seen to tell their load from what disturbs them.
-LEAST_COMPARED: t.Final = 3
 # Paces are rounded to this, and raised by no more than that in one look.
 PACE_STEP: t.Final = 10
 RAISE_BY: t.Final = 30
@@ -80,7 +79,7 @@
         return
     box.observed_at = now
     box.version += 1
-    _remember_fill(box, seen_s)
+    _remember_fill(box, seen_s, interference)
     for name, row in box.running.items():
         task = box.serving.get(name)
         if task is not None and row.figure:
@@ -97,9 +96,7 @@
     now: float,
 ) -> None:
     busy = busy_share(level)
-    load = loads.of(task)
-    load.saw(task.name, busy, now)
-    box.at_rest[task.name] = load.at_rest(now)
+    load = box.loads[task.name] = loads.of(task)
     # A backlog shows in the tail long after its cause: learn from its rise alone.
     draining = now - box.over.get(task.name, -DRAIN_S) < DRAIN_S
     if level > OVER:
@@ -110,18 +107,21 @@
         box.over_since.pop(task.name, None)
     if draining and not box.fill_grew:
         return
-    if load.compared(now) >= LEAST_COMPARED:
-        at_rest = box.at_rest[task.name]
-        interference.saw(task.spec.image, busy, at_rest, box.fill_seen)
+    image, beside = task.spec.image, box.fill_seen
+    interference.saw(image, busy, load.at(now), load.variance, beside)
+    if level < BACKLOG:
+        stretch = interference.stretch(image, beside)
+        load.saw(busy, stretch, interference.doubt(image, beside), now)
 
 
-def _remember_fill(box: BoxView, seen_s: float) -> None:
+def _remember_fill(box: BoxView, seen_s: float, interference: Interference) -> None:
     """Follow what each image takes, as slowly as the figures do."""
     newest: dict[str, float] = {}
     for name, row in box.running.items():
         task = box.fillers.get(name)
         if task is not None:
             image = task.spec.image
+            interference.fillers.add(image)
             newest[image] = newest.get(image, 0.0) + row.figure / box.entry.cpu
     before = sum(box.fill_seen.values())
     keep = math.exp(-seen_s / FIGURE_LAG_S)
@@ -146,40 +146,56 @@
         # Whatever was learnt, something here does harm: nothing fills for now.
         return [PaceChange(task, 0) for task in fillers if task.pace != 0]
     left = {name: bearable_stretch(box, name, now) for name in box.serving}
+    needs = {task.name: _needs(task, box, interference) for task in fillers}
     changes = []
-    for task in sorted(fillers, key=lambda filler: _urgency(filler, now)):
-        pace = _next_pace(task.pace, _take(task, box, left, interference))
+
+    def order(task: Task) -> tuple[bool, bool, int, str]:
+        strong = any(need.strong for need in needs[task.name].values())
+        return (strong, _late(task, now), task.workflow.work, task.name)
+
+    for task in sorted(fillers, key=order):
+        pace = _next_pace(task.pace, _take(needs[task.name], left))
         if pace != task.pace:
             changes.append(PaceChange(task, pace))
     return changes
 
 
-def _urgency(task: Task, now: float) -> tuple[bool, int, str]:
-    """Order tasks for what a box bears: the most urgent runs at full pace rather than
-    all of them slowly, and what is late already gives way."""
-    workflow = task.workflow
-    return (workflow.due_at < now, workflow.work, task.name)
+def _late(task: Task, now: float) -> bool:
+    return task.workflow.due_at < now
 
 
-def _take(
-    task: Task,
-    box: BoxView,
-    left: dict[str, float],
-    interference: Interference,
-) -> float:
-    """Return the share of its speed that is left for ``task``, and take it."""
+class Need(t.NamedTuple):
+    """What a task that fills takes of what a serving task bears.
+
+    :param stretch: by how much it stretches the other's work at full pace.
+    :param strong: whether that matters.
+    """
+
+    stretch: float
+    strong: bool
+
+
+def _needs(task: Task, box: BoxView, interference: Interference) -> dict[str, Need]:
     share = task.spec.cpu / box.entry.cpu
-    needs: dict[str, float] = {}
+    filler = task.spec.image
+    needs = {}
     for name, serving in box.serving.items():
-        strength = interference.strength(serving.spec.image, task.spec.image)
-        if strength > SUSPECT:
-            needs[name] = share * strength
+        image = serving.spec.image
+        stretch = share * interference.strength(image, filler)
+        needs[name] = Need(stretch, interference.strong(image, filler))
+    return needs
+
+
+def _take(needs: t.Mapping[str, Need], left: dict[str, float]) -> float:
+    """Return the share of its speed that is left for a task, and take it. What
+    disturbs least comes first, at full pace, rather than all slowly; weak pairs are
+    never slowed: all of them together stretch work by a sixth at most."""
     pace = 1.0
     for name, need in needs.items():
-        if left[name] < need:
-            pace = min(pace, max(0.0, left[name]) / need)
+        if need.strong and left[name] < need.stretch:
+            pace = min(pace, max(0.0, left[name]) / need.stretch)
     for name, need in needs.items():
-        left[name] -= pace * need
+        left[name] -= pace * need.stretch
     return pace
 
 
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -17,6 +17,8 @@
 FILL_NEED: t.Final = 0.9
 # How much unused room, as a share of the box, weighs against pace.
 ROOM_WEIGHT: t.Final = 0.2
+# How much pace a task gives up to leave a box to others that have fewer boxes.
+OPENNESS_WEIGHT: t.Final = 0.3
 # A task that would have to run slower than this waits for a better box.
 WAIT_PACE: t.Final = 0.3
 # A slowed task moves only to where it will hardly be.
@@ -75,13 +77,53 @@
         if step.fills:
             return _place_filler(step, boxes, interference, now)
         if step.target_ms:
-
-            def cost(box: BoxView) -> tuple[float, int, int, str]:
-                fillers = _disturbing(step, box, interference)
-                return (fillers, -_alike(step, box), box.cpu_free, box.life)
-
-            return min(boxes, key=cost, default=None)
-        return min(boxes, key=_least_disturbance, default=None)
+            return min(
+                boxes,
+                key=lambda box: _serving_cost(task, box, interference),
+                default=None,
+            )
+        return min(boxes, key=_short_cost, default=None)
+
+
+def _serving_cost(
+    task: Task, box: BoxView, interference: Interference
+) -> tuple[int, float, int, int, str]:
+    """Tasks of one step share their load, so a box of theirs alone has quiet times in
+    which much may fill it; tasks that are spread have none, so they go together. And
+    images that are disturbed by the same ones go together."""
+    step = task.spec
+    others = list(box.serving.values())
+    images = {other.spec.image for other in others}
+    if any(_same_step(task, other) for other in others):
+        rank = 0
+    elif not others:
+        rank = 2 if step.per_box else 1
+    elif all(bool(other.spec.per_box) == bool(step.per_box) for other in others):
+        rank = 1 if step.per_box else 2
+    else:
+        rank = 3
+    closes = 0.0
+    if step.image not in images:
+        closes = interference.openness(images)
+        closes -= interference.openness(images | {step.image})
+    return (
+        rank,
+        closes,
+        -box.cpu_free if rank == 1 and not others else box.cpu_free,
+        box.fill_cpu,
+        box.life,
+    )
+
+
+def _same_step(task: Task, other: Task) -> bool:
+    if task.workflow is not other.workflow:
+        return False
+    return (task.occurrence, task.step) == (other.occurrence, other.step)
+
+
+def _short_cost(box: BoxView) -> tuple[bool, int, str]:
+    """Fill the gaps beside serving tasks before boxes that only others may use."""
+    return (box.fill_cpu > 0, box.cpu_free, box.life)
 
 
 def _place_filler(
@@ -101,25 +143,7 @@
         if pace < least_pace:
             continue
         worth = pace + ROOM_WEIGHT * load.unused / box.entry.cpu
+        worth -= OPENNESS_WEIGHT * load.openness
         if best is None or worth > best_worth:
             best, best_worth = box, worth
     return best
-
-
-def _disturbing(step: Step, box: BoxView, interference: Interference) -> float:
-    """Return how much of what fills a box is likely to disturb ``step``."""
-    if not box.fill_cpu:
-        return 0.0
-    images = {task.spec.image for task in box.fillers.values()}
-    strengths = [interference.strength(step.image, image) for image in images]
-    return round(sum(strengths))
-
-
-def _alike(step: Step, box: BoxView) -> int:
-    """Return how many serving tasks of the same image, less those of others."""
-    same = sum(task.spec.image == step.image for task in box.serving.values())
-    return 2 * same - len(box.serving)
-
-
-def _least_disturbance(box: BoxView) -> tuple[bool, int, str]:
-    return (box.fill_cpu > 0, box.cpu_free, box.life)
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -23,6 +23,7 @@
 
 SUBMISSION_KEY: t.Final = "s/"
 PROGRESS_KEY: t.Final = "p/"
+INTERFERENCE_KEY: t.Final = "i/"
 
 
 class DeciderTerms(t.NamedTuple):
@@ -98,6 +99,7 @@
         self._unwritten: set[str] = set()
         self._changed: set[str] = set()
         self._dropped: set[str] = set()
+        self._learnt: dict[str, bytes] = {}
 
     def add(self, submission: Submission, now: float) -> Workflow:
         """Enter an accepted job; it must be written."""
@@ -117,10 +119,14 @@
         self.loads.forget(job)
         self._dropped.add(job)
 
+    def note_interference(self) -> None:
+        """Let what was learnt of images be written, for a successor."""
+        self._learnt.update(self.interference.take_rows())
+
     @property
     def has_writes(self) -> bool:
         """Whether something must be written."""
-        return bool(self._unwritten or self._changed or self._dropped)
+        return bool(self._unwritten or self._changed or self._dropped or self._learnt)
 
     def take_writes(self) -> list[Record]:
         """Return what changed since the last call, as records."""
@@ -134,9 +140,12 @@
         for job in self._dropped:
             records.append(Record(SUBMISSION_KEY + job, None))
             records.append(Record(PROGRESS_KEY + job, None))
+        for image, value in self._learnt.items():
+            records.append(Record(INTERFERENCE_KEY + image, value))
         self._unwritten.clear()
         self._changed.clear()
         self._dropped.clear()
+        self._learnt.clear()
         return records
 
     def restore(self, records: t.Iterable[Record], now: float) -> int:
@@ -154,6 +163,8 @@
                 self.workflows[job] = Workflow(submission, now)
             elif kind == PROGRESS_KEY:
                 rows[job] = record.value
+            elif kind == INTERFERENCE_KEY:
+                self.interference.restore(job, record.value)
         for job, value in rows.items():
             if job in self.workflows:
                 self.workflows[job].restore(decode_row(value), now)
