--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -60,3 +60,9 @@
     Given a shard of 1 boxes among models
     When a run fails, its end is written, and the decider is killed before it confirms it
     Then the successor counts one failure, and the job completes
+
+  Scenario: A box that leaves the list without a word gets nothing new and loses nothing
+    Given a shard of 2 boxes among models
+    When a job runs on both and the entry of one goes, though it serves on
+    Then the job completes, and what comes later runs on the other box
+    And once its entry is back, it gets work again
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -264,3 +264,35 @@
     assert world.leader.decider.state.find_task(context.task).failures == 1
     world.settle(10.0)
     assert state(context, context.job) == "completed"
+
+
+@when("a job runs on both and the entry of one goes, though it serves on")
+def entry_goes(context):
+    world = context.world
+    context.job = world.submit((Step(count=8, cpu=1000, memory_mb=100),))
+    world.advance(0.2)
+    context.entry = world.entries.pop("b1")
+
+
+@then("the job completes, and what comes later runs on the other box")
+def others_only(context):
+    world = context.world
+    began_before = len(world.boxes["b1"].history)
+    later = [world.submit(ONE) for _ in range(3)]
+    world.advance(12.0)
+    states = [state(context, job) for job in (context.job, *later)]
+    assert states == ["completed"] * 4, states
+    began_after = len(world.boxes["b1"].history)
+    assert began_before == began_after > 0, (began_before, began_after)
+    assert all(how == "done" for _, _, how in runs(context)), runs(context)
+
+
+@then("once its entry is back, it gets work again")
+def back_again(context):
+    world = context.world
+    began_before = len(world.boxes["b1"].history)
+    world.entries["b1"] = context.entry
+    for _ in range(4):
+        world.submit(ONE)
+    world.advance(4.0)
+    assert len(world.boxes["b1"].history) > began_before
