--- a/src/granitetrestle/overload.py
+++ b/src/granitetrestle/overload.py
@@ -14,8 +14,10 @@
 # Share of busy time to aim at; at 0.83 the tail is at its target. 0.77 to 0.85 were
 # tried: docs/MEASUREMENTS.md.
 AIM_BUSY: t.Final = 0.8
-# Figures are half a second old, and a pace takes about as long to show.
-AHEAD_S: t.Final = 0.6
+# A pace shows after about the first of these, and must do until the next one has: a
+# rising load is met where it will be by then.
+SOONEST_S: t.Final = 0.3
+LATEST_S: t.Final = 1.0
 # A tail over the target stops what may cause it for so long.
 BACKLOG_S: t.Final = 0.6
 # How much a load may rise while a task runs, and the least that it soon has.
@@ -57,9 +59,11 @@
     return shares
 
 
-def _load_at(box: BoxView, name: str, when: float) -> float:
+def _load_soon(box: BoxView, name: str, now: float) -> float:
     load = box.loads.get(name)
-    return MEAN_BUSY if load is None else load.at(when)
+    if load is None:
+        return MEAN_BUSY
+    return max(load.at(now + SOONEST_S), load.at(now + LATEST_S))
 
 
 def bearable_stretch(box: BoxView, name: str, now: float) -> float:
@@ -67,7 +71,7 @@
     if now - box.over.get(name, -BACKLOG_S) < BACKLOG_S:
         # A backlog has built up: it drains only when nothing is in its way.
         return 0.0
-    return AIM_BUSY / _load_at(box, name, now + AHEAD_S) - 1.0
+    return AIM_BUSY / _load_soon(box, name, now) - 1.0
 
 
 def box_load(box: BoxView, interference: Interference, now: float) -> BoxLoad:
@@ -85,7 +89,7 @@
     idle = 0.0
     spares: dict[str, float] = {}
     for name, task in box.serving.items():
-        load = _load_at(box, name, now + AHEAD_S)
+        load = _load_soon(box, name, now)
         idle += task.spec.cpu * (1.0 - load)
         at_rest = max(load + SOON, SOON_AT_LEAST)
         bearable = min(AIM_BUSY / at_rest - 1.0, bearable_stretch(box, name, now))
