What fills goes by the work that is left of its job

Cause: the order took a job's whole size, so a large job that was nearly done waited behind small ones that had just come; each job counts only when whole.

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -66,3 +66,8 @@
     When a job runs on both and the entry of one goes, though it serves on
     Then the job completes, and what comes later runs on the other box
     And once its entry is back, it gets work again
+
+  Scenario: Of jobs that fill, the one with the least left goes on first
+    Given a shard of 1 boxes among models
+    When a job that fills is half done and a shorter one waits for the same room
+    Then the first job is completed before the other begins
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -3,6 +3,7 @@
 from behave import given
 from behave import then
 from behave import when
+from msgspec.structs import replace
 
 from granitetrestle.decider import Decider
 from granitetrestle.decisions import AskAdvice
@@ -296,3 +297,19 @@
         world.submit(ONE)
     world.advance(4.0)
     assert len(world.boxes["b1"].history) > began_before
+
+
+@when("a job that fills is half done and a shorter one waits for the same room")
+def half_done(context):
+    first = Step(count=1, cpu=1000, memory_mb=8000, estimate_ms=1000, fills=True)
+    second = replace(first, depends_on=(0,))
+    context.half = context.world.submit((first, second))
+    context.world.advance(0.2)
+    context.short = context.world.submit((replace(first, estimate_ms=1500),))
+
+
+@then("the first job is completed before the other begins")
+def least_left_first(context):
+    context.world.advance(40.0)
+    began = {run.task: run.began for run in context.world.boxes["b1"].history}
+    assert began[f"{context.half}.0.1.0"] < began[f"{context.short}.0.0.0"], began
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -421,7 +421,7 @@
     if entry.workflow.submission.steps[entry.step].fills:
         # What fills is short of room for long: the smaller jobs go first, of which
         # more are completed in time.
-        return (entry.priority, late, float(entry.workflow.work))
+        return (entry.priority, late, float(entry.workflow.work_left))
     return (entry.priority, late, entry.latest_start)
 
 
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -151,7 +151,7 @@
 
     def order(task: Task) -> tuple[bool, bool, int, str]:
         strong = any(need.strong for need in needs[task.name].values())
-        return (strong, _late(task, now), task.workflow.work, task.name)
+        return (strong, _late(task, now), task.workflow.work_left, task.name)
 
     for task in sorted(fillers, key=order):
         pace = _next_pace(task.pace, _take(needs[task.name], left))
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -178,7 +178,6 @@
 class Workflow:
     """A job, its tasks and its state.
 
-    :ivar work: what all its tasks are estimated to take, in millionths of a core-second.
     :ivar due_at: until when it should be completed, in seconds on the steady clock.
     """
 
@@ -186,9 +185,6 @@
         self.submission = submission
         self.accepted_at = accepted_at
         self.due_at = accepted_at
-        self.work = sum(
-            step.count * step.cpu * step.estimate_ms for step in submission.steps
-        )
         self.ended: WorkflowState | None = None
         self.ended_at = 0.0
         self.begun = False
@@ -244,6 +240,15 @@
         """Whether every task is done."""
         return not any(self.undone.values())
 
+    @property
+    def work_left(self) -> int:
+        """What is not done yet, as estimated, in millionths of a core-second."""
+        steps = self.submission.steps
+        return sum(
+            count * steps[number].cpu * steps[number].estimate_ms
+            for (_, number), count in self.undone.items()
+        )
+
     def chain_ms(self, step: int, estimates: t.Callable[[Step], float]) -> float:
         """Return the longest chain of work from ``step`` to the end, in ms."""
         steps = self.submission.steps
