A slow store's append is not begun anew: repeats go beside the try before

Now a repeat goes beside the tries under way, three at most, under the same number, and the first answer counts.

--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -1,6 +1,7 @@
 """Writes a shard's decisions to the store in batches, and lets their effects go only
 when they are durable. An append without an answer is repeated under its number until
-the store says how it went; only a newer epoch ends that."""
+the store says how it went; only a newer epoch ends that. A repeat does not end the
+try before it: a store that is slow answers that one first."""
 
 import typing as t
 
@@ -19,10 +20,12 @@
 BATCH_EVERY_S: t.Final = 0.015
 # With nothing to write, an empty append still proves that this epoch decides.
 CONFIRM_EVERY_S: t.Final = 0.4
-# An append is given several times its usual time, then repeated.
-TIMEOUT_FACTOR: t.Final = 8.0
-MIN_TIMEOUT_S: t.Final = 0.1
-MAX_TIMEOUT_S: t.Final = 1.2
+# After several times its usual time an append is repeated beside the try before, and
+# again after twice as long each; a try is given up after the longest time.
+REPEAT_FACTOR: t.Final = 8.0
+MIN_REPEAT_S: t.Final = 0.1
+TRY_S: t.Final = 1.2
+MOST_TRIES_AT_ONCE: t.Final = 3
 RETRY_EVERY_S: t.Final = 0.08
 RECORDS_BYTES: t.Final = 1_500_000
 USUAL_S: t.Final = 0.012
@@ -117,26 +120,60 @@
         if records:
             self._sequence = number
         writer = Writer(self._epoch, number)
-        self._waiting_since = self._clock()
-        timeout_s = max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * self._usual_s)
-        while True:
+        began = self._waiting_since = self._clock()
+        settled = await self._settle(records, writer)
+        if isinstance(settled.outcome, Appended):
+            taken = self._clock() - began
+            self._usual_s += LEARNING_RATE * (taken - self._usual_s)
+            self._confirmed_at = settled.sent
+        self._waiting_since = None
+        return settled.outcome
+
+    async def _settle(self, records: t.Sequence[Record], writer: Writer) -> "_Settled":
+        """Try until the store says how the append went."""
+        settled: list[_Settled] = []
+        began = self._clock()
+        pause_s = max(MIN_REPEAT_S, REPEAT_FACTOR * self._usual_s)
+        open_tries = 0
+        news = anyio.Event()
+
+        async def attempt() -> None:
+            nonlocal open_tries
+            open_tries += 1
             sent = self._clock()
             self.appends += 1
-            outcome = await self._store.append(
-                self._topic, records, writer, min(MAX_TIMEOUT_S, timeout_s)
-            )
+            outcome = await self._store.append(self._topic, records, writer, TRY_S)
+            open_tries -= 1
             if isinstance(outcome, Appended | Fenced):
-                break
-            self.repeats += 1
-            self._unanswered(outcome.reason, self._clock() - self._waiting_since)
-            timeout_s *= 2
-            await anyio.sleep(RETRY_EVERY_S)
-        if isinstance(outcome, Appended):
-            taken = self._clock() - sent
-            self._usual_s += LEARNING_RATE * (taken - self._usual_s)
-            self._confirmed_at = sent
-        self._waiting_since = None
-        return outcome
+                settled.append(_Settled(outcome, sent))
+            else:
+                self._unanswered(outcome.reason, self._clock() - began)
+                await anyio.sleep(RETRY_EVERY_S)
+            news.set()
+
+        async with anyio.create_task_group() as tries:
+            while not settled:
+                if open_tries < MOST_TRIES_AT_ONCE:
+                    self.repeats += open_tries > 0
+                    tries.start_soon(attempt)
+                with anyio.move_on_after(pause_s):
+                    await news.wait()
+                news = anyio.Event()
+                if not settled and open_tries:
+                    self._unanswered("no answer yet", self._clock() - began)
+                pause_s = min(TRY_S, pause_s * 2)
+            tries.cancel_scope.cancel()
+        return settled[0]
+
+
+class _Settled(t.NamedTuple):
+    """How an append went.
+
+    :param sent: when the try that was answered was sent.
+    """
+
+    outcome: Appended | Fenced
+    sent: float
 
 
 def _parts(records: list[Record]) -> t.Iterator[list[Record]]:
