Given up is answered at once; a healed cut is no reason to take over

Three causes found in logs, each with a test that failed first:

- A request whose decider had died was kept until just before its time limit.
Half of the others must now have been heard for 1.5 s before silence counts.

Ruled out: asking the store always (1.4 s more after each kill).

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -57,6 +57,11 @@
     When a successor is known
     Then the successor is asked and its answer is passed on
 
+  Scenario: A request whose decider died is not held to its deadline
+    Given a request whose decider dies without an answer
+    When no successor comes
+    Then the client is told 504 within 1.5 seconds, so that it can ask again
+
   Scenario: Without a decider a request is refused soon, with a time to come back
     Given a request when no decider is known
     Then it is refused within 1.2 seconds with a time to come back
@@ -102,6 +107,12 @@
     Given a process that hears 4 of 9 others, and no decider
     Then it takes over without asking
 
+  Scenario: A cut that has just healed is no reason to take over
+    Given a process that hears 3 of 9 others, and no decider
+    Then it asks the store whether a decider is at work
+    When all others are heard again, the decider last
+    Then it still asks the store, for a while
+
   Scenario: A decider on a small machine hands over to a much larger one
     Given a decider of half a core that hears a ready process of two cores
     Then it hands over once it has decided calmly for a while, and not before
@@ -109,3 +120,12 @@
   Scenario: A request that meets a decider that has just handed over goes to the next
     Given a session that is over
     Then it refuses no request, but leaves it to its successor
+
+  Scenario Outline: A process that ends answers what still waits, and truthfully
+    Given a request that <state> when its process ends
+    Then the client is told <status> at once
+
+    Examples:
+      | state                        | status |
+      | was sent to no decider       | 503    |
+      | was sent and is not answered | 504    |
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -257,6 +257,7 @@
     leadership = context.leadership = Leadership("n0", 0.0, 0.0)
     for number in range(1, known + 1):
         leadership.heard(status(f"n{number}", 5, "n9"), 10.0)
+    leadership.follow_majority(10.1)
     for number in range(1, heard + 1):
         leadership.heard(status(f"n{number}", 5, "n9"), 11.5)
     assert leadership.take_over_due(12.0)
@@ -272,6 +273,20 @@
     assert not context.leadership.outnumbered(12.0)
 
 
+@when("all others are heard again, the decider last")
+def heard_again(context):
+    for tick in range(6):
+        for number in range(1, 9):
+            context.leadership.heard(status(f"n{number}", 5, "n9"), 12.5 + tick * 0.3)
+
+
+@then("it still asks the store, for a while")
+def asks_still(context):
+    assert context.leadership.outnumbered(12.5)
+    assert context.leadership.outnumbered(13.9)
+    assert not context.leadership.outnumbered(14.1)
+
+
 @given("a decider of half a core that hears a ready process of two cores")
 def small_decider(context):
     leadership = context.leadership = Leadership("n0", 0.0, 0.0)
@@ -376,6 +391,28 @@
     context.answer = anyio.run(relay.serve, script)
 
 
+@when("no successor comes")
+def no_successor(context):
+    relay = context.relay
+
+    async def script():
+        await anyio.sleep(0.05)
+        relay.leader = None
+        relay.forwarding.leader_changed()
+
+    began = time.monotonic()
+    context.answer = anyio.run(relay.serve, script)
+    context.took_s = time.monotonic() - began
+
+
+@then(
+    "the client is told {code:d} within {seconds:g} seconds, so that it can ask again"
+)
+def told_within(context, code, seconds):
+    assert context.answer.status == code, context.answer
+    assert context.took_s < seconds, context.took_s
+
+
 @then("the successor is asked and its answer is passed on")
 def successor_asked(context):
     assert [node for node, _ in context.relay.sent] == ["n1", "n2"]
@@ -515,3 +552,23 @@
     except Deposed:
         return
     raise AssertionError(answer)
+
+
+@given("a request that {state} when its process ends")
+def process_ends(context, state):
+    relay = Relay()
+    relay.leader = None if "no decider" in state else Target("n1", 1)
+
+    async def script():
+        await anyio.sleep(0.05)
+        relay.forwarding.close()
+
+    began = time.monotonic()
+    context.answer = anyio.run(relay.serve, script)
+    context.took_s = time.monotonic() - began
+
+
+@then("the client is told {code:d} at once")
+def told_at_once(context, code):
+    assert context.answer.status == code, context.answer
+    assert context.took_s < 0.5, context.took_s
--- a/src/granitetrestle/forwarding.py
+++ b/src/granitetrestle/forwarding.py
@@ -86,6 +86,7 @@
         self._answer_here = answer_here
         self._numbers = itertools.count(1)
         self._waiting: dict[int, _Waiting] = {}
+        self._closed = False
 
     @property
     def open_calls(self) -> int:
@@ -97,6 +98,11 @@
         for waiting in self._waiting.values():
             waiting.news.set()
 
+    def close(self) -> None:
+        """Give all requests their final answer now: the process ends."""
+        self._closed = True
+        self.leader_changed()
+
     def answered(self, message: CallAnswered) -> None:
         """Take up a decider's answer."""
         waiting = self._waiting.get(message.number)
@@ -116,7 +122,8 @@
         try:
             with anyio.move_on_after(left_s):
                 answer = await self._bring(number, waiting, call, left_s, leader, asked)
-                return _truthful(call, answer, asked)
+                if answer is not None:
+                    return _truthful(call, answer, asked)
         finally:
             del self._waiting[number]
         if not asked:
@@ -131,17 +138,22 @@
         left_s: float,
         leader: t.Callable[[], Target | None],
         asked: list[Target],
-    ) -> ClientAnswer:
+    ) -> ClientAnswer | None:
         began = time.monotonic()
-        while waiting.answer is None:
+        leaderless_since: float | None = None
+        while waiting.answer is None and not self._closed:
             target = leader()
-            waited = time.monotonic() - began
+            now = time.monotonic()
+            waited = now - began
             waiting.news = anyio.Event()
             if target is None:
-                if waited > WAIT_FOR_LEADER_S and not asked:
-                    return _refusal()
+                leaderless_since = leaderless_since or now
+                if now - leaderless_since > WAIT_FOR_LEADER_S:
+                    return None
                 await _news(waiting, WAIT_FOR_LEADER_S / 3)
-            elif target.node == self._node:
+                continue
+            leaderless_since = None
+            if target.node == self._node:
                 asked.append(target)
                 try:
                     return await self._answer_here(call)
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -27,6 +27,9 @@
 FIRST_WAIT_S: t.Final = 0.6
 # A process not heard for so long is no longer counted among those there are.
 FORGET_S: t.Final = 60.0
+# How long most must have been heard before their silence on a decider is believed;
+# connections come back within a second of each other after a cut.
+MAJORITY_SETTLED_S: t.Final = 1.5
 # A decider hands over to a box larger by this factor, once it has decided so long;
 # reading all anew costs some tenths of a second.
 MUCH_LARGER: t.Final = 1.5
@@ -71,6 +74,7 @@
         self._successors: tuple[str, ...] = ()
         self._tried_at = -1e9
         self._asked = False
+        self._majority_at: float | None = None
 
     @property
     def epoch(self) -> int:
@@ -149,16 +153,31 @@
         return bool(self._known) and not self._live(now)
 
     def outnumbered(self, now: float) -> bool:
-        """Say whether fewer than half of the processes are heard, this one included:
-        then a link is cut, more likely than that the decider died."""
-        if self._asked:
+        """Say whether fewer than half of the processes are heard, this one included,
+        or were until a moment ago: then a link is or was cut, more likely than that
+        the decider died, and it may be the last one to be heard again."""
+        if self._asked or not self._epoch:
+            # Asked by the decider itself, or nobody has ever decided.
             return False
+        return now - self._majority_since(now) < MAJORITY_SETTLED_S
+
+    def follow_majority(self, now: float) -> None:
+        """Take note of whether most are heard; to be called several times a second."""
+        self._majority_since(now)
+
+    def _majority_since(self, now: float) -> float:
+        """Return since when at least half of the processes have been heard."""
         lately = {
             name for name, peer in self._peers.items() if now - peer.heard_at < FORGET_S
         }
         unheard = {name for name in self._known if name not in self._peers}
         heard = len(self._live(now)) + 1
-        return self.isolated(now) or 2 * heard < len(lately | unheard) + 1
+        if self.isolated(now) or 2 * heard < len(lately | unheard) + 1:
+            self._majority_at = None
+            return now
+        if self._majority_at is None:
+            self._majority_at = now
+        return self._majority_at
 
     def better_decider(self, now: float, cores: float) -> str:
         """Return a process on a much larger box than this decider's, or nothing.
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -253,6 +253,7 @@
                 self._log.event("stood_still", seconds=round(now - last, 2))
             last = now
             self._leader_changed()
+            self._leadership.follow_majority(now)
             self._report(now)
             if self._registered and not self._stopping:
                 if self._session is None:
@@ -407,6 +408,10 @@
         while time.monotonic() - started < grace_s and not self.idle:
             await anyio.sleep(TICK_S / 2)
 
+    def give_up(self) -> None:
+        """Answer what still waits: nobody will from here on."""
+        self._forwarding.close()
+
     def figures(self) -> dict[str, float]:
         """Return what this process believes now, for its metrics."""
         session = self._session
--- a/src/granitetrestle/outside.py
+++ b/src/granitetrestle/outside.py
@@ -107,8 +107,11 @@
         """
 
     @abc.abstractmethod
-    async def newest(self, topic: str) -> Newest | StoreUnavailable:
-        """Return the newest record of each key."""
+    async def newest(self, topic: str, timeout_s: float) -> Newest | StoreUnavailable:
+        """Return the newest record of each key.
+
+        :param timeout_s: for each call that this takes.
+        """
 
     @abc.abstractmethod
     async def read(
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -45,6 +45,8 @@
 PRUNE_EVERY_S: t.Final = 1.0
 # The platform asks every second and sends no new connections after two misses.
 NOTICED_S: t.Final = 2.2
+# For the answers to requests that are given up when the grace is over.
+LAST_ANSWERS_S: t.Final = 0.1
 # Left of the grace after all waits, for closing down.
 GRACE_RESERVE_S: t.Final = 0.8
 
@@ -137,8 +139,11 @@
             if time.monotonic() - began > left:
                 break
             await anyio.sleep(0.05)
+        idle = node.idle
+        node.give_up()
+        await anyio.sleep(LAST_ANSWERS_S)
         server.should_exit = True
-        log.event("stopped", idle=node.idle, took_s=round(time.monotonic() - began, 2))
+        log.event("stopped", idle=idle, took_s=round(time.monotonic() - began, 2))
         tasks.cancel_scope.cancel()
 
 
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -92,13 +92,13 @@
             return Fenced()
         return StoreUnavailable(f"{reply.status} {reply.body[:80]!r}", undone=True)
 
-    async def newest(self, topic: str) -> Newest | StoreUnavailable:
+    async def newest(self, topic: str, timeout_s: float) -> Newest | StoreUnavailable:
         """See :meth:`.outside.Store.newest`."""
         records: list[Record] = []
         end: int | None = None
         query = {"topic": topic, "part": "0"}
         for _ in range(PAGES):
-            reply = await self._call("GET", "/api/log-newest", query, READ_TIMEOUT_S)
+            reply = await self._call("GET", "/api/log-newest", query, timeout_s)
             if isinstance(reply, StoreUnavailable):
                 return reply
             if reply.status != OK:
--- a/src/granitetrestle/registry.py
+++ b/src/granitetrestle/registry.py
@@ -17,6 +17,7 @@
 LEADER_KEY: t.Final = "leader"
 NODE_KEY: t.Final = "node/"
 TIMEOUT_S: t.Final = 0.6
+READ_TIMEOUT_S: t.Final = 1.0
 
 
 class NodeEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -54,7 +55,7 @@
 
     async def read(self) -> Known | StoreUnavailable:
         """Return all processes and the newest decider."""
-        outcome = await self._store.newest(NODES_TOPIC)
+        outcome = await self._store.newest(NODES_TOPIC, READ_TIMEOUT_S)
         if not isinstance(outcome, Newest):
             return outcome
         nodes: dict[str, NodeEntry] = {}
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -60,6 +60,8 @@
 TAKE_OVER_TIMEOUT_S: t.Final = 1.0
 RETRY_S: t.Final = 0.1
 READ_TRIES: t.Final = 20
+# A page has up to a megabyte, which the smallest links (10 Mbit/s) carry in a second.
+NEWEST_TIMEOUT_S: t.Final = 5.0
 
 
 class Sources(t.NamedTuple):
@@ -206,7 +208,7 @@
 
     async def _newest(self, topic: str) -> Newest | None:
         for _ in range(READ_TRIES):
-            outcome = await self._sources.store.newest(topic)
+            outcome = await self._sources.store.newest(topic, NEWEST_TIMEOUT_S)
             if isinstance(outcome, Newest):
                 return outcome
             await anyio.sleep(RETRY_S)
--- a/src/granitetrestle_standins/nativestore.py
+++ b/src/granitetrestle_standins/nativestore.py
@@ -123,7 +123,7 @@
             return StoreUnavailable("no answer")
         return outcome
 
-    async def newest(self, topic: str) -> Newest | StoreUnavailable:
+    async def newest(self, topic: str, timeout_s: float) -> Newest | StoreUnavailable:
         """See :meth:`granitetrestle.outside.Store.newest`."""
         return StoreUnavailable("down") if self.down else self.model.newest(topic)
 
