--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -326,6 +326,53 @@
         (("pacing.py", "now - since > OVER_TOO_LONG_S", "False"),),
         "native_parts",
     ),
+    Mutant(
+        "native: the smaller part of a cut takes over without asking",
+        (
+            (
+                "leadership.py",
+                "now - self._majority_since(now) < MAJORITY_SETTLED_S",
+                "False",
+            ),
+        ),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a successor does not wait for one that is taking over",
+        (("leadership.py", "or not self._another_tries(now)", "or True"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a new decider is blamed for its predecessor's store",
+        (("leadership.py", "            self._leader_store_lost = None\n\n", "\n"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: an append is begun anew, not repeated beside the first",
+        (("journal.py", "records, writer, TRY_S)", "records, writer, pause_s)"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a request is kept until its deadline without a decider",
+        (("forwarding.py", "now - leaderless_since > WAIT_FOR_LEADER_S", "False"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a box that left the list gets work",
+        (("boxes.py", "            and self.listed\n", ""),),
+        "native_decider",
+    ),
+    Mutant(
+        "native: fillers that wait on a box do not count there",
+        (
+            (
+                "overload.py",
+                "shares.get(step.image, 0.0) + step.cpu / box.entry.cpu",
+                "shares.get(step.image, 0.0)",
+            ),
+        ),
+        "native_parts",
+    ),
 )
 
 
