--- a/src/granitetrestle/borrowing.py
+++ b/src/granitetrestle/borrowing.py
@@ -5,10 +5,13 @@
 import dataclasses
 import typing as t
 
+from .events import Effect
+from .events import SendPeer
 from .lending import LendingTerms
 from .messages import Loan
 from .messages import LoansGranted
 from .messages import LoansHeld
+from .ownership import Ownership
 
 __all__ = ["Borrowed", "Borrower"]
 
@@ -100,6 +103,26 @@
             demand,
         )
 
+    def asks(
+        self, ownership: Ownership, demand: t.Callable[[], dict[str, int]], now: float
+    ) -> list[Effect]:
+        """Ask the owners of all shards for what is due.
+
+        :param demand: slots wanted by service; counted only if somebody is asked.
+        """
+        effects: list[Effect] = []
+        wanted: dict[str, int] | None = None
+        blind = ownership.blind(now)
+        for shard, state in ownership.shards.items():
+            if not state.epoch or not self.ask_due(shard, state.epoch, blind, now):
+                continue
+            if wanted is None:
+                wanted = demand()
+            supports = ownership.promise(shard, now)
+            message = self.ask(shard, state.epoch, wanted, supports, now)
+            effects.append(SendPeer(state.holder, message))
+        return effects
+
     def ask_due(self, shard: int, epoch: int, blind: bool, now: float) -> bool:
         """Say whether the shard's owner should be asked now.
 
--- a/src/granitetrestle/placement.py
+++ b/src/granitetrestle/placement.py
@@ -7,6 +7,7 @@
 import zlib
 
 from .books import ShardBook
+from .boxhealth import note_health
 from .capacity import Assignment
 from .capacity import BoxState
 from .errors import InvariantViolated
@@ -35,10 +36,6 @@
     "evicted": "evicted",
     "lapsed": "lost",
 }
-FAILURES_TO_QUARANTINE = 3
-ACCOUNTS_TO_QUARANTINE = 2
-QUARANTINE_S = 30.0
-MAX_QUARANTINE_S = 960.0
 
 
 class PlacementTerms(t.NamedTuple):
@@ -217,7 +214,7 @@
             self._order_cleanup(
                 book.index.boxes[name], task.task, fact.attempt, "forget"
             )
-            _note_health(book.index.boxes[name], job.account, fact.ending, now)
+            note_health(book.index.boxes[name], job.account, fact.ending, now)
         book.doubts.discard(task.task)
         book.evicting_for.pop(task.task, None)
         if not task.ended:
@@ -496,22 +493,3 @@
         if assignment.state == "ending" or assignment.expires == 0.0:
             return False
         return box.silent_wall > assignment.expires + self._terms.clock_margin_s
-
-
-def _note_health(box: BoxState, account: str, ending: Ending, now: float) -> None:
-    """Quarantine a box that fails the work of several accounts in a row.
-
-    One account's failing jobs alone must not take boxes from the others.
-    """
-    if ending == "finished":
-        box.failures_in_row = 0
-        box.failed_accounts.clear()
-        return
-    if ending != "failed":
-        return
-    box.failures_in_row += 1
-    box.failed_accounts.add(account)
-    excess = box.failures_in_row - FAILURES_TO_QUARANTINE
-    if excess < 0 or len(box.failed_accounts) < ACCOUNTS_TO_QUARANTINE:
-        return
-    box.quarantined_until = now + min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0**excess)
--- a/src/granitetrestle/reducer.py
+++ b/src/granitetrestle/reducer.py
@@ -19,7 +19,6 @@
 from .jobs import Job
 from .jobs import Jobs
 from .keys import key_shard
-from .lending import LendingTerms
 from .messages import BeatSent
 from .messages import CallAnswered
 from .messages import CallForwarded
@@ -35,8 +34,6 @@
 from .messages import NodeStatus
 from .outcomes import Accepted
 from .ownership import Ownership
-from .ownership import OwnershipTerms
-from .placement import PlacementTerms
 from .placement import shard_of
 from .policy import Policy
 from .policy import RackSpread
@@ -51,7 +48,8 @@
 from .records import ShardReleased
 from .records import TableEdited
 from .requests import Requests
-from .requests import RequestTerms
+from .setup import Setup
+from .setup import hall_stream
 from .shards import ShardOwner
 from .snapshot import ConfigState
 from .snapshot import HallState
@@ -70,33 +68,6 @@
 WRITERS_KEPT = 512
 
 
-def hall_stream(hall: str) -> str:
-    """Return the name of a hall's stream on the platform's log."""
-    return f"hall-{hall}"
-
-
-class Setup(t.NamedTuple):
-    """What a process is told at its start.
-
-    :param incarnation: differs each time a process starts.
-    :param halls: hall -> nodes, this process included.
-    :param snapshot_records: records of a stream between two snapshots.
-    :param snapshot_s: longest time between two snapshots, in seconds.
-    """
-
-    node: str
-    incarnation: str
-    hall: str
-    halls: t.Mapping[str, tuple[str, ...]]
-    shards: int = 1
-    ownership: OwnershipTerms = OwnershipTerms()
-    placement: PlacementTerms = PlacementTerms()
-    lending: LendingTerms = LendingTerms()
-    requests: RequestTerms = RequestTerms()
-    snapshot_records: int = 2000
-    snapshot_s: float = 600.0
-
-
 class Reducer:
     """State of one process and its step function."""
 
@@ -250,7 +221,7 @@
             effects += self._claims(now)
         heirs = [n for n in self._ownership.live(now) if n != self._setup.node]
         effects += self._owner.tick(now, event.wall, heirs)
-        effects += self._ask_for_loans(now)
+        effects += self._borrower.asks(self._ownership, self._requests.demand, now)
         effects += self._digests(now, event.wall)
         effects += self._snapshots(now)
         self._ownership.forget_old(now)
@@ -269,22 +240,6 @@
             effects.append(AppendFacts(self._stream, (claim,), name, latest_only=True))
         return effects
 
-    def _ask_for_loans(self, now: float) -> list[Effect]:
-        effects: list[Effect] = []
-        demand: dict[str, int] | None = None
-        blind = self._ownership.blind(now)
-        for shard, state in self._ownership.shards.items():
-            if not state.epoch:
-                continue
-            if not self._borrower.ask_due(shard, state.epoch, blind, now):
-                continue
-            if demand is None:
-                demand = self._requests.demand()
-            supports = self._ownership.promise(shard, now)
-            message = self._borrower.ask(shard, state.epoch, demand, supports, now)
-            effects.append(SendPeer(state.holder, message))
-        return effects
-
     def _digests(self, now: float, wall: float) -> list[Effect]:
         if self._ownership.gatherer(now) != self._setup.node:
             return []
--- /dev/null
+++ b/src/granitetrestle/setup.py
@@ -0,0 +1,37 @@
+"""What a process of the older path is told at its start."""
+
+import typing as t
+
+from .lending import LendingTerms
+from .ownership import OwnershipTerms
+from .placement import PlacementTerms
+from .requests import RequestTerms
+
+__all__ = ["Setup", "hall_stream"]
+
+
+def hall_stream(hall: str) -> str:
+    """Return the name of a hall's stream on the platform's log."""
+    return f"hall-{hall}"
+
+
+class Setup(t.NamedTuple):
+    """What a process is told at its start.
+
+    :param incarnation: differs each time a process starts.
+    :param halls: hall -> nodes, this process included.
+    :param snapshot_records: records of a stream between two snapshots.
+    :param snapshot_s: longest time between two snapshots, in seconds.
+    """
+
+    node: str
+    incarnation: str
+    hall: str
+    halls: t.Mapping[str, tuple[str, ...]]
+    shards: int = 1
+    ownership: OwnershipTerms = OwnershipTerms()
+    placement: PlacementTerms = PlacementTerms()
+    lending: LendingTerms = LendingTerms()
+    requests: RequestTerms = RequestTerms()
+    snapshot_records: int = 2000
+    snapshot_s: float = 600.0
