--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -63,7 +63,7 @@
 
 class KeepApart(Packer):
     """What fills goes where it disturbs least, by what was learnt of the images;
-    serving tasks of one image go together, so that there is such a place for most."""
+    serving tasks are placed so that there is such a box for most of what fills."""
 
     def choose(
         self,
@@ -94,6 +94,8 @@
     step = task.spec
     others = list(box.serving.values())
     images = {other.spec.image for other in others}
+    # Best first: with its own step; alone, or with others that are spread as it is;
+    # with those that are spread differently.
     if any(_same_step(task, other) for other in others):
         rank = 0
     elif not others:
@@ -106,13 +108,10 @@
     if step.image not in images:
         closes = interference.openness(images)
         closes -= interference.openness(images | {step.image})
-    return (
-        rank,
-        closes,
-        -box.cpu_free if rank == 1 and not others else box.cpu_free,
-        box.fill_cpu,
-        box.life,
-    )
+    # A box that is opened should take the whole step; else gaps are filled first.
+    opens = not others and not step.per_box
+    room = -box.cpu_free if opens else box.cpu_free
+    return (rank, closes, room, box.fill_cpu, box.life)
 
 
 def _same_step(task: Task, other: Task) -> bool:
@@ -122,7 +121,7 @@
 
 
 def _short_cost(box: BoxView) -> tuple[bool, int, str]:
-    """Fill the gaps beside serving tasks before boxes that only others may use."""
+    """Leave boxes that are being filled alone, and fill gaps first."""
     return (box.fill_cpu > 0, box.cpu_free, box.life)
 
 
