A job that fills is never left with nothing running while there is room

Now a job that fills and has had nothing running for 1.5 s gets one of its tasks onto the box with fewest that fill; it is slowed there as the serving tasks need, and uses their quiet seconds.

The scenario failed before.

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -71,3 +71,8 @@
     Given a shard of 1 boxes among models
     When a job that fills is half done and a shorter one waits for the same room
     Then the first job is completed before the other begins
+
+  Scenario: A job that fills is not starved where it would disturb
+    Given a shard of 2 boxes among models
+    When a job that fills comes and no box bears it
+    Then one of its tasks runs within 2 seconds, and only one
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -11,6 +11,7 @@
 from granitetrestle.jobcalls import SubmitJob
 from granitetrestle.outside import Advice
 from granitetrestle.outside import Look
+from granitetrestle.packing import Packer
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle_standins.shardworld import CONFIG
@@ -313,3 +314,27 @@
     context.world.advance(40.0)
     began = {run.task: run.began for run in context.world.boxes["b1"].history}
     assert began[f"{context.half}.0.1.0"] < began[f"{context.short}.0.0.0"], began
+
+
+class NoBox(Packer):
+    """Finds that no box bears what fills."""
+
+    def choose(self, task, boxes, interference, now):
+        return None
+
+
+@when("a job that fills comes and no box bears it")
+def no_box_bears(context):
+    decider = context.world.leader.decider
+    decider._packer = NoBox()
+    step = Step(count=5, cpu=1000, memory_mb=100, estimate_ms=5000, fills=True)
+    context.job = context.world.submit((step,))
+
+
+@then("one of its tasks runs within 2 seconds, and only one")
+def one_runs(context):
+    world = context.world
+    world.advance(1.0)
+    assert not runs(context)
+    world.advance(1.0)
+    assert len(runs(context)) == 1, runs(context)
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -37,6 +37,7 @@
 from .packing import KeepApart
 from .packing import Packer
 from .packing import better_box
+from .packing import least_filled
 from .progress import Progress
 from .shardstate import DeciderTerms
 from .shardstate import ShardState
@@ -67,6 +68,9 @@
 ADVICE_USED: t.Final = 0.8
 # Figures that decide where what fills may go come twice a second from each box.
 FILL_EVERY_S: t.Final = 0.08
+# A job that fills is never left with nothing running for longer than this: its account
+# is promised that work goes on while there is room, and it may use quiet seconds.
+STARVED_S: t.Final = 1.5
 # What was learnt of images is written this often; a successor loses no more than that.
 LEARNT_EVERY_S: t.Final = 3.0
 # One task at a time is moved, so that the next choice sees where it went.
@@ -252,19 +256,29 @@
             return self._place_gang(entry, step, boxes, now)
         effects: list[Decision] = []
         kind = (step.image, step.cpu, step.memory_mb, step.required_labels, step.fills)
+        entry.since = now if entry.since is None else entry.since
         for task in list(entry.tasks.values()):
-            if kind in self._no_box:
-                break
-            box = self._box_for(task, step, boxes, now)
+            box = None
+            if kind not in self._no_box:
+                box = self._box_for(task, step, boxes, now)
+            if box is None and self._starved(entry, step, now):
+                box = least_filled(_able(task, step, boxes))
             if box is None:
                 if not step.per_box:
                     self._no_box.add(kind)
                 break
             del entry.tasks[task.name]
+            entry.since = now
             task.ticket = entry.tickets.get(box.life, "")
             effects.append(self._start(task, box, now))
         return effects
 
+    def _starved(self, entry: WaitingStep, step: Step, now: float) -> bool:
+        """Say whether a job that fills has had nothing running for too long."""
+        if not step.fills or entry.since is None or now - entry.since < STARVED_S:
+            return False
+        return not any(task.placed for task in entry.workflow.tasks.values())
+
     def _ask_advice(
         self, entry: WaitingStep, boxes: list[BoxView], now: float
     ) -> list[Decision]:
@@ -321,7 +335,7 @@
     def _box_for(
         self, task: Task, step: Step, boxes: list[BoxView], now: float
     ) -> BoxView | None:
-        able = [box for box in boxes if box.fits(step) and _allowed(task, step, box)]
+        able = _able(task, step, boxes)
         if step.affinity:
             near = [box for box in able if box.entry.rack == step.affinity]
             able = near or able
@@ -425,6 +439,10 @@
     return (entry.priority, late, entry.latest_start)
 
 
+def _able(task: Task, step: Step, boxes: t.Iterable[BoxView]) -> list[BoxView]:
+    return [box for box in boxes if box.fits(step) and _allowed(task, step, box)]
+
+
 def _allowed(task: Task, step: Step, box: BoxView) -> bool:
     if not box.entry.labels.issuperset(step.required_labels):
         return False
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -11,7 +11,7 @@
 from .workflows import Step
 from .workflows import Task
 
-__all__ = ["FirstBox", "KeepApart", "Packer", "better_box"]
+__all__ = ["FirstBox", "KeepApart", "Packer", "better_box", "least_filled"]
 
 # Share of its rated processor time that a task which fills must find unused.
 FILL_NEED: t.Final = 0.9
@@ -47,6 +47,14 @@
     return _place_filler(task.spec, others, interference, now, MOVE_PACE)
 
 
+def least_filled(boxes: t.Sequence[BoxView]) -> BoxView | None:
+    """Return the box with fewest tasks that fill, for one that has waited too long: it
+    is slowed there as much as the serving tasks need."""
+    return min(
+        boxes, key=lambda box: (len(box.fillers), -box.cpu_free, box.life), default=None
+    )
+
+
 class FirstBox(Packer):
     """Baseline: the first box with room."""
 
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -51,6 +51,7 @@
     """Tasks of one step that wait for a box.
 
     :ivar tickets: for a queue under advice, the boxes that may run the step.
+    :ivar since: when a pass first found it waiting, or last started one of its tasks.
     """
 
     __slots__ = (
@@ -59,6 +60,7 @@
         "latest_start",
         "occurrence",
         "priority",
+        "since",
         "step",
         "tasks",
         "tickets",
@@ -82,6 +84,7 @@
         self.tickets: dict[str, str] = {}
         self.advice_until = 0.0
         self.asked_at = -1e9
+        self.since: float | None = None
 
 
 class ShardState:
