A decider that stops right after the start asks somebody to go on

The kept logs: `handed_over` to nobody, 0.17 s after the decider's own start; the newest reports of its peers were from before they were ready. Ruled out: a lost message (none was sent). Now one that is heard but has not said yet that it is ready is asked if there is no other. The scenario for it failed before (no such method; the old ranking gave nobody).

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -129,3 +129,7 @@
       | state                        | status |
       | was sent to no decider       | 503    |
       | was sent and is not answered | 504    |
+
+  Scenario: A decider that stops right after the start asks somebody to go on
+    Given a decider whose peers have not said yet that they are ready
+    Then it still names one of them as its heir
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -572,3 +572,18 @@
 def told_at_once(context, code):
     assert context.answer.status == code, context.answer
     assert context.took_s < 0.5, context.took_s
+
+
+@given("a decider whose peers have not said yet that they are ready")
+def peers_not_ready(context):
+    context.leadership = Leadership("n0", 0.0, 0.0)
+    for node in ("n1", "n2"):
+        context.leadership.heard(replace(status(node, 5, "n0"), ready=False), 1.0)
+
+
+@then("it still names one of them as its heir")
+def names_heir(context):
+    assert context.leadership.heir(1.2) == "n1"
+    context.leadership.heard(status("n2", 5, "n0"), 1.3)
+    assert context.leadership.heir(1.4) == "n2", "the one that is ready goes first"
+    assert context.leadership.heir(9.0) == "", "nobody is heard any more"
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -257,3 +257,9 @@
         ]
         able.sort(key=lambda status: (-status.cores, status.node))
         return tuple(status.node for status in able)
+
+    def heir(self, now: float) -> str:
+        """Return who is asked to go on when this process stops, or nothing. One that
+        has not said yet that it is ready is better than nobody."""
+        ranked = self.ranked(now) or tuple(sorted(self._live(now)))
+        return ranked[0] if ranked else ""
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -403,8 +403,7 @@
         self._stopping = True
         started = time.monotonic()
         if self._session is not None:
-            successors = self._leadership.ranked(started)
-            await self._hand_over(next(iter(successors), ""), grace_s / 4)
+            await self._hand_over(self._leadership.heir(started), grace_s / 4)
         while time.monotonic() - started < grace_s and not self.idle:
             await anyio.sleep(TICK_S / 2)
 
