--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -76,3 +76,8 @@
     Given a shard of 2 boxes among models
     When a job that fills comes and no box bears it
     Then one of its tasks runs within 2 seconds, and only one
+
+  Scenario: A successor moves long tasks off a box that is leaving already
+    Given a shard of 2 boxes among models
+    When a long job runs, its box begins to leave and a successor takes over
+    Then its run there is stopped, and another begins on the other box
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -338,3 +338,29 @@
     assert not runs(context)
     world.advance(1.0)
     assert len(runs(context)) == 1, runs(context)
+
+
+@when("a long job runs, its box begins to leave and a successor takes over")
+def leaving_at_take_over(context):
+    world = context.world
+    step = Step(
+        count=1, cpu=1000, memory_mb=100, estimate_ms=60_000, checkpointing=True
+    )
+    context.job = world.submit((step,))
+    world.advance(0.1)
+    tasks = world.leader.decider.state.workflows[context.job].tasks.values()
+    context.left = next(iter(tasks)).box
+    entry = world.entries[context.left]
+    world.entries[context.left] = entry._replace(draining=True, leaving_in_s=0.5)
+    world.take_over()
+
+
+@then("its run there is stopped, and another begins on the other box")
+def runs_elsewhere(context):
+    context.world.advance(1.5)
+    hows = {
+        life: [run.how for run in box.history]
+        for life, box in context.world.boxes.items()
+    }
+    assert hows.pop(context.left) == ["stopped"], hows
+    assert [len(runs) for runs in hows.values()] == [1], hows
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -203,6 +203,9 @@
             box.adopted = True
             inputs = {"running": len(look.running), "ended": len(look.ended)}
             effects.append(Noted("box_adopted", box.life, inputs))
+            if box.entry.draining:
+                # Its leaving was seen by a predecessor, which may not have moved all.
+                effects += self._evacuate(box, now)
         return effects + self._keep_targets(box, now)
 
     def _keep_targets(self, box: BoxView, now: float) -> list[Decision]:
