Mechanisms can be switched off from outside; a job's last line says where its time went

Cause: what each part of the policy is worth could only be measured by editing the code, and the log did not say what a late job had waited for. Change: GRANITETRESTLE_SWITCHED_OFF names mechanisms (packing, pacing, moves, learnt_strengths, load_trend, put_aside, urgency); an unknown name is refused with a typed error that lists the known ones. Each task sums its time by phase; the line at a job's end gives the sums along the chain of tasks that ended last. Ruled out: summing over all tasks of a job: what ran beside the last ones made no job late.

--- /dev/null
+++ b/features/steps/room_steps.py
@@ -0,0 +1,159 @@
+"""Steps of the scenarios over room, over where a job's time went, and over mechanisms
+that are switched off."""
+
+from behave import given
+from behave import then
+
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import Noted
+from granitetrestle.decisions import StartTask
+from granitetrestle.errors import UnknownMechanism
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.mechanisms import Mechanism
+from granitetrestle.mechanisms import parse_switched_off
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import Config
+from granitetrestle.outside import EndedRun
+from granitetrestle.outside import Look
+from granitetrestle.outside import OrderAccepted
+from granitetrestle.outside import Queue
+from granitetrestle.outside import RunningTask
+from granitetrestle.shardstate import DeciderTerms
+from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+
+QUEUE = Queue("q", "host", "/q/", "pool", 0, 3, 1.5, 1000.0)
+CONFIG = Config(1, (QUEUE,), {"pool": True}, 262144)
+
+
+class Desk:
+    """A decider among boxes that do at once what they are told."""
+
+    def __init__(self, boxes, off=frozenset()):
+        self.now = 10.0
+        self.decider = Decider(DeciderTerms(off=off), self.now)
+        self.decider.configured(CONFIG)
+        self.entries = {
+            f"b{number}": BoxEntry(
+                f"b{number}",
+                f"a{number}",
+                "pool",
+                "h",
+                "r",
+                frozenset(),
+                64_000,
+                256_000,
+                0,
+                False,
+                None,
+            )
+            for number in range(boxes)
+        }
+        self.decider.fleet.listed(self.entries, self.now)
+        self.ends = 0
+        self.notes = []
+        for life in self.entries:
+            self.look(life)
+
+    def look(self, life, ended=()):
+        box = self.decider.state.boxes[life]
+        over = {row.task for row in ended}
+        running = tuple(
+            RunningTask(task.name, task.run, "", 0, 0.0)
+            for task in box.tasks.values()
+            if task.name not in over
+        )
+        outcome = Look(1000, running, tuple(ended))
+        self.take(self.decider.fleet.looked(life, self.now, self.now, outcome))
+
+    def end(self, task, how):
+        self.ends += 1
+        row = EndedRun(self.ends, task.name, task.run, how, "")
+        self.look(task.box, [row])
+
+    def take(self, decisions):
+        for decision in decisions:
+            if isinstance(decision, StartTask):
+                self.decider.start_answered(
+                    decision.life,
+                    decision.task,
+                    decision.run,
+                    OrderAccepted(1),
+                    self.now,
+                )
+            elif isinstance(decision, Noted):
+                self.notes.append(decision)
+
+    def submit(self, job, *steps):
+        call = SubmitJob(Submission(job, "q", "pool", "", steps))
+        self.take(self.decider.called("r", call, self.now))
+        self.decide()
+        return self.decider.state.workflows[job]
+
+    def decide(self):
+        self.take(self.decider.decide(self.now, int(self.now * 1000)))
+
+    def wait(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.now += 0.1
+            self.decide()
+
+    def placed(self, job):
+        return sum(
+            task.placed for task in self.decider.state.workflows[job].tasks.values()
+        )
+
+
+@given("a job of two steps that waited, failed once and was slowed")
+def eventful_job(context):
+    desk = context.desk = Desk(0)
+    steps = (
+        Step(count=1, cpu=1000, memory_mb=100),
+        Step(count=1, cpu=1000, memory_mb=100, depends_on=(0,)),
+    )
+    context.workflow = desk.submit("job", *steps)
+    first, second = context.workflow.tasks.values()
+    desk.now += 1.0
+    desk.__dict__.update(entries={"b0": Desk(1).entries["b0"]})
+    desk.decider.fleet.listed(desk.entries, desk.now)
+    desk.look("b0")
+    desk.decide()
+    desk.now += 2.0
+    desk.end(first, "failed")
+    desk.decide()
+    desk.now += 3.0
+    desk.end(first, "done")
+    desk.decide()
+    second.set_pace(50, desk.now)
+    desk.now += 1.0
+    desk.end(second, "done")
+
+
+@then(
+    "its line sums to the time it took: {room:g} s for room, {failed:g} s failed,"
+    " {run:g} s run, {slowed:g} s slowed"
+)
+def line_sums(context, room, failed, run, slowed):
+    (note,) = [note for note in context.desk.notes if note.event == "job_completed"]
+    spent = {key: value for key, value in note.inputs.items() if key.endswith("_s")}
+    assert abs(spent["took_s"] - 7.0) < 0.01, spent
+    expected = {"room_s": room, "failed_s": failed, "run_s": run, "slowed_s": slowed}
+    for key, seconds in expected.items():
+        assert abs(spent[key] - seconds) < 0.01, (key, spent)
+
+
+@then('switching off "{text}" names two mechanisms')
+def two_named(context, text):
+    assert parse_switched_off(text) == {Mechanism.PACING, Mechanism.MOVES}
+    assert parse_switched_off("") == frozenset()
+
+
+@then('switching off "{text}" is refused, naming luck and every known one')
+def refused(context, text):
+    try:
+        parse_switched_off(text)
+    except UnknownMechanism as error:
+        assert error.unknown == ("luck",)
+        assert all(mechanism.value in error.message for mechanism in Mechanism)
+    else:
+        raise AssertionError("taken")
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -25,6 +25,7 @@
 from .jobcalls import NoSuchJob
 from .jobcalls import SubmitJob
 from .jobcalls import WaitingCount
+from .mechanisms import Mechanism
 from .outside import Advice
 from .outside import AdviceUnavailable
 from .outside import BoxReplaced
@@ -34,6 +35,7 @@
 from .outside import OrderRejected
 from .outside import Record
 from .pacing import slowed_tasks
+from .packing import FirstBox
 from .packing import KeepApart
 from .packing import Packer
 from .packing import better_box
@@ -44,7 +46,6 @@
 from .shardstate import WaitingStep
 from .workflows import FULL_PACE
 from .workflows import PENDING
-from .workflows import RUNNING
 from .workflows import STARTING
 from .workflows import STOPPING
 from .workflows import Step
@@ -86,7 +87,8 @@
         self._state = ShardState(terms)
         self._progress = Progress(self._state)
         self._fleet = Fleet(self._state, self._progress, now)
-        self._packer = packer or KeepApart()
+        packing = KeepApart() if self._state.on(Mechanism.PACKING) else FirstBox()
+        self._packer = packer or packing
         self._swept_at = now
         self._moved_at = now
         self._learnt_at = now
@@ -118,7 +120,7 @@
         count = self._state.restore(records, now)
         for workflow in self._state.workflows.values():
             if not workflow.terminal:
-                self._state.enter_steps(workflow)
+                self._state.enter_steps(workflow, now)
         return count
 
     def configured(self, config: Config) -> list[Decision]:
@@ -157,7 +159,7 @@
         if submission.job in self._state.workflows:
             return [answer]
         workflow = self._state.add(submission, now)
-        self._state.enter_steps(workflow)
+        self._state.enter_steps(workflow, now)
         tasks = sum(step.count for step in submission.steps)
         inputs = {"queue": submission.queue, "tasks": tasks}
         return [Noted("job_taken", submission.job, inputs), answer]
@@ -206,7 +208,8 @@
         if fill:
             self._filled_at = now
         self._no_box.clear()
-        order = sorted(waiting.items(), key=lambda item: _urgency(item[1], now))
+        urgency = _urgency if self._state.on(Mechanism.URGENCY) else _arrival
+        order = sorted(waiting.items(), key=lambda item: urgency(item[1], now))
         effects: list[Decision] = []
         for key, entry in order:
             if not fill and entry.workflow.submission.steps[entry.step].fills:
@@ -221,7 +224,7 @@
 
     def _move_slowed(self, now: float) -> list[Decision]:
         """Move tasks that are kept slow to where they disturb nobody."""
-        if now - self._moved_at < MOVE_EVERY_S:
+        if now - self._moved_at < MOVE_EVERY_S or not self._state.on(Mechanism.MOVES):
             return []
         self._moved_at = now
         boxes = [b for b in self._state.boxes.values() if b.open_for_work(now)]
@@ -344,6 +347,7 @@
     def _start(self, task: Task, box: BoxView, now: float) -> StartTask:
         task.run += 1
         task.state = STARTING
+        task.times.enter("order", now)
         task.box = box.life
         task.started_at = now
         task.confirmed_at = 0.0
@@ -370,14 +374,13 @@
     ) -> list[Decision]:
         """Apply what came of a start; ``BoxNoAnswer`` leaves it in doubt."""
         if isinstance(outcome, BoxReplaced):
-            return self._fleet.box_over(life, "another life answered")
+            return self._fleet.box_over(life, "another life answered", now)
         task = self._state.find_task(name)
         if task is None or task.run != run or task.box != life:
             return []
         if isinstance(outcome, OrderAccepted):
             if task.state == STARTING:
-                task.state = RUNNING
-                task.confirmed_at = now
+                task.runs(now)
                 box = self._state.boxes.get(life)
                 if box is not None and task.spec.fills and box.serving:
                     # What it disturbs should not wait for the next look.
@@ -399,7 +402,7 @@
         if task.state not in (STARTING, STOPPING):
             return []
         inputs = {"run": task.run, "box": life, "reason": outcome.reason}
-        self._progress.requeue(task)
+        self._progress.requeue(task, now)
         box = self._state.boxes.get(life)
         if box is not None:
             unwell = outcome.reason == "unhealthy"
@@ -412,7 +415,7 @@
     ) -> list[Decision]:
         """Apply what came of a stop."""
         if isinstance(outcome, BoxReplaced):
-            return self._fleet.box_over(life, "another life answered")
+            return self._fleet.box_over(life, "another life answered", now)
         if isinstance(outcome, OrderRejected) and outcome.reason == "fence":
             return [StepDown(life)]
         task = self._state.find_task(name)
@@ -439,6 +442,10 @@
     return (entry.priority, late, entry.latest_start)
 
 
+def _arrival(entry: WaitingStep, now: float) -> tuple[int, bool, float]:
+    return (entry.priority, False, entry.workflow.accepted_at)
+
+
 def _able(task: Task, step: Step, boxes: t.Iterable[BoxView]) -> list[BoxView]:
     return [box for box in boxes if box.fits(step) and _allowed(task, step, box)]
 
--- a/src/granitetrestle/errors.py
+++ b/src/granitetrestle/errors.py
@@ -19,6 +19,7 @@
     "NotRunError",
     "OutcomeUnknown",
     "SettingsError",
+    "UnknownMechanism",
     "UnreachableError",
 ]
 
@@ -54,6 +55,24 @@
         self.problems = tuple(problems)
 
 
+class UnknownMechanism(SettingsError):
+    """A mechanism to switch off is not one of ours; nothing was started.
+
+    :param unknown: the words that name none.
+    :param known: every name there is.
+    """
+
+    code = "unknown_mechanism"
+
+    def __init__(self, unknown: t.Sequence[str], known: t.Sequence[str]) -> None:
+        names = ", ".join(known)
+        super().__init__(
+            [f"{word!r} is no mechanism; known: {names}" for word in unknown]
+        )
+        self.unknown = tuple(unknown)
+        self.known = tuple(known)
+
+
 class InvalidInput(GranitetrestleError):
     """A request, name, body or cell is malformed; nothing was changed."""
 
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -12,6 +12,7 @@
 from .decisions import StepDown
 from .decisions import StopTask
 from .decisions import WatchBox
+from .mechanisms import Mechanism
 from .outside import BoxEntry
 from .outside import BoxReplaced
 from .outside import Look
@@ -72,7 +73,7 @@
                 continue
             successor = by_address.get(box.entry.address)
             if successor is not None:
-                effects += self.box_over(life, f"replaced by {successor}")
+                effects += self.box_over(life, f"replaced by {successor}", now)
         for life, entry in entries.items():
             effects += self._entered(life, entry, now)
         return effects
@@ -114,14 +115,14 @@
         left_s = task.spec.estimate_ms / 1000.0 - (now - task.started_at)
         return left_s > leaving
 
-    def box_over(self, life: str, why: str) -> list[Decision]:
+    def box_over(self, life: str, why: str, now: float) -> list[Decision]:
         """A life has ended for certain: whatever ran there runs no more."""
         box = self._state.boxes.pop(life, None)
         if box is None:
             return []
         lost = list(box.tasks.values())
         for task in lost:
-            self._progress.requeue(task)
+            self._progress.requeue(task, now)
         inputs = {"why": why, "tasks_lost": len(lost)}
         return [LeaveBox(life), Noted("box_over", life, inputs)]
 
@@ -160,7 +161,7 @@
         if box is None:
             return []
         if isinstance(outcome, BoxReplaced):
-            return self.box_over(life, "another life answered")
+            return self.box_over(life, "another life answered", now)
         if isinstance(outcome, Look):
             return self._seen(box, outcome, sent, now)
         if isinstance(outcome, OrderRejected):
@@ -218,6 +219,8 @@
     def repace(self, box: BoxView, now: float) -> list[Decision]:
         """Give what fills a box the paces that its serving tasks bear."""
         effects: list[Decision] = []
+        if not self._state.on(Mechanism.PACING):
+            return effects
         for task, percent in pace_changes(box, self._state.interference, now):
             task.set_pace(percent, now)
             box.version += 1
@@ -235,8 +238,7 @@
             if row.saved:
                 task.checkpoint = row.saved
             if task.state == STARTING:
-                task.state = RUNNING
-                task.confirmed_at = now
+                task.runs(now)
                 task.paced_at = now
         for task in list(box.tasks.values()):
             row_or_none = box.running.get(task.name)
@@ -260,13 +262,13 @@
         """A task of ours that the box does not run."""
         if not box.adopted:
             # Orders of older epochs are refused from here on: it never began.
-            self._progress.requeue(task)
+            self._progress.requeue(task, now)
             return []
         answered = task.confirmed_at
         if not answered or sent <= answered:
             return self._unconfirmed(task, now)
         if task.state == STOPPING:
-            self._progress.requeue(task)
+            self._progress.requeue(task, now)
             return []
         # It was started, is not running and has no end: see that it stays so.
         return self._progress.stop(task, now)
@@ -285,15 +287,15 @@
                 continue
             if now > box.lease_ends:
                 if not box.listed:
-                    effects += self.box_over(box.life, "silent past its lease")
+                    effects += self.box_over(box.life, "silent past its lease", now)
                 elif box.tasks:
-                    effects += self._lapsed(box)
+                    effects += self._lapsed(box, now)
         return effects
 
-    def _lapsed(self, box: BoxView) -> list[Decision]:
+    def _lapsed(self, box: BoxView, now: float) -> list[Decision]:
         tasks = list(box.tasks.values())
         for task in tasks:
-            self._progress.requeue(task)
+            self._progress.requeue(task, now)
         return [Noted("leases_lapsed", box.life, {"tasks": len(tasks)})]
 
     def orphaned_tasks(self, now: float) -> None:
@@ -303,4 +305,4 @@
         for workflow in self._state.workflows.values():
             for task in workflow.tasks.values():
                 if task.placed and task.box not in self._state.boxes:
-                    self._progress.requeue(task)
+                    self._progress.requeue(task, now)
--- a/src/granitetrestle/interference.py
+++ b/src/granitetrestle/interference.py
@@ -128,9 +128,13 @@
 
 
 class Interference:
-    """Strengths by pair of images."""
+    """Strengths by pair of images.
 
-    def __init__(self) -> None:
+    :param learns: whether looks change what is believed.
+    """
+
+    def __init__(self, learns: bool = True) -> None:
+        self._learns = learns
         self._pairs: dict[str, dict[str, _Pair]] = {}
         self._changed: set[str] = set()
         self._means: dict[tuple[str, str], float] = {}
@@ -187,7 +191,7 @@
         :param beside: as for :meth:`stretch`.
         """
         beside = {image: x for image, x in beside.items() if x >= LEAST_SHARE}
-        if not beside:
+        if not beside or not self._learns:
             return
         stretch = busy / load - 1.0
         expected = self.stretch(serving, beside)
--- /dev/null
+++ b/src/granitetrestle/mechanisms.py
@@ -0,0 +1,40 @@
+"""The parts of the policy that can be switched off from outside, one by one, so that
+what each is worth can be measured on the code that ships."""
+
+import enum
+
+from .errors import UnknownMechanism
+
+__all__ = ["Mechanism", "parse_switched_off"]
+
+
+class Mechanism(enum.StrEnum):
+    """A part of the policy; what is done without it stands behind the dash."""
+
+    # Serving tasks and what fills are kept apart - the first box with room.
+    PACKING = "packing"
+    # What disturbs serving tasks is slowed - everything runs at full pace.
+    PACING = "pacing"
+    # Slowed tasks are moved to better boxes - they stay.
+    MOVES = "moves"
+    # Strengths of pairs of images are learnt - every pair is taken as unknown.
+    LEARNT_STRENGTHS = "learnt_strengths"
+    # Loads of serving tasks are followed with their trend - by level alone.
+    LOAD_TREND = "load_trend"
+    # Boxes that fail what they start are put aside - they stay in use.
+    PUT_ASIDE = "put_aside"
+    # The smaller jobs that fill go first, late ones last - first come, first served.
+    URGENCY = "urgency"
+
+
+def parse_switched_off(text: str) -> frozenset[Mechanism]:
+    """Return the mechanisms named in ``text``, which ``+``, commas or blanks part.
+
+    :raises UnknownMechanism: naming each unknown word, and the known ones.
+    """
+    words = text.replace("+", " ").replace(",", " ").split()
+    known = {mechanism.value: mechanism for mechanism in Mechanism}
+    unknown = [word for word in words if word not in known]
+    if unknown:
+        raise UnknownMechanism(unknown, sorted(known))
+    return frozenset(known[word] for word in words)
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -40,9 +40,13 @@
 
 
 class StepLoads:
-    """The loads of all serving steps of a shard."""
+    """The loads of all serving steps of a shard.
 
-    def __init__(self) -> None:
+    :param trend: whether a load is followed with its trend.
+    """
+
+    def __init__(self, trend: bool = True) -> None:
+        self._trend = trend
         self._loads: dict[tuple[str, int, int], StepLoad] = {}
 
     def of(self, task: Task) -> StepLoad:
@@ -50,7 +54,7 @@
         key = (task.workflow.submission.job, task.occurrence, task.step)
         load = self._loads.get(key)
         if load is None:
-            load = self._loads[key] = StepLoad()
+            load = self._loads[key] = StepLoad(self._trend)
         return load
 
     def forget(self, job: str) -> None:
--- a/src/granitetrestle/platform/__main__.py
+++ b/src/granitetrestle/platform/__main__.py
@@ -4,14 +4,17 @@
 import sys
 
 from ..errors import SettingsError
+from ..mechanisms import parse_switched_off
 from .process import run
 from .settings import BOOT_VARIABLE
+from .settings import OFF_VARIABLE
 
 
 def main() -> None:
     """Run the process that the platform's settings file describes."""
     try:
-        run(os.environ.get(BOOT_VARIABLE, ""))
+        off = parse_switched_off(os.environ.get(OFF_VARIABLE, ""))
+        run(os.environ.get(BOOT_VARIABLE, ""), off)
     except SettingsError as error:
         for problem in error.problems:
             print(f"granitetrestled: {problem}", file=sys.stderr)
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -12,6 +12,7 @@
 
 from ..calls import Caller
 from ..embedded import EmbeddedServer
+from ..mechanisms import Mechanism
 from ..node import Node
 from ..node import NodeTerms
 from ..nodelog import NodeLog
@@ -73,7 +74,11 @@
 
 
 def _node(
-    settings: PlatformSettings, caller: Caller, log: NodeLog, metrics: NodeMetrics
+    settings: PlatformSettings,
+    off: frozenset[Mechanism],
+    caller: Caller,
+    log: NodeLog,
+    metrics: NodeMetrics,
 ) -> Node:
     address = f"{settings.ip}:{settings.ports[0]}"
     incarnation = f"{settings.node}-{uuid.uuid4().hex[:8]}"
@@ -85,7 +90,7 @@
         address=address,
         cores=settings.cores,
         decider=DeciderTerms(
-            lease_s=settings.hold_max_s, keep_s=settings.status_s * 1.25
+            lease_s=settings.hold_max_s, keep_s=settings.status_s * 1.25, off=off
         ),
     )
     peers = PeerLink(settings.node, incarnation, PEER_TOKEN, address)
@@ -102,9 +107,14 @@
     return listener
 
 
-async def _main(settings: PlatformSettings, log: NodeLog, metrics: NodeMetrics) -> None:
+async def _main(
+    settings: PlatformSettings,
+    off: frozenset[Mechanism],
+    log: NodeLog,
+    metrics: NodeMetrics,
+) -> None:
     caller = Caller()
-    node = _node(settings, caller, log, metrics)
+    node = _node(settings, off, caller, log, metrics)
     stopping = False
     ready = settings.ready.port if settings.ready is not None else 0
     ports = Ports(ready=ready, metrics=METRICS_PORT)
@@ -123,7 +133,12 @@
     addresses = [settings.front, settings.ready]
     addresses.append(Address(settings.ip, METRICS_PORT))
     listeners = [_listen(address) for address in addresses if address is not None]
-    log.event("started", hall=settings.hall, store=str(settings.store))
+    log.event(
+        "started",
+        hall=settings.hall,
+        store=str(settings.store),
+        switched_off=sorted(off),
+    )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(node.run)
         tasks.start_soon(server.serve, listeners)
@@ -164,12 +179,13 @@
             log.event("reload", changed=False)
 
 
-def run(boot_file: str) -> None:
+def run(boot_file: str, off: frozenset[Mechanism] = frozenset()) -> None:
     """Run until a signal asks the process to stop.
 
+    :param off: mechanisms that are switched off.
     :raises SettingsError: if the settings file is malformed.
     """
     settings = load_boot_file(boot_file)
     metrics = NodeMetrics()
     log = NodeLog(count=metrics.count, node=settings.node)
-    anyio.run(_main, settings, log, metrics, backend="asyncio")
+    anyio.run(_main, settings, off, log, metrics, backend="asyncio")
--- a/src/granitetrestle/platform/settings.py
+++ b/src/granitetrestle/platform/settings.py
@@ -7,9 +7,11 @@
 from ..errors import SettingsError
 from ..settings import Address
 
-__all__ = ["BOOT_VARIABLE", "PlatformSettings", "load_boot_file"]
+__all__ = ["BOOT_VARIABLE", "OFF_VARIABLE", "PlatformSettings", "load_boot_file"]
 
 BOOT_VARIABLE: t.Final = "GRANITETRESTLE_BOOT"
+# Names of mechanisms to switch off, for measurements.
+OFF_VARIABLE: t.Final = "GRANITETRESTLE_SWITCHED_OFF"
 
 
 class PlatformSettings(t.NamedTuple):
--- a/src/granitetrestle/progress.py
+++ b/src/granitetrestle/progress.py
@@ -6,6 +6,8 @@
 from .decisions import Decision
 from .decisions import Noted
 from .decisions import StopTask
+from .jobtimes import job_times
+from .mechanisms import Mechanism
 from .outside import EndedRun
 from .shardstate import ShardState
 from .workflows import DONE
@@ -34,7 +36,8 @@
         workflow = task.workflow
         box = self._state.boxes.get(life)
         effects: list[Decision] = []
-        if box is not None and row.how in ("done", "failed"):
+        put_aside = self._state.on(Mechanism.PUT_ASIDE)
+        if put_aside and box is not None and row.how in ("done", "failed"):
             failed = row.how == "failed"
             if box.run_ended(workflow.submission.job, failed, now):
                 inputs = {"closed_s": round(box.closed_until - now, 1)}
@@ -47,10 +50,12 @@
             # A successor is told again of ends that its predecessor wrote down, but
             # had not confirmed to the box yet.
             task.failed_runs.add(row.run)
+            if current:
+                task.times.failed(now)
         if row.saved:
             task.checkpoint = row.saved
         if current:
-            self.requeue(task)
+            self.requeue(task, now)
         if task.failures >= self._attempts(workflow) and not workflow.terminal:
             why = {"task": task.name, "failures": task.failures, "box": life}
             effects += self.end(workflow, "failed", now, why)
@@ -64,22 +69,22 @@
         workflow = task.workflow
         if task.spec.lasting:
             if row.run == task.run and task.placed:
-                self.requeue(task)
+                self.requeue(task, now)
             return []
         effects: list[Decision] = []
         members = [task]
         if task.spec.gang:
             members = workflow.step_tasks(task.occurrence, task.step)
         for member in members:
-            effects += self._finish(member, row.run)
+            effects += self._finish(member, row.run, now)
         if workflow.terminal:
             return effects
         if workflow.all_done:
             return effects + self.end(workflow, "completed", now, {"last": row.task})
-        self._state.enter_steps(workflow)
+        self._state.enter_steps(workflow, now)
         return effects
 
-    def _finish(self, task: Task, run: int) -> list[Decision]:
+    def _finish(self, task: Task, run: int, now: float) -> list[Decision]:
         """Count a task as done; another run of it must stop."""
         effects: list[Decision] = []
         if task.placed and task.run != run:
@@ -89,19 +94,20 @@
         if waiting is not None:
             waiting.tasks.pop(task.name, None)
         self._state.free(task)
-        task.workflow.mark_done(task)
+        task.workflow.mark_done(task, now)
         return effects
 
-    def requeue(self, task: Task) -> None:
+    def requeue(self, task: Task, now: float) -> None:
         """Take a task off its box and let it wait again."""
         self._state.free(task)
         task.state = PENDING
         self._state.changed(task.workflow)
-        self._state.enter(task)
+        self._state.enter(task, now)
 
     def stop(self, task: Task, now: float) -> list[Decision]:
         """Order the end of a placed task's run."""
         task.state = STOPPING
+        task.times.enter("stop", now)
         task.stop_sent_at = now
         task.confirmed_at = 0.0
         return [StopTask(task.box, task.name, task.run)]
@@ -118,6 +124,7 @@
         workflow.ended_at = now
         self._state.changed(workflow)
         self._state.forget_waiting(workflow)
+        inputs = {**inputs, **self._times(workflow, now)}
         effects: list[Decision] = [
             Noted(f"job_{state}", workflow.submission.job, inputs)
         ]
@@ -125,3 +132,12 @@
             if task.placed:
                 effects += self.stop(task, now)
         return effects
+
+    def _times(self, workflow: Workflow, now: float) -> dict[str, t.Any]:
+        """Return how long a job took and where its time went."""
+        return {
+            "queue": workflow.submission.queue,
+            "took_s": round(now - workflow.accepted_at, 3),
+            "late_s": round(now - workflow.due_at, 3),
+            **job_times(workflow),
+        }
--- a/src/granitetrestle/serviceload.py
+++ b/src/granitetrestle/serviceload.py
@@ -41,11 +41,23 @@
 
 
 class StepLoad:
-    """The load that the tasks of one serving step share. Times are in seconds."""
+    """The load that the tasks of one serving step share. Times are in seconds.
 
-    __slots__ = ("_at", "_covariance", "_level", "_level_var", "_slope", "_slope_var")
+    :param trend: whether its slope is followed too.
+    """
+
+    __slots__ = (
+        "_at",
+        "_covariance",
+        "_level",
+        "_level_var",
+        "_slope",
+        "_slope_var",
+        "_trend",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, trend: bool = True) -> None:
+        self._trend = trend
         self._at: float | None = None
         self._level = MEAN_BUSY
         self._slope = 0.0
@@ -83,7 +95,8 @@
         gain = self._level_var * factor / variance
         slope_gain = self._covariance * factor / variance
         self._level += gain * error
-        self._slope += slope_gain * error
+        if self._trend:
+            self._slope += slope_gain * error
         self._slope_var -= slope_gain * factor * self._covariance
         self._covariance *= 1.0 - gain * factor
         self._level_var *= 1.0 - gain * factor
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -5,6 +5,7 @@
 
 from .boxes import BoxView
 from .interference import Interference
+from .mechanisms import Mechanism
 from .outside import Config
 from .outside import Queue
 from .outside import Record
@@ -34,12 +35,14 @@
         successor counts on that.
     :param clock_slack: how much slower than ours a box's clock may run.
     :param keep_s: how long an ended job can be asked about.
+    :param off: mechanisms that are switched off.
     """
 
     lease_s: float = 10.0
     orphan_s: float = 8.0
     clock_slack: float = 0.03
     keep_s: float = 120.0
+    off: frozenset[Mechanism] = frozenset()
 
     @property
     def lease_bound_s(self) -> float:
@@ -97,13 +100,17 @@
         self.config: Config | None = None
         self.queues: dict[str, Queue] = {}
         self.waiting: dict[tuple[str, int, int], WaitingStep] = {}
-        self.interference = Interference()
-        self.loads = StepLoads()
+        self.interference = Interference(learns=self.on(Mechanism.LEARNT_STRENGTHS))
+        self.loads = StepLoads(trend=self.on(Mechanism.LOAD_TREND))
         self._unwritten: set[str] = set()
         self._changed: set[str] = set()
         self._dropped: set[str] = set()
         self._learnt: dict[str, bytes] = {}
 
+    def on(self, mechanism: Mechanism) -> bool:
+        """Say whether a mechanism is in use."""
+        return mechanism not in self.terms.off
+
     def add(self, submission: Submission, now: float) -> Workflow:
         """Enter an accepted job; it must be written."""
         workflow = Workflow(submission, now)
@@ -192,15 +199,15 @@
             box.free(task)
         task.box = ""
 
-    def enter_steps(self, workflow: Workflow) -> None:
+    def enter_steps(self, workflow: Workflow, now: float) -> None:
         """Let the tasks of all steps whose turn has come wait for a box."""
         for (occurrence, number), undone in workflow.undone.items():
             if undone and workflow.step_ready(occurrence, number):
                 for task in workflow.step_tasks(occurrence, number):
                     if task.state == PENDING:
-                        self.enter(task)
+                        self.enter(task, now)
 
-    def enter(self, task: Task) -> None:
+    def enter(self, task: Task, now: float) -> None:
         """Let a task wait for a box, if its job still wants it."""
         workflow = task.workflow
         if workflow.terminal or not workflow.step_ready(task.occurrence, task.step):
@@ -209,6 +216,8 @@
         entry = self.waiting.get(key)
         if entry is None:
             entry = self.waiting[key] = self._waiting_step(task)
+        if task.name not in entry.tasks:
+            task.times.enter("room", now)
         entry.tasks[task.name] = task
 
     def _waiting_step(self, task: Task) -> WaitingStep:
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from .jobtimes import TaskTimes
+
 __all__ = [
     "DONE",
     "PENDING",
@@ -112,12 +114,14 @@
 
     :ivar spec: what it asks for.
     :ivar run: number of its latest start, 0 before the first.
+    :ivar done_at: when it was done, in seconds on the steady clock.
     """
 
     __slots__ = (
         "box",
         "checkpoint",
         "confirmed_at",
+        "done_at",
         "failed_runs",
         "index",
         "name",
@@ -132,6 +136,7 @@
         "step",
         "stop_sent_at",
         "ticket",
+        "times",
         "workflow",
     )
 
@@ -156,6 +161,8 @@
         self.paced_at = 0.0
         self.slow_since = 0.0
         self.ticket = ""
+        self.done_at = 0.0
+        self.times = TaskTimes()
 
     @property
     def failures(self) -> int:
@@ -173,6 +180,18 @@
             self.slow_since = now
         self.pace = percent
         self.paced_at = now
+        if self.state == RUNNING:
+            self.times.enter(self._run_phase, now)
+
+    def runs(self, now: float) -> None:
+        """Note that its run was seen or confirmed."""
+        self.state = RUNNING
+        self.confirmed_at = now
+        self.times.enter(self._run_phase, now)
+
+    @property
+    def _run_phase(self) -> t.Literal["run", "slowed"]:
+        return "run" if self.pace == FULL_PACE else "slowed"
 
 
 class Workflow:
@@ -229,10 +248,12 @@
         count = self.submission.steps[step].count
         return [self.tasks[(occurrence, step, index)] for index in range(count)]
 
-    def mark_done(self, task: Task) -> None:
+    def mark_done(self, task: Task, now: float) -> None:
         """Count a task as done, once."""
         if task.state != DONE:
             task.state = DONE
+            task.done_at = now
+            task.times.enter(None, now)
             self.undone[(task.occurrence, task.step)] -= 1
 
     @property
@@ -289,7 +310,7 @@
             task.checkpoint = saved
             self.begun = True
             if state == DONE:
-                self.mark_done(task)
+                self.mark_done(task, now)
                 continue
             task.state = state
             task.box = box if task.placed else ""
