Boxes are kept free of lasting work, as many as short work was seen to need

Change: lasting tasks leave boxes alone whose room covers what short work needs 85 % of the time (a quantile followed from what runs and waits); room for two tasks that stood unused for 1.5 s is given up, since accounts are promised that what has room starts.

--- a/features/native_policy.feature
+++ b/features/native_policy.feature
@@ -1,5 +1,21 @@
 Feature: How the decider shares room between kinds of work
 
+  Scenario: Lasting work leaves boxes for short work
+    Given four boxes of 64 cores, full of lasting work but for the room kept
+    When a short job of 19 cores a task comes
+    Then its tasks start at once
+    And lasting tasks that wait start nowhere meanwhile
+
+  Scenario: Room that short work does not need is not kept from lasting work
+    Given four boxes of 64 cores, full of lasting work but for the room kept
+    When nothing short comes for 2 seconds
+    Then a lasting task that waits has started, and room for one more is left
+
+  Scenario: Without headroom short work waits behind what lasts
+    Given four boxes of 64 cores and no headroom, full of lasting work
+    When a short job of 19 cores a task comes
+    Then its tasks wait
+
   Scenario: The line at a job's end says where its time went
     Given a job of two steps that waited, failed once and was slowed
     Then its line sums to the time it took: 1 s for room, 2 s failed, 3 s run, 1 s slowed
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -3,6 +3,7 @@
 
 from behave import given
 from behave import then
+from behave import when
 
 from granitetrestle.decider import Decider
 from granitetrestle.decisions import Noted
@@ -24,6 +25,10 @@
 
 QUEUE = Queue("q", "host", "/q/", "pool", 0, 3, 1.5, 1000.0)
 CONFIG = Config(1, (QUEUE,), {"pool": True}, 262144)
+SERVING = Step(
+    count=30, cpu=15_000, memory_mb=100, lasting=True, image="s", target_ms=50.0
+)
+SHORT = Step(count=1, cpu=19_000, memory_mb=100, estimate_ms=800)
 
 
 class Desk:
@@ -104,6 +109,52 @@
         )
 
 
+@given("four boxes of 64 cores, full of lasting work but for the room kept")
+def full_but_for_kept(context):
+    context.desk = Desk(4)
+    context.desk.submit("first", SERVING)
+    assert 10 <= context.desk.placed("first") < 16, context.desk.placed("first")
+    context.before = context.desk.placed("first")
+
+
+@given("four boxes of 64 cores and no headroom, full of lasting work")
+def full(context):
+    context.desk = Desk(4, frozenset({Mechanism.HEADROOM}))
+    context.desk.submit("first", SERVING)
+    assert context.desk.placed("first") == 16
+
+
+@when("a short job of 19 cores a task comes")
+def short_comes(context):
+    context.desk.submit("short", SHORT)
+
+
+@then("its tasks start at once")
+def short_starts(context):
+    assert context.desk.placed("short") == 1
+
+
+@then("lasting tasks that wait start nowhere meanwhile")
+def lasting_wait(context):
+    assert context.desk.placed("first") == context.before
+
+
+@when("nothing short comes for {seconds:g} seconds")
+def nothing_comes(context, seconds):
+    context.desk.wait(seconds)
+
+
+@then("a lasting task that waits has started, and room for one more is left")
+def lasting_starts(context):
+    assert context.before < context.desk.placed("first") == 15
+
+
+@then("its tasks wait")
+def short_waits(context):
+    context.desk.wait(2.0)
+    assert context.desk.placed("short") == 0
+
+
 @given("a job of two steps that waited, failed once and was slowed")
 def eventful_job(context):
     desk = context.desk = Desk(0)
--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -21,6 +21,7 @@
     """One life of a box. Times are in seconds on the decider's steady clock.
 
     :param lease_ends: no lease there can outlast this.
+    :ivar short_cpu: part of ``cpu_used`` that tasks which end by themselves reserve.
     :ivar loads: serving task -> the load that it shares with its step.
     :ivar version: rises with each change of what is placed or seen here.
     :ivar load: what :mod:`.overload` computed for a version.
@@ -33,6 +34,7 @@
         self.tasks: dict[str, Task] = {}
         self.running: dict[str, RunningTask] = {}
         self.cpu_used = 0
+        self.short_cpu = 0
         self.fill_cpu = 0
         self.memory_used = 0
         self.gpu_used = 0
@@ -111,6 +113,8 @@
             self.fill_cpu += sign * step.cpu
         else:
             self.cpu_used += sign * step.cpu
+            if not step.lasting:
+                self.short_cpu += sign * step.cpu
         self.memory_used += sign * step.memory_mb
         self.gpu_used += sign * step.gpu
 
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -14,6 +14,9 @@
 from .decisions import StartTask
 from .decisions import StepDown
 from .fleet import Fleet
+from .headroom import Headroom
+from .headroom import KeptBoxes
+from .headroom import NoHeadroom
 from .jobcalls import CancelJob
 from .jobcalls import Cancelled
 from .jobcalls import CountWaiting
@@ -89,6 +92,8 @@
         self._fleet = Fleet(self._state, self._progress, now)
         packing = KeepApart() if self._state.on(Mechanism.PACKING) else FirstBox()
         self._packer = packer or packing
+        on = self._state.on(Mechanism.HEADROOM)
+        self._headroom: Headroom = KeptBoxes() if on else NoHeadroom()
         self._swept_at = now
         self._moved_at = now
         self._learnt_at = now
@@ -204,6 +209,7 @@
         for box in self._state.boxes.values():
             if box.open_for_work(now):
                 open_boxes.setdefault(box.entry.service, []).append(box)
+        self._headroom.update(open_boxes, self._short_waiting(), now)
         fill = now - self._filled_at >= FILL_EVERY_S
         if fill:
             self._filled_at = now
@@ -222,6 +228,17 @@
                 del waiting[key]
         return effects
 
+    def _short_waiting(self) -> dict[str, int]:
+        """Return service -> thousandths of a core that waiting short work reserves."""
+        short: dict[str, int] = {}
+        for entry in self._state.waiting.values():
+            step = entry.workflow.submission.steps[entry.step]
+            if not step.lasting and not step.fills:
+                service = self._state.service_of(entry.workflow)
+                need = len(entry.tasks) * step.cpu
+                short[service] = short.get(service, 0) + need
+        return short
+
     def _move_slowed(self, now: float) -> list[Decision]:
         """Move tasks that are kept slow to where they disturb nobody."""
         if now - self._moved_at < MOVE_EVERY_S or not self._state.on(Mechanism.MOVES):
@@ -263,11 +280,13 @@
         for task in list(entry.tasks.values()):
             box = None
             if kind not in self._no_box:
-                box = self._box_for(task, step, boxes, now)
+                box = self._box_for(entry, task, step, boxes, now)
             if box is None and self._starved(entry, step, now):
                 box = least_filled(_able(task, step, boxes))
             if box is None:
-                if not step.per_box:
+                # What lasts must be looked at each time: how long there has been room
+                # for it counts.
+                if not step.per_box and not step.lasting:
                     self._no_box.add(kind)
                 break
             del entry.tasks[task.name]
@@ -317,7 +336,7 @@
             return []
         chosen: list[tuple[Task, BoxView]] = []
         for task in members:
-            box = self._box_for(task, step, boxes, now)
+            box = self._box_for(entry, task, step, boxes, now)
             if box is None:
                 break
             box.place(task)
@@ -336,9 +355,16 @@
         return [self._start(task, box, now) for task, box in chosen]
 
     def _box_for(
-        self, task: Task, step: Step, boxes: list[BoxView], now: float
+        self,
+        entry: WaitingStep,
+        task: Task,
+        step: Step,
+        boxes: list[BoxView],
+        now: float,
     ) -> BoxView | None:
         able = _able(task, step, boxes)
+        if step.lasting:
+            able = self._headroom.open_to(entry, able, now)
         if step.affinity:
             near = [box for box in able if box.entry.rack == step.affinity]
             able = near or able
--- /dev/null
+++ b/src/granitetrestle/headroom.py
@@ -0,0 +1,135 @@
+"""Boxes that are kept free of lasting work. Tasks that last take room for minutes; once
+they hold all of it, short work that must reserve room waits for one of them to end.
+How much is kept follows what short work was seen to need."""
+
+import abc
+import typing as t
+
+from .boxes import BoxView
+from .shardstate import WaitingStep
+from .workflows import Step
+
+__all__ = ["Headroom", "KeptBoxes", "NoHeadroom"]
+
+# Share of a pool kept before any short work was seen, and at most.
+FIRST_SHARE: t.Final = 0.08
+MOST_SHARE: t.Final = 0.16
+# What is kept covers the need of short work for this share of the time: while both
+# wait, a core-second of short work is worth several of lasting work.
+COVERED: t.Final = 0.85
+# How fast the estimate follows the need, as a share of the pool a second.
+FOLLOWS: t.Final = 0.02
+# How often what is kept is chosen anew.
+EVERY_S: t.Final = 0.3
+# Room for two tasks that nobody needed for so long is given to lasting work.
+UNUSED_S: t.Final = 1.5
+
+
+class Headroom(abc.ABC):
+    """Says which boxes lasting work must leave alone."""
+
+    @abc.abstractmethod
+    def update(
+        self,
+        pools: t.Mapping[str, list[BoxView]],
+        short: t.Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Take up what waits.
+
+        :param pools: service -> its boxes that are open for work.
+        :param short: service -> thousandths of a core that waiting short work reserves.
+        """
+
+    @abc.abstractmethod
+    def open_to(
+        self, entry: WaitingStep, boxes: list[BoxView], now: float
+    ) -> list[BoxView]:
+        """Return those of ``boxes``, which all have room, where a lasting task may go."""
+
+
+class NoHeadroom(Headroom):
+    """Lasting work may go anywhere."""
+
+    def update(
+        self,
+        pools: t.Mapping[str, list[BoxView]],
+        short: t.Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Do nothing."""
+
+    def open_to(
+        self, entry: WaitingStep, boxes: list[BoxView], now: float
+    ) -> list[BoxView]:
+        """Return all."""
+        return boxes
+
+
+class KeptBoxes(Headroom):
+    """Keeps whole boxes, so that wide tasks find room in one piece."""
+
+    def __init__(self) -> None:
+        self._needs: dict[str, float] = {}
+        self._kept: set[str] = set()
+        self._updated_at: float | None = None
+
+    def update(
+        self,
+        pools: t.Mapping[str, list[BoxView]],
+        short: t.Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Choose the boxes that hold least lasting work, as many as needed."""
+        passed = 0.0 if self._updated_at is None else now - self._updated_at
+        if self._updated_at is not None and passed < EVERY_S:
+            return
+        self._updated_at = now
+        self._kept.clear()
+        for service, boxes in pools.items():
+            self._keep(service, boxes, short.get(service, 0), passed)
+
+    def _keep(
+        self, service: str, boxes: list[BoxView], waiting: int, passed: float
+    ) -> None:
+        whole = sum(box.entry.cpu for box in boxes)
+        need = waiting + sum(box.short_cpu for box in boxes)
+        kept = self._needs.get(service, FIRST_SHARE * whole)
+        step = FOLLOWS * whole * passed
+        if need > kept:
+            kept += step * COVERED
+        else:
+            kept -= step * (1.0 - COVERED)
+        kept = self._needs[service] = max(0.0, min(MOST_SHARE * whole, kept))
+        for box in sorted(boxes, key=_lasting_share):
+            if kept <= 0.0:
+                break
+            self._kept.add(box.life)
+            kept -= box.entry.cpu - box.cpu_used + box.short_cpu
+
+    def open_to(
+        self, entry: WaitingStep, boxes: list[BoxView], now: float
+    ) -> list[BoxView]:
+        """Leave kept boxes out, unless room for two such tasks was not needed for long:
+        the task's account is promised that it starts then."""
+        others = [box for box in boxes if box.life not in self._kept]
+        if others:
+            return others
+        step = entry.workflow.submission.steps[entry.step]
+        if sum(_slots(step, box) for box in boxes) < 2:
+            entry.roomy_since = None
+            return []
+        if entry.roomy_since is None:
+            entry.roomy_since = now
+        return boxes if now - entry.roomy_since > UNUSED_S else []
+
+
+def _slots(step: Step, box: BoxView) -> int:
+    """Return how many tasks of ``step`` have room on a box."""
+    by_cpu = box.cpu_free // max(1, step.cpu)
+    memory_free = box.entry.memory_mb - box.memory_used
+    return max(0, min(by_cpu, memory_free // max(1, step.memory_mb)))
+
+
+def _lasting_share(box: BoxView) -> tuple[float, str]:
+    return ((box.cpu_used - box.short_cpu) / max(1, box.entry.cpu), box.life)
--- a/src/granitetrestle/mechanisms.py
+++ b/src/granitetrestle/mechanisms.py
@@ -11,6 +11,8 @@
 class Mechanism(enum.StrEnum):
     """A part of the policy; what is done without it stands behind the dash."""
 
+    # Boxes are kept free for short work - lasting work may take all room.
+    HEADROOM = "headroom"
     # Serving tasks and what fills are kept apart - the first box with room.
     PACKING = "packing"
     # What disturbs serving tasks is slowed - everything runs at full pace.
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -54,6 +54,7 @@
     """Tasks of one step that wait for a box.
 
     :ivar tickets: for a queue under advice, the boxes that may run the step.
+    :ivar roomy_since: since when there has been room for two tasks that last.
     :ivar since: when a pass first found it waiting, or last started one of its tasks.
     """
 
@@ -63,6 +64,7 @@
         "latest_start",
         "occurrence",
         "priority",
+        "roomy_since",
         "since",
         "step",
         "tasks",
@@ -88,6 +90,7 @@
         self.advice_until = 0.0
         self.asked_at = -1e9
         self.since: float | None = None
+        self.roomy_since: float | None = None
 
 
 class ShardState:
