A refused client comes back later the longer the store is away

Change: Retry-After is the time that the store has been away, 1 to 4 s. Ruled out: holding the request until the store is back: it is known not to be servable.

--- a/features/native_silence.feature
+++ b/features/native_silence.feature
@@ -16,9 +16,19 @@
     Then messages arrive again within 2.2 seconds
 
   Scenario: A request that needs the store is refused as soon as that is known to be away
-    Given a decider whose store has been away for a second
+    Given a decider whose store has been away for 1 seconds
     Then a question for a job's state is refused within 0.3 seconds
 
+  Scenario Outline: The longer the store is away, the later a refused client comes back
+    Given a decider whose store has been away for <away> seconds
+    Then a client that is refused comes back after <after> seconds
+
+    Examples:
+      | away | after |
+      | 0.6  | 1     |
+      | 2.2  | 2     |
+      | 30   | 4     |
+
   Scenario Outline: After all processes were killed one of them takes over
     Given <count> processes that all start again, and a store that answers in <store> ms
     When the former decider <returns>
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -123,6 +123,16 @@
     anyio.run(context.server.run, context.count, script)
 
 
+@then("a client that is refused comes back after {seconds:d} seconds")
+def comes_back(context, seconds):
+    async def script():
+        call = ClientCall("GET", "host", f"/q/{'a' * 16}", b"")
+        return await FrontResponder().answer(context.session, "r", call)
+
+    answer = anyio.run(script)
+    assert (answer.status, answer.retry_after_s) == (503, seconds), answer
+
+
 class Relay:
     """Passes bytes on, both ways; connections told to be silent pass nothing."""
 
@@ -217,8 +227,8 @@
 CONFIG = Config(1, (Queue("q", "host", "/q/", "pool", 0, 3, 1.5, 1.0),), {}, 10_000)
 
 
-@given("a decider whose store has been away for a second")
-def store_away(context):
+@given("a decider whose store has been away for {seconds:g} seconds")
+def store_away(context, seconds):
     class Away(Session):
         """Only what ``confirm`` reads."""
 
@@ -229,8 +239,8 @@
             self._journal = self
 
         class status:
-            confirmed_at = time.monotonic() - 1.0
-            waiting_since = time.monotonic() - 1.0
+            confirmed_at = time.monotonic() - seconds
+            waiting_since = time.monotonic() - seconds
 
         def nudge(self):
             pass
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -61,9 +61,9 @@
         elif not session.serving:
             refused = "the configuration was not confirmed of late"
         if refused and not _taken(session, asked):
-            return _come_back(refused)
+            return _come_back(refused, session.come_back_s)
         if not await session.confirm() and not _taken(session, asked):
-            return _come_back("store away")
+            return _come_back("store away", session.come_back_s)
         if isinstance(asked, front.UnknownQueue):
             return ClientAnswer(404)
         outcome = await session.call(request, asked)
@@ -79,8 +79,8 @@
     return asked.submission.job in session.decider.state.workflows
 
 
-def _come_back(why: str) -> ClientAnswer:
-    return ClientAnswer(503, b"", COME_BACK_S, why)
+def _come_back(why: str, after_s: int = COME_BACK_S) -> ClientAnswer:
+    return ClientAnswer(503, b"", after_s, why)
 
 
 class Ports(t.NamedTuple):
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -55,6 +55,8 @@
 CONFIG_FRESH_S: t.Final = 1.8
 # A store that has not answered for so long is away: new work is refused.
 STORE_AWAY_S: t.Final = 0.5
+# Longest time for which a refused client is sent away.
+MOST_COME_BACK_S: t.Final = 4
 # An answer may rest on being the decider if that was confirmed so recently.
 CONFIRMED_S: t.Final = 0.6
 TAKE_OVER_TIMEOUT_S: t.Final = 1.0
@@ -149,6 +151,14 @@
         since = self._journal.status.waiting_since
         return since is not None and time.monotonic() - since > STORE_AWAY_S
 
+    @property
+    def come_back_s(self) -> int:
+        """When a client that is refused should come back: the longer the store has been
+        away, the longer it is likely to be, and a client has but a few tries."""
+        since = self._journal.status.waiting_since
+        away_s = 0.0 if since is None else time.monotonic() - since
+        return max(1, min(MOST_COME_BACK_S, round(away_s)))
+
     @property
     def serving(self) -> bool:
         """Whether clients can be answered: configuration known and fresh."""
