explain all sums up where the jobs of a log spent their time

Ruled out: a figure of the metrics endpoint: it would need the same sums in memory, and tells nothing after a take-over. Scenario in native_policy.feature.

--- a/features/native_policy.feature
+++ b/features/native_policy.feature
@@ -27,6 +27,11 @@
     Given a job of two steps that waited, failed once and was slowed
     Then its line sums to the time it took: 1 s for room, 2 s failed, 3 s run, 1 s slowed
 
+  Scenario: The lines of a day are summed up by queue
+    Given a log in which two jobs ended, one of them 2 s late after 3 s for room
+    Then the command line sums it up: 2 jobs, 1 late, 1.5 s for room
+    And a log in which no job ended is refused as not found
+
   Scenario: A mechanism that is not known is refused at the start
     Then switching off "pacing+moves" names two mechanisms
     And switching off "pacing+luck" is refused, naming luck and every known one
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -1,8 +1,12 @@
 """Steps of the scenarios over room, over where a job's time went, and over mechanisms
 that are switched off."""
 
+import json
 import math
 import random
+import subprocess
+import sys
+import tempfile
 
 from behave import given
 from behave import then
@@ -15,6 +19,7 @@
 from granitetrestle.errors import UnknownMechanism
 from granitetrestle.interference import Interference
 from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.jobtimes import PHASES
 from granitetrestle.mechanisms import Mechanism
 from granitetrestle.mechanisms import parse_switched_off
 from granitetrestle.outside import BoxEntry
@@ -268,3 +273,46 @@
     stretch = bearable_stretch(BoxView(entry, 0.0), task, context.interference, 10.0)
     busy = (1.0 + stretch) * MEAN_BUSY
     assert context.idle / (1.0 - busy) <= 1.1, (busy, context.idle)
+
+
+@given("a log in which two jobs ended, one of them 2 s late after 3 s for room")
+def two_ended(context):
+    phases = dict.fromkeys((f"{phase}_s" for phase in PHASES), 0.0)
+    common = {"event": "job_completed", "node": "n1", "queue": "q", "took_s": 4.0}
+    lines = [
+        {**common, **phases, "timestamp": "T10:00:00.0Z", "late_s": -1.0},
+        {**common, **phases, "timestamp": "T10:00:01.0Z", "late_s": 2.0, "room_s": 3.0},
+        {"event": "started", "node": "n1", "timestamp": "T10:00:02.0Z"},
+    ]
+    context.log = write_log(lines)
+
+
+def write_log(lines):
+    with tempfile.NamedTemporaryFile("w", suffix=".log", delete=False) as log:
+        log.writelines(json.dumps(line) + "\n" for line in lines)
+    return log.name
+
+
+def explain_all(path):
+    command = [sys.executable, "-m", "granitetrestle.cli", "explain", "all"]
+    return subprocess.run(
+        [*command, "--logs", path, "--json"],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@then("the command line sums it up: {jobs:d} jobs, {late:d} late, {room:g} s for room")
+def summed_up(context, jobs, late, room):
+    done = explain_all(context.log)
+    (queue,) = json.loads(done.stdout)
+    assert (queue["jobs"], queue["late"]) == (jobs, late), queue
+    assert queue["phases"]["room"] == room and queue["took_s"] == 4.0, queue
+    assert queue["late_phases"]["room"] == 3.0, queue
+
+
+@then("a log in which no job ended is refused as not found")
+def nothing_ended(context):
+    done = explain_all(write_log([]))
+    assert done.returncode != 0 and "no job ended" in done.stderr, done
--- a/src/granitetrestle/cli.py
+++ b/src/granitetrestle/cli.py
@@ -15,6 +15,8 @@
 from .errors import InvalidInput
 from .errors import NotFound
 from .errors import UnreachableError
+from .jobtimes import PHASES
+from .jobtimes import queue_times
 from .timeline import read_lines
 from .timeline import timeline
 
@@ -23,6 +25,8 @@
 ENV_PREFIX = "GRANITETRESTLE_"
 WAIT_S = 20.0
 POLL_S = 0.1
+# Instead of a job: sum up all that ended in the logs.
+ALL_JOBS = "all"
 Rows: t.TypeAlias = list[list[t.Any]]
 
 
@@ -254,12 +258,29 @@
 
 
 def _explain(client: Client, args: list[str], options: t.Any) -> Result:
+    if args[0] == ALL_JOBS and not options.logs:
+        raise InvalidInput("to sum up all jobs give their logs with --logs")
+    if args[0] == ALL_JOBS:
+        return _sum_up(options.logs)
     if options.logs:
         return _explain_from_logs(args[0], options.logs)
     answer = client.call("GET", f"/v1/jobs/{args[0]}/explain")
     return Result(answer, ["TASK", "WHY"], [[k, v] for k, v in answer.items()])
 
 
+def _sum_up(paths: list[str]) -> Result:
+    queues = queue_times(read_lines(paths))
+    if not queues:
+        raise NotFound("no job ended in these logs", "give the logs of all machines")
+    rows = [
+        [q.queue, q.jobs, q.failed, q.late, q.took_s, *q.phases.values()]
+        for q in queues
+    ]
+    header = ["QUEUE", "JOBS", "FAILED", "LATE", "TOOK S"]
+    header += [f"{phase.upper()} S" for phase in PHASES]
+    return Result([q._asdict() for q in queues], header, rows)
+
+
 def _explain_from_logs(job: str, paths: list[str]) -> Result:
     moments = timeline(job, read_lines(paths))
     rows = [
@@ -295,7 +316,11 @@
     Command(("box", "drain"), ("BOX",), "empty a box", _drain_flags, _box_drain),
     Command(("status",), (), "halls, owners, offsets", _no_flags, _status),
     Command(
-        ("explain",), ("JOB",), "why a job is where it is", _explain_flags, _explain
+        ("explain",),
+        ("JOB",),
+        "why a job is where it is; with all: where all jobs spent their time",
+        _explain_flags,
+        _explain,
     ),
 )
 
--- a/src/granitetrestle/jobtimes.py
+++ b/src/granitetrestle/jobtimes.py
@@ -8,7 +8,7 @@
     from .workflows import Task
     from .workflows import Workflow
 
-__all__ = ["PHASES", "TaskTimes", "job_times"]
+__all__ = ["PHASES", "QueueTimes", "TaskTimes", "job_times", "queue_times"]
 
 Phase: t.TypeAlias = t.Literal["room", "order", "run", "slowed", "stop", "failed"]
 
@@ -24,6 +24,10 @@
 )
 
 
+# Lines that hold a job's times.
+ENDS: t.Final = ("job_completed", "job_failed")
+
+
 class TaskTimes:
     """Seconds that one task spent in each phase since its step's turn came."""
 
@@ -61,6 +65,48 @@
         self._run.clear()
 
 
+class QueueTimes(t.NamedTuple):
+    """Where the jobs of one queue spent their time, in seconds a job.
+
+    :param late: jobs that ended after they were due, by their estimates.
+    :param phases: phase -> mean over all jobs; of late jobs in ``late_phases``.
+    """
+
+    queue: str
+    jobs: int
+    failed: int
+    late: int
+    took_s: float
+    phases: dict[str, float]
+    late_phases: dict[str, float]
+
+
+def queue_times(lines: t.Iterable[t.Mapping[str, t.Any]]) -> list[QueueTimes]:
+    """Sum up the lines that were written at the ends of jobs, by queue."""
+    queues: dict[str, list[t.Mapping[str, t.Any]]] = {}
+    for line in lines:
+        if line.get("event") in ENDS and isinstance(line.get("queue"), str):
+            queues.setdefault(line["queue"], []).append(line)
+    return [_queue_times(queue, ends) for queue, ends in sorted(queues.items())]
+
+
+def _queue_times(queue: str, ends: list[t.Mapping[str, t.Any]]) -> QueueTimes:
+    late = [end for end in ends if end["late_s"] > 0.0]
+    return QueueTimes(
+        queue=queue,
+        jobs=len(ends),
+        failed=sum(end["event"] == "job_failed" for end in ends),
+        late=len(late),
+        took_s=_mean(ends, "took_s"),
+        phases={phase: _mean(ends, f"{phase}_s") for phase in PHASES},
+        late_phases={phase: _mean(late, f"{phase}_s") for phase in PHASES},
+    )
+
+
+def _mean(ends: list[t.Mapping[str, t.Any]], field: str) -> float:
+    return round(sum(end[field] for end in ends) / len(ends), 2) if ends else 0.0
+
+
 def job_times(workflow: "Workflow") -> dict[str, float]:
     """Return phase -> seconds along the chain of tasks that ended last."""
     sums = dict.fromkeys(PHASES, 0.0)
