How many failures in a row put a box aside follows how often runs fail

Change: the failures it takes follow the share of all runs that fail (4 at one in 20), so that a sound box is put aside by chance once in 100,000 runs. Ruled out: shorter pauses: a box that fails everything would be tried more often.

--- a/features/native_policy.feature
+++ b/features/native_policy.feature
@@ -23,6 +23,12 @@
     When one task of image a, two of image b and one more of a come to serve
     Then each box serves one image
 
+  Scenario: A box is not put aside for failures that are usual
+    Given a box on which one run in 20 fails, by chance three of three jobs in a row
+    Then it still takes work
+    When every run there fails
+    Then it is put aside after 2 more failures at most
+
   Scenario: The line at a job's end says where its time went
     Given a job of two steps that waited, failed once and was slowed
     Then its line sums to the time it took: 1 s for room, 2 s failed, 3 s run, 1 s slowed
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -316,3 +316,42 @@
 def nothing_ended(context):
     done = explain_all(write_log([]))
     assert done.returncode != 0 and "no job ended" in done.stderr, done
+
+
+def end_of_job(desk, number, how):
+    """Submit a job of one task, and end its first run."""
+    step = Step(count=1, cpu=1000, memory_mb=100)
+    workflow = desk.submit(f"job{number}", step)
+    (task,) = workflow.tasks.values()
+    if task.placed:
+        desk.end(task, how)
+
+
+@given("a box on which one run in 20 fails, by chance three of three jobs in a row")
+def usual_failures(context):
+    context.desk = Desk(1)
+    for number in range(200):
+        end_of_job(context.desk, number, "failed" if number % 20 == 0 else "done")
+        context.desk.wait(0.1)
+    for number in range(200, 203):
+        end_of_job(context.desk, number, "failed")
+
+
+@then("it still takes work")
+def takes_work(context):
+    (box,) = context.desk.decider.state.boxes.values()
+    assert box.open_for_work(context.desk.now)
+
+
+@when("every run there fails")
+def every_run_fails(context):
+    (box,) = context.desk.decider.state.boxes.values()
+    context.more = 0
+    while box.open_for_work(context.desk.now) and context.more < 10:
+        end_of_job(context.desk, 300 + context.more, "failed")
+        context.more += 1
+
+
+@then("it is put aside after {count:d} more failures at most")
+def put_aside(context, count):
+    assert context.more <= count, context.more
--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -11,8 +11,7 @@
 
 __all__ = ["BoxView"]
 
-# A box that fails this many runs in a row, of more than one job, is put aside.
-FAILURES_TO_QUARANTINE: t.Final = 3
+# How long a box that fails what it starts is put aside, at first and at most.
 QUARANTINE_S: t.Final = 4.0
 MAX_QUARANTINE_S: t.Final = 16.0
 
@@ -123,8 +122,11 @@
         prefix = f"{job}.{occurrence}.{step}."
         return sum(name.startswith(prefix) for name in self.tasks)
 
-    def run_ended(self, job: str, failed: bool, now: float) -> bool:
-        """Learn from the end of a run; says whether the box was put aside."""
+    def run_ended(self, job: str, failed: bool, in_a_row: int, now: float) -> bool:
+        """Learn from the end of a run; says whether the box was put aside.
+
+        :param in_a_row: how many failures in a row, of more than one job, it takes.
+        """
         if not failed:
             self._failed_jobs.clear()
             self._failed_runs = 0
@@ -132,10 +134,10 @@
             return False
         self._failed_jobs.add(job)
         self._failed_runs += 1
-        if self._failed_runs < FAILURES_TO_QUARANTINE or len(self._failed_jobs) < 2:
+        if self._failed_runs < in_a_row or len(self._failed_jobs) < 2:
             return False
         self.closed_until = now + self._quarantine_s
         self._quarantine_s = min(MAX_QUARANTINE_S, self._quarantine_s * 2)
         # One more failure after the pause is enough to close it again.
-        self._failed_runs = FAILURES_TO_QUARANTINE - 1
+        self._failed_runs = in_a_row - 1
         return True
--- a/src/granitetrestle/progress.py
+++ b/src/granitetrestle/progress.py
@@ -39,7 +39,9 @@
         put_aside = self._state.on(Mechanism.PUT_ASIDE)
         if put_aside and box is not None and row.how in ("done", "failed"):
             failed = row.how == "failed"
-            if box.run_ended(workflow.submission.job, failed, now):
+            self._state.failure_rate.saw(failed)
+            in_a_row = self._state.failure_rate.in_a_row
+            if box.run_ended(workflow.submission.job, failed, in_a_row, now):
                 inputs = {"closed_s": round(box.closed_until - now, 1)}
                 effects.append(Noted("box_put_aside", life, inputs))
         self._state.changed(workflow)
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from .boxes import BoxView
+from .failurerate import FailureRate
 from .interference import Interference
 from .mechanisms import Mechanism
 from .outside import Config
@@ -107,6 +108,7 @@
             learns=self.on(Mechanism.LEARNT_STRENGTHS),
             learns_tails=self.on(Mechanism.LEARNT_TAILS),
         )
+        self.failure_rate = FailureRate()
         self.loads = StepLoads(trend=self.on(Mechanism.LOAD_TREND))
         self._unwritten: set[str] = set()
         self._changed: set[str] = set()
