--- a/features/native_policy.feature
+++ b/features/native_policy.feature
@@ -13,6 +13,11 @@
     When nothing short comes for 0.6 seconds
     Then lasting tasks that wait have taken all room
 
+  Scenario: Room that short work takes for moments is not kept for ever
+    Given four boxes of 64 cores, full of lasting work but for the room kept
+    When short work takes the kept room for half a second after a second
+    Then lasting tasks that wait have started within 0.8 seconds more
+
   Scenario: Without headroom short work waits behind what lasts
     Given four boxes of 64 cores and no headroom, full of lasting work
     When a short job of 19 cores a task comes
--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -162,6 +162,24 @@
     assert context.desk.placed("first") == 16
 
 
+@when("short work takes the kept room for half a second after a second")
+def short_takes_moments(context):
+    desk = context.desk
+    step = Step(count=3, cpu=19_000, memory_mb=100, estimate_ms=500)
+    desk.wait(1.0)
+    workflow = desk.submit("moment", step)
+    assert all(task.placed for task in workflow.tasks.values())
+    desk.wait(0.5)
+    for task in list(workflow.tasks.values()):
+        desk.end(task, "done")
+
+
+@then("lasting tasks that wait have started within 0.8 seconds more")
+def lasting_started(context):
+    context.desk.wait(0.8)
+    assert context.desk.placed("first") > context.before
+
+
 @then("its tasks wait")
 def short_waits(context):
     context.desk.wait(2.0)
--- a/src/granitetrestle/headroom.py
+++ b/src/granitetrestle/headroom.py
@@ -23,6 +23,9 @@
 # Room that nobody needed for so long is given to lasting work: what has room starts
 # within three seconds, of which looks and writes take up to one.
 UNUSED_S: t.Final = 1.8
+# Room that is taken for less than this counts as unused throughout: short work comes
+# and goes, and an account sees that there was room nearly all the time.
+GAP_S: t.Final = 1.2
 
 
 class Headroom(abc.ABC):
@@ -126,10 +129,10 @@
         if others:
             return others
         if not boxes:
-            entry.roomy_since = None
             return []
-        if entry.roomy_since is None:
+        if now - entry.roomy_at > GAP_S:
             entry.roomy_since = now
+        entry.roomy_at = now
         return boxes if now - entry.roomy_since > UNUSED_S else []
 
 
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -55,7 +55,8 @@
     """Tasks of one step that wait for a box.
 
     :ivar tickets: for a queue under advice, the boxes that may run the step.
-    :ivar roomy_since: since when there has been room for one of its tasks that last.
+    :ivar roomy_since: since when there has been room for one of its tasks that last,
+        but for short gaps; ``roomy_at``: when it was last seen.
     :ivar since: when a pass first found it waiting, or last started one of its tasks.
     """
 
@@ -65,6 +66,7 @@
         "latest_start",
         "occurrence",
         "priority",
+        "roomy_at",
         "roomy_since",
         "since",
         "step",
@@ -91,7 +93,8 @@
         self.advice_until = 0.0
         self.asked_at = -1e9
         self.since: float | None = None
-        self.roomy_since: float | None = None
+        self.roomy_since = 0.0
+        self.roomy_at = -1e9
 
 
 class ShardState:
