--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -587,16 +587,3 @@
     context.leadership.heard(status("n2", 5, "n0"), 1.3)
     assert context.leadership.heir(1.4) == "n2", "the one that is ready goes first"
     assert context.leadership.heir(9.0) == "", "nobody is heard any more"
-
-
-@given("a decider that knows its peers from the store alone")
-def knows_from_store(context):
-    leadership = context.leadership = Leadership("n2", 0.0, 0.0)
-    leadership.know("n1")
-    leadership.know("n3")
-    leadership.leads(5, "n2", 10.0)
-
-
-@then("it names the first of them as its heir")
-def names_first(context):
-    assert context.leadership.heir(10.2) == "n1"
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -401,3 +401,16 @@
     assert counts == [1] * len(counts), counts
     took = statistics.median(world.taken[0] - 10.3 for world in context.worlds)
     assert took <= seconds, took
+
+
+@given("a decider that knows its peers from the store alone")
+def knows_from_store(context):
+    leadership = context.leadership = Leadership("n2", 0.0, 0.0)
+    leadership.know("n1")
+    leadership.know("n3")
+    leadership.leads(5, "n2", 10.0)
+
+
+@then("it names the first of them as its heir")
+def names_first(context):
+    assert context.leadership.heir(10.2) == "n1"
--- a/src/granitetrestle/idletails.py
+++ b/src/granitetrestle/idletails.py
@@ -20,7 +20,8 @@
 
 
 class IdleTails:
-    """Follows the shortest tails of each image.
+    """Follows the shortest tails of each image. With the prior alone worth fell by
+    0.023 +- 0.011 where tails are a fifth longer than it says (16 pairs of days).
 
     :param learns: whether looks change what is believed.
     """
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -21,7 +21,7 @@
 OPENNESS_WEIGHT: t.Final = 0.3
 # A task that would have to run slower than this waits for a better box: one that runs
 # slowly beside serving tasks is soon moved, and disturbs them meanwhile. 0.3 is worth
-# 0.015 +- 0.004 less (56 pairs of days of three deployments).
+# 0.016 +- 0.003 less (72 pairs of days of three deployments).
 WAIT_PACE: t.Final = 0.6
 # A slowed task moves only to where it will hardly be.
 MOVE_PACE: t.Final = 0.9
