An evacuated data hall gets nothing further until it is taken back

Cause: operators' orders about halls lie in the store beside the configuration and were read by nobody.

The adapter decodes the order, its taking away and what can't be read; the product keeps the halls (evacuation.py). Boxes of such a hall are closed for placement, gangs, moves and headroom; starts that wait for their turn in the order window are withdrawn at once, repeats of starts in doubt end, a gang of which a member was withdrawn is stopped and placed anew, advice that named only closed boxes is asked for again. What runs goes on. Boxes that say they are slow from their start come last.

Ruled out: keeping evacuations in our own records (two truths; the operator's last anyway), treating the boxes as leaving (lasting work would be moved).

--- a/features/native_cluster.py
+++ b/features/native_cluster.py
@@ -114,13 +114,30 @@
         return self.call(method, f"127.0.0.1:{self.port}", path)
 
     def history(self):
-        rows = []
-        for box in range(self.boxes):
-            address = f"127.0.0.1:{self.port + 1 + box}"
-            status, content, _ = self.call("POST", address, "/test/history")
-            assert status == 200, (status, content)
-            rows += json.loads(content)
-        return rows
+        return [row for box in range(self.boxes) for row in self.rows(box)]
+
+    def rows(self, box):
+        address = f"127.0.0.1:{self.port + 1 + box}"
+        status, content, _ = self.call("POST", address, "/test/history")
+        assert status == 200, (status, content)
+        return json.loads(content)
+
+    def started(self):
+        """The hall and the task of each run that any box began."""
+        return [
+            (f"hall-{1 + (1 + box) % 2}", row[0])
+            for box in range(self.boxes)
+            for row in self.rows(box)
+        ]
+
+    def figure(self, name):
+        """A figure of the decider's metrics page."""
+        host = self.fronts[self.leader()].rpartition(":")[0]
+        _, content, _ = self.call("GET", f"{host}:9464", "/metrics")
+        for line in content.decode().splitlines():
+            if line.startswith(f'granitetrestle_state{{what="{name}"}}'):
+                return float(line.split()[-1])
+        return None
 
     def log(self, name):
         lines = (self.folder / f"{name}.log").read_text().splitlines()
--- a/features/native_machines.py
+++ b/features/native_machines.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from granitetrestle.workflows import Step
+from granitetrestle_standins.shardworld import HALLS
 from granitetrestle_standins.shardworld import ShardWorld
 from machines import CHOICE
 from machines import PROFILE
@@ -37,7 +38,7 @@
 
     @initialize(seed=st.integers(0, 10**6), boxes=st.integers(1, 5))
     def begin(self, seed, boxes):
-        self.world = ShardWorld(seed, boxes)
+        self.world = ShardWorld(seed, boxes, ("h1", "h2"))
         self.jobs = []
         self.world.advance(0.3)
 
@@ -88,6 +89,17 @@
         self.world.lost_share = lost / 2
         self.world.fail_share = fail / 2
 
+    @rule(hall=st.sampled_from(["h1", "h2"]), evacuated=st.booleans())
+    def order_hall(self, hall, evacuated):
+        if evacuated:
+            self.world.evacuate(hall)
+        else:
+            self.world.restore(hall)
+
+    @rule()
+    def forget_orders(self):
+        self.world.store.forget(HALLS)
+
     @rule(down=st.booleans())
     def store(self, down):
         self.world.store_down = down
--- /dev/null
+++ b/features/steps/evacuation_steps.py
@@ -0,0 +1,470 @@
+"""Steps of the scenarios over data halls that operators evacuate and take back."""
+
+import anyio
+from behave import given
+from behave import then
+from behave import when
+from msgspec.structs import replace
+
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import AskAdvice
+from granitetrestle.errors import MalformedOrder
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.orderwindow import FILLS
+from granitetrestle.orderwindow import FIRST
+from granitetrestle.orderwindow import SHORT
+from granitetrestle.orderwindow import OrderWindow
+from granitetrestle.outside import Advice
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import Config
+from granitetrestle.outside import HallOrder
+from granitetrestle.outside import Look
+from granitetrestle.outside import Queue
+from granitetrestle.outside import Record
+from granitetrestle.platform.front import decode_order
+from granitetrestle.shardstate import DeciderTerms
+from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+from granitetrestle_standins.shardworld import ShardWorld
+
+SMALL = Step(count=6, cpu=500, memory_mb=10)
+QUEUE = Queue("q", "host", "/q/", "pool", 0, 3, 1.5, 1000.0)
+CONFIG = Config(1, (QUEUE,), {"pool": True}, 262144)
+
+
+def hall_of_runs(context, job):
+    """Halls where tasks of a job began, in the world's own record."""
+    world = context.world
+    return {
+        context.hall_of[box.life]
+        for box in world.boxes.values()
+        for run in box.history
+        if run.task.startswith(job)
+    }
+
+
+def note_halls(context):
+    halls = {life: entry.hall for life, entry in context.world.entries.items()}
+    context.hall_of = {**getattr(context, "hall_of", {}), **halls}
+
+
+def run_new_job(context):
+    note_halls(context)
+    job = context.world.submit((SMALL,))
+    context.world.advance(0.3)
+    return hall_of_runs(context, job)
+
+
+@given("a shard of {halls:d} halls with {boxes:d} boxes each")
+def shard_of_halls(context, halls, boxes):
+    names = [f"h{number}" for number in range(1, halls + 1)]
+    context.world = ShardWorld(7, halls * boxes, names)
+    context.world.advance(0.5)
+    note_halls(context)
+
+
+@given("long tasks run in both halls")
+def long_tasks(context):
+    context.long = context.world.submit(
+        (Step(count=4, cpu=1500, memory_mb=10, lasting=True),)
+    )
+    context.world.advance(0.3)
+    assert hall_of_runs(context, context.long) == {"h1", "h2"}
+
+
+@when("hall {hall} is evacuated")
+def evacuate(context, hall):
+    context.world.evacuate(hall)
+    context.world.advance(0.05)
+
+
+@when("hall {hall} is taken back")
+def take_back(context, hall):
+    context.world.restore(hall)
+    context.world.advance(0.05)
+
+
+@then("tasks of new jobs start in {hall} alone")
+def start_alone(context, hall):
+    assert run_new_job(context) == {hall}
+
+
+@then("tasks of new jobs start in both halls")
+def start_both(context):
+    halls = set()
+    for _ in range(4):
+        halls |= run_new_job(context)
+    assert halls == {"h1", "h2"}, halls
+
+
+@then("the long tasks in h1 still run")
+def still_run(context):
+    world = context.world
+    running = [
+        run.task
+        for box in world.boxes.values()
+        if context.hall_of[box.life] == "h1"
+        for run in box.running.values()
+        if run.task.startswith(context.long)
+    ]
+    assert running
+    context.failing = running[0]
+
+
+@when("a task in h1 fails and must run again")
+def fail_one(context):
+    world = context.world
+    box = next(b for b in world.boxes.values() if context.failing in b.running)
+    box.end(context.failing, "failed", world.now)
+    # The only room is kept for short work at first.
+    world.advance(3.0)
+
+
+@then("it runs again in h2")
+def again_elsewhere(context):
+    world = context.world
+    where = {
+        context.hall_of[box.life]
+        for box in world.boxes.values()
+        if context.failing in box.running
+    }
+    assert where == {"h2"}, where
+
+
+@when("jobs wait while the decider is killed and replaced")
+def killed_and_replaced(context):
+    world = context.world
+    world.kill()
+    world.take_over()
+
+
+@when("it is taken back while the decider hears nothing and the history is dropped")
+def dropped(context):
+    world = context.world
+    world.leader.deaf = True
+    world.restore("h1")
+    world.store.forget("keyed.halls")
+    world.advance(0.2)
+    world.leader.deaf = False
+    world.advance(0.1)
+
+
+@when("a box appears in h1")
+def box_appears(context):
+    context.world.add_box("h1")
+    context.world.advance(0.3)
+    note_halls(context)
+
+
+@when("the decider hears nothing of operators for {seconds:f} seconds")
+@when("the decider hears nothing of operators for {seconds:f} seconds more")
+def hears_nothing(context, seconds):
+    world = context.world
+    world.leader.deaf = True
+    # New jobs of the step that follows take a part of the time.
+    world.advance(max(0.05, seconds - 1.3))
+
+
+@then("tasks of new jobs start nowhere, and the log says why")
+def start_nowhere(context):
+    world = context.world
+    world.advance(1.3)
+    decider = world.leader.decider
+    held = decider.evacuation.held
+    assert not decider.evacuation.up_to_date(world.now)
+    context.waiting = world.submit((SMALL,))
+    world.advance(0.3)
+    note_halls(context)
+    assert hall_of_runs(context, context.waiting) == set()
+    # It was said once, when it began.
+    assert held(world.now) == []
+    assert "starts_held" in {note.event for note in world.leader.notes}
+
+
+@when("the decider hears of operators again")
+def hears_again(context):
+    context.world.leader.deaf = False
+    context.world.advance(0.3)
+
+
+@then("what waited starts")
+def waited_starts(context):
+    assert hall_of_runs(context, context.waiting)
+    assert "starts_go_on" in {note.event for note in context.world.leader.notes}
+
+
+@given("an order window that lets nothing go")
+def closed_window(context):
+    class Closed(OrderWindow):
+        @property
+        def size(self):
+            return 0
+
+    context.window = Closed()
+
+
+@when("starts wait for boxes a and b, and a is closed")
+def starts_wait(context):
+    context.granted = []
+
+    async def start(kind, life):
+        async with context.window.turn(kind, life):
+            context.granted.append((kind, life))
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            for kind, life in ((SHORT, "a"), (FILLS, "a"), (FIRST, "a"), (SHORT, "b")):
+                tasks.start_soon(start, kind, life)
+            await anyio.wait_all_tasks_blocked()
+            assert context.granted == []
+            context.window.release({"a"})
+            await anyio.wait_all_tasks_blocked()
+            context.waiting = context.window.waiting
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("the starts for a have their turn now, stops and those for b wait on")
+def starts_released(context):
+    assert sorted(context.granted) == [(SHORT, "a"), (FILLS, "a")], context.granted
+    assert context.waiting == 2
+
+
+@when("a gang is placed over both halls and h1 is evacuated before its orders leave")
+def gang_withdrawn(context):
+    world = context.world
+    world.store_down = True
+    gang = Step(count=6, cpu=1300, memory_mb=10, gang=True)
+    context.gang = world.submit((gang,))
+    world.advance(0.1)
+    tasks = world.leader.decider.state.workflows[context.gang].tasks.values()
+    halls = {context.hall_of[task.box] for task in tasks}
+    assert halls == {"h1", "h2"}, halls
+    world.store_down = False
+    world.evacuate("h1")
+    world.advance(4.0)
+
+
+@then("all its members run in h2, and none was left alone there")
+def gang_elsewhere(context):
+    world = context.world
+    assert hall_of_runs(context, context.gang) <= {"h2"}
+    last = {
+        run.run
+        for box in world.boxes.values()
+        for run in box.history
+        if run.task.startswith(context.gang) and run.how in ("", "done", None)
+    }
+    assert len(last) == 1, last
+    ran = [
+        run.task
+        for box in world.boxes.values()
+        for run in box.history
+        if run.task.startswith(context.gang) and run.run in last
+    ]
+    assert len(ran) == 6, ran
+
+
+@when("advice named a box of h1 alone, and h1 is evacuated")
+def advice_named(context):
+    world = context.world
+    decider = world.leader.decider
+    advised = QUEUE._replace(advised=True, advice_valid_ms=60_000.0)
+    decider.configured(Config(2, (advised,), {"pool": True}, 262144))
+    life = next(life for life, hall in context.hall_of.items() if hall == "h1")
+    submission = Submission("00ad", "q", "pool", "spec", (SMALL,))
+    decider.called("r", SubmitJob(submission), world.now)
+    asked = decider.decide(world.now, 0)
+    assert [d for d in asked if isinstance(d, AskAdvice)], asked
+    advice = Advice({life: "ticket"}, 60.0)
+    question = next(d for d in asked if isinstance(d, AskAdvice))
+    decider.advised(question, advice, world.now)
+    decider.evacuation.ordered([HallOrder("h1", True)], world.now)
+    context.asked = decider.decide(world.now + 2.0, 0)
+
+
+@then("the boxes of h2 are asked about")
+def asked_again(context):
+    questions = [d for d in context.asked if isinstance(d, AskAdvice)]
+    halls = {context.hall_of[life] for q in questions for life in q.lives}
+    assert halls == {"h2"}, context.asked
+
+
+class TwoHalls:
+    """A decider among idle boxes in two halls, and one where a task is kept slow."""
+
+    def __init__(self):
+        self.now = 10.0
+        self.decider = Decider(DeciderTerms(), self.now)
+        self.decider.configured(CONFIG)
+        self.entries = {
+            life: BoxEntry(
+                life, life, "pool", hall, "r", frozenset(), 8000, 8000, 0, False, None
+            )
+            for life, hall in (("b0", "h2"), ("b1", "h1"), ("b2", "h2"))
+        }
+        self.listed()
+
+    def listed(self):
+        self.decider.fleet.listed(self.entries, self.now)
+        for life in self.entries:
+            self.decider.fleet.looked(life, self.now, self.now, Look(1, (), ()))
+
+    def submit(self, job, step):
+        call = SubmitJob(Submission(job, "q", "pool", "", (step,)))
+        self.decider.called("r", call, self.now)
+        self.now += 0.1
+        self.decider.decide(self.now, 0)
+        tasks = self.decider.state.workflows[job].tasks.values()
+        return [task.box for task in tasks]
+
+
+@given("a slowed task in h2 and idle boxes in h1 and h2")
+def slowed(context):
+    context.halls = TwoHalls()
+    state = context.halls.decider.state
+    step = Step(count=1, cpu=1000, memory_mb=10, fills=True, image="f")
+    box = context.halls.submit("00aa", step)[0]
+    context.task = next(iter(state.workflows["00aa"].tasks.values()))
+    state.boxes[box].evacuated = False
+    context.at = box
+
+
+def better(context):
+    halls = context.halls
+    halls.decider.state.index.refresh(halls.now)
+    return halls.decider.dispatcher._better_box(context.task, halls.now)
+
+
+@then("it would move to a box")
+def would_move(context):
+    assert better(context) is not None
+
+
+@when("h1 is evacuated there")
+def evacuated_there(context):
+    orders = [HallOrder("h1", True)]
+    context.halls.decider.evacuation.ordered(orders, context.halls.now)
+
+
+@then("it would move to the box in h2")
+def would_move_in_hall(context):
+    box = better(context)
+    # Without the hall's closing the idle box of h1 ranks as well as that of h2.
+    assert box is not None and box.entry.hall == "h2" and box.life != context.at
+
+
+@when("the box in h1 says that it is cold")
+def cold(context):
+    world = context.world
+    life = next(life for life, hall in context.hall_of.items() if hall == "h1")
+    world.entries[life] = world.entries[life]._replace(cold=True)
+    world.advance(0.1)
+
+
+@then("a small task starts in h2, and one that has no room there in h1")
+def warm_first(context):
+    world = context.world
+    one = replace(SMALL, count=1, cpu=3000)
+    first, second = world.submit((one,)), None
+    world.advance(0.2)
+    second = world.submit((one,))
+    world.advance(0.2)
+    assert hall_of_runs(context, first) == {"h2"}
+    assert hall_of_runs(context, second) == {"h1"}
+
+
+@then("the operator's record {key} with {value} is refused, naming its key")
+def refused(context, key, value):
+    try:
+        decode_order(Record(key, value.encode()))
+    except MalformedOrder as error:
+        assert error.key == key
+        return
+    raise AssertionError("was taken")
+
+
+JOBS = iter(f"{number:016x}" for number in range(1, 1000))
+
+
+def native_halls(context, seconds):
+    """Hand in a job, and return the halls where its tasks started."""
+    cluster = context.cluster
+    job = next(JOBS)
+    steps = [{"count": 12, "cpu": 1000, "mem_mb": 100}]
+    cluster.submit(job, steps, cluster.leader(), spec="300")
+
+    def started():
+        rows = cluster.started()
+        tasks = {task for _, task in rows if task.startswith(job)}
+        return len(tasks) == 12 and rows
+
+    rows = cluster.wait(started, "all tasks started", seconds)
+    return {hall for hall, task in rows if task.startswith(job)}
+
+
+@when("the operator evacuates hall-1")
+def operator_evacuates(context):
+    context.cluster.store("/test/order?key=evacuate/hall-1&value=%7B%7D")
+
+
+@when("the operator takes hall-1 back")
+def operator_takes_back(context):
+    context.cluster.store("/test/order?key=evacuate/hall-1")
+
+
+@when("the operator writes an order that can't be read")
+def operator_errs(context):
+    context.cluster.store("/test/order?key=evacuate/hall-2&value=%5B1")
+
+
+@then("a job's tasks start in hall-2 alone within a second")
+def native_alone(context):
+    cluster = context.cluster
+    # In force within a second, however the order and the job are told.
+    context.cluster.wait(lambda: cluster.figure("halls_evacuated") == 1.0, "in force")
+    assert native_halls(context, 10.0) == {"hall-2"}
+
+
+@then("every log line of it names the hall, its boxes and tasks")
+def native_logged(context):
+    cluster = context.cluster
+    lines = [
+        line
+        for name in cluster.nodes()
+        for line in cluster.log(name)
+        if line["event"] == "hall_evacuated"
+    ]
+    assert lines
+    assert all(line["subject"] == "hall-1" and line["boxes"] == 2 for line in lines)
+
+
+@when("the process that decides is killed")
+def native_killed(context):
+    cluster = context.cluster
+    before = cluster.leader()
+    cluster.kill(before)
+    cluster.wait(lambda: cluster.leader() != before, "a successor")
+    cluster.wait(lambda: cluster.state("0" * 16) == "gone", "it serves")
+
+
+@then("the decider's log names its key and its figures count one hall and one order")
+def native_named(context):
+    cluster = context.cluster
+
+    def named():
+        lines = cluster.log(cluster.leader())
+        return [line for line in lines if line["event"] == "order_malformed"]
+
+    lines = cluster.wait(named, "a line")
+    assert lines[0]["key"] == "evacuate/hall-2", lines
+    assert cluster.figure("halls_evacuated") == 1.0
+    assert cluster.figure("orders_unreadable") == 1.0
+
+
+@then("a job's tasks start in both halls")
+def native_both(context):
+    cluster = context.cluster
+    cluster.wait(lambda: cluster.figure("halls_evacuated") == 0.0, "in force")
+    assert native_halls(context, 10.0) == {"hall-1", "hall-2"}
--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -49,6 +49,7 @@
 
     :param lease_ends: no lease there can outlast this.
     :param on_change: told of each change of its room, or of whether it is open.
+    :ivar evacuated: whether operators have evacuated its data hall.
     :ivar short_cpu: part of ``cpu_used`` that tasks which end by themselves reserve.
     :ivar loads: serving task -> the load that it shares with its step.
     :ivar version: rises with each change of what is placed or seen here.
@@ -59,6 +60,7 @@
     adopted = _Watched[bool]()
     silent_since = _Watched[float | None]()
     closed_until = _Watched[float]()
+    evacuated = _Watched[bool]()
 
     def __init__(
         self,
@@ -95,6 +97,7 @@
         self.lease_ends = lease_ends
         self.silent_since = None
         self.closed_until = 0.0
+        self.evacuated = False
         self._failed_jobs: set[str] = set()
         self._failed_runs = 0
         self._quarantine_s = QUARANTINE_S
@@ -121,6 +124,7 @@
             self.adopted
             and self.listed
             and not self.entry.draining
+            and not self.evacuated
             and self.silent_since is None
             and now >= self.closed_until
         )
--- a/src/granitetrestle/boxlife.py
+++ b/src/granitetrestle/boxlife.py
@@ -146,7 +146,7 @@
         async def send() -> OrderOutcome:
             box = self._decider.state.boxes.get(self._life)
             until = None
-            if not self._decider.start_wanted(order):
+            if not self._decider.start_wanted(order, time.monotonic()):
                 return OrderNotSent("withdrawn")
             if box is not None:
                 until = self._decider.fleet.lease_until(box, time.monotonic())
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -14,6 +14,7 @@
 from .decisions import StepDown
 from .dispatch import ANY_NUMBER
 from .dispatch import Dispatcher
+from .evacuation import Evacuation
 from .fleet import Fleet
 from .jobcalls import CancelJob
 from .jobcalls import Cancelled
@@ -39,6 +40,7 @@
 from .progress import Progress
 from .shardstate import DeciderTerms
 from .shardstate import ShardState
+from .workflows import RUNNING
 from .workflows import STARTING
 from .workflows import STOPPING
 from .workflows import Task
@@ -68,6 +70,7 @@
         self._progress = Progress(self._state)
         self._fleet = Fleet(self._state, self._progress, now)
         self._dispatcher = Dispatcher(self._state, self._progress, packer, now)
+        self._evacuation = Evacuation(self._state)
         self._swept_at = now
         self._learnt_at = now
         self._doubtful: list[Workflow] = []
@@ -82,6 +85,11 @@
         """Boxes and their leases."""
         return self._fleet
 
+    @property
+    def evacuation(self) -> Evacuation:
+        """Operators' orders about data halls."""
+        return self._evacuation
+
     @property
     def dispatcher(self) -> Dispatcher:
         """What places tasks."""
@@ -185,6 +193,9 @@
         if now - self._learnt_at > LEARNT_EVERY_S:
             self._learnt_at = now
             self._state.note_interference()
+        effects += self._evacuation.held(now)
+        if not self._evacuation.up_to_date(now):
+            return effects
         effects += self._dispatcher.move_slowed(now)
         return effects + self._dispatcher.place(now, wall_ms, most_starts)
 
@@ -205,15 +216,17 @@
         """Apply what came of asking which boxes may run a step."""
         return self._dispatcher.advised(asked, advice, now)
 
-    def start_wanted(self, order: StartTask) -> bool:
+    def start_wanted(self, order: StartTask, now: float) -> bool:
         """Say whether a start that was held back should still be sent: meanwhile the
-        task may have been stopped, or have gone to another box, or the box leaves."""
+        task may have been stopped, or have gone to another box, or the box leaves, or
+        its data hall was evacuated, or nobody knows whether it was."""
         task = self._state.find_task(order.task)
         if task is None or task.run != order.run or task.box != order.life:
             return False
         box = self._state.boxes.get(order.life)
-        leaving = box is not None and box.entry.draining
-        return task.state == STARTING and not leaving
+        if box is not None and (box.entry.draining or box.evacuated):
+            return False
+        return task.state == STARTING and self._evacuation.up_to_date(now)
 
     def start_answered(
         self, life: str, name: str, run: int, outcome: OrderOutcome, now: float
@@ -239,10 +252,22 @@
         inputs = {"run": run, "box": life, "reason": outcome.reason}
         if isinstance(outcome, OrderNotSent):
             self._progress.requeue(task, now)
-            return [Noted("start_withdrawn", name, inputs)]
+            noted = Noted("start_withdrawn", name, inputs)
+            return [noted, *self._stop_members(task, now)]
         noted = Noted("start_in_doubt", name, inputs)
         return [noted, *self._progress.stop(task, now)]
 
+    def _stop_members(self, task: Task, now: float) -> list[Decision]:
+        """Stop what else of a gang was placed with a member that never starts: it would
+        wait for it in vain."""
+        if not task.spec.gang:
+            return []
+        effects: list[Decision] = []
+        for member in task.workflow.step_tasks(task.occurrence, task.step):
+            if member.state in (STARTING, RUNNING) and member.run == task.run:
+                effects += self._progress.stop(member, now)
+        return effects
+
     def _start_rejected(
         self, life: str, task: Task, outcome: OrderRejected, now: float
     ) -> list[Decision]:
--- a/src/granitetrestle/decisions.py
+++ b/src/granitetrestle/decisions.py
@@ -17,6 +17,7 @@
     "StepDown",
     "StopTask",
     "WatchBox",
+    "WithdrawStarts",
 ]
 
 
@@ -85,6 +86,12 @@
     life: str
 
 
+class WithdrawStarts(t.NamedTuple):
+    """Starts on these boxes that have not been sent are not wanted any more."""
+
+    lives: frozenset[str]
+
+
 class StepDown(t.NamedTuple):
     """A newer epoch was met: this process decides no more."""
 
@@ -112,6 +119,7 @@
     | AskAdvice
     | WatchBox
     | LeaveBox
+    | WithdrawStarts
     | StepDown
     | Noted
 )
--- a/src/granitetrestle/errors.py
+++ b/src/granitetrestle/errors.py
@@ -15,6 +15,7 @@
     "InvariantViolated",
     "LogGapError",
     "LogUnavailable",
+    "MalformedOrder",
     "NotFound",
     "NotRunError",
     "OutcomeUnknown",
@@ -165,6 +166,21 @@
         self.first = first
 
 
+class MalformedOrder(GranitetrestleError):
+    """What operators ask under a key can't be read; it changes nothing.
+
+    :param key: the order's key in the store.
+    :param hall: the data hall that it names, or empty.
+    """
+
+    code = "malformed_order"
+
+    def __init__(self, key: str, reason: str, hall: str = "") -> None:
+        super().__init__(f"{key}: {reason}", "write the order again")
+        self.key = key
+        self.hall = hall
+
+
 class UnreadableRecord(GranitetrestleError):
     """A record that a decider wrote can't be decoded; the others are taken up.
 
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -87,19 +87,21 @@
         box = self._state.boxes.get(life)
         if box is None:
             box = BoxView(entry, self._inherited_ends, self._state.index.touched)
+            box.evacuated = entry.hall in self._state.evacuated_halls
             self._state.boxes[life] = box
             for task in self._state.inherited.pop(life, ()):
                 if task.placed and task.box == life:
                     box.place(task)
             return [WatchBox(life, entry.address)]
+        box.evacuated = entry.hall in self._state.evacuated_halls
         if entry.draining and not box.entry.draining:
             box.described(entry)
             inputs = {"leaving_in_s": entry.leaving_in_s, "tasks": len(box.tasks)}
-            return [Noted("box_draining", life, inputs), *self._evacuate(box, now)]
+            return [Noted("box_draining", life, inputs), *self._empty(box, now)]
         box.described(entry)
         return []
 
-    def _evacuate(self, box: BoxView, now: float) -> list[Decision]:
+    def _empty(self, box: BoxView, now: float) -> list[Decision]:
         """Move off a leaving box what cannot end there in time."""
         effects: list[Decision] = []
         for task in list(box.tasks.values()):
@@ -208,7 +210,7 @@
             effects.append(Noted("box_adopted", box.life, inputs))
             if box.entry.draining:
                 # Its leaving was seen by a predecessor, which may not have moved all.
-                effects += self._evacuate(box, now)
+                effects += self._empty(box, now)
         return effects + self._keep_targets(box, now)
 
     def _keep_targets(self, box: BoxView, now: float) -> list[Decision]:
--- a/src/granitetrestle/orderwindow.py
+++ b/src/granitetrestle/orderwindow.py
@@ -118,6 +118,20 @@
             self._waiting_for(life)
             self._wake()
 
+    def release(self, lives: t.Collection[str]) -> None:
+        """Let starts on these boxes have their turn now: they are not wanted any more, so
+        nothing is sent, and their tasks need not wait to hear it."""
+        for waiting in (self._waiting, *self._held_up.values()):
+            for entry in [e for e in waiting if e.kind != FIRST and e.life in lives]:
+                waiting.remove(entry)
+                self._grant(entry)
+        heapq.heapify(self._waiting)
+
+    def _grant(self, entry: "_Waiting") -> None:
+        self._under_way += 1
+        self._to_box[entry.life] += 1
+        entry.granted.set()
+
     def _withdraw(self, entry: "_Waiting") -> None:
         if entry in self._waiting:
             self._waiting.remove(entry)
@@ -138,9 +152,7 @@
             if self._to_box[entry.life] >= TO_ONE_BOX:
                 self._held_up.setdefault(entry.life, []).append(entry)
                 continue
-            self._under_way += 1
-            self._to_box[entry.life] += 1
-            entry.granted.set()
+            self._grant(entry)
 
     def answered(self, took_s: float) -> None:
         """Take note of how long an answer took."""
--- a/src/granitetrestle/outside.py
+++ b/src/granitetrestle/outside.py
@@ -18,6 +18,7 @@
     "Config",
     "EndedRun",
     "Fenced",
+    "HallOrder",
     "Look",
     "LookOutcome",
     "Newest",
@@ -129,6 +130,7 @@
     :param rack: empty if unknown.
     :param cpu: thousandths of a core.
     :param leaving_in_s: least time left when draining, else ``None``.
+    :param cold: whether it is slow still, as after a start.
     """
 
     life: str
@@ -143,6 +145,7 @@
     draining: bool
     leaving_in_s: float | None
     box: str = ""
+    cold: bool = False
 
 
 class Queue(t.NamedTuple):
@@ -180,6 +183,16 @@
     max_body_bytes: int
 
 
+class HallOrder(t.NamedTuple):
+    """What operators ask of a data hall.
+
+    :param evacuated: nothing further is to be sent to its boxes; else it is in use.
+    """
+
+    hall: str
+    evacuated: bool
+
+
 class TaskOrder(t.NamedTuple):
     """Names one run of a task on one life of a box."""
 
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -110,6 +110,9 @@
 
     def ranking(self, task: Task, interference: Interference, now: float) -> Ranking:
         """Return how much ``task`` harms and is harmed."""
+        return _WarmFirst(self._by_harm(task, interference, now))
+
+    def _by_harm(self, task: Task, interference: Interference, now: float) -> Ranking:
         if task.spec.fills:
             return _Filling(task.spec, interference, now, WAIT_PACE)
         if task.spec.target_ms and self._grouping:
@@ -117,6 +120,18 @@
         return _Short()
 
 
+class _WarmFirst(Ranking):
+    """A box that says that it is slow still, as after its start or after its hall was
+    given back, is taken when no other has room."""
+
+    def __init__(self, ranking: Ranking) -> None:
+        self._ranking = ranking
+
+    def of(self, box: BoxView) -> Rank | None:
+        rank = self._ranking.of(box)
+        return None if rank is None else (box.entry.cold, *rank)
+
+
 class _Serving(Ranking):
     """Each image that fills disturbs only some of the serving images, so a box that
     serves one image alone is open to most of what fills: a task goes to its own image,
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -51,6 +51,7 @@
     labels: list[str] = []
     remaining_ms: float | None = None
     machine: str = ""
+    cold_remaining_ms: float = 0.0
 
 
 class _LookAnswer(msgspec.Struct):
@@ -92,6 +93,7 @@
         draining=raw.state != "ready",
         leaving_in_s=None if leaving is None else leaving / 1000.0,
         box=raw.machine,
+        cold=raw.cold_remaining_ms > 0.0,
     )
 
 
--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..errors import InvalidInput
+from ..errors import MalformedOrder
 from ..jobcalls import CancelJob
 from ..jobcalls import Cancelled
 from ..jobcalls import CountWaiting
@@ -19,22 +20,26 @@
 from ..jobcalls import SubmitJob
 from ..jobcalls import WaitingCount
 from ..outside import Config
+from ..outside import HallOrder
 from ..outside import Queue
+from ..outside import Record
 from ..workflows import Step
 from ..workflows import Submission
 
 __all__ = [
-    "CONFIG_KEY",
     "Answer",
     "Asked",
     "QueueIndex",
     "UnknownQueue",
     "decode_call",
     "decode_config",
+    "decode_order",
     "encode_outcome",
 ]
 
 CONFIG_KEY: t.Final = "config"
+# Followed by the name of the data hall.
+EVACUATE_PREFIX: t.Final = "evacuate/"
 JOB_ID: t.Final = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC: t.Final = 4000
 MAX_STEPS: t.Final = 100
@@ -98,6 +103,10 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+class _HallOrder(msgspec.Struct):
+    """Stands while a data hall gets nothing further; its fields are not in use yet."""
+
+
 class _Step(msgspec.Struct):
     """``anti_affinity`` is the most tasks of the step on one box; ``fills`` says that
     the step takes only unused processor time."""
@@ -132,6 +141,32 @@
 
 _configs = msgspec.json.Decoder(_Config)
 _jobs = msgspec.json.Decoder(_Job)
+_hall_orders = msgspec.json.Decoder(_HallOrder)
+
+
+def decode_order(record: Record) -> Config | HallOrder | None:
+    """Return what operators ask in a record; ``None`` if it is about something else.
+
+    :raises MalformedOrder: if it can't be read.
+    """
+    key, value = record
+    if key == CONFIG_KEY and value is not None:
+        try:
+            return decode_config(value)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise MalformedOrder(key, str(error)) from error
+    if not key.startswith(EVACUATE_PREFIX):
+        return None
+    hall = key.removeprefix(EVACUATE_PREFIX)
+    if not hall:
+        raise MalformedOrder(key, "names no data hall")
+    if value is None:
+        return HallOrder(hall, False)
+    try:
+        _hall_orders.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise MalformedOrder(key, str(error), hall) from error
+    return HallOrder(hall, True)
 
 
 def decode_config(data: bytes) -> Config:
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -17,8 +17,6 @@
 from ..node import NodeTerms
 from ..nodelog import NodeLog
 from ..nodemetrics import NodeMetrics
-from ..outside import Config
-from ..outside import Record
 from ..peerlink import PeerLink
 from ..session import Sources
 from ..settings import Address
@@ -61,18 +59,12 @@
         boxes=PlatformBoxes(caller),
         config_topic=CONFIG_TOPIC,
         box_topic=LIFE_TOPIC,
-        decode_config=_decode_config,
+        decode_operator=front.decode_order,
         decode_box=decode_entry,
         advisor=advisor,
     )
 
 
-def _decode_config(record: Record) -> Config | None:
-    if record.key != front.CONFIG_KEY or record.value is None:
-        return None
-    return front.decode_config(record.value)
-
-
 def _node(
     settings: PlatformSettings,
     off: frozenset[Mechanism],
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -25,6 +25,8 @@
 from .decisions import StepDown
 from .decisions import StopTask
 from .decisions import WatchBox
+from .decisions import WithdrawStarts
+from .errors import MalformedOrder
 from .forwarding import Deposed
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
@@ -42,6 +44,7 @@
 from .outside import BoxEntry
 from .outside import Config
 from .outside import Fenced
+from .outside import HallOrder
 from .outside import Newest
 from .outside import Record
 from .outside import Records
@@ -77,15 +80,15 @@
 class Sources(t.NamedTuple):
     """Where a session reads from, and how records there are decoded.
 
-    :param decode_config: returns the configuration under a key, or ``None`` if the
-        record is about something else.
+    :param decode_operator: returns what operators ask under a key, or ``None`` if the
+        record is about something else; raises ``MalformedOrder`` for what can't be read.
     """
 
     store: Store
     boxes: BoxCalls
     config_topic: str
     box_topic: str
-    decode_config: t.Callable[[Record], Config | None]
+    decode_operator: t.Callable[[Record], Config | HallOrder | None]
     decode_box: t.Callable[[Record], BoxEntry | None]
     advisor: Advisor | None = None
 
@@ -135,6 +138,8 @@
         self._callers: dict[str, _Caller] = {}
         self._config: Config | None = None
         self._config_at = -1e9
+        # Data halls about which an order can't be read.
+        self._unreadable_orders: set[str] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._over = False
         self._store_lost_at: float | None = None
@@ -153,6 +158,8 @@
             "orders_waiting": float(self._window.waiting),
             "orders_at_once": float(self._window.size),
             "loop_lag_s": round(self._lag.lag_s, 3),
+            "halls_evacuated": float(len(self._decider.state.evacuated_halls)),
+            "orders_unreadable": float(len(self._unreadable_orders)),
         }
 
     @property
@@ -228,8 +235,8 @@
         now = time.monotonic()
         self._apply(self._decider.restore(jobs.records, now))
         self._config_from, self._boxes_from = config.end, boxes.end
-        self._take_config(config.records)
-        self._config_at = now
+        self._take_operator(config.records, whole=True)
+        self._operator_heard(now)
         self._take_boxes(boxes.records)
         self._log.event(
             "took_over",
@@ -302,6 +309,8 @@
                 keeper = self._keepers.pop(decision.life, None)
                 if keeper is not None:
                     keeper.leave()
+            elif isinstance(decision, WithdrawStarts):
+                self._window.release(decision.lives)
             elif isinstance(decision, PaceTask):
                 self._order(decision)
             elif isinstance(decision, AskAdvice):
@@ -411,32 +420,54 @@
 
     async def _config_loop(self) -> None:
         topic = self._sources.config_topic
+        wait_s = CONFIG_WAIT_S
         while True:
-            outcome = await self._sources.store.read(
-                topic, self._config_from, CONFIG_WAIT_S
-            )
+            outcome: Records | Newest | RecordsGone | StoreUnavailable
+            outcome = await self._sources.store.read(topic, self._config_from, wait_s)
             if isinstance(outcome, RecordsGone):
                 newest = await self._newest(topic)
                 if newest is None:
                     continue
-                outcome = Records(newest.records, newest.end)
+                outcome = newest
             if isinstance(outcome, StoreUnavailable):
+                # The next answer should come at once: starts are held without news.
+                wait_s = 0.0
                 await anyio.sleep(RETRY_S)
                 continue
             self._config_from = outcome.end
-            self._config_at = time.monotonic()
-            self._take_config(outcome.records)
+            self._take_operator(outcome.records, whole=isinstance(outcome, Newest))
+            self._operator_heard(time.monotonic())
+            wait_s = CONFIG_WAIT_S
+
+    def _operator_heard(self, at: float) -> None:
+        self._config_at = at
+        self._decider.evacuation.heard(at)
 
-    def _take_config(self, records: t.Iterable[Record]) -> None:
+    def _take_operator(self, records: t.Iterable[Record], whole: bool) -> None:
+        """Put what operators ask in force.
+
+        :param whole: whether these are all records there are.
+        """
+        halls: list[HallOrder] = []
+        unread: set[str] = set()
         for record in records:
             try:
-                config = self._sources.decode_config(record)
-            except msgspec.DecodeError as error:
-                self._log.event("config_malformed", key=record.key, error=str(error))
+                order = self._sources.decode_operator(record)
+            except MalformedOrder as error:
+                self._log.event("order_malformed", key=error.key, error=error.message)
+                unread.add(error.hall)
                 continue
-            if config is not None:
-                self._apply(self._decider.configured(config))
+            if isinstance(order, Config):
+                self._apply(self._decider.configured(order))
                 self._config = self._decider.state.config
+            elif order is not None:
+                halls.append(order)
+        evacuation, now = self._decider.evacuation, time.monotonic()
+        if whole:
+            self._apply(evacuation.all_ordered(halls, unread, now))
+        elif halls:
+            self._apply(evacuation.ordered(halls, now))
+        self._unreadable_orders = unread if whole else self._unreadable_orders | unread
 
     async def _list_loop(self) -> None:
         topic = self._sources.box_topic
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -125,6 +125,8 @@
         # Placed tasks that a predecessor wrote down, by boxes that are not known yet.
         self.inherited: dict[str, list[Task]] = {}
         self.config: Config | None = None
+        # Data halls whose boxes get nothing new; see :mod:`.evacuation`.
+        self.evacuated_halls: set[str] = set()
         self.queues: dict[str, Queue] = {}
         self.waiting: dict[tuple[str, int, int], WaitingStep] = {}
         self.interference = Interference(
--- a/src/granitetrestle_standins/nativeplatform.py
+++ b/src/granitetrestle_standins/nativeplatform.py
@@ -63,7 +63,8 @@
 
 
 class StoreServer:
-    """The store; ``POST /test/lose?n=N`` loses the next N answers to appends."""
+    """The store; ``POST /test/lose?n=N`` loses the next N answers to appends, ``POST
+    /test/order?key=K&value=V`` lets an operator write, or drop a key without a value."""
 
     def __init__(self, model: StoreModel) -> None:
         self.model = model
@@ -76,6 +77,10 @@
         if path == "/test/lose":
             self.lose = int(query["n"])
             return _json(200, {})
+        if path == "/test/order":
+            value = query.get("value", "").encode() or None
+            self.model.append("keyed.op", [Record(query["key"], value)], None)
+            return _json(200, {})
         topic = query["topic"]
         if path == "/api/log-append":
             return self._append(topic, query, body)
@@ -213,7 +218,7 @@
             entry = {
                 "service": "pool",
                 "address": f"127.0.0.1:{number}",
-                "zone": "hall",
+                "zone": f"hall-{1 + (number - port) % 2}",
                 "state": "ready",
                 "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
                 "labels": ["a", "r1"],
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -10,6 +10,7 @@
 from granitetrestle.decisions import AnswerCall
 from granitetrestle.decisions import Decision
 from granitetrestle.decisions import EndsKnown
+from granitetrestle.decisions import Noted
 from granitetrestle.decisions import PaceTask
 from granitetrestle.decisions import StartTask
 from granitetrestle.decisions import StepDown
@@ -24,9 +25,13 @@
 from granitetrestle.outside import BoxReplaced
 from granitetrestle.outside import Config
 from granitetrestle.outside import EndedRun
+from granitetrestle.outside import HallOrder
 from granitetrestle.outside import LookOutcome
+from granitetrestle.outside import OrderNotSent
 from granitetrestle.outside import OrderOutcome
 from granitetrestle.outside import Queue
+from granitetrestle.outside import Record
+from granitetrestle.outside import Records
 from granitetrestle.outside import Writer
 from granitetrestle.shardstate import DeciderTerms
 from granitetrestle.workflows import DONE
@@ -36,9 +41,13 @@
 from granitetrestle_standins.nativebox import BoxRun
 from granitetrestle_standins.nativestore import StoreModel
 
-__all__ = ["PromiseBroken", "ShardWorld"]
+__all__ = ["HALLS", "PromiseBroken", "ShardWorld"]
 
 JOBS = "keyed.jobs"
+# What operators ask of data halls, by hall.
+HALLS = "keyed.halls"
+# How long after an order was given, with the store up, a decider may still start tasks.
+IN_FORCE_S = 0.1
 STEP_S = 0.05
 # How long tasks run, by their index; the longest outlasts a lease.
 TASK_S = (0.6, 0.3, 5.0)
@@ -68,17 +77,38 @@
         self.world = world
         self.epoch = epoch
         self.frozen = False
+        # Whether it hears nothing of what operators ask.
+        self.deaf = False
         self.over = False
         self.confirmed_at = world.now
         self.sequence = 1
         self.decider = Decider(world.terms, world.now)
         self.held: list[Decision] = []
+        self.notes: list[Noted] = []
         self.looked_at: dict[str, float] = {}
         self.apply(self.decider.configured(CONFIG))
         world.store.append(JOBS, (), Writer(epoch, 1))
         self.decider.restore(world.store.newest(JOBS).records, world.now)
+        self.halls_from = -1
+        self.read_orders()
         self.list_boxes()
 
+    def read_orders(self) -> None:
+        """Take up what operators asked since the last time, or all there is."""
+        store, evacuation = self.world.store, self.decider.evacuation
+        if self.world.store_down or self.deaf:
+            return
+        news = store.read(HALLS, max(0, self.halls_from))
+        if self.halls_from >= 0 and isinstance(news, Records):
+            orders = [HallOrder(r.key, r.value is not None) for r in news.records]
+            self.apply(evacuation.ordered(orders, self.world.now))
+        else:
+            newest = store.newest(HALLS)
+            orders = [HallOrder(record.key, True) for record in newest.records]
+            self.apply(evacuation.all_ordered(orders, (), self.world.now))
+        self.halls_from = store.end(HALLS)
+        evacuation.heard(self.world.now)
+
     def list_boxes(self) -> None:
         """Take up the newest list of boxes."""
         entries = dict(self.world.entries)
@@ -93,11 +123,14 @@
                 self.over = True
             elif isinstance(decision, PaceTask):
                 self.world.send(self, decision)
+            elif isinstance(decision, Noted):
+                self.notes.append(decision)
 
     def tick(self) -> None:
         """Decide, write, release, look."""
         if self.over or self.frozen:
             return
+        self.read_orders()
         self.apply(self.decider.decide(self.world.now, int(self.world.now * 1000)))
         self._write()
         for life in list(self.decider.state.boxes):
@@ -145,12 +178,16 @@
 class ShardWorld:
     """Boxes, store and deciders; faults are calls on it."""
 
-    def __init__(self, seed: int, boxes: int) -> None:
+    def __init__(self, seed: int, boxes: int, halls: t.Sequence[str] = ("h",)) -> None:
         self.random = random.Random(seed)
         self.now = 100.0
         self.terms = DeciderTerms(lease_s=3.0, orphan_s=2.0, keep_s=600.0)
         self.store = StoreModel()
-        self.store_down = False
+        self._store_down = False
+        self._store_up_at = self.now
+        self.halls = halls
+        # Hall -> since when it is evacuated.
+        self.evacuated: dict[str, float] = {}
         self.boxes: dict[str, BoxModel] = {}
         self.entries: dict[str, BoxEntry] = {}
         self.cut: dict[str, float] = {}
@@ -170,8 +207,28 @@
         self.processes: list[DeciderProcess] = []
         self.take_over()
 
-    def add_box(self) -> str:
-        """Add an empty box."""
+    @property
+    def store_down(self) -> bool:
+        """Whether every call to the store is refused."""
+        return self._store_down
+
+    @store_down.setter
+    def store_down(self, down: bool) -> None:
+        self._store_down = down
+        self._store_up_at = self.now
+
+    def evacuate(self, hall: str) -> None:
+        """Let an operator evacuate a hall."""
+        self.store.append(HALLS, [Record(hall, b"{}")], None)
+        self.evacuated.setdefault(hall, self.now)
+
+    def restore(self, hall: str) -> None:
+        """Let an operator take a hall back."""
+        self.store.append(HALLS, [Record(hall, None)], None)
+        self.evacuated.pop(hall, None)
+
+    def add_box(self, hall: str = "") -> str:
+        """Add an empty box; without a hall, the halls take turns."""
         self._serial += 1
         life = f"b{self._serial}"
         self.boxes[life] = BoxModel(life, self.terms.lease_s)
@@ -179,7 +236,7 @@
             life,
             f"a{self._serial}",
             "pool",
-            "h",
+            hall or self.halls[self._serial % len(self.halls)],
             "r",
             frozenset(),
             4000,
@@ -258,8 +315,10 @@
         box = sender.decider.state.boxes.get(order.life)
         until = 0
         if isinstance(order, StartTask) and box is not None:
-            if not sender.decider.start_wanted(order):
+            if not sender.decider.start_wanted(order, self.now):
+                self._not_sent(sender, order)
                 return
+            self._judge_hall(order)
             until = sender.decider.fleet.lease_until(box, self.now) or 0
         if draw < self.late_share:
             at = self.now + self.random.uniform(0.2, 6.0)
@@ -285,6 +344,22 @@
                 )
             )
 
+    def _not_sent(self, sender: DeciderProcess, order: StartTask) -> None:
+        outcome = OrderNotSent("withdrawn")
+        sender.apply(
+            sender.decider.start_answered(
+                order.life, order.task, order.run, outcome, self.now
+            )
+        )
+
+    def _judge_hall(self, order: StartTask) -> None:
+        entry = self.entries.get(order.life)
+        since = self.evacuated.get(entry.hall) if entry is not None else None
+        if since is None:
+            return
+        if self.now - max(since, self._store_up_at) > IN_FORCE_S:
+            raise PromiseBroken(f"{order.task} was sent to an evacuated hall")
+
     def _carry_out(self, order: Order, until: int, token: int) -> OrderOutcome:
         box = self.boxes[order.life]
         if not box.alive:
@@ -421,6 +496,8 @@
         """
         self.late_share = self.lost_share = self.fail_share = 0.0
         self.cut.clear()
+        for hall in list(self.evacuated):
+            self.restore(hall)
         self.store_down = False
         if self.leader.over or self.leader.frozen:
             self.take_over()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -225,7 +225,7 @@
     Mutant(
         "native: a start that was held back is sent whatever became of its task",
         (
-            ("decider.py", "return task.state == STARTING", "return True"),
+            ("decider.py", "return task.state == STARTING and", "return"),
             (
                 "decider.py",
                 "if task is None or task.run != order.run or task.box != order.life:",
@@ -373,6 +373,59 @@
         ),
         "native_parts",
     ),
+    Mutant(
+        "native: the order to evacuate a hall is not read",
+        (("session.py", "halls.append(order)", "pass"),),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: a successor forgets evacuated halls",
+        (
+            (
+                "evacuation.py",
+                "return self.ordered([*restored, *orders], now)",
+                "return []",
+            ),
+        ),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: starts for an evacuated hall keep their place in the window",
+        (
+            (
+                "orderwindow.py",
+                "for entry in [e for e in waiting if e.kind != FIRST and e.life in lives]:",
+                "for entry in list[_Waiting]():",
+            ),
+        ),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: starts that were held back are sent into an evacuated hall",
+        (("decider.py", "or box.evacuated):", "or False):"),),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: a slowed task moves into an evacuated hall",
+        (("boxes.py", "            and not self.evacuated\n", ""),),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: starts go on without news of operators",
+        (
+            (
+                "decider.py",
+                "        if not self._evacuation.up_to_date(now):\n            return effects\n",
+                "",
+            ),
+            (
+                "decider.py",
+                "return task.state == STARTING and self._evacuation.up_to_date(now)",
+                "return task.state == STARTING",
+            ),
+        ),
+        "native_evacuation",
+    ),
 )
 
 
