--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -109,6 +109,7 @@
         restored = self._state.restore(records, now)
         self._doubtful = restored.doubtful
         for workflow in self._state.workflows.values():
+            self._dispatcher.submitted(workflow)
             if not workflow.terminal and workflow not in self._doubtful:
                 self._state.enter_steps(workflow, now)
         return [
@@ -161,6 +162,7 @@
         if submission.job in self._state.workflows:
             return [answer]
         workflow = self._state.add(submission, now)
+        self._dispatcher.submitted(workflow)
         self._state.enter_steps(workflow, now)
         tasks = sum(step.count for step in submission.steps)
         inputs = {"queue": submission.queue, "tasks": tasks}
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -37,6 +37,7 @@
 from .workflows import STARTING
 from .workflows import Step
 from .workflows import Task
+from .workflows import Workflow
 
 __all__ = ["ANY_NUMBER", "Dispatcher"]
 
@@ -89,6 +90,10 @@
         # Kinds of task that found no box in the pass under way.
         self._no_box: set[Kind] = set()
 
+    def submitted(self, workflow: Workflow) -> None:
+        """Take note of a job that came, or that a predecessor left."""
+        self._order.submitted(workflow)
+
     def place(
         self, now: float, wall_ms: int, most_starts: int = ANY_NUMBER
     ) -> list[Decision]:
@@ -109,6 +114,7 @@
         if fill:
             self._filled_at = now
         self._no_box.clear()
+        self._order.begin(now)
         order = sorted(waiting.items(), key=lambda item: self._order.key(item[1], now))
         effects = self._place_aged(now, wall_ms)
         for key, entry in order:
@@ -277,6 +283,7 @@
         task.set_pace(FULL_PACE, now)
         box.place(task)
         task.workflow.begun = True
+        self._order.started(task)
         self._state.changed(task)
         spec = task.workflow.submission.spec
         return StartTask(
@@ -337,4 +344,8 @@
 def _waiting_order(state: ShardState) -> WaitingOrder:
     if not state.on(Mechanism.URGENCY):
         return ByArrival()
-    return ByUrgency(too_late_last=state.on(Mechanism.TOO_LATE_LAST))
+    return ByUrgency(
+        too_late_last=state.on(Mechanism.TOO_LATE_LAST),
+        by_value=state.on(Mechanism.VALUE),
+        size_shares=state.on(Mechanism.SIZE_SHARES),
+    )
--- a/src/granitetrestle/mechanisms.py
+++ b/src/granitetrestle/mechanisms.py
@@ -35,6 +35,10 @@
     PUT_ASIDE = "put_aside"
     # The smaller jobs that fill go first, late ones last - first come, first served.
     URGENCY = "urgency"
+    # Jobs that fill go by their value for the work that is left - the least left first.
+    VALUE = "value"
+    # The largest jobs that fill are not left behind the others - they wait.
+    SIZE_SHARES = "size_shares"
     # What is too late to be of use waits behind what is late - they count alike.
     TOO_LATE_LAST = "too_late_last"
     # Refused clients come back at steady intervals - the longer the store is away the later.
--- a/src/granitetrestle/waitingorder.py
+++ b/src/granitetrestle/waitingorder.py
@@ -5,13 +5,19 @@
 import abc
 import typing as t
 
+from .jobsizes import JobSizes
+from .jobsizes import SizeClass
 from .shardstate import WaitingStep
+from .workflows import Task
+from .workflows import Workflow
 
 __all__ = ["ByArrival", "ByUrgency", "WaitingOrder", "waiting_tasks"]
 
 IN_TIME: t.Final = 0
 LATE: t.Final = 1
 TOO_LATE: t.Final = 2
+# What is of use and of a size that was left behind goes before all of these.
+LEFT_BEHIND: t.Final = -2
 
 OrderKey: t.TypeAlias = tuple[int, int, float]
 
@@ -19,6 +25,18 @@
 class WaitingOrder(abc.ABC):
     """Orders steps that wait."""
 
+    @abc.abstractmethod
+    def submitted(self, workflow: Workflow) -> None:
+        """Take note of a job that came, or that a predecessor left."""
+
+    @abc.abstractmethod
+    def begin(self, now: float) -> None:
+        """Prepare for a pass over what waits."""
+
+    @abc.abstractmethod
+    def started(self, task: Task) -> None:
+        """Take note of a task that was given a box."""
+
     @abc.abstractmethod
     def key(self, entry: WaitingStep, now: float) -> OrderKey:
         """Return what to sort by; the least goes first."""
@@ -27,6 +45,15 @@
 class ByArrival(WaitingOrder):
     """Baseline: by the queue's priority, then first come, first served."""
 
+    def submitted(self, workflow: Workflow) -> None:
+        """See :meth:`WaitingOrder.submitted`."""
+
+    def begin(self, now: float) -> None:
+        """See :meth:`WaitingOrder.begin`."""
+
+    def started(self, task: Task) -> None:
+        """See :meth:`WaitingOrder.started`."""
+
     def key(self, entry: WaitingStep, now: float) -> OrderKey:
         """See :meth:`WaitingOrder.key`."""
         return (entry.priority, IN_TIME, entry.workflow.accepted_at)
@@ -35,21 +62,54 @@
 class ByUrgency(WaitingOrder):
     """By the queue's priority; then what can still be in time, then what is late, then
     what is too late to be of use, which is still run. Among the first, what must start
-    soonest; of what fills, which is short of room for long, the job with least left, so
-    that more jobs are completed.
+    soonest; of what fills, which is short of room for long, the job that is worth most
+    for the work left of it, but first those of a size that was left behind.
 
     :param too_late_last: whether the third class is told from the second.
+    :param by_value: whether a job's worth counts; else the least left goes first.
+    :param size_shares: whether sizes that were left behind go first.
     """
 
-    def __init__(self, too_late_last: bool = True) -> None:
+    def __init__(self, too_late_last: bool, by_value: bool, size_shares: bool) -> None:
         self._too_late_last = too_late_last
+        self._by_value = by_value
+        self._size_shares = size_shares
+        self._sizes = JobSizes()
+
+    def submitted(self, workflow: Workflow) -> None:
+        """See :meth:`WaitingOrder.submitted`."""
+        if any(step.fills for step in workflow.submission.steps):
+            self._sizes.submitted(workflow.submission.queue, workflow.whole_work)
+
+    def begin(self, now: float) -> None:
+        """See :meth:`WaitingOrder.begin`."""
+        if self._size_shares:
+            self._sizes.compare(now)
+
+    def started(self, task: Task) -> None:
+        """See :meth:`WaitingOrder.started`."""
+        if task.spec.fills and self._size_shares:
+            work = task.spec.cpu * task.spec.estimate_ms
+            part = work / max(1, task.workflow.whole_work)
+            self._sizes.started(self._size(task.workflow), part)
+
+    def _size(self, workflow: Workflow) -> SizeClass:
+        queue = workflow.submission.queue
+        return self._sizes.class_of(queue, workflow.whole_work)
 
     def key(self, entry: WaitingStep, now: float) -> OrderKey:
         """See :meth:`WaitingOrder.key`."""
         lateness = self._lateness(entry, now)
-        if entry.spec.fills:
-            return (entry.priority, lateness, float(entry.workflow.work_left))
-        return (entry.priority, lateness, entry.latest_start)
+        if not entry.spec.fills:
+            return (entry.priority, lateness, entry.latest_start)
+        workflow = entry.workflow
+        left = float(workflow.work_left)
+        if self._by_value:
+            queue = workflow.submission.queue
+            left /= self._sizes.value(queue, workflow.whole_work)
+        if lateness < TOO_LATE and self._sizes.behind(self._size(workflow)):
+            lateness += LEFT_BEHIND
+        return (entry.priority, lateness, left)
 
     def _lateness(self, entry: WaitingStep, now: float) -> int:
         lateness = _lateness(entry, now)
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -180,6 +180,7 @@
     """A job, its tasks and its state.
 
     :ivar retired: whether its tasks were forgotten, since it has ended.
+    :ivar whole_work: all that it asks for, as estimated, in millionths of a core-second.
     :ivar due_at: until when it should be completed, in seconds on the steady clock.
     """
 
@@ -195,6 +196,7 @@
         self.undone: dict[tuple[int, int], int] = {}
         for occurrence in range(max(1, submission.repeat_count)):
             self._open(occurrence)
+        self.whole_work = self.work_left
 
     def _open(self, occurrence: int) -> None:
         for number, step in enumerate(self.submission.steps):
