Looks are bounded by a process's connections, and begin in turn

It has 3,900 descriptors for connections; a look that waits holds one for each of 3,000 boxes, orders take more, and the socket to a peer was one too many. Its successor began 3,000 first looks at once, which time out together on 0.43 of a core and begin anew: 700 new connections a second at the busiest.

Looks wait only while a part of the connections is free for that; beyond it idle boxes are asked 60 times a second in all, and at once when they get work. First looks and those at silent boxes take turns in a window of their own. Calls have a bound of open connections and close the longest idle for another. No descriptor for a peer is said once and tried again, and ends nothing.

--- /dev/null
+++ b/features/steps/budget_steps.py
@@ -0,0 +1,341 @@
+"""Steps of the scenarios over far more boxes than one decider's connections and
+processor bear."""
+
+import asyncio
+import errno
+import time
+
+import anyio
+import zmq
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.boxes import BoxView
+from granitetrestle.boxlife import BoxKeeper
+from granitetrestle.calls import Caller
+from granitetrestle.calls import CallFailure
+from granitetrestle.calls import Reply
+from granitetrestle.decisions import StartTask
+from granitetrestle.fleet import LookPlan
+from granitetrestle.lookbudget import LookBudget
+from granitetrestle.looplag import LoopLag
+from granitetrestle.nodemetrics import NodeMetrics
+from granitetrestle.orderwindow import OpenWindow
+from granitetrestle.orderwindow import OrderWindow
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import BoxNoAnswer
+from granitetrestle.outside import Look
+from granitetrestle.outside import OrderAccepted
+from granitetrestle.peerlink import PeerLink
+from native_cluster import free_port
+
+GIVEN_UP_S = 0.7
+
+
+class Boxes:
+    """Calls that take the decider's processor, one after the other."""
+
+    def __init__(self, each_s, gone=()):
+        self.each_s = each_s
+        self.gone = set(gone)
+        self.free_at = 0.0
+        self.calls = self.given_up = 0
+        self.looked = []
+        self.waits = []
+
+    async def look(self, life, address, token, known, lease_ends_ms, wait_ms):
+        now = time.monotonic()
+        self.looked.append((life, now))
+        self.waits.append(wait_ms)
+        if life in self.gone:
+            await anyio.sleep(GIVEN_UP_S)
+            return BoxNoAnswer("gone")
+        self.calls += 1
+        self.free_at = max(now, self.free_at) + self.each_s
+        wait = self.free_at - now
+        if wait > GIVEN_UP_S:
+            await anyio.sleep(GIVEN_UP_S)
+            self.given_up += 1
+            return BoxNoAnswer("no answer in time")
+        await anyio.sleep(wait + wait_ms / 1000.0)
+        return Look(1, (), ())
+
+    async def start(self, *arguments):
+        return OrderAccepted(1)
+
+
+def entry(life):
+    return BoxEntry(
+        life, "a", "pool", "h", "r", frozenset(), 1000, 1000, 0, False, None
+    )
+
+
+class Looking:
+    """As much of a decider as a keeper asks."""
+
+    def __init__(self, count):
+        self.boxes = {f"b{n}": BoxView(entry(f"b{n}"), 0.0) for n in range(count)}
+
+    @property
+    def state(self):
+        return self
+
+    @property
+    def fleet(self):
+        return self
+
+    def plan_look(self, life, now, may_renew):
+        return LookPlan("a", 0, None, 1500)
+
+    def looked(self, life, sent, now, outcome):
+        box = self.boxes[life]
+        if isinstance(outcome, Look):
+            box.adopted, box.silent_since = True, None
+        elif box.silent_since is None:
+            box.silent_since = now
+        return []
+
+    def lease_until(self, box, now):
+        return 1
+
+    def start_wanted(self, order, now):
+        return True
+
+    def start_answered(self, *arguments):
+        return []
+
+
+def keeper(life, calls, decider, budget):
+    return BoxKeeper(
+        life,
+        "a",
+        1,
+        calls,
+        decider,
+        lambda decisions: None,
+        lambda: True,
+        NodeMetrics(),
+        OrderWindow(),
+        LoopLag(),
+        budget,
+    )
+
+
+@given("{boxes:d} boxes, and a decider that needs {ms:d} ms for each call")
+def boxes_for(context, boxes, ms):
+    context.decider, context.calls = Looking(boxes), Boxes(ms / 1000.0)
+
+
+@given(
+    "{boxes:d} boxes, of which {gone:d} are gone, and a decider that needs {ms:d} ms "
+    "for each call"
+)
+def boxes_gone(context, boxes, gone, ms):
+    lost = {f"b{number}" for number in range(gone)}
+    context.decider, context.calls = Looking(boxes), Boxes(ms / 1000.0, lost)
+
+
+def look_at_all(context, seconds, budget):
+    async def script():
+        async with anyio.create_task_group() as tasks:
+            for life in context.decider.boxes:
+                look = keeper(life, context.calls, context.decider, budget)
+                tasks.start_soon(look.run)
+            await anyio.sleep(seconds)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(script)
+
+
+@when("it looks at them for {seconds:d} seconds")
+def looks(context, seconds):
+    look_at_all(context, seconds, LookBudget(1000))
+
+
+@when("it looks at them for {seconds:d} seconds, all at once")
+def looks_at_once(context, seconds):
+    budget = LookBudget(1_000_000)
+    budget._opening = OpenWindow()
+    look_at_all(context, seconds, budget)
+
+
+@then(
+    "it has reached {boxes:d} boxes at least, and at most 1 look in {part:d} was given up"
+)
+def reached_with_few(context, boxes, part):
+    reached(context, boxes)
+    calls = context.calls
+    assert calls.given_up * part <= calls.calls, (calls.given_up, calls.calls)
+
+
+@then("it has reached {boxes:d} boxes at least")
+def reached(context, boxes):
+    adopted = sum(box.adopted for box in context.decider.boxes.values())
+    assert adopted >= boxes, adopted
+
+
+@then("at least 1 look in {part:d} was given up")
+def many_given_up(context, part):
+    calls = context.calls
+    assert calls.given_up * part >= calls.calls, (calls.given_up, calls.calls)
+
+
+@given("a budget of {connections:d} connections")
+def budget_of(context, connections):
+    context.budget = LookBudget(connections)
+
+
+@when("{boxes:d} boxes are looked at, of which {busy:d} work")
+def look_terms(context, boxes, busy):
+    context.idle_waits, context.pauses, context.most = [], [], 0
+    for number in range(boxes):
+        box = BoxView(entry(f"b{number}"), 0.0)
+        box.adopted = True
+        if number % (boxes // busy) == 0:
+            box.tasks["t"] = None
+        before = context.budget.waiting
+        terms = context.budget.terms(box)
+        if terms.waits:
+            context.budget.began()
+            if not box.tasks:
+                context.idle_waits.append(before)
+        elif not box.tasks:
+            context.pauses.append(terms.pause_s)
+        context.most = max(context.most, context.budget.waiting)
+
+
+@then("{most:d} looks wait at most, and no idle box's once {idle:d} do")
+def bounded(context, most, idle):
+    assert context.most == most, context.most
+    assert max(context.idle_waits) < idle, max(context.idle_waits)
+
+
+@then("idle boxes are looked at {rate:d} times a second in all")
+def idle_rate(context, rate):
+    longest = max(context.pauses)
+    assert len(context.pauses) / longest <= rate, (len(context.pauses), longest)
+
+
+@given("a keeper of an idle box for which there is no connection to wait on")
+def idle_keeper(context):
+    context.decider, context.calls = Looking(1), Boxes(0.0)
+    context.budget = LookBudget(0)
+
+
+@when("a task is started there after {seconds:g} seconds")
+def started_after(context, seconds):
+    async def script():
+        look = keeper("b0", context.calls, context.decider, context.budget)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(look.run)
+            await anyio.sleep(seconds)
+            context.before = len(context.calls.looked)
+            context.at = time.monotonic()
+            await look.carry_out(StartTask("b0", "1.0.0.0", 1, "s", "", ""))
+            await anyio.sleep(0.3)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(script)
+
+
+@then("the box is looked at within {seconds:g} seconds")
+def looked_within(context, seconds):
+    after = context.calls.looked[context.before :]
+    assert after and after[0][1] - context.at < seconds, after
+
+
+@given(
+    "a caller that may have {most:d} connections open, and {boxes:d} boxes that listen"
+)
+def bounded_caller(context, most, boxes):
+    context.most, context.listening = most, boxes
+
+
+@when("each box is called in turn")
+def called_in_turn(context):
+    context.outcomes, context.open = play_calls(context, late_s=0.0, together=False)
+
+
+@when("all boxes are called at once, and answer late")
+def called_at_once(context):
+    context.outcomes, context.open = play_calls(context, late_s=0.3, together=True)
+
+
+def play_calls(context, late_s, together):
+    caller = Caller(context.most)
+    outcomes, opened = [], []
+
+    async def answer(reader, writer):
+        opened.append(1)
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                await asyncio.sleep(late_s)
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        except (asyncio.IncompleteReadError, asyncio.CancelledError):
+            writer.close()
+
+    async def call(port):
+        outcomes.append(await caller.call(f"127.0.0.1:{port}", "/"))
+        opened.append(caller.open_connections)
+
+    async def script():
+        servers = [
+            await asyncio.start_server(answer, "127.0.0.1", 0)
+            for _ in range(context.listening)
+        ]
+        ports = [server.sockets[0].getsockname()[1] for server in servers]
+        if together:
+            await asyncio.gather(*map(call, ports))
+        else:
+            for port in ports:
+                await call(port)
+        for server in servers:
+            server.close()
+
+    asyncio.run(script())
+    return outcomes, opened
+
+
+@then("all calls were answered, and {most:d} connections are open at most")
+def all_answered(context, most):
+    assert all(isinstance(outcome, Reply) for outcome in context.outcomes)
+    assert max(context.open) <= most, context.open
+
+
+@then(
+    "{count:d} were answered, the others not sent, and {most:d} connections are open at most"
+)
+def some_answered(context, count, most):
+    failed = [o for o in context.outcomes if isinstance(o, CallFailure)]
+    assert len(context.outcomes) - len(failed) == count, context.outcomes
+    assert not any(outcome.proof.may_have_run for outcome in failed)
+    assert max(context.open) <= most, context.open
+
+
+@given("a link to peers that may open {most:d} sockets")
+def bounded_link(context, most):
+    context.link = PeerLink("n", "n1", "token", f"127.0.0.1:{free_port()}")
+    context.said = []
+    context.link.on_not_opened = lambda node, reason: context.said.append(node)
+    opened = context.link._open
+
+    def bounded(address):
+        if context.link.connections >= most:
+            raise zmq.ZMQError(errno.EMFILE)
+        return opened(address)
+
+    context.link._open = bounded
+
+
+@when("it connects to {peers:d} peers")
+def connects(context, peers):
+    for number in range(peers):
+        context.link.connect(f"p{number}", "127.0.0.1:1")
+
+
+@then("it goes on with those it reached, and says once that others were not")
+def goes_on(context):
+    assert context.link.connections == 3
+    assert context.said == ["p3"], context.said
+    context.link.close()
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -12,6 +12,7 @@
 from granitetrestle.fleet import LookPlan
 from granitetrestle.jobcalls import CancelJob
 from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.lookbudget import LookBudget
 from granitetrestle.looplag import LoopLag
 from granitetrestle.nodemetrics import NodeMetrics
 from granitetrestle.orderwindow import OpenWindow
@@ -63,7 +64,7 @@
     def __init__(self, boxes):
         self.state.boxes = {f"b{number}": object() for number in range(boxes)}
 
-    def start_wanted(self, order):
+    def start_wanted(self, order, now):
         return True
 
     def start_answered(self, life, task, run, outcome, now):
@@ -92,6 +93,7 @@
                 NodeMetrics(),
                 window,
                 LoopLag(),
+                LookBudget(3900),
             )
             for number in range(context.boxes)
         ]
@@ -214,7 +216,7 @@
     hand_in(context, "a" * 16, "short", count=1, cpu=1000)
     load = context.load
     (context.order,) = placed(context)
-    assert load.decider.start_wanted(context.order)
+    assert load.decider.start_wanted(context.order, load.now)
     entries = {life: box.entry for life, box in load.decider.state.boxes.items()}
     leaving = entries[context.order.life]._replace(draining=True, leaving_in_s=4.0)
     entries[context.order.life] = leaving
@@ -224,7 +226,7 @@
 @then("it is not wanted any more, and its task starts elsewhere at once")
 def not_wanted(context):
     decider, order, now = context.load.decider, context.order, context.load.now
-    assert not decider.start_wanted(order)
+    assert not decider.start_wanted(order, context.load.now)
     withdrawn = OrderNotSent("withdrawn")
     decider.start_answered(order.life, order.task, order.run, withdrawn, now)
     (again,) = placed(context)
@@ -245,7 +247,10 @@
     """A box that is looked at."""
 
     entry = None
+    adopted = True
     silent_since = None
+    tasks = ()
+    life = "b"
     known = durable_known = 0
 
 
@@ -297,6 +302,7 @@
             NodeMetrics(),
             OrderWindow(),
             measured,
+            LookBudget(3900),
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(keeper.run)
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -10,6 +10,7 @@
 from granitetrestle.decider import Decider
 from granitetrestle.decisions import StopTask
 from granitetrestle.interference import Interference
+from granitetrestle.lookbudget import LookBudget
 from granitetrestle.looplag import LoopLag
 from granitetrestle.nodemetrics import NodeMetrics
 from granitetrestle.orderwindow import OrderWindow
@@ -216,6 +217,7 @@
             NodeMetrics(),
             OrderWindow(),
             LoopLag(),
+            LookBudget(3900),
         )
         async with anyio.create_task_group() as tasks:
             for number in range(30):
--- a/src/granitetrestle/boxlife.py
+++ b/src/granitetrestle/boxlife.py
@@ -11,6 +11,8 @@
 from .decisions import PaceTask
 from .decisions import StartTask
 from .decisions import StopTask
+from .lookbudget import LookBudget
+from .lookbudget import LookTerms
 from .looplag import LoopLag
 from .nodemetrics import NodeMetrics
 from .orderwindow import FILLS
@@ -47,6 +49,7 @@
     :param apply: takes decisions that follow from what was learnt.
     :param may_renew: whether this process was confirmed as decider of late.
     :param window: shared by all boxes of a decider.
+    :param budget: of the looks at all boxes.
     :param lag: how far behind this process's own event loop is.
     """
 
@@ -62,7 +65,9 @@
         metrics: NodeMetrics,
         window: OrderWindow,
         lag: LoopLag,
+        budget: LookBudget,
     ) -> None:
+        self._budget = budget
         self._window = window
         self._lag = lag
         self._life = life
@@ -74,6 +79,7 @@
         self._may_renew = may_renew
         self._metrics = metrics
         self._durable = anyio.Event()
+        self._work_came = anyio.Event()
         self._left = anyio.CancelScope()
 
     def leave(self) -> None:
@@ -90,21 +96,39 @@
     async def run(self) -> None:
         """Look at the box until it is left."""
         with self._left:
+            await self._look_on()
+        self._budget.forget(self._life)
+
+    async def _look_on(self) -> None:
+        failures = 0
+        while (terms := await self._look()) is not None:
+            box = self._decider.state.boxes.get(self._life)
+            if box is None:
+                return
+            if box.silent_since is not None:
+                await anyio.sleep(PAUSES_S[min(failures, len(PAUSES_S) - 1)])
+                failures += 1
+                continue
             failures = 0
-            while await self._look():
-                box = self._decider.state.boxes.get(self._life)
-                if box is None:
-                    return
-                if box.silent_since is not None:
-                    await anyio.sleep(PAUSES_S[min(failures, len(PAUSES_S) - 1)])
-                    failures += 1
-                    continue
-                failures = 0
-                if box.known > box.durable_known:
-                    with anyio.move_on_after(DURABLE_WAIT_S):
-                        await self._durable.wait()
-                self._durable = anyio.Event()
-                await self._give_way()
+            if box.known > box.durable_known:
+                with anyio.move_on_after(DURABLE_WAIT_S):
+                    await self._durable.wait()
+            self._durable = anyio.Event()
+            await self._pause(terms.pause_s)
+            await self._give_way()
+
+    async def _pause(self, pause_s: float) -> None:
+        """Ask nothing for a while; a box that gets work is looked at again at once."""
+        if not pause_s:
+            return
+        box = self._decider.state.boxes.get(self._life)
+        idle = box is not None and not box.tasks
+        self._work_came = anyio.Event()
+        with anyio.move_on_after(pause_s):
+            if idle:
+                await self._work_came.wait()
+            else:
+                await anyio.sleep(pause_s)
 
     async def _give_way(self) -> None:
         """Look less often while this process can't keep up: orders come first, and ends
@@ -113,19 +137,43 @@
         if lag_s > BUSY_LAG_S:
             await anyio.sleep(min(MOST_WAY_S, WAY_FACTOR * (lag_s - BUSY_LAG_S)))
 
-    async def _look(self) -> bool:
+    async def _look(self) -> LookTerms | None:
+        """Look once; returns how, or ``None`` if the box is not ours any more."""
+        box = self._decider.state.boxes.get(self._life)
+        if box is None:
+            return None
+        kind = self._budget.opening_kind(box)
+        if kind is None:
+            terms = self._budget.terms(box)
+            return terms if await self._look_once(terms.waits) else None
+        async with self._budget.opening.turn(kind, self._life) as turn:
+            if not await self._look_once(waits=False):
+                return None
+            box = self._decider.state.boxes.get(self._life)
+            answered = box is not None and box.silent_since is None
+            turn.ended(answered, time.monotonic())
+        return LookTerms(False, 0.0)
+
+    async def _look_once(self, waits: bool) -> bool:
         sent = time.monotonic()
         plan = self._decider.fleet.plan_look(self._life, sent, self._may_renew())
         if plan is None:
             return False
-        outcome = await self._boxes.look(
-            self._life,
-            plan.address,
-            self._epoch,
-            plan.known,
-            plan.lease_ends_ms,
-            plan.wait_ms,
-        )
+        wait_ms = plan.wait_ms if waits else 0
+        if wait_ms:
+            self._budget.began()
+        try:
+            outcome = await self._boxes.look(
+                self._life,
+                plan.address,
+                self._epoch,
+                plan.known,
+                plan.lease_ends_ms,
+                wait_ms,
+            )
+        finally:
+            if wait_ms:
+                self._budget.ended()
         now = time.monotonic()
         self._metrics.looks += 1
         if isinstance(outcome, Look) and outcome.ended:
@@ -143,6 +191,8 @@
             await self._pace(order)
 
     async def _start(self, order: StartTask) -> None:
+        self._work_came.set()
+
         async def send() -> OrderOutcome:
             box = self._decider.state.boxes.get(self._life)
             until = None
--- a/src/granitetrestle/calls.py
+++ b/src/granitetrestle/calls.py
@@ -19,6 +19,8 @@
 FRESH_S = 0.5
 MAX_BODY = 1024 * 1024
 MAX_IDLE = 64
+# More connections than a process usually has descriptors for.
+MOST_OPEN = 1_000_000
 DEFAULT_TIMEOUT_S = 2.0
 REQUEST_ID = "x-request-id"
 REFUSED = b"x-refused"
@@ -51,10 +53,22 @@
 
 
 class Caller:
-    """Keeps idle connections by address and makes calls on them."""
+    """Keeps idle connections by address and makes calls on them.
 
-    def __init__(self) -> None:
+    :param most_open: connections that may be open at once. Without a bound a process that
+        calls thousands of boxes runs out of descriptors, and all it does fails.
+    """
+
+    def __init__(self, most_open: int = MOST_OPEN) -> None:
         self._idle: dict[str, list[_Idle]] = {}
+        self._most_open = most_open
+        self._opening = 0
+        self._made = 0
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open or being opened."""
+        return self._opening + self._made
 
     async def call(
         self,
@@ -83,7 +97,9 @@
         try:
             with anyio.move_on_after(timeout_s):
                 if connection is None:
-                    opened = await _open(address, limit)
+                    if not self._make_room():
+                        return CallFailure(Proof(False, "too many connections"))
+                    opened = await self._open(address, limit)
                     if isinstance(opened, CallFailure):
                         return opened
                     connection = opened
@@ -102,6 +118,30 @@
                 else:
                     connection.close()
 
+    def _make_room(self) -> bool:
+        """Close the connection that was idle for longest, if there are too many."""
+        if self.open_connections < self._most_open:
+            return True
+        oldest = min(
+            (address for address, idle in self._idle.items() if idle),
+            key=lambda address: self._idle[address][0].since,
+            default=None,
+        )
+        if oldest is None:
+            return False
+        self._idle[oldest].pop(0).connection.close()
+        return True
+
+    async def _open(self, address: str, limit: int) -> Connection | CallFailure:
+        self._opening += 1
+        try:
+            return await _open(address, limit, self._changed)
+        finally:
+            self._opening -= 1
+
+    def _changed(self, by: int) -> None:
+        self._made += by
+
     def _take(self, address: str, max_age: float) -> Connection | None:
         idle = self._idle.get(address, [])
         while idle and time.monotonic() - idle[-1].since < max_age:
@@ -132,10 +172,12 @@
                 held.connection.close()
 
 
-async def _open(address: str, limit: int) -> Connection | CallFailure:
+async def _open(
+    address: str, limit: int, changed: t.Callable[[int], None]
+) -> Connection | CallFailure:
     host, _, port = address.rpartition(":")
     try:
-        return await connect(host, int(port), limit)
+        return await connect(host, int(port), limit, changed)
     except OSError as error:
         return CallFailure(Proof(False, f"not connected: {error!r}"))
 
--- a/src/granitetrestle/connection.py
+++ b/src/granitetrestle/connection.py
@@ -34,7 +34,8 @@
     :ivar idle: whether it can take a request: open, with nothing on its way.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, changed: t.Callable[[int], None]) -> None:
+        self._changed = changed
         self._limit = limit
         self._transport: asyncio.Transport | None = None
         self._waiting: asyncio.Future[Response] | None = None
@@ -48,10 +49,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See :class:`asyncio.Protocol`."""
         self._transport = t.cast(asyncio.Transport, transport)
+        self._changed(1)
         self.idle = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See :class:`asyncio.Protocol`."""
+        self._changed(-1)
         self._fail(f"connection lost: {exc!r}")
 
     def data_received(self, data: bytes) -> None:
@@ -114,16 +117,19 @@
             self._transport.close()
 
 
-async def connect(host: str, port: int, limit: int) -> Connection:
+async def connect(
+    host: str, port: int, limit: int, changed: t.Callable[[int], None]
+) -> Connection:
     """Open a connection.
 
     :param limit: longest answer taken, in bytes.
+    :param changed: told 1 when it is open, and -1 when it is closed.
     :raises OSError: if it can't be opened; ``TimeoutError`` is one.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
         transport, connection = await loop.create_connection(
-            lambda: Connection(limit), host, port
+            lambda: Connection(limit, changed), host, port
         )
     channel = transport.get_extra_info("socket")
     channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/src/granitetrestle/lookbudget.py
@@ -0,0 +1,112 @@
+"""How many looks at boxes a decider can afford. A look that waits for an end holds a
+connection, and beginning one costs a handshake: with ten boxes for each process of its
+own, a decider ran out of descriptors and ended, and so did each of its successors.
+
+So looks wait only while there are connections for that. Beyond it a box that runs nothing
+is looked at now and then, and one that works is asked again and again instead. First looks
+and those at boxes that fell silent wait for each other, as many at once as are answered."""
+
+import math
+import typing as t
+
+from .boxes import BoxView
+from .orderwindow import FILLS
+from .orderwindow import FIRST
+from .orderwindow import SHORT
+from .orderwindow import OrderWindow
+
+__all__ = ["LookBudget", "LookTerms"]
+
+# Parts of a process's connections that looks may hold while they wait: at boxes that run
+# nothing, and in all. The rest is for orders (256 at once), peers, which take up to three
+# descriptors each, and clients.
+IDLE_PART: t.Final = 0.1
+BUSY_PART: t.Final = 0.4
+# Without a look that waits, the end of a task is seen this much later at most.
+BUSY_PAUSE_S: t.Final = 0.8
+# Looks a second at boxes that run nothing, all together: a tenth of what a process on 0.43
+# of a core can make. The store's list says sooner which of them are gone.
+IDLE_LOOKS_PER_S: t.Final = 60.0
+IDLE_PAUSE_S: t.Final = 2.0
+
+
+class LookTerms(t.NamedTuple):
+    """How a look is made.
+
+    :param waits: whether its answer may wait for an end.
+    :param pause_s: how long afterwards nothing is asked, unless the box gets work.
+    """
+
+    waits: bool
+    pause_s: float
+
+
+class OpeningWindow(OrderWindow):
+    """Looks that begin. A box that is gone holds its turn until it is given up, but costs
+    nothing meanwhile: as long as the others answer quickly, more may begin beside it."""
+
+    def unanswered(self) -> None:
+        """See :meth:`.OrderWindow.unanswered`."""
+        if self._slow:
+            super().unanswered()
+        else:
+            self._grow(1.0)
+
+
+class LookBudget:
+    """Shared by all looks of a decider.
+
+    :param connections: how many this process may have open.
+    """
+
+    def __init__(self, connections: int) -> None:
+        self._connections = connections
+        self._waiting = 0
+        # Boxes whose looks don't wait; they share the rate of looks.
+        self._paused: set[str] = set()
+        self._opening: OrderWindow = OpeningWindow()
+
+    @property
+    def waiting(self) -> int:
+        """Looks under way whose answer may wait."""
+        return self._waiting
+
+    @property
+    def opening(self) -> OrderWindow:
+        """Lets first looks, and those at silent boxes, begin."""
+        return self._opening
+
+    @staticmethod
+    def opening_kind(box: BoxView) -> int | None:
+        """Return the class in which a look at ``box`` has to wait for its turn to begin,
+        or ``None`` if it needs no turn."""
+        if box.silent_since is not None:
+            return FILLS
+        if box.adopted:
+            return None
+        return FIRST if box.tasks else SHORT
+
+    def terms(self, box: BoxView) -> LookTerms:
+        """Return how the next look at an adopted box is made."""
+        part = BUSY_PART if box.tasks else IDLE_PART
+        if self._waiting < part * self._connections:
+            self._paused.discard(box.life)
+            return LookTerms(True, 0.0)
+        if box.tasks:
+            self._paused.discard(box.life)
+            return LookTerms(False, BUSY_PAUSE_S)
+        self._paused.add(box.life)
+        share_s = len(self._paused) / IDLE_LOOKS_PER_S
+        return LookTerms(False, max(IDLE_PAUSE_S, math.ceil(share_s)))
+
+    def forget(self, life: str) -> None:
+        """A box is not looked at any more."""
+        self._paused.discard(life)
+
+    def began(self) -> None:
+        """Count a look whose answer may wait."""
+        self._waiting += 1
+
+    def ended(self) -> None:
+        """Count it as answered, or given up."""
+        self._waiting -= 1
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -103,6 +103,7 @@
         self._sources = sources
         self._responder = responder
         self._peers = peers
+        peers.on_not_opened = self._peer_not_opened
         self._log = log
         self._metrics = metrics
         self._registry = Registry(sources.store)
@@ -187,6 +188,9 @@
         self._connect_leader()
         return self._peers.send(node, message)
 
+    def _peer_not_opened(self, node: str, reason: str) -> None:
+        self._log.event("peer_not_opened", node=node, reason=reason)
+
     def _connect_leader(self) -> None:
         address = self._reports.leader_address
         if address:
--- a/src/granitetrestle/orderwindow.py
+++ b/src/granitetrestle/orderwindow.py
@@ -167,7 +167,7 @@
         if self._slow:
             self._shrink(now)
         elif self._under_way >= self.size // 2:
-            self._size = min(float(AT_MOST), self._size + 1.0 / self._size)
+            self._grow(1.0 / self._size)
 
     def unanswered(self) -> None:
         """Take note of an order without an answer. One box alone may be gone; if other
@@ -175,6 +175,9 @@
         if self._slow:
             self._shrink(self._clock())
 
+    def _grow(self, by: float) -> None:
+        self._size = min(float(AT_MOST), self._size + by)
+
     def _shrink(self, now: float) -> None:
         if now - self._shrunk_at >= SHRINK_EVERY_S:
             self._shrunk_at = now
--- a/src/granitetrestle/peerlink.py
+++ b/src/granitetrestle/peerlink.py
@@ -46,10 +46,16 @@
         self.opening = True
 
 
+def _nobody(node: str, reason: str) -> None:
+    """Tell nobody."""
+
+
 class PeerLink:
     """Sends to and receives from other processes of the system. Connections are opened
     when something is to be sent, and closed again when that was long ago.
 
+    :ivar on_not_opened: told once of the process and the reason when no connection can be
+        opened, until one can again.
     :param bind: IP:PORT at which the others reach this process.
     """
 
@@ -64,7 +70,9 @@
         self._inbound.setsockopt(zmq.LINGER, 0)
         self._inbound.bind(f"tcp://{bind}")
         self._peers: dict[str, _Peer] = {}
+        self._not_opened = 0
         self.dropped = 0
+        self.on_not_opened: t.Callable[[str, str], None] = _nobody
 
     @property
     def connections(self) -> int:
@@ -77,7 +85,16 @@
         if node == self._node or (peer is not None and peer.address == address):
             return
         self.disconnect(node)
-        self._peers[node] = _Peer(address, self._open(address), time.monotonic())
+        try:
+            socket = self._open(address)
+        except zmq.ZMQError as error:
+            # Out of descriptors: who wants to send tries again, as if it were lost.
+            self._not_opened += 1
+            if self._not_opened == 1:
+                self.on_not_opened(node, str(error))
+            return
+        self._not_opened = 0
+        self._peers[node] = _Peer(address, socket, time.monotonic())
 
     def disconnect(self, node: str) -> None:
         """Close the connection to ``node``, if there is one."""
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -38,9 +38,13 @@
 
 # Named in deploy/system.toml as well.
 METRICS_PORT: t.Final = 9464
+# Part of the connections for calls to boxes and the store.
+CALLS_PART: t.Final = 0.7
 # The processes of one deployment are alone on its network.
 PEER_TOKEN: t.Final = "granitetrestle"
 KEEP_ALIVE_S: t.Final = 20
+# Of its descriptors the platform reserves so many for files.
+FILES_RESERVED: t.Final = 200
 PRUNE_EVERY_S: t.Final = 1.0
 # The platform asks every second and sends no new connections after two misses.
 NOTICED_S: t.Final = 2.2
@@ -82,7 +86,10 @@
         address=address,
         cores=settings.cores,
         decider=DeciderTerms(
-            lease_s=settings.hold_max_s, keep_s=settings.status_s * 1.25, off=off
+            lease_s=settings.hold_max_s,
+            keep_s=settings.status_s * 1.25,
+            connections=settings.max_files - FILES_RESERVED,
+            off=off,
         ),
     )
     peers = PeerLink(settings.node, incarnation, PEER_TOKEN, address)
@@ -105,7 +112,8 @@
     log: NodeLog,
     metrics: NodeMetrics,
 ) -> None:
-    caller = Caller()
+    # The others are for peers, whose sockets take up to three each, and for clients.
+    caller = Caller(int((settings.max_files - FILES_RESERVED) * CALLS_PART))
     node = _node(settings, off, caller, log, metrics)
     stopping = False
     ready = settings.ready.port if settings.ready is not None else 0
--- a/src/granitetrestle/platform/settings.py
+++ b/src/granitetrestle/platform/settings.py
@@ -22,6 +22,7 @@
     :param hold_max_s: longest lease that a box grants.
     :param grace_s: time from SIGTERM to SIGKILL.
     :param advice: service that names the boxes fit for a step, or ``None``.
+    :param max_files: descriptors of the process.
     :param writes_per_s: writing calls that the store takes from all processes.
     """
 
@@ -41,6 +42,7 @@
     drain_s: float
     config_apply_s: float
     memory_mb: int
+    max_files: int
     cores: float
     advice: Address | None
 
@@ -86,6 +88,7 @@
             drain_s=self._number("bounds.drain_ms", 2000) / 1000.0,
             config_apply_s=self._number("bounds.config_apply_ms", 2000) / 1000.0,
             memory_mb=int(self._number("limits.memory_mb", 300)),
+            max_files=int(self._number("limits.max_fds", 4100)),
             cores=self._number("limits.cpu_share", 1.0)
             * self._number("limits.cores", 1.0),
             advice=self._address("advice", optional=True),
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -31,6 +31,7 @@
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
 from .journal import Journal
+from .lookbudget import LookBudget
 from .looplag import LoopLag
 from .mechanisms import Mechanism
 from .nodelog import NodeLog
@@ -134,6 +135,7 @@
         limited = Mechanism.ORDER_WINDOW not in terms.off
         self._lag = LoopLag()
         self._window = OrderWindow(lag=self._lag) if limited else OpenWindow()
+        self._budget = LookBudget(terms.connections)
         self._loaded_at = time.monotonic()
         self._callers: dict[str, _Caller] = {}
         self._config: Config | None = None
@@ -158,6 +160,8 @@
             "orders_waiting": float(self._window.waiting),
             "orders_at_once": float(self._window.size),
             "loop_lag_s": round(self._lag.lag_s, 3),
+            "looks_waiting": float(self._budget.waiting),
+            "looks_to_begin": float(self._budget.opening.waiting),
             "halls_evacuated": float(len(self._decider.state.evacuated_halls)),
             "orders_unreadable": float(len(self._unreadable_orders)),
         }
@@ -332,6 +336,7 @@
             self._metrics,
             self._window,
             self._lag,
+            self._budget,
         )
         self._keepers[decision.life] = keeper
         self._start(keeper.run)
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -42,6 +42,7 @@
         successor counts on that.
     :param clock_slack: how much slower than ours a box's clock may run.
     :param keep_s: how long an ended job can be asked about.
+    :param connections: how many a process may have open.
     :param off: mechanisms that are switched off.
     """
 
@@ -49,6 +50,7 @@
     orphan_s: float = 8.0
     clock_slack: float = 0.03
     keep_s: float = 120.0
+    connections: int = 3900
     off: frozenset[Mechanism] = frozenset()
 
     @property
