Import circles opened; a load of wide jobs as a test; sizes that are equal are one class

jobtimes/workflows: how long a task spent in each phase is a module of its own. fakes/fakenode: time, draws and outside systems of the fakes' world are a base that knows no process.

--- a/features/steps/room_steps.py
+++ b/features/steps/room_steps.py
@@ -19,7 +19,6 @@
 from granitetrestle.errors import UnknownMechanism
 from granitetrestle.interference import Interference
 from granitetrestle.jobcalls import SubmitJob
-from granitetrestle.jobtimes import PHASES
 from granitetrestle.mechanisms import Mechanism
 from granitetrestle.mechanisms import parse_switched_off
 from granitetrestle.outside import BoxEntry
@@ -33,6 +32,7 @@
 from granitetrestle.progress import Progress
 from granitetrestle.serviceload import MEAN_BUSY
 from granitetrestle.shardstate import DeciderTerms
+from granitetrestle.tasktimes import PHASES
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle.workflows import Workflow
--- /dev/null
+++ b/features/steps/wide_steps.py
@@ -0,0 +1,233 @@
+"""Steps of the scenarios over more work that fills than there is room for."""
+
+import heapq
+import math
+import random
+
+from behave import given
+from behave import then
+
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import EndsKnown
+from granitetrestle.decisions import StartTask
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.mechanisms import Mechanism
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import Config
+from granitetrestle.outside import EndedRun
+from granitetrestle.outside import Look
+from granitetrestle.outside import OrderAccepted
+from granitetrestle.outside import Queue
+from granitetrestle.outside import RunningTask
+from granitetrestle.shardstate import DeciderTerms
+from granitetrestle.shardstate import WaitingStep
+from granitetrestle.waitingorder import ByUrgency
+from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+from granitetrestle.workflows import Workflow
+
+TICK_S = 0.1
+BOX_CPU, TASK_CPU = 8000, 2000
+STRETCH, TARGET_S = 2.0, 1.0
+USUAL_S = 2.2
+OF_USE = 3.0
+PLAY_S, AFTER_S = 45.0, 15.0
+BURSTS = ((5.0, 11.0), (17.0, 23.0))
+USUAL_LOAD = 0.95
+
+
+class Bursts:
+    """Boxes that obey at once, and a load drawn from a seed."""
+
+    def __init__(self, boxes, load, off):
+        self.now = 100.0
+        terms = DeciderTerms(keep_s=600.0, off=frozenset(off))
+        self.decider = Decider(terms, self.now)
+        queue = Queue("q", "h", "/q/", "pool", 0, 3, STRETCH, TARGET_S * 1000.0)
+        self.decider.configured(Config(1, (queue,), {}, 1000))
+        lives = [f"b{number:02}" for number in range(boxes)]
+        self.running = {life: {} for life in lives}
+        self.ended = {life: [] for life in lives}
+        self.counts = dict.fromkeys(lives, 0)
+        self.ends = []
+        self.lasts = {}
+        self.came = {}
+        entries = {
+            life: BoxEntry(
+                *(life, life, "pool", "h", "r", frozenset()),
+                *(BOX_CPU, 10**6, 0, False, None),
+            )
+            for life in lives
+        }
+        self.decider.fleet.listed(entries, self.now)
+        self.play(random.Random(1), boxes * BOX_CPU / TASK_CPU, load)
+
+    def play(self, draw, room, load):
+        owed = 0.0
+        for tick in range(round(PLAY_S / TICK_S)):
+            at = tick * TICK_S
+            burst = any(begins < at < ends for begins, ends in BURSTS)
+            owed += room * (load if burst else USUAL_LOAD) * TICK_S
+            while owed > 0:
+                owed -= self.submit(draw)
+            self.tick()
+        for _ in range(round(AFTER_S / TICK_S)):
+            self.tick()
+
+    def submit(self, draw):
+        """Hand in a job; returns its work in seconds of a task."""
+        tasks = max(1, min(200, int(draw.lognormvariate(2.2, 0.8))))
+        lasts_s = USUAL_S * draw.lognormvariate(0.0, 0.5)
+        estimate_ms = int(1000 * lasts_s * math.exp(draw.gauss(0.0, 0.6)))
+        job = f"{len(self.came):016x}"
+        first = Step(
+            tasks, TASK_CPU, 10, estimate_ms=estimate_ms, image="f", fills=True
+        )
+        second = Step(
+            *(tasks, TASK_CPU, 10),
+            estimate_ms=estimate_ms,
+            depends_on=(0,),
+            image="f",
+            fills=True,
+        )
+        self.lasts[job] = lasts_s
+        self.came[job] = (self.now, 2 * tasks * lasts_s)
+        submission = Submission(job, "q", "pool", "s", (first, second))
+        self.take(self.decider.called(job, SubmitJob(submission), self.now))
+        return self.came[job][1]
+
+    def tick(self):
+        self.now += TICK_S
+        while self.ends and self.ends[0][0] <= self.now:
+            _, life, task, run = heapq.heappop(self.ends)
+            del self.running[life][task]
+            self.counts[life] += 1
+            self.ended[life].append(EndedRun(self.counts[life], task, run, "done", ""))
+        for life, running in self.running.items():
+            rows = tuple(
+                RunningTask(task, run, "", 50, float(TASK_CPU))
+                for task, run in running.items()
+            )
+            look = Look(int(self.now * 1000), rows, tuple(self.ended[life]))
+            self.decider.fleet.plan_look(life, self.now, True)
+            self.take(self.decider.fleet.looked(life, self.now, self.now, look))
+        self.take(self.decider.decide(self.now, 0))
+
+    def take(self, decisions):
+        for decision in decisions:
+            if isinstance(decision, StartTask):
+                self.start(decision)
+            elif isinstance(decision, EndsKnown):
+                self.ended[decision.life].clear()
+
+    def start(self, order):
+        self.running[order.life][order.task] = order.run
+        ends = self.now + self.lasts[order.task.split(".")[0]]
+        heapq.heappush(self.ends, (ends, order.life, order.task, order.run))
+        self.take(
+            self.decider.start_answered(
+                order.life, order.task, order.run, OrderAccepted(1), self.now
+            )
+        )
+
+    def served(self, first, last):
+        """Share of the jobs between two shares of all, by size, that were of use."""
+        ranked = sorted(self.came, key=lambda job: self.came[job][1])
+        jobs = ranked[int(len(ranked) * first) : int(len(ranked) * last)]
+        return sum(map(self.of_use, jobs)) / len(jobs)
+
+    def of_use(self, job):
+        workflow = self.decider.state.workflows[job]
+        objective = STRETCH * 2 * self.lasts[job] + TARGET_S
+        took = workflow.ended_at - self.came[job][0]
+        return workflow.state == "completed" and took <= OF_USE * objective
+
+
+@given("a shard of {boxes:d} boxes and two bursts of {load:d} times its room")
+def two_bursts(context, boxes, load):
+    context.shipped = Bursts(boxes, load, ())
+    off = (Mechanism.VALUE, Mechanism.SIZE_SHARES)
+    context.plain = Bursts(boxes, load, off)
+
+
+@then(
+    "the largest tenth, and the fifth beneath it, are served {share:g} times as often "
+    "as all"
+)
+def largest_served(context, share):
+    played = context.shipped
+    whole = played.served(0.0, 1.0)
+    assert played.served(0.9, 1.0) >= share * whole, played.served(0.9, 1.0)
+    assert played.served(0.7, 0.9) >= share * whole, played.served(0.7, 0.9)
+
+
+@then(
+    "of the largest tenth at least {factor:g} times as many as with value and "
+    "size_shares switched off"
+)
+def more_of_largest(context, factor):
+    shipped, plain = (
+        played.served(0.9, 1.0) for played in (context.shipped, context.plain)
+    )
+    assert shipped >= factor * plain, (shipped, plain)
+
+
+def waiting(order, job, tasks, done=0, latest=200.0):
+    """A step of a job that waits."""
+    step = Step(tasks, 1000, 10, estimate_ms=1000, image="f", fills=True)
+    workflow = Workflow(Submission(job, "q", "pool", "s", (step,)), 100.0)
+    order.submitted(workflow)
+    for task in workflow.step_tasks(0, 0)[:done]:
+        workflow.mark_done(task, 101.0)
+    entry = WaitingStep(workflow, 0, 0, 0, latest)
+    entry.last_use = latest + 10.0
+    return entry
+
+
+def order_of(sizes):
+    """An order that knows jobs of these sizes, of which all but the largest started."""
+    order = ByUrgency(too_late_last=True, by_value=True, size_shares=True)
+    for number, tasks in enumerate(sizes):
+        entry = waiting(order, f"{number:016x}", tasks)
+        if tasks < max(sizes):
+            for task in entry.workflow.tasks.values():
+                order.started(task)
+    order.begin(110.0)
+    return order
+
+
+@given(
+    "a waiting job of which half is done and one of the same size that has not begun"
+)
+def half_done(context):
+    context.order = order_of([])
+    context.first = waiting(context.order, "a" * 16, 20, done=10)
+    context.second = waiting(context.order, "b" * 16, 20)
+
+
+@then("the first goes before the second")
+def first_goes(context):
+    key = context.order.key
+    assert key(context.first, 110.0) < key(context.second, 110.0)
+
+
+@given("{count:d} jobs of which the largest got nothing")
+def largest_nothing(context, count):
+    context.order = order_of([4] * (count - count // 8) + [100] * (count // 8))
+    context.large = waiting(context.order, "a" * 16, 100)
+    context.small = waiting(context.order, "b" * 16, 4)
+    context.order.begin(110.0)
+
+
+@then("a large job goes before a small one, but not once it is too late to be of use")
+def large_goes(context):
+    key = context.order.key
+    assert key(context.large, 110.0) < key(context.small, 110.0)
+    assert key(context.large, 205.0) < key(context.small, 110.0)
+    assert key(context.large, 215.0) > key(context.small, 110.0)
+
+
+@then("a small job goes before a large one")
+def small_goes(context):
+    key = context.order.key
+    assert key(context.small, 110.0) < key(context.large, 110.0)
--- a/src/granitetrestle/cli.py
+++ b/src/granitetrestle/cli.py
@@ -15,8 +15,8 @@
 from .errors import InvalidInput
 from .errors import NotFound
 from .errors import UnreachableError
-from .jobtimes import PHASES
 from .jobtimes import queue_times
+from .tasktimes import PHASES
 from .timeline import read_lines
 from .timeline import timeline
 
--- a/src/granitetrestle/jobsizes.py
+++ b/src/granitetrestle/jobsizes.py
@@ -64,7 +64,7 @@
         known = len(self._sorted)
         if known < JOBS_NEEDED:
             return 0
-        return sum(work >= self._sorted[int(known * bound)] for bound in BOUNDS)
+        return sum(work > self._sorted[int(known * bound)] for bound in BOUNDS)
 
     def value(self, work: int) -> float:
         if not self._sum:
@@ -81,7 +81,7 @@
         # Jobs that came, and what part of jobs was given room, both fading.
         self._came: dict[SizeClass, float] = {}
         self._given: dict[SizeClass, float] = {}
-        self._faded_at = 0.0
+        self._faded_at: float | None = None
         self._behind: set[SizeClass] = set()
 
     def submitted(self, queue: str, work: int) -> None:
@@ -109,7 +109,8 @@
 
     def compare(self, now: float) -> None:
         """Work out which classes are behind."""
-        keep = math.exp((self._faded_at - now) / FORGET_S)
+        passed = 0.0 if self._faded_at is None else now - self._faded_at
+        keep = math.exp(-passed / FORGET_S)
         self._faded_at = now
         for counts in (self._came, self._given):
             for size in counts:
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .jobtimes import TaskTimes
+from .tasktimes import TaskTimes
 
 __all__ = [
     "DONE",
--- a/src/granitetrestle_standins/fakenode.py
+++ b/src/granitetrestle_standins/fakenode.py
@@ -18,9 +18,7 @@
 from granitetrestle.snapshot import snapshot_stream
 
 from .fakelog import Writer
-
-if t.TYPE_CHECKING:
-    from .fakes import World
+from .surroundings import Surroundings
 
 __all__ = ["FakeNode"]
 
@@ -38,7 +36,9 @@
     :param skew: its wall clock minus the world's time.
     """
 
-    def __init__(self, world: "World", setup: Setup, skew: float) -> None:
+    def __init__(
+        self, world: "Surroundings[FakeNode]", setup: Setup, skew: float
+    ) -> None:
         self.world = world
         self.setup = setup
         self.reducer = Reducer(setup)
