--- a/features/load_wide_jobs.feature
+++ b/features/load_wide_jobs.feature
@@ -11,9 +11,9 @@
     Given a waiting job of which half is done and one of the same size that has not begun
     Then the first goes before the second
 
-  Scenario: A size of which too little was started goes first while it is of use
+  Scenario: A size of which too little was started goes first among what is as late
     Given 40 jobs of which the largest got nothing
-    Then a large job goes before a small one, but not once it is too late to be of use
+    Then a large job goes before a small one that is as late, and not before one in time
 
   Scenario: Few jobs of a queue are all of one size
     Given 12 jobs of which the largest got nothing
--- a/src/granitetrestle/jobsizes.py
+++ b/src/granitetrestle/jobsizes.py
@@ -22,15 +22,16 @@
 # promised that each of these is served at least half as often as the queue as a whole.
 BOUNDS: t.Final = (0.7, 0.9)
 # A class that was given less than this part of what the others were, for each job that
-# came, goes first. Somewhat more than the half that is promised.
-LEAST_SHARE: t.Final = 0.6
+# came, goes first: the half that is promised. With 0.6, jobs completed in time fell by
+# another eighth after an outage, and the largest were served no more often (virtual time).
+LEAST_SHARE: t.Final = 0.5
 # So many of a queue's newest jobs tell how large they are: twenty of the largest tenth.
 JOBS_KEPT: t.Final = 200
 # Below this many jobs of a queue its largest tenth says nothing.
 JOBS_NEEDED: t.Final = 20
-# Jobs that came, and what they were given, are forgotten at this rate: shares hold over
-# about twice the time in which a job of some seconds is of use.
-FORGET_S: t.Final = 20.0
+# Jobs that came, and what they were given, are forgotten at this rate. The promise is kept
+# over minutes: with 20 s each short burst took room from what could still be in time.
+FORGET_S: t.Final = 150.0
 
 
 class SizeClass(t.NamedTuple):
--- a/src/granitetrestle/waitingorder.py
+++ b/src/granitetrestle/waitingorder.py
@@ -16,10 +16,9 @@
 IN_TIME: t.Final = 0
 LATE: t.Final = 1
 TOO_LATE: t.Final = 2
-# What is of use and of a size that was left behind goes before all of these.
-LEFT_BEHIND: t.Final = -2
 
-OrderKey: t.TypeAlias = tuple[int, int, float]
+# Priority, lateness, whether its size is not left behind, and what decides then.
+OrderKey: t.TypeAlias = tuple[int, int, bool, float]
 
 
 class WaitingOrder(abc.ABC):
@@ -56,7 +55,7 @@
 
     def key(self, entry: WaitingStep, now: float) -> OrderKey:
         """See :meth:`WaitingOrder.key`."""
-        return (entry.priority, IN_TIME, entry.workflow.accepted_at)
+        return (entry.priority, IN_TIME, True, entry.workflow.accepted_at)
 
 
 class ByUrgency(WaitingOrder):
@@ -101,15 +100,14 @@
         """See :meth:`WaitingOrder.key`."""
         lateness = self._lateness(entry, now)
         if not entry.spec.fills:
-            return (entry.priority, lateness, entry.latest_start)
+            return (entry.priority, lateness, True, entry.latest_start)
         workflow = entry.workflow
         left = float(workflow.work_left)
         if self._by_value:
             queue = workflow.submission.queue
             left /= self._sizes.value(queue, workflow.whole_work)
-        if lateness < TOO_LATE and self._sizes.behind(self._size(workflow)):
-            lateness += LEFT_BEHIND
-        return (entry.priority, lateness, left)
+        kept_up = not self._sizes.behind(self._size(workflow))
+        return (entry.priority, lateness, kept_up, left)
 
     def _lateness(self, entry: WaitingStep, now: float) -> int:
         lateness = _lateness(entry, now)
