--- a/src/granitetrestle/api.py
+++ b/src/granitetrestle/api.py
@@ -30,6 +30,7 @@
 from .errors import OutcomeUnknown
 from .errors import UnreachableError
 from .events import BoxDrainAsked
+from .events import HallEvacuateAsked
 from .events import JobCancelAsked
 from .events import JobSubmitAsked
 from .events import TableEditAsked
@@ -79,6 +80,12 @@
     drained: bool
 
 
+class EvacuateBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of an evacuation."""
+
+    evacuated: bool
+
+
 class AcceptedView(msgspec.Struct):
     """Answer to an accepted change: where its record stands on the log."""
 
@@ -147,6 +154,7 @@
             self._route("/v1/services", self._services, "GET"),
             self._route("/v1/boxes", self._boxes, "GET"),
             self._route("/v1/boxes/{box}", self._drain, "PATCH"),
+            self._route("/v1/halls/{hall}", self._evacuate, "PATCH"),
             self._route("/v1/status", self._status, "GET"),
         ]
 
@@ -350,6 +358,18 @@
         done = raise_unless_accepted(await self._engine.ask(name, event))
         return _json(AcceptedView(done.subject, done.offset))
 
+    async def _evacuate(self, request: Request) -> Response:
+        self._operator(request)
+        body = await self._body(request, EvacuateBody)
+        hall = request.path_params["hall"]
+        if hall != self._engine.settings.hall:
+            content = msgspec.json.encode(body)
+            return await self._relay_to_hall(request, hall, content)
+        name = f"evacuate-{uuid.uuid4().hex}"
+        event = HallEvacuateAsked(time.monotonic(), name, body.evacuated)
+        done = raise_unless_accepted(await self._engine.ask(name, event))
+        return _json(AcceptedView(done.subject, done.offset))
+
     async def _status(self, request: Request) -> Response:
         self._caller(request)
         view: StatusView = status_view(self._engine.reducer, self._engine.settings)
--- a/src/granitetrestle/books.py
+++ b/src/granitetrestle/books.py
@@ -30,6 +30,7 @@
         epoch granted has lapsed, even on boxes that can't be reached.
     :param starting: boxes that a start waits for.
     :param unheard: boxes that have not reported since ``quiet_wall``.
+    :param evacuated: nothing further starts in the data hall.
     :param superseded: a box has shown a newer epoch; nothing is decided any more.
     :param doubts: tasks that an older epoch may have running somewhere.
     """
@@ -47,6 +48,7 @@
     listed: bool = False
     superseded: bool = False
     dirty: bool = True
+    evacuated: bool = False
     blocked: dict[tuple[str, Shape], str] = dataclasses.field(default_factory=dict)
     starting: set[str] = dataclasses.field(default_factory=set)
     evicting_for: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -78,9 +80,17 @@
         )
         self.dirty = True
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Close all boxes for new tasks, or open them again."""
+        self.evacuated = evacuated
+        for box in self.index.boxes.values():
+            box.evacuated = evacuated
+        self.dirty = True
+
     def add_box(self, info: BoxInfo, drained: bool) -> None:
         """Enter a box that the list shows for the first time."""
         box = BoxState(info, self.shard, free=BoxState.total_of(info), drained=drained)
+        box.evacuated = self.evacuated
         self.index.add(box)
         self.unheard.add(info.box)
 
--- a/src/granitetrestle/capacity.py
+++ b/src/granitetrestle/capacity.py
@@ -102,6 +102,7 @@
     heard_wall: float = 0.0
     silent_wall: float = 0.0
     drained: bool = False
+    evacuated: bool = False
     settled: bool = False
     quarantined_until: float = 0.0
     failures_in_row: int = 0
@@ -114,8 +115,9 @@
 
     def open_for_work(self, now: float) -> bool:
         """Say whether new tasks may be placed here."""
-        closed = self.drained or self.info.leaving or not self.settled or self.silent
-        return not closed and now >= self.quarantined_until
+        closed = self.drained or self.evacuated or self.info.leaving
+        unknown = not self.settled or self.silent
+        return not closed and not unknown and now >= self.quarantined_until
 
     @property
     def total(self) -> Vector:
--- a/src/granitetrestle/cli.py
+++ b/src/granitetrestle/cli.py
@@ -235,6 +235,31 @@
     return Result(answer, ["BOX", "OFFSET"], [[answer["subject"], answer["offset"]]])
 
 
+def _hall_list(client: Client, args: list[str], options: t.Any) -> Result:
+    answer = client.call("GET", "/v1/status")["halls"]
+    rows = [[h["hall"], _hall_state(h), len(h["nodes"])] for h in answer]
+    return Result(answer, ["HALL", "STATE", "NODES"], rows)
+
+
+def _hall_state(hall: dict[str, t.Any]) -> str:
+    if not hall["reachable"]:
+        return "unreachable"
+    return "evacuated" if hall["evacuated"] else "in use"
+
+
+def _hall_evacuate(client: Client, args: list[str], options: t.Any) -> Result:
+    return _hall_order(client, args[0], True)
+
+
+def _hall_restore(client: Client, args: list[str], options: t.Any) -> Result:
+    return _hall_order(client, args[0], False)
+
+
+def _hall_order(client: Client, hall: str, evacuated: bool) -> Result:
+    answer = client.call("PATCH", f"/v1/halls/{hall}", {"evacuated": evacuated})
+    return Result(answer, ["HALL", "OFFSET"], [[answer["subject"], answer["offset"]]])
+
+
 def _status(client: Client, args: list[str], options: t.Any) -> Result:
     answer = client.call("GET", "/v1/status")
     rows: Rows = []
@@ -244,6 +269,8 @@
             state = "live" if node["live"] else "not heard"
             if not hall["reachable"]:
                 state = "hall unreachable"
+            elif hall["evacuated"]:
+                state += ", hall evacuated"
             rows.append(
                 [hall["hall"], node["node"], state, node["offset"], owners or "-"]
             )
@@ -314,6 +341,17 @@
     Command(("service", "list"), (), "list services", _no_flags, _service_list),
     Command(("box", "list"), (), "list boxes", _box_flags, _box_list),
     Command(("box", "drain"), ("BOX",), "empty a box", _drain_flags, _box_drain),
+    Command(("hall", "list"), (), "list data halls", _no_flags, _hall_list),
+    Command(
+        ("hall", "evacuate"),
+        ("HALL",),
+        "let nothing further start in a hall",
+        _no_flags,
+        _hall_evacuate,
+    ),
+    Command(
+        ("hall", "restore"), ("HALL",), "use a hall again", _no_flags, _hall_restore
+    ),
     Command(("status",), (), "halls, owners, offsets", _no_flags, _status),
     Command(
         ("explain",),
--- a/src/granitetrestle/daemon.py
+++ b/src/granitetrestle/daemon.py
@@ -17,7 +17,7 @@
 from .engine import Engine
 from .errors import SettingsError
 from .ownership import OwnershipTerms
-from .placement import PlacementTerms
+from .placementterms import PlacementTerms
 from .reducer import Reducer
 from .reducer import Setup
 from .settings import Settings
--- a/src/granitetrestle/events.py
+++ b/src/granitetrestle/events.py
@@ -31,6 +31,7 @@
     "Event",
     "FactsWithdrawn",
     "Forward",
+    "HallEvacuateAsked",
     "JobCancelAsked",
     "JobSubmitAsked",
     "LogRead",
@@ -221,6 +222,14 @@
     drained: bool
 
 
+class HallEvacuateAsked(t.NamedTuple):
+    """An operator evacuates this process's data hall or gives it back."""
+
+    now: float
+    request: str
+    evacuated: bool
+
+
 class RequestArrived(t.NamedTuple):
     """A caller's request. ``deadline`` is monotonic seconds.
 
@@ -294,6 +303,7 @@
     | JobCancelAsked
     | TableEditAsked
     | BoxDrainAsked
+    | HallEvacuateAsked
     | RequestArrived
     | AnswerArrived
     | AnswerFailed
--- /dev/null
+++ b/src/granitetrestle/feeds.py
@@ -0,0 +1,201 @@
+"""What a decider goes on reading from the store: what operators ask, and the list of
+boxes. Both are read anew as a whole where the store has dropped what came since."""
+
+import time
+import typing as t
+
+import anyio
+import msgspec
+
+from .decider import Decider
+from .decisions import Decision
+from .errors import MalformedOrder
+from .nodelog import NodeLog
+from .outside import Advisor
+from .outside import BoxCalls
+from .outside import BoxEntry
+from .outside import Config
+from .outside import HallOrder
+from .outside import Newest
+from .outside import Record
+from .outside import Records
+from .outside import RecordsGone
+from .outside import Store
+from .outside import StoreUnavailable
+
+__all__ = ["BoxFeed", "OperatorFeed", "Sources", "read_newest"]
+
+# Boxes write every second or two; a change of theirs should be seen well within
+# the two seconds that a leaving box may still be given work.
+LIST_EVERY_S: t.Final = 0.4
+CONFIG_WAIT_S: t.Final = 0.8
+# Nothing is decided for clients on a configuration that was confirmed longer ago.
+CONFIG_FRESH_S: t.Final = 1.8
+RETRY_S: t.Final = 0.1
+READ_TRIES: t.Final = 20
+# A page has up to a megabyte, which the smallest links (10 Mbit/s) carry in a second.
+NEWEST_TIMEOUT_S: t.Final = 5.0
+
+Apply: t.TypeAlias = t.Callable[[list[Decision]], None]
+
+
+class Sources(t.NamedTuple):
+    """Where a session reads from, and how records there are decoded.
+
+    :param decode_operator: returns what operators ask under a key, or ``None`` if the
+        record is about something else; raises ``MalformedOrder`` for what can't be read.
+    """
+
+    store: Store
+    boxes: BoxCalls
+    config_topic: str
+    box_topic: str
+    decode_operator: t.Callable[[Record], Config | HallOrder | None]
+    decode_box: t.Callable[[Record], BoxEntry | None]
+    advisor: Advisor | None = None
+
+
+async def read_newest(store: Store, topic: str) -> Newest | None:
+    """Return the newest record of each key, or ``None`` if the store stays away."""
+    for _ in range(READ_TRIES):
+        outcome = await store.newest(topic, NEWEST_TIMEOUT_S)
+        if isinstance(outcome, Newest):
+            return outcome
+        await anyio.sleep(RETRY_S)
+    return None
+
+
+class OperatorFeed:
+    """The configuration, and which data halls are evacuated."""
+
+    def __init__(
+        self, sources: Sources, decider: Decider, apply: Apply, log: NodeLog
+    ) -> None:
+        self._sources = sources
+        self._decider = decider
+        self._apply = apply
+        self._log = log
+        self._from = 0
+        self._heard_at = -1e9
+        # Data halls about which an order can't be read.
+        self._unreadable: set[str] = set()
+
+    @property
+    def config(self) -> Config | None:
+        """The configuration in force."""
+        return self._decider.state.config
+
+    @property
+    def fresh(self) -> bool:
+        """Whether what operators ask was read of late."""
+        return time.monotonic() - self._heard_at < CONFIG_FRESH_S
+
+    @property
+    def unreadable(self) -> int:
+        """How many orders can't be read."""
+        return len(self._unreadable)
+
+    def begin(self, newest: Newest) -> None:
+        """Take up all there is."""
+        self._take(newest)
+
+    async def follow(self) -> None:
+        """Read on until cancelled."""
+        store, topic = self._sources.store, self._sources.config_topic
+        wait_s = CONFIG_WAIT_S
+        while True:
+            outcome: Records | Newest | RecordsGone | StoreUnavailable | None
+            outcome = await store.read(topic, self._from, wait_s)
+            if isinstance(outcome, RecordsGone):
+                outcome = await read_newest(store, topic)
+            if outcome is None or isinstance(outcome, StoreUnavailable):
+                # The next answer should come at once: starts are held without news.
+                wait_s = 0.0
+                await anyio.sleep(RETRY_S)
+                continue
+            self._take(outcome)
+            wait_s = CONFIG_WAIT_S
+
+    def _take(self, outcome: Newest | Records) -> None:
+        """Put what operators ask in force; the newest of all keys are all there is."""
+        self._from = outcome.end
+        halls, unread = self._decode(outcome.records)
+        evacuation, now = self._decider.evacuation, time.monotonic()
+        if isinstance(outcome, Newest):
+            self._unreadable = unread
+            self._apply(evacuation.all_ordered(halls, unread, now))
+        else:
+            self._unreadable -= {order.hall for order in halls}
+            self._unreadable |= unread
+            self._apply(evacuation.ordered(halls, now))
+        self._heard_at = now
+        evacuation.heard(now)
+
+    def _decode(self, records: t.Iterable[Record]) -> tuple[list[HallOrder], set[str]]:
+        """Put configurations in force; returns the orders about halls, and the halls
+        about which an order can't be read."""
+        halls: list[HallOrder] = []
+        unread: set[str] = set()
+        for record in records:
+            try:
+                order = self._sources.decode_operator(record)
+            except MalformedOrder as error:
+                self._log.event("order_malformed", key=error.key, error=error.message)
+                unread.add(error.hall)
+                continue
+            if isinstance(order, Config):
+                self._apply(self._decider.configured(order))
+            elif order is not None:
+                halls.append(order)
+        return halls, unread
+
+
+class BoxFeed:
+    """The list of boxes."""
+
+    def __init__(
+        self, sources: Sources, decider: Decider, apply: Apply, log: NodeLog
+    ) -> None:
+        self._sources = sources
+        self._decider = decider
+        self._apply = apply
+        self._log = log
+        self._from = 0
+        self._entries: dict[str, BoxEntry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def begin(self, newest: Newest) -> None:
+        """Take up all there is."""
+        self._from = newest.end
+        self._take(newest.records)
+
+    async def follow(self) -> None:
+        """Read on until cancelled."""
+        store, topic = self._sources.store, self._sources.box_topic
+        while True:
+            await anyio.sleep(LIST_EVERY_S)
+            outcome: Records | Newest | RecordsGone | StoreUnavailable | None
+            outcome = await store.read(topic, self._from, 0.0)
+            if isinstance(outcome, RecordsGone):
+                outcome = await read_newest(store, topic)
+                if outcome is not None:
+                    self._entries.clear()
+            if outcome is None or isinstance(outcome, StoreUnavailable):
+                continue
+            self._from = outcome.end
+            self._take(outcome.records)
+
+    def _take(self, records: t.Iterable[Record]) -> None:
+        for record in records:
+            try:
+                entry = self._sources.decode_box(record)
+            except msgspec.DecodeError as error:
+                self._log.event("box_malformed", box=record.key, error=str(error))
+                continue
+            if entry is None:
+                self._entries.pop(record.key, None)
+            else:
+                self._entries[record.key] = entry
+        self._apply(self._decider.fleet.listed(self._entries, time.monotonic()))
--- a/src/granitetrestle/intake.py
+++ b/src/granitetrestle/intake.py
@@ -8,6 +8,7 @@
 from .events import BoxDrainAsked
 from .events import Conclude
 from .events import Effect
+from .events import HallEvacuateAsked
 from .events import JobCancelAsked
 from .events import JobSubmitAsked
 from .events import TableEditAsked
@@ -15,8 +16,9 @@
 from .outcomes import Reason
 from .outcomes import Rejected
 from .placement import Placement
-from .placement import shard_of
+from .placementterms import shard_of
 from .records import BoxDrained
+from .records import HallEvacuated
 from .records import JobCancelled
 from .records import JobSubmitted
 from .records import TableEdited
@@ -112,6 +114,11 @@
         fact = BoxDrained(event.request, event.box, event.drained)
         return self._submissions.submit(event.request, self._stream, fact, event.now)
 
+    def hall_evacuate(self, event: HallEvacuateAsked) -> list[Effect]:
+        """Evacuate this process's data hall, or give it back."""
+        fact = HallEvacuated(event.request, event.evacuated)
+        return self._submissions.submit(event.request, self._stream, fact, event.now)
+
 
 def _reject(request: str, reason: Reason, detail: str) -> list[Effect]:
     return [Conclude(request, Rejected(reason, detail))]
--- a/src/granitetrestle/messages.py
+++ b/src/granitetrestle/messages.py
@@ -132,6 +132,7 @@
     :param nodes: node -> config offset in force there.
     :param owners: shard -> node.
     :param services: service -> slots that its endpoints have.
+    :param evacuated: whether operators let nothing further start there.
     """
 
     hall: str
@@ -139,6 +140,7 @@
     nodes: dict[str, int]
     owners: dict[int, str]
     services: dict[str, int]
+    evacuated: bool = False
 
 
 class HallDigests(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/granitetrestle/placement.py
+++ b/src/granitetrestle/placement.py
@@ -4,7 +4,6 @@
 it does not, whatever was answered or lost on the way."""
 
 import typing as t
-import zlib
 
 from .books import ShardBook
 from .boxhealth import note_health
@@ -25,10 +24,12 @@
 from .jobs import Task
 from .ownership import Ownership
 from .ownership import ShardState
+from .placementterms import PlacementTerms
+from .placementterms import shard_of
 from .records import AttemptEnded
 from .records import Ending
 
-__all__ = ["Placement", "PlacementTerms", "shard_of"]
+__all__ = ["Placement"]
 
 ENDINGS: t.Final[dict[str, Ending]] = {
     "finished": "finished",
@@ -38,28 +39,6 @@
 }
 
 
-class PlacementTerms(t.NamedTuple):
-    """Durations in seconds.
-
-    :param lease_s: how long a box runs a task without a renewal.
-    :param start_window_s: how old a start may be when it arrives.
-    :param clock_margin_s: how far wall clocks of two machines may differ.
-    :param exchange_s: time between two exchanges with a quiet box.
-    :param orphan_s: how long an owner past its term renews what runs.
-    """
-
-    lease_s: float = 10.0
-    start_window_s: float = 1.0
-    clock_margin_s: float = 0.3
-    exchange_s: float = 1.0
-    orphan_s: float = 600.0
-
-
-def shard_of(box: str, shards: int) -> int:
-    """Return the shard of a box; the same in every process, for good."""
-    return zlib.crc32(box.encode()) % shards
-
-
 class Placement:
     """The books of all shards that this process owns.
 
@@ -82,6 +61,7 @@
         self._books: dict[int, ShardBook] = {}
         self._listed: dict[str, BoxInfo] | None = None
         self._drained: set[str] = set()
+        self._evacuated = False
 
     @property
     def books(self) -> t.Mapping[int, ShardBook]:
@@ -98,6 +78,17 @@
         """Boxes that operators have drained."""
         return self._drained
 
+    @property
+    def evacuated(self) -> bool:
+        """Whether operators have evacuated the data hall."""
+        return self._evacuated
+
+    def hall_evacuated(self, evacuated: bool) -> None:
+        """Apply an operator's evacuation of the hall, or its end."""
+        self._evacuated = evacuated
+        for book in self._books.values():
+            book.set_evacuated(evacuated)
+
     def shard_won(
         self, shard: int, before: ShardState, now: float, wall: float
     ) -> list[Effect]:
@@ -109,6 +100,7 @@
         orphan = 0.0 if before.released else self._terms.orphan_s
         ends = quiet + orphan + self._terms.lease_s + self._terms.clock_margin_s
         book = ShardBook(shard, state.epoch, quiet, ends)
+        book.evacuated = self._evacuated
         self._books[shard] = book
         self._enter_list(book)
         book.open_jobs(self._jobs)
@@ -281,7 +273,7 @@
         if not starts:
             return []
         left = self._ownership.right_ends(book.shard, now) - now
-        if left <= 0.0:
+        if left <= 0.0 or book.evacuated:
             for assignment in starts.values():
                 self._start_unsent(book, assignment)
             return []
--- a/src/granitetrestle/records.py
+++ b/src/granitetrestle/records.py
@@ -18,6 +18,7 @@
     "CellValue",
     "Ending",
     "Fact",
+    "HallEvacuated",
     "JobCancelled",
     "JobSpec",
     "JobSubmitted",
@@ -29,8 +30,12 @@
     "TableEdited",
     "decode_batch",
     "encode_batch",
+    "note_batch",
 ]
 
+# Writers of a stream that are remembered, to recognise batches that stand twice.
+WRITERS_KEPT: t.Final = 512
+
 CellValue: t.TypeAlias = float | str
 Ending: t.TypeAlias = t.Literal["finished", "failed", "evicted", "lost", "cancelled"]
 JobKind: t.TypeAlias = t.Literal["batch", "service"]
@@ -155,6 +160,14 @@
     drained: bool
 
 
+class HallEvacuated(msgspec.Struct, frozen=True, tag=True):
+    """An operator wants nothing further to start in the stream's data hall, or gives it
+    back; what runs there goes on."""
+
+    request: str
+    evacuated: bool
+
+
 class SnapshotChunk(msgspec.Struct, frozen=True, tag=True):
     """Part ``index`` of ``count`` of the state after the record at ``upto``."""
 
@@ -173,6 +186,7 @@
     | Renewed
     | TableEdited
     | BoxDrained
+    | HallEvacuated
     | SnapshotChunk
 )
 
@@ -196,6 +210,20 @@
     batch: Batch
 
 
+def note_batch(writers: dict[str, int], batch: Batch) -> bool:
+    """Say whether a batch is seen for the first time, and note that it was.
+
+    :param writers: the last sequence number of each writer, the newest writer last.
+    """
+    if batch.seq <= writers.get(batch.writer, 0):
+        return False
+    writers.pop(batch.writer, None)
+    writers[batch.writer] = batch.seq
+    while len(writers) > WRITERS_KEPT:
+        del writers[next(iter(writers))]
+    return True
+
+
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(Batch)
 
--- a/src/granitetrestle/reducer.py
+++ b/src/granitetrestle/reducer.py
@@ -34,12 +34,13 @@
 from .messages import NodeStatus
 from .outcomes import Accepted
 from .ownership import Ownership
-from .placement import shard_of
+from .placementterms import shard_of
 from .policy import Policy
 from .policy import RackSpread
 from .records import AttemptEnded
 from .records import BoxDrained
 from .records import Fact
+from .records import HallEvacuated
 from .records import JobCancelled
 from .records import JobSubmitted
 from .records import LogRecord
@@ -47,6 +48,7 @@
 from .records import ShardClaimed
 from .records import ShardReleased
 from .records import TableEdited
+from .records import note_batch
 from .requests import Requests
 from .setup import Setup
 from .setup import hall_stream
@@ -65,7 +67,6 @@
 
 CONFIG_STREAM: t.Final = "config"
 RECLAIM_S = 1.0
-WRITERS_KEPT = 512
 
 
 class Reducer:
@@ -138,6 +139,7 @@
             ev.JobCancelAsked: self._intake.job_cancel,
             ev.TableEditAsked: self._intake.table_edit,
             ev.BoxDrainAsked: self._intake.box_drain,
+            ev.HallEvacuateAsked: self._intake.hall_evacuate,
             ev.RequestArrived: self._requests.arrived,
             ev.AnswerArrived: self._requests.answered,
             ev.AnswerFailed: self._requests.failed,
@@ -256,15 +258,15 @@
 
     def _own_digest(self, wall: float) -> HallDigest:
         nodes = {n: m.beat.config_offset for n, m in self._ownership.members.items()}
-        owners = {
-            number: shard.holder for number, shard in self._ownership.shards.items()
-        }
+        owners = {n: shard.holder for n, shard in self._ownership.shards.items()}
         services: dict[str, int] = {}
         for borrowed in self._borrower.endpoints.values():
             name = borrowed.loan.service
             services[name] = services.get(name, 0) + borrowed.loan.slots
         version = self._halls.next_version(wall)
-        return HallDigest(self._setup.hall, version, nodes, owners, services)
+        evacuated = self._owner.placement.evacuated
+        hall = self._setup.hall
+        return HallDigest(hall, version, nodes, owners, services, evacuated)
 
     def _log_read(self, event: LogRead) -> list[Effect]:
         effects: list[Effect] = []
@@ -298,6 +300,7 @@
         self._jobs.restore(state.jobs)
         self._ownership.restore(state.shards)
         self._owner.placement.restore_drained(state.drained)
+        self._owner.placement.hall_evacuated(state.evacuated)
         self._writers[self._stream] = state.writers
         # The books of what we still hold went with the gap: let others follow.
         return [
@@ -344,19 +347,14 @@
             dict(self._ownership.shards),
             sorted(self._owner.placement.drained),
             writers,
+            self._owner.placement.evacuated,
         )
 
     def _record(self, stream: str, record: LogRecord, now: float) -> list[Effect]:
-        writers = self._writers.setdefault(stream, {})
-        batch = record.batch
-        if batch.seq <= writers.get(batch.writer, 0):
+        if not note_batch(self._writers.setdefault(stream, {}), record.batch):
             return []
-        writers.pop(batch.writer, None)
-        writers[batch.writer] = batch.seq
-        while len(writers) > WRITERS_KEPT:
-            del writers[next(iter(writers))]
         effects: list[Effect] = []
-        for fact in batch.facts:
+        for fact in record.batch.facts:
             effects += self._fact(record.offset, fact, now)
         return effects
 
@@ -381,11 +379,16 @@
                 return self._submissions.read_back(fact.request, outcome)
             case BoxDrained():
                 self._owner.placement.box_drained(fact.box, fact.drained)
-                done = Accepted(fact.box, offset)
-                return self._submissions.read_back(fact.request, done)
+                return self._read_back(fact.request, fact.box, offset)
+            case HallEvacuated():
+                self._owner.placement.hall_evacuated(fact.evacuated)
+                return self._read_back(fact.request, self._setup.hall, offset)
             case _:
                 return []
 
+    def _read_back(self, request: str, subject: str, offset: int) -> list[Effect]:
+        return self._submissions.read_back(request, Accepted(subject, offset))
+
     def _attempt_ended(
         self, offset: int, fact: AttemptEnded, now: float
     ) -> list[Effect]:
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -6,7 +6,6 @@
 
 import anyio
 import anyio.abc
-import msgspec
 
 from .boxlife import BoxKeeper
 from .comeback import ComeBack
@@ -26,7 +25,10 @@
 from .decisions import StopTask
 from .decisions import WatchBox
 from .decisions import WithdrawStarts
-from .errors import MalformedOrder
+from .feeds import BoxFeed
+from .feeds import OperatorFeed
+from .feeds import Sources
+from .feeds import read_newest
 from .forwarding import Deposed
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
@@ -40,16 +42,10 @@
 from .orderwindow import OrderWindow
 from .outside import Advice
 from .outside import AdviceUnavailable
-from .outside import Advisor
-from .outside import BoxCalls
-from .outside import BoxEntry
 from .outside import Config
 from .outside import Fenced
-from .outside import HallOrder
 from .outside import Newest
 from .outside import Record
-from .outside import Records
-from .outside import RecordsGone
 from .outside import Store
 from .outside import StoreUnavailable
 from .outside import Writer
@@ -59,12 +55,6 @@
 __all__ = ["Session", "Sources", "take_over"]
 
 JOBS_TOPIC: t.Final = "keyed.jobs"
-# Boxes write every second or two; a change of theirs should be seen well within
-# the two seconds that a leaving box may still be given work.
-LIST_EVERY_S: t.Final = 0.4
-CONFIG_WAIT_S: t.Final = 0.8
-# Nothing is decided for clients on a configuration that was confirmed longer ago.
-CONFIG_FRESH_S: t.Final = 1.8
 # A store that has not answered for so long is away: new work is refused.
 STORE_AWAY_S: t.Final = 0.5
 # An answer may rest on being the decider if that was confirmed so recently.
@@ -73,25 +63,6 @@
 RETRY_S: t.Final = 0.1
 # How often a decider says how loaded it is.
 LOAD_EVERY_S: t.Final = 5.0
-READ_TRIES: t.Final = 20
-# A page has up to a megabyte, which the smallest links (10 Mbit/s) carry in a second.
-NEWEST_TIMEOUT_S: t.Final = 5.0
-
-
-class Sources(t.NamedTuple):
-    """Where a session reads from, and how records there are decoded.
-
-    :param decode_operator: returns what operators ask under a key, or ``None`` if the
-        record is about something else; raises ``MalformedOrder`` for what can't be read.
-    """
-
-    store: Store
-    boxes: BoxCalls
-    config_topic: str
-    box_topic: str
-    decode_operator: t.Callable[[Record], Config | HallOrder | None]
-    decode_box: t.Callable[[Record], BoxEntry | None]
-    advisor: Advisor | None = None
 
 
 async def take_over(store: Store, epoch: int) -> bool | StoreUnavailable:
@@ -128,7 +99,9 @@
             time.monotonic,
             self._append_unanswered,
         )
-        self._entries: dict[str, BoxEntry] = {}
+        parts = (sources, self._decider, self._apply, log)
+        self._operators = OperatorFeed(*parts)
+        self._listed = BoxFeed(*parts)
         self._keepers: dict[str, BoxKeeper] = {}
         steady = Mechanism.STEADY_RETURNS not in terms.off
         self._come_back: ComeBack = SteadyReturns() if steady else FollowingOutage()
@@ -138,10 +111,6 @@
         self._budget = LookBudget(terms.connections)
         self._loaded_at = time.monotonic()
         self._callers: dict[str, _Caller] = {}
-        self._config: Config | None = None
-        self._config_at = -1e9
-        # Data halls about which an order can't be read.
-        self._unreadable_orders: set[str] = set()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._over = False
         self._store_lost_at: float | None = None
@@ -163,13 +132,13 @@
             "looks_waiting": float(self._budget.waiting),
             "looks_to_begin": float(self._budget.opening.waiting),
             "halls_evacuated": float(len(self._decider.state.evacuated_halls)),
-            "orders_unreadable": float(len(self._unreadable_orders)),
+            "orders_unreadable": float(self._operators.unreadable),
         }
 
     @property
     def config(self) -> Config | None:
         """The configuration in force."""
-        return self._config
+        return self._operators.config
 
     @property
     def decider(self) -> Decider:
@@ -197,8 +166,8 @@
     @property
     def serving(self) -> bool:
         """Whether clients can be answered: configuration known and fresh."""
-        fresh = time.monotonic() - self._config_at < CONFIG_FRESH_S
-        return self._config is not None and fresh and not self._over
+        known = self.config is not None and self._operators.fresh
+        return known and not self._over
 
     async def run(self, ready: t.Callable[[], None]) -> None:
         """Decide until deposed or cancelled.
@@ -211,8 +180,8 @@
                 if not await self._begin():
                     return
                 tasks.start_soon(self._journal_loop, tasks)
-                tasks.start_soon(self._config_loop)
-                tasks.start_soon(self._list_loop)
+                tasks.start_soon(self._operators.follow)
+                tasks.start_soon(self._listed.follow)
                 tasks.start_soon(self._lag.run)
                 ready()
         finally:
@@ -226,7 +195,7 @@
         read: dict[str, Newest | None] = {}
 
         async def fetch(topic: str) -> None:
-            read[topic] = await self._newest(topic)
+            read[topic] = await read_newest(self._sources.store, topic)
 
         config_topic, box_topic = self._sources.config_topic, self._sources.box_topic
         async with anyio.create_task_group() as tasks:
@@ -238,28 +207,18 @@
             return False
         now = time.monotonic()
         self._apply(self._decider.restore(jobs.records, now))
-        self._config_from, self._boxes_from = config.end, boxes.end
-        self._take_operator(config.records, whole=True)
-        self._operator_heard(now)
-        self._take_boxes(boxes.records)
+        self._operators.begin(config)
+        self._listed.begin(boxes)
         self._log.event(
             "took_over",
             epoch=self._epoch,
             jobs=len(self._decider.state.workflows),
-            boxes=len(self._entries),
-            config=self._config.version if self._config else None,
+            boxes=len(self._listed),
+            config=self.config.version if self.config else None,
             took_s=round(now - started, 3),
         )
         return True
 
-    async def _newest(self, topic: str) -> Newest | None:
-        for _ in range(READ_TRIES):
-            outcome = await self._sources.store.newest(topic, NEWEST_TIMEOUT_S)
-            if isinstance(outcome, Newest):
-                return outcome
-            await anyio.sleep(RETRY_S)
-        return None
-
     async def _journal_loop(self, tasks: anyio.abc.TaskGroup) -> None:
         await self._journal.run()
         self._step_down("store")
@@ -423,86 +382,6 @@
         while not self._journal.idle and not self._over:
             await anyio.sleep(RETRY_S / 10)
 
-    async def _config_loop(self) -> None:
-        topic = self._sources.config_topic
-        wait_s = CONFIG_WAIT_S
-        while True:
-            outcome: Records | Newest | RecordsGone | StoreUnavailable
-            outcome = await self._sources.store.read(topic, self._config_from, wait_s)
-            if isinstance(outcome, RecordsGone):
-                newest = await self._newest(topic)
-                if newest is None:
-                    continue
-                outcome = newest
-            if isinstance(outcome, StoreUnavailable):
-                # The next answer should come at once: starts are held without news.
-                wait_s = 0.0
-                await anyio.sleep(RETRY_S)
-                continue
-            self._config_from = outcome.end
-            self._take_operator(outcome.records, whole=isinstance(outcome, Newest))
-            self._operator_heard(time.monotonic())
-            wait_s = CONFIG_WAIT_S
-
-    def _operator_heard(self, at: float) -> None:
-        self._config_at = at
-        self._decider.evacuation.heard(at)
-
-    def _take_operator(self, records: t.Iterable[Record], whole: bool) -> None:
-        """Put what operators ask in force.
-
-        :param whole: whether these are all records there are.
-        """
-        halls: list[HallOrder] = []
-        unread: set[str] = set()
-        for record in records:
-            try:
-                order = self._sources.decode_operator(record)
-            except MalformedOrder as error:
-                self._log.event("order_malformed", key=error.key, error=error.message)
-                unread.add(error.hall)
-                continue
-            if isinstance(order, Config):
-                self._apply(self._decider.configured(order))
-                self._config = self._decider.state.config
-            elif order is not None:
-                halls.append(order)
-        evacuation, now = self._decider.evacuation, time.monotonic()
-        if whole:
-            self._apply(evacuation.all_ordered(halls, unread, now))
-        elif halls:
-            self._apply(evacuation.ordered(halls, now))
-        self._unreadable_orders = unread if whole else self._unreadable_orders | unread
-
-    async def _list_loop(self) -> None:
-        topic = self._sources.box_topic
-        while True:
-            await anyio.sleep(LIST_EVERY_S)
-            outcome = await self._sources.store.read(topic, self._boxes_from, 0.0)
-            if isinstance(outcome, RecordsGone):
-                newest = await self._newest(topic)
-                if newest is None:
-                    continue
-                self._entries.clear()
-                outcome = Records(newest.records, newest.end)
-            if isinstance(outcome, StoreUnavailable):
-                continue
-            self._boxes_from = outcome.end
-            self._take_boxes(outcome.records)
-
-    def _take_boxes(self, records: t.Iterable[Record]) -> None:
-        for record in records:
-            try:
-                entry = self._sources.decode_box(record)
-            except msgspec.DecodeError as error:
-                self._log.event("box_malformed", box=record.key, error=str(error))
-                continue
-            if entry is None:
-                self._entries.pop(record.key, None)
-            else:
-                self._entries[record.key] = entry
-        self._apply(self._decider.fleet.listed(self._entries, time.monotonic()))
-
 
 class _Caller:
     """Somebody waiting for the outcome of a call."""
--- a/src/granitetrestle/setup.py
+++ b/src/granitetrestle/setup.py
@@ -4,7 +4,7 @@
 
 from .lending import LendingTerms
 from .ownership import OwnershipTerms
-from .placement import PlacementTerms
+from .placementterms import PlacementTerms
 from .requests import RequestTerms
 
 __all__ = ["Setup", "hall_stream"]
--- a/src/granitetrestle/shards.py
+++ b/src/granitetrestle/shards.py
@@ -26,7 +26,7 @@
 from .ownership import Ownership
 from .ownership import ShardState
 from .placement import Placement
-from .placement import PlacementTerms
+from .placementterms import PlacementTerms
 from .policy import Policy
 from .records import ShardReleased
 from .starts import Starter
--- a/src/granitetrestle/snapshot.py
+++ b/src/granitetrestle/snapshot.py
@@ -42,6 +42,7 @@
     shards: dict[int, ShardState]
     drained: list[str]
     writers: dict[str, int]
+    evacuated: bool = False
 
 
 def snapshot_stream(stream: str) -> str:
--- a/src/granitetrestle/starts.py
+++ b/src/granitetrestle/starts.py
@@ -224,6 +224,8 @@
         if waiting is None:
             return "not known to this shard's owner"
         reason = book.blocked.get((waiting.account, Shape.of(waiting.spec)))
+        if book.evacuated:
+            return "waiting: operators have evacuated the data hall"
         return f"waiting: {reason or 'next round'}"
 
 
--- a/src/granitetrestle/views.py
+++ b/src/granitetrestle/views.py
@@ -115,6 +115,7 @@
     nodes: list[NodeView]
     owners: dict[int, str]
     services: dict[str, int]
+    evacuated: bool = False
 
 
 class StatusView(msgspec.Struct):
@@ -181,6 +182,8 @@
         book = placement.books.get(shard)
         box = book.index.boxes.get(name) if book else None
         state = "leaving" if info.leaving else "live"
+        if placement.evacuated:
+            state = "evacuated"
         if name in placement.drained:
             state = "drained"
         free: Vector | None = box.free if box else None
@@ -220,7 +223,14 @@
         owners = {n: s.holder for n, s in reducer.ownership.shards.items()}
         names = reducer.borrower.services()
         services = {name: reducer.borrower.slots(name, now) for name in names}
-        return HallView(hall, True, _node_views(nodes, offsets, live), owners, services)
+        return HallView(
+            hall,
+            True,
+            _node_views(nodes, offsets, live),
+            owners,
+            services,
+            reducer.owner.placement.evacuated,
+        )
     known = reducer.halls.known.get(hall)
     reachable = reducer.halls.reachable(hall, now)
     if known is None:
@@ -233,6 +243,7 @@
         _node_views(nodes, digest.nodes, live),
         digest.owners,
         digest.services,
+        digest.evacuated,
     )
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -215,7 +215,7 @@
         "7: a batch that stands twice counts twice",
         (
             (
-                "reducer.py",
+                "records.py",
                 "if batch.seq <= writers.get(batch.writer, 0):",
                 "if False:",
             ),
@@ -375,7 +375,7 @@
     ),
     Mutant(
         "native: the order to evacuate a hall is not read",
-        (("session.py", "halls.append(order)", "pass"),),
+        (("feeds.py", "halls.append(order)", "pass"),),
         "native_evacuation",
     ),
     Mutant(
