--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -28,7 +28,7 @@
 from granitetrestle.outside import Look
 from granitetrestle.outside import OrderAccepted
 from granitetrestle.peerlink import PeerLink
-from native_cluster import free_port
+from granitetrestle_standins.nativecluster import free_port
 
 GIVEN_UP_S = 0.7
 
--- a/features/steps/native_steps.py
+++ b/features/steps/native_steps.py
@@ -12,7 +12,7 @@
 from behave import then
 from behave import when
 
-from native_cluster import NativeCluster
+from granitetrestle_standins.nativecluster import NativeCluster
 
 JOB = "00000000000000a1"
 TWO_STEPS = [
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -235,11 +235,13 @@
 
         def __init__(self):
             self._over = False
-            self._config = CONFIG
-            self._config_at = time.monotonic()
+            self._operators = self
             self._journal = self
             self._come_back = SteadyReturns()
 
+        config = CONFIG
+        fresh = True
+
         class status:
             confirmed_at = time.monotonic() - seconds
             waiting_since = time.monotonic() - seconds
--- a/src/granitetrestle/timeline.py
+++ b/src/granitetrestle/timeline.py
@@ -28,6 +28,10 @@
         "started",
         "stopping",
         "config_in_force",
+        "hall_evacuated",
+        "hall_restored",
+        "starts_held",
+        "starts_go_on",
     }
 )
 BOX_EVENTS: t.Final = frozenset(
