A soak of real processes: kills, stops, freezes, silent boxes, a store that errs, halls

make soak plays, after the reducers' soak, some seeds over real processes of the platform's program: clients submit and cancel, processes get SIGKILL, SIGTERM and SIGSTOP, boxes and the store fall silent, the history of operators' orders is dropped, halls are evacuated and taken back. Judged while it runs and at the end: nothing refused runs, no two runs of a task at a time, none done twice, nothing starts in a hall 3 s after its evacuation, every accepted job ends.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 soak: setup
 	$(BIN)/python -m granitetrestle_standins.soak
+	$(BIN)/python -m granitetrestle_standins.nativesoak
 
 slopes: setup
 	$(BIN)/python -m granitetrestle_bench.slopes
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -21,3 +21,7 @@
       | 1114 |
       | 3113 |
       | 9003 |
+
+  Scenario: Real processes are killed, stopped and frozen from a seed
+    When real processes, boxes and the store are disturbed 30 times from seed 5
+    Then every promise that clients were given was kept
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,6 +3,7 @@
 from behave import then
 from behave import when
 
+from granitetrestle_standins.nativesoak import soak as soak_processes
 from granitetrestle_standins.soak import soak
 
 
@@ -16,3 +17,17 @@
     assert context.counts["starts"] > 0, context.counts
     assert context.counts["finished"] > 0, context.counts
     assert context.counts["requests"] > 0, context.counts
+
+
+@when(
+    "real processes, boxes and the store are disturbed {times:d} times from seed {seed:d}"
+)
+def disturb_processes(context, times, seed):
+    # Raises with the seed and the logs when a promise was broken.
+    context.counts = soak_processes(seed, nodes=3, boxes=4, operations=times)
+
+
+@then("every promise that clients were given was kept")
+def promises_kept(context):
+    assert context.counts["submit"] > 0, context.counts
+    assert sum(context.counts.values()) == 30, context.counts
--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -54,6 +54,14 @@
     :param folder: for settings and logs.
     """
 
+    # A call that failed so may have been taken, and may be made again.
+    LOST: t.Final = (
+        httpcore.NetworkError,
+        httpcore.TimeoutException,
+        httpcore.ProtocolError,
+        OSError,
+    )
+
     def __init__(self, folder: pathlib.Path, nodes: int, boxes: int) -> None:
         self.folder = folder
         self.boxes = boxes
@@ -147,10 +155,18 @@
         path = call if call.startswith("/test") else f"/api/log-{call}"
         return self.call(method, f"127.0.0.1:{self.port}", path)
 
-    def order(self, key: str, value: str = "") -> None:
-        """Let an operator write to the store; without a value the key is dropped."""
+    def order(self, key: str, value: str = "") -> float:
+        """Let an operator write to the store; without a value the key is dropped.
+
+        :returns: when it was confirmed, in seconds on the platform's clock.
+        """
         written = f"&value={value}" if value else ""
-        self.store(f"/test/order?key={key}{written}")
+        answer = self.store(f"/test/order?key={key}{written}")
+        return float(json.loads(answer.content)["at"])
+
+    def box(self, box: int, path: str) -> Answer:
+        """Call a test hook of a box."""
+        return self.call("POST", f"127.0.0.1:{self.port + 1 + box}", path)
 
     def history(self) -> list[list[t.Any]]:
         """Return task, run and end of each run that any box began."""
@@ -158,8 +174,7 @@
 
     def rows(self, box: int) -> list[list[t.Any]]:
         """Return task, run and end of each run that a box began."""
-        address = f"127.0.0.1:{self.port + 1 + box}"
-        status, content, _ = self.call("POST", address, "/test/history")
+        status, content, _ = self.box(box, "/test/history")
         assert status == 200, (status, content)
         rows: list[list[t.Any]] = json.loads(content)
         return rows
@@ -220,12 +235,7 @@
                 if result:
                     return result
                 last = result
-            except (
-                httpcore.NetworkError,
-                httpcore.TimeoutException,
-                httpcore.ProtocolError,
-                OSError,
-            ) as error:
+            except self.LOST as error:
                 last = error
             time.sleep(0.05)
         raise AssertionError(f"did not come about: {what}; last {last!r}")
--- a/src/granitetrestle_standins/nativeplatform.py
+++ b/src/granitetrestle_standins/nativeplatform.py
@@ -33,6 +33,8 @@
 HOST = "jobs.example"
 PREFIX = "/jobs/"
 TICK_S = 0.02
+# How long a slow store takes for an answer.
+SLOW_S = 0.3
 ROUTE = {
     "name": "work",
     "host": HOST,
@@ -64,11 +66,15 @@
 
 class StoreServer:
     """The store; ``POST /test/lose?n=N`` loses the next N answers to appends, ``POST
-    /test/order?key=K&value=V`` lets an operator write, or drop a key without a value."""
+    /test/order?key=K&value=V`` lets an operator write, or drop a key without a value,
+    ``POST /test/store?how=HOW&s=S`` lets it be ``busy``, ``silent`` or ``slow`` for S
+    seconds, ``POST /test/forget`` drops the history of what operators wrote."""
 
     def __init__(self, model: StoreModel) -> None:
         self.model = model
         self.lose = 0
+        self._how = ""
+        self._until = 0.0
 
     async def handle(
         self, path: str, query: t.Mapping[str, str], body: bytes
@@ -80,7 +86,20 @@
         if path == "/test/order":
             value = query.get("value", "").encode() or None
             self.model.append("keyed.op", [Record(query["key"], value)], None)
+            return _json(200, {"at": time.monotonic()})
+        if path == "/test/store":
+            self._how = query["how"]
+            self._until = time.monotonic() + float(query["s"])
             return _json(200, {})
+        if path == "/test/forget":
+            self.model.forget("keyed.op")
+            return _json(200, {})
+        if time.monotonic() < self._until:
+            if self._how == "silent":
+                return None
+            if self._how == "busy":
+                return _json(503, {})
+            await asyncio.sleep(SLOW_S)
         topic = query["topic"]
         if path == "/api/log-append":
             return self._append(topic, query, body)
@@ -144,10 +163,12 @@
 
 
 class BoxServer:
-    """A box. A task's ``spec`` is how many milliseconds it runs."""
+    """A box. A task's ``spec`` is how many milliseconds it runs. ``POST
+    /test/silent?s=S`` lets it run on without an answer to anybody for S seconds."""
 
     def __init__(self, model: BoxModel) -> None:
         self.model = model
+        self.silent_until = 0.0
 
     async def run(self) -> None:
         """Let tasks end in time."""
@@ -165,6 +186,11 @@
         token = body.get("fencing_token", 0)
         if path == "/test/history":
             return _json(200, [[r.task, r.run, r.how] for r in self.model.history])
+        if path == "/test/runs":
+            return _json(
+                200,
+                [[r.task, r.run, r.how, r.began, r.ended] for r in self.model.history],
+            )
         if path == "/api/run-start":
             return _order(
                 self.model.start(
@@ -244,7 +270,7 @@
             if meant not in ("", box.model.life):
                 reply = _json(421, {})
             else:
-                reply = await box.handle(scope["path"], json.loads(body or b"{}"))
+                reply = await self._box_answer(box, scope, body)
         if reply is None:
             await asyncio.sleep(30.0)
             return
@@ -253,6 +279,18 @@
         await send({**start, "headers": [(b"content-length", length)]})
         await send({"type": "http.response.body", "body": reply.body})
 
+    async def _box_answer(
+        self, box: BoxServer, scope: Scope, body: bytes
+    ) -> Reply | None:
+        now = time.monotonic()
+        if scope["path"] == "/test/silent":
+            query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+            box.silent_until = now + float(query["s"])
+            return _json(200, {})
+        if now < box.silent_until and not scope["path"].startswith("/test/"):
+            return None
+        return await box.handle(scope["path"], json.loads(body or b"{}"))
+
 
 async def _run(port: int, boxes: int) -> None:
     app = PlatformApp(port, boxes)
--- /dev/null
+++ b/src/granitetrestle_standins/nativesoak.py
@@ -0,0 +1,285 @@
+"""Random work and faults over real processes of the platform's program: processes are
+killed, stopped, frozen and started again, boxes fall silent, the store is slow, busy or
+silent or forgets, halls are evacuated and taken back, and clients submit, ask and cancel
+all the while. Promises are judged by what clients were told and what boxes ran."""
+
+import itertools
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+import typing as t
+
+from absl import app
+from absl import flags
+
+from .nativecluster import NativeCluster
+
+__all__ = ["PromiseBroken", "Soak", "main"]
+
+FLAGS: t.Final = flags.FLAGS
+HALLS: t.Final = ("hall-1", "hall-2")
+REFUSED: t.Final = 503
+# Calls that are answered late end on a client's side after this.
+CLIENT_S: t.Final = 2.0
+# After an order about a hall nothing starts there any more, whatever else goes on: half of
+# the shortest bound a deployment gave, and a read of the store that is repeated.
+IN_FORCE_S: t.Final = 3.0
+# All work of a run ends within this once nothing is disturbed any more.
+SETTLE_S: t.Final = 40.0
+FREEZE_S: t.Final = (0.3, 1.2, 2.5)
+
+
+class PromiseBroken(AssertionError):
+    """What clients were told, or what boxes ran, is not what was promised."""
+
+
+class Run(t.NamedTuple):
+    """One run of a task on a box; times in seconds on the platform's clock."""
+
+    hall: str
+    task: str
+    run: int
+    how: str
+    began: float
+    ended: float | None
+
+
+class Soak:
+    """One seeded run.
+
+    :param operations: how many things happen, some five a second.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, seed: int, nodes: int, boxes: int, operations: int
+    ) -> None:
+        self._draw = random.Random(seed)
+        self._operations = operations
+        self._cluster = NativeCluster(folder, nodes, boxes)
+        self._frozen: dict[str, float] = {}
+        self._accepted: set[str] = set()
+        self._refused: set[str] = set()
+        self._cancelled: set[str] = set()
+        # Hall -> spans in which nothing may start there.
+        self._closed: dict[str, list[tuple[float, float]]] = {h: [] for h in HALLS}
+        self._jobs = 0
+        self.counts: dict[str, int] = {}
+
+    def run(self) -> None:
+        """Play, let everything recover, and judge.
+
+        :raises PromiseBroken: naming what was broken.
+        """
+        try:
+            self._cluster.ready()
+            for _ in range(self._operations):
+                self._happen()
+                time.sleep(self._draw.uniform(0.05, 0.35))
+                self._thaw(all_of_them=False)
+                self._judge(self._runs())
+            self._settle()
+        finally:
+            self._thaw(all_of_them=True)
+            self._cluster.stop()
+
+    def _happen(self) -> None:
+        kinds = (
+            (self._submit, 10),
+            (self._cancel, 2),
+            (self._kill, 1),
+            (self._stop, 1),
+            (self._freeze, 1),
+            (self._box_silent, 1),
+            (self._store_fault, 1),
+            (self._evacuate, 2),
+            (self._forget, 1),
+        )
+        functions, weights = zip(*kinds, strict=True)
+        (function,) = self._draw.choices(functions, weights)
+        name = function.__name__.lstrip("_")
+        self.counts[name] = self.counts.get(name, 0) + 1
+        function()
+
+    def _any_node(self) -> str:
+        return self._draw.choice(self._cluster.nodes())
+
+    def _ask(self, method: str, job: str, body: t.Any = None) -> int:
+        """Return a status, or 0 where a client knows nothing."""
+        address = self._cluster.fronts[self._any_node()]
+        left_ms = int(CLIENT_S * 1000)
+        try:
+            return self._cluster.call(
+                method, address, f"/jobs/{job}", body, left_ms=left_ms
+            ).status
+        except self._cluster.LOST:
+            return 0
+
+    def _submit(self) -> None:
+        self._jobs += 1
+        job = f"{self._jobs:016x}"
+        first = {"count": self._draw.randint(1, 6), "cpu": 1000, "mem_mb": 100}
+        steps = [first, {**first, "depends_on": [0]}][: self._draw.randint(1, 2)]
+        body = {"spec": str(self._draw.choice((100, 400, 1500))), "steps": steps}
+        status = self._ask("POST", job, body)
+        if status == 200:
+            self._accepted.add(job)
+        elif status == REFUSED:
+            self._refused.add(job)
+
+    def _cancel(self) -> None:
+        if self._accepted:
+            job = self._draw.choice(sorted(self._accepted))
+            self._cancelled.add(job)
+            self._ask("DELETE", job)
+
+    def _kill(self) -> None:
+        name = self._any_node()
+        self._thaw_node(name)
+        self._cluster.kill(name)
+        self._cluster.restart(name)
+
+    def _stop(self) -> None:
+        name = self._any_node()
+        self._thaw_node(name)
+        self._cluster.kill(name, signal.SIGTERM)
+        self._cluster.restart(name)
+
+    def _freeze(self) -> None:
+        leader = self._cluster.leader()
+        if leader is not None and leader not in self._frozen:
+            self._cluster.kill(leader, signal.SIGSTOP)
+            self._frozen[leader] = time.monotonic() + self._draw.choice(FREEZE_S)
+
+    def _thaw(self, all_of_them: bool) -> None:
+        for name, until in list(self._frozen.items()):
+            if all_of_them or time.monotonic() > until:
+                self._thaw_node(name)
+
+    def _thaw_node(self, name: str) -> None:
+        if self._frozen.pop(name, None) is not None:
+            self._cluster.kill(name, signal.SIGCONT)
+
+    def _box_silent(self) -> None:
+        box = self._draw.randrange(self._cluster.boxes)
+        self._cluster.box(box, f"/test/silent?s={self._draw.choice((0.5, 2.0, 6.0))}")
+
+    def _store_fault(self) -> None:
+        how = self._draw.choice(("busy", "silent", "slow"))
+        seconds = self._draw.choice((0.5, 1.5, 3.0))
+        self._cluster.store(f"/test/store?how={how}&s={seconds}")
+
+    def _evacuate(self) -> None:
+        hall = self._draw.choice(HALLS)
+        spans = self._closed[hall]
+        if spans and spans[-1][1] == float("inf"):
+            at = self._cluster.order(f"evacuate/{hall}")
+            spans[-1] = (spans[-1][0], at)
+        else:
+            at = self._cluster.order(f"evacuate/{hall}", "%7B%7D")
+            spans.append((at, float("inf")))
+
+    def _forget(self) -> None:
+        self._cluster.store("/test/forget")
+
+    def _runs(self) -> list[Run]:
+        rows = []
+        for box in range(self._cluster.boxes):
+            hall = HALLS[(1 + box) % 2]
+            for row in json.loads(self._cluster.box(box, "/test/runs").content):
+                rows.append(Run(hall, *row))
+        return rows
+
+    def _judge(self, runs: list[Run]) -> None:
+        by_task: dict[str, list[Run]] = {}
+        for run in runs:
+            by_task.setdefault(run.task, []).append(run)
+            job = run.task.split(".")[0]
+            if job in self._refused:
+                raise PromiseBroken(f"{run.task} ran, its job was refused")
+            for since, until in self._closed[run.hall]:
+                if since + IN_FORCE_S < run.began < until:
+                    late_s = run.began - since
+                    raise PromiseBroken(
+                        f"{run} began {late_s:.1f} s after {run.hall} was evacuated"
+                    )
+        for task, of_task in by_task.items():
+            self._judge_task(task, sorted(of_task, key=lambda run: run.began))
+
+    @staticmethod
+    def _judge_task(task: str, runs: list[Run]) -> None:
+        if sum(run.how == "done" for run in runs) > 1:
+            raise PromiseBroken(f"{task} was done twice: {runs}")
+        for first, second in itertools.pairwise(runs):
+            if first.ended is None or second.began < first.ended:
+                raise PromiseBroken(f"two runs at a time: {first}, {second}")
+
+    def _settle(self) -> None:
+        """Take every hall back, let all be well, and wait for all work to end."""
+        self._thaw(all_of_them=True)
+        for hall, spans in self._closed.items():
+            if spans and spans[-1][1] == float("inf"):
+                self._cluster.order(f"evacuate/{hall}")
+                spans[-1] = (spans[-1][0], 0.0)
+        for job in sorted(self._accepted):
+            self._ended(job)
+        self._judge(self._runs())
+
+    def _ended(self, job: str) -> None:
+        allowed = (
+            {"completed", "cancelled"} if job in self._cancelled else {"completed"}
+        )
+        try:
+            self._cluster.wait(
+                lambda: self._cluster.state(job) in allowed, job, SETTLE_S
+            )
+        except AssertionError as error:
+            state = self._cluster.state(job)
+            raise PromiseBroken(f"{job} was accepted and is {state}") from error
+
+
+def soak(seed: int, nodes: int, boxes: int, operations: int) -> dict[str, int]:
+    """Play one seed; returns how often what happened.
+
+    :raises PromiseBroken: naming the seed, the logs and what was broken.
+    """
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"granitetrestle-soak-{seed}-"))
+    played = Soak(folder, seed, nodes, boxes, operations)
+    try:
+        played.run()
+    except PromiseBroken as error:
+        raise PromiseBroken(f"seed {seed}, logs in {folder}: {error}") from error
+    return played.counts
+
+
+def _main(_: t.Sequence[str]) -> None:
+    first = FLAGS.seed if FLAGS.seed is not None else random.randrange(10**6)
+    failed = 0
+    for seed in range(first, first + FLAGS.runs):
+        began = time.monotonic()
+        try:
+            counts = soak(seed, FLAGS.nodes, FLAGS.boxes, FLAGS.operations)
+            said = f"ok {counts}"
+        except PromiseBroken as error:
+            failed += 1
+            said = f"BROKEN {error}"
+        print(f"seed {seed}: {time.monotonic() - began:.1f} s, {said}", flush=True)
+    print(f"{FLAGS.runs - failed} kept, {failed} broken")
+    sys.exit(1 if failed else 0)
+
+
+def main() -> None:
+    """Play some seeds, each against processes of its own."""
+    flags.DEFINE_integer("seed", None, "the first seed; drawn if left out")
+    flags.DEFINE_integer("runs", 5, "how many seeds")
+    flags.DEFINE_integer("nodes", 4, "processes of the program")
+    flags.DEFINE_integer("boxes", 4, "boxes, in two halls")
+    flags.DEFINE_integer("operations", 100, "how many things happen in a run")
+    app.run(_main)
+
+
+if __name__ == "__main__":
+    main()
