A box that gets work while it is looked at is not left alone for the idle boxes' pause

Cause, found by reading: how long to pause was settled before a look, for an idle box; if a task was placed there while the look was under way, the keeper then slept the whole pause (50 s at 3,000 boxes), and the lease of 6 s lapsed. Only where looks do not wait, beyond some 390 boxes on 4,100 descriptors.

--- a/features/load_many_boxes.feature
+++ b/features/load_many_boxes.feature
@@ -28,6 +28,11 @@
     When a task is started there after 0.3 seconds
     Then the box is looked at within 0.1 seconds
 
+  Scenario: A box that gets work while it is looked at is looked at again at once
+    Given a keeper of an idle box for which there is no connection to wait on
+    When a task is placed and started there in the middle of a look of 0.2 seconds
+    Then the box is looked at within 0.25 seconds
+
   Scenario: Connections of calls are bounded, the longest idle is closed for another
     Given a caller that may have 5 connections open, and 9 boxes that listen
     When each box is called in turn
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -239,6 +239,27 @@
     anyio.run(script)
 
 
+@when("a task is placed and started there in the middle of a look of {span:g} seconds")
+def started_meanwhile(context, span):
+    context.calls = Boxes(span)
+    box = context.decider.boxes["b0"]
+    box.adopted = True
+
+    async def script():
+        look = keeper("b0", context.calls, context.decider, context.budget)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(look.run)
+            await anyio.sleep(span / 2)
+            context.before = len(context.calls.looked)
+            context.at = time.monotonic()
+            box.tasks["t"] = None
+            await look.carry_out(StartTask("b0", "1.0.0.0", 1, "s", "", ""))
+            await anyio.sleep(span * 2)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(script)
+
+
 @then("the box is looked at within {seconds:g} seconds")
 def looked_within(context, seconds):
     after = context.calls.looked[context.before :]
--- a/src/granitetrestle/boxlife.py
+++ b/src/granitetrestle/boxlife.py
@@ -114,21 +114,24 @@
                 with anyio.move_on_after(DURABLE_WAIT_S):
                     await self._durable.wait()
             self._durable = anyio.Event()
-            await self._pause(terms.pause_s)
+            await self._pause(terms)
             await self._give_way()
 
-    async def _pause(self, pause_s: float) -> None:
-        """Ask nothing for a while; a box that gets work is looked at again at once."""
-        if not pause_s:
+    async def _pause(self, terms: LookTerms) -> None:
+        """Ask nothing for a while; a box that gets work is looked at again at once, also
+        if it came while the last look was under way: its lease must not lapse."""
+        if not terms.pause_s:
             return
         box = self._decider.state.boxes.get(self._life)
-        idle = box is not None and not box.tasks
+        busy = box is not None and bool(box.tasks)
+        if busy and terms.idle:
+            return
         self._work_came = anyio.Event()
-        with anyio.move_on_after(pause_s):
-            if idle:
-                await self._work_came.wait()
+        with anyio.move_on_after(terms.pause_s):
+            if busy:
+                await anyio.sleep(terms.pause_s)
             else:
-                await anyio.sleep(pause_s)
+                await self._work_came.wait()
 
     async def _give_way(self) -> None:
         """Look less often while this process can't keep up: orders come first, and ends
@@ -152,7 +155,7 @@
             box = self._decider.state.boxes.get(self._life)
             answered = box is not None and box.silent_since is None
             turn.ended(answered, time.monotonic())
-        return LookTerms(False, 0.0)
+        return LookTerms(False, 0.0, False)
 
     async def _look_once(self, waits: bool) -> bool:
         sent = time.monotonic()
--- a/src/granitetrestle/lookbudget.py
+++ b/src/granitetrestle/lookbudget.py
@@ -42,10 +42,12 @@
 
     :param waits: whether its answer may wait for an end.
     :param pause_s: how long afterwards nothing is asked, unless the box gets work.
+    :param idle: whether this rests on the box running nothing.
     """
 
     waits: bool
     pause_s: float
+    idle: bool
 
 
 class OpeningWindow(OrderWindow):
@@ -101,13 +103,13 @@
         part = BUSY_PART if box.tasks else IDLE_PART
         if self._waiting < part * self._connections:
             self._paused.discard(box.life)
-            return LookTerms(True, 0.0)
+            return LookTerms(True, 0.0, not box.tasks)
         if box.tasks:
             self._paused.discard(box.life)
-            return LookTerms(False, BUSY_PAUSE_S)
+            return LookTerms(False, BUSY_PAUSE_S, False)
         self._paused.add(box.life)
         share_s = len(self._paused) / IDLE_LOOKS_PER_S
-        return LookTerms(False, max(IDLE_PAUSE_S, math.ceil(share_s)))
+        return LookTerms(False, max(IDLE_PAUSE_S, math.ceil(share_s)), True)
 
     def forget(self, life: str) -> None:
         """A box is not looked at any more."""
