A stop that is answered while a look waits is not given again for ever

A look waits up to 1.5 s; a stop that is answered after the look was sent counts as not proved by it, and was given again (after 0.6 s), which made the next look too old as well, for ever, unless another end let a look return early. Ruled out: the evacuation (both halls were back 4 s before), the window (no order waited).

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -86,3 +86,8 @@
     Given a decider with a box, and two tasks of a job, one of which waits again
     When the end of its last run is listed after all, as done
     Then the next pass starts nothing, and the job completes with the other task
+
+  Scenario: A stop that is answered while a look waits is not given again for ever
+    Given a task whose start got no answer, alone on its box
+    When each look waits 1.5 seconds for an end, and each stop is answered at once
+    Then the task starts again within 4 seconds
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -8,6 +8,8 @@
 
 from granitetrestle.decider import Decider
 from granitetrestle.decisions import AskAdvice
+from granitetrestle.decisions import Noted
+from granitetrestle.decisions import StopTask
 from granitetrestle.errors import MalformedOrder
 from granitetrestle.jobcalls import SubmitJob
 from granitetrestle.orderwindow import FILLS
@@ -16,9 +18,11 @@
 from granitetrestle.orderwindow import OrderWindow
 from granitetrestle.outside import Advice
 from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import BoxNoAnswer
 from granitetrestle.outside import Config
 from granitetrestle.outside import HallOrder
 from granitetrestle.outside import Look
+from granitetrestle.outside import OrderAccepted
 from granitetrestle.outside import Queue
 from granitetrestle.outside import Record
 from granitetrestle.platform.front import decode_order
@@ -468,3 +472,41 @@
     cluster = context.cluster
     cluster.wait(lambda: cluster.figure("halls_evacuated") == 0.0, "in force")
     assert native_halls(context, 10.0) == {"hall-1", "hall-2"}
+
+
+@given("a task whose start got no answer, alone on its box")
+def start_unanswered(context):
+    context.halls = TwoHalls()
+    step = Step(count=1, cpu=1000, memory_mb=10)
+    context.at = context.halls.submit("00bb", step)[0]
+    decider, now = context.halls.decider, context.halls.now
+    outcome = BoxNoAnswer("no answer in time")
+    context.given = decider.start_answered(context.at, "00bb.0.0.0", 1, outcome, now)
+    assert [type(decision) for decision in context.given] == [Noted, StopTask]
+
+
+@when("each look waits {wait:g} seconds for an end, and each stop is answered at once")
+def looks_wait(context, wait):
+    halls, decider = context.halls, context.halls.decider
+    task = decider.state.workflows["00bb"].tasks[(0, 0, 0)]
+    context.began, context.again_at = halls.now, None
+    for _ in range(10):
+        sent = halls.now
+        for decision in context.given:
+            if isinstance(decision, StopTask):
+                answered = OrderAccepted(1)
+                decider.stop_answered(
+                    context.at, task.name, decision.run, answered, sent + 0.02
+                )
+        halls.now = sent + wait
+        look = Look(1, (), ())
+        context.given = decider.fleet.looked(context.at, sent, halls.now, look)
+        decider.decide(halls.now, 0)
+        if task.run > 1 and context.again_at is None:
+            context.again_at = halls.now
+
+
+@then("the task starts again within {seconds:g} seconds")
+def starts_again(context, seconds):
+    assert context.again_at is not None
+    assert context.again_at - context.began <= seconds, context.again_at
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -269,8 +269,13 @@
             self._progress.requeue(task, now)
             return []
         answered = task.confirmed_at
-        if not answered or sent <= answered:
+        if not answered:
             return self._unconfirmed(task, now)
+        if sent <= answered:
+            # The next look tells. To stop it again would make that one too old as well:
+            # where looks wait longer than a stop is repeated, a task alone on its box
+            # was stopped for ever, and its job never ended.
+            return []
         if task.state == STOPPING:
             self._progress.requeue(task, now)
             return []
