--- a/features/soak.feature
+++ b/features/soak.feature
@@ -22,6 +22,12 @@
       | 3113 |
       | 9003 |
 
-  Scenario: Real processes are killed, stopped and frozen from a seed
-    When real processes, boxes and the store are disturbed 30 times from seed 5
+  Scenario Outline: Real processes are killed, stopped and frozen from seed <seed>
+    Seed 102: a stop that was answered while a look waited was given again for ever.
+    When <nodes> real processes, boxes and the store are disturbed <times> times from seed <seed>
     Then every promise that clients were given was kept
+
+    Examples:
+      | seed | nodes | times |
+      | 5    | 3     | 30    |
+      | 102  | 4     | 100   |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -20,14 +20,16 @@
 
 
 @when(
-    "real processes, boxes and the store are disturbed {times:d} times from seed {seed:d}"
+    "{nodes:d} real processes, boxes and the store are disturbed {times:d} times "
+    "from seed {seed:d}"
 )
-def disturb_processes(context, times, seed):
+def disturb_processes(context, nodes, times, seed):
     # Raises with the seed and the logs when a promise was broken.
-    context.counts = soak_processes(seed, nodes=3, boxes=4, operations=times)
+    context.times = times
+    context.counts = soak_processes(seed, nodes=nodes, boxes=4, operations=times)
 
 
 @then("every promise that clients were given was kept")
 def promises_kept(context):
     assert context.counts["submit"] > 0, context.counts
-    assert sum(context.counts.values()) == 30, context.counts
+    assert sum(context.counts.values()) == context.times, context.counts
