A request that a decider would not answer is refused before it is sent

Three requests without an answer for 1.2 s, and none answered since, let the next be refused at once and truthfully, with 1 to 3 s to come back; two a second are still tried, a new decider starts clean.

Two scenarios (40 clients: those after 1.2 s refused in under 0.1 s; two lost answers refuse nobody); without the watch all 40 wait 3 s.

--- a/features/load_store_away.feature
+++ b/features/load_store_away.feature
@@ -16,3 +16,18 @@
       | 5.6    | 100   | 4.9  |
       | 7      | 100   | 5.2  |
       | 10     | 100   | 7.0  |
+
+  Scenario: A decider that answers nothing is not sent what it won't answer
+    Given a process whose decider takes requests and answers none
+    When 40 clients come, one each 0.1 seconds, with 3 seconds each
+    Then those of the first 1.3 seconds end in doubt at most, the others are refused at once
+    And they are told to come back after 1, 2 or 3 seconds, and 2 a second are still tried
+    When the decider answers again
+    Then every client that comes is answered within 1 second
+
+  Scenario: A few lost answers, or a new decider, refuse nobody
+    Given a process whose decider takes requests and answers none
+    When 2 clients come, one each 0.1 seconds, with 3 seconds each
+    Then nobody was refused
+    When another decider is known that answers
+    Then every client that comes is answered within 1 second
--- a/src/granitetrestle/forwarding.py
+++ b/src/granitetrestle/forwarding.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from .answering import AnswerWatch
 from .messages import CallAnswered
 from .messages import CallForwarded
 from .messages import Message
@@ -94,6 +95,7 @@
         # own: lives number their requests from far apart.
         self._numbers = itertools.count(secrets.randbits(NUMBER_BITS))
         self._waiting: dict[int, _Waiting] = {}
+        self._answers = AnswerWatch()
         self._closed = False
 
     @property
@@ -113,6 +115,7 @@
 
     def answered(self, message: CallAnswered) -> None:
         """Take up a decider's answer."""
+        self._answers.answered(message.number)
         waiting = self._waiting.get(message.number)
         if waiting is not None and waiting.answer is None:
             waiting.answer = ClientAnswer(
@@ -134,6 +137,7 @@
                     return _truthful(call, answer, asked)
         finally:
             del self._waiting[number]
+            self._answers.ended(number)
         if not asked:
             return _refusal()
         return ClientAnswer(NO_ANSWER, why=f"no answer; {_described(asked)}")
@@ -160,6 +164,9 @@
                 except Deposed:
                     await anyio.sleep(PAUSE_S)
                     continue
+            if target is not None and not asked and self._answers.hopeless(target):
+                after_s = self._answers.come_back_s()
+                return ClientAnswer(UNAVAILABLE, b"", after_s, "no answers come")
             if target is not None and self._forward(
                 number, call, target, left_s - (now - began)
             ):
@@ -186,7 +193,11 @@
             left_s,
             self._address,
         )
-        return self._send(target.node, message)
+        self._answers.sent(number, target)
+        went = self._send(target.node, message)
+        if not went:
+            self._answers.ended(number)
+        return went
 
 
 async def _news(waiting: _Waiting, at_most_s: float) -> None:
