--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -426,6 +426,44 @@
         ),
         "native_evacuation",
     ),
+    Mutant(
+        "native: shifted: an answered stop is given again while a look waits",
+        (("fleet.py", "if not answered:", "if not answered or sent <= answered:"),),
+        "native_decider",
+    ),
+    Mutant(
+        "native: shifted: looks wait without regard to connections",
+        (
+            (
+                "lookbudget.py",
+                "if self._waiting < part * self._connections:",
+                "if part:",
+            ),
+        ),
+        "load_many_boxes",
+    ),
+    Mutant(
+        "native: shifted: sizes of jobs that were left behind wait on",
+        (
+            (
+                "waitingorder.py",
+                "kept_up = not self._sizes.behind(self._size(workflow))",
+                "kept_up = True",
+            ),
+        ),
+        "load_wide_jobs",
+    ),
+    Mutant(
+        "native: shifted: requests go on to a decider that answers nothing",
+        (
+            (
+                "answering.py",
+                "        return True\n\n    def come_back_s",
+                "        return False\n\n    def come_back_s",
+            ),
+        ),
+        "load_store_away",
+    ),
 )
 
 
