--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -19,7 +19,7 @@
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle_bench.deciding import Load
-from granitetrestle_standins.shardworld import JOBS
+from granitetrestle_standins.shardprocess import JOBS
 
 
 def written_bytes(count):
--- a/src/granitetrestle/feeds.py
+++ b/src/granitetrestle/feeds.py
@@ -1,6 +1,7 @@
 """What a decider goes on reading from the store: what operators ask, and the list of
 boxes. Both are read anew as a whole where the store has dropped what came since."""
 
+import abc
 import time
 import typing as t
 
@@ -65,8 +66,11 @@
     return None
 
 
-class OperatorFeed:
-    """The configuration, and which data halls are evacuated."""
+class _Feed(abc.ABC):
+    """One topic that is read on and on.
+
+    :param apply: carries out what the decider makes of it.
+    """
 
     def __init__(
         self, sources: Sources, decider: Decider, apply: Apply, log: NodeLog
@@ -75,7 +79,25 @@
         self._decider = decider
         self._apply = apply
         self._log = log
+        # Offset at which to read on.
         self._from = 0
+
+    @abc.abstractmethod
+    def begin(self, newest: Newest) -> None:
+        """Take up all there is."""
+
+    @abc.abstractmethod
+    async def follow(self) -> None:
+        """Read on until cancelled."""
+
+
+class OperatorFeed(_Feed):
+    """The configuration, and which data halls are evacuated."""
+
+    def __init__(
+        self, sources: Sources, decider: Decider, apply: Apply, log: NodeLog
+    ) -> None:
+        super().__init__(sources, decider, apply, log)
         self._heard_at = -1e9
         # Data halls about which an order can't be read.
         self._unreadable: set[str] = set()
@@ -96,11 +118,11 @@
         return len(self._unreadable)
 
     def begin(self, newest: Newest) -> None:
-        """Take up all there is."""
+        """See :meth:`_Feed.begin`."""
         self._take(newest)
 
     async def follow(self) -> None:
-        """Read on until cancelled."""
+        """See :meth:`_Feed.follow`."""
         store, topic = self._sources.store, self._sources.config_topic
         wait_s = CONFIG_WAIT_S
         while True:
@@ -150,29 +172,25 @@
         return halls, unread
 
 
-class BoxFeed:
+class BoxFeed(_Feed):
     """The list of boxes."""
 
     def __init__(
         self, sources: Sources, decider: Decider, apply: Apply, log: NodeLog
     ) -> None:
-        self._sources = sources
-        self._decider = decider
-        self._apply = apply
-        self._log = log
-        self._from = 0
+        super().__init__(sources, decider, apply, log)
         self._entries: dict[str, BoxEntry] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
 
     def begin(self, newest: Newest) -> None:
-        """Take up all there is."""
+        """See :meth:`_Feed.begin`."""
         self._from = newest.end
         self._take(newest.records)
 
     async def follow(self) -> None:
-        """Read on until cancelled."""
+        """See :meth:`_Feed.follow`."""
         store, topic = self._sources.store, self._sources.box_topic
         while True:
             await anyio.sleep(LIST_EVERY_S)
--- /dev/null
+++ b/src/granitetrestle_standins/shardprocess.py
@@ -0,0 +1,166 @@
+"""One decider of the model world, with its journal, its looks at boxes and what it hears
+of operators."""
+
+import typing as t
+
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import GATED
+from granitetrestle.decisions import AnswerCall
+from granitetrestle.decisions import Decision
+from granitetrestle.decisions import EndsKnown
+from granitetrestle.decisions import Noted
+from granitetrestle.decisions import PaceTask
+from granitetrestle.decisions import StartTask
+from granitetrestle.decisions import StepDown
+from granitetrestle.decisions import StopTask
+from granitetrestle.outside import Appended
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import Config
+from granitetrestle.outside import HallOrder
+from granitetrestle.outside import LookOutcome
+from granitetrestle.outside import Records
+from granitetrestle.outside import Writer
+from granitetrestle.shardstate import DeciderTerms
+from granitetrestle_standins.nativestore import StoreModel
+
+__all__ = ["HALLS", "JOBS", "STEP_S", "DeciderProcess", "Order", "World"]
+
+JOBS = "keyed.jobs"
+# What operators ask of data halls, by hall.
+HALLS = "keyed.halls"
+STEP_S = 0.05
+Order: t.TypeAlias = StartTask | StopTask | PaceTask
+
+
+class World(t.Protocol):
+    """What a decider sees of its world; see :class:`.shardworld.ShardWorld`."""
+
+    now: float
+    terms: DeciderTerms
+    config: Config
+    store: StoreModel
+    entries: dict[str, BoxEntry]
+
+    @property
+    def store_down(self) -> bool:
+        """Whether every call to the store is refused."""
+
+    def send(self, sender: "DeciderProcess", order: Order) -> None:
+        """Carry an order to its box, or lose it, or let it come late."""
+
+    def answered(self, decision: AnswerCall) -> None:
+        """Note what a caller was told."""
+
+    def look(
+        self,
+        sender: "DeciderProcess",
+        life: str,
+        known: int,
+        lease_ends_ms: int | None,
+    ) -> LookOutcome:
+        """Look at a box."""
+
+
+class DeciderProcess:
+    """One decider with its journal and its looks at boxes."""
+
+    def __init__(self, world: World, epoch: int) -> None:
+        self.world = world
+        self.epoch = epoch
+        self.frozen = False
+        # Whether it hears nothing of what operators ask.
+        self.deaf = False
+        self.over = False
+        self.confirmed_at = world.now
+        self.sequence = 1
+        self.decider = Decider(world.terms, world.now)
+        self.held: list[Decision] = []
+        self.notes: list[Noted] = []
+        self.looked_at: dict[str, float] = {}
+        self.apply(self.decider.configured(world.config))
+        world.store.append(JOBS, (), Writer(epoch, 1))
+        self.decider.restore(world.store.newest(JOBS).records, world.now)
+        self.halls_from = -1
+        self.read_orders()
+        self.list_boxes()
+
+    def read_orders(self) -> None:
+        """Take up what operators asked since the last time, or all there is."""
+        store, evacuation = self.world.store, self.decider.evacuation
+        if self.world.store_down or self.deaf:
+            return
+        news = store.read(HALLS, max(0, self.halls_from))
+        if self.halls_from >= 0 and isinstance(news, Records):
+            orders = [HallOrder(r.key, r.value is not None) for r in news.records]
+            self.apply(evacuation.ordered(orders, self.world.now))
+        else:
+            newest = store.newest(HALLS)
+            orders = [HallOrder(record.key, True) for record in newest.records]
+            self.apply(evacuation.all_ordered(orders, (), self.world.now))
+        self.halls_from = store.end(HALLS)
+        evacuation.heard(self.world.now)
+
+    def list_boxes(self) -> None:
+        """Take up the newest list of boxes."""
+        entries = dict(self.world.entries)
+        self.apply(self.decider.fleet.listed(entries, self.world.now))
+
+    def apply(self, decisions: t.Sequence[Decision]) -> None:
+        """Hold back or carry out decisions."""
+        for decision in decisions:
+            if isinstance(decision, GATED):
+                self.held.append(decision)
+            elif isinstance(decision, StepDown):
+                self.over = True
+            elif isinstance(decision, PaceTask):
+                self.world.send(self, decision)
+            elif isinstance(decision, Noted):
+                self.notes.append(decision)
+
+    def tick(self) -> None:
+        """Decide, write, release, look."""
+        if self.over or self.frozen:
+            return
+        self.read_orders()
+        self.apply(self.decider.decide(self.world.now, int(self.world.now * 1000)))
+        self._write()
+        for life in list(self.decider.state.boxes):
+            if not self.over:
+                self._look(life)
+
+    def _write(self) -> None:
+        if self.world.store_down:
+            return
+        records = self.decider.take_writes()
+        writer = Writer(self.epoch, self.sequence + 1)
+        outcome = self.world.store.append(JOBS, records, writer)
+        if not isinstance(outcome, Appended):
+            self.over = True
+            return
+        self.sequence += bool(records)
+        self.confirmed_at = self.world.now
+        held, self.held = self.held, []
+        for decision in held:
+            self._release(decision)
+
+    def _release(self, decision: Decision) -> None:
+        if isinstance(decision, StartTask | StopTask):
+            self.world.send(self, decision)
+        elif isinstance(decision, AnswerCall):
+            self.world.answered(decision)
+        elif isinstance(decision, EndsKnown):
+            box = self.decider.state.boxes.get(decision.life)
+            if box is not None:
+                box.durable_known = max(box.durable_known, decision.number)
+
+    def _look(self, life: str) -> None:
+        now = self.world.now
+        if now - self.looked_at.get(life, -1.0) < 2 * STEP_S:
+            return
+        self.looked_at[life] = now
+        renew = now - self.confirmed_at < self.world.terms.orphan_s
+        plan = self.decider.fleet.plan_look(life, now, renew)
+        if plan is None:
+            return
+        outcome = self.world.look(self, life, plan.known, plan.lease_ends_ms)
+        self.apply(self.decider.fleet.looked(life, now, now, outcome))
