--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,13 @@
 demo: setup
 	$(BIN)/granitetrestle-demo
 
+# REPORT=FILE also writes what each scenario came to, as JSON.
 test: setup
-	$(BIN)/python -m behave --format progress --no-capture
+	$(BIN)/python -m behave --format progress --no-capture $(if $(REPORT),--format json --outfile /dev/stdout --outfile $(REPORT))
 
 check: setup
-	$(BIN)/ruff format --check src features
-	$(BIN)/ruff check src features
+	$(BIN)/ruff format --check src features tools
+	$(BIN)/ruff check src features tools
 	$(BIN)/mypy
 
 soak: setup
