Each run that is lost with its box has a line: its state and how young it was

Cause: box_over tells how many tasks were lost and names none, so that the hypotheses on the repeated crashes can't be told apart. Added: run_lost per run, with its number, state, whether its start was answered, and the seconds to the box's last answer and its silence. The model world got tasks that crash their box, whose entry stays listed for 1.5 s while nobody answers for 1 s. No logic of the decider changed.

--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -24,6 +24,7 @@
 from .shardstate import ShardState
 from .workflows import RUNNING
 from .workflows import STARTING
+from .workflows import STATE_NAMES
 from .workflows import STOPPING
 from .workflows import Task
 
@@ -125,10 +126,12 @@
             return []
         self._state.index.removed(box)
         lost = list(box.tasks.values())
+        inputs = {"why": why, "tasks_lost": len(lost)}
+        effects: list[Decision] = [LeaveBox(life), Noted("box_over", life, inputs)]
         for task in lost:
+            effects.append(_run_lost(box, task, now))
             self._progress.requeue(task, now)
-        inputs = {"why": why, "tasks_lost": len(lost)}
-        return [LeaveBox(life), Noted("box_over", life, inputs)]
+        return effects
 
     def plan_look(self, life: str, now: float, may_renew: bool) -> LookPlan | None:
         """Return the next look at a box, or ``None`` if it is not ours any more.
@@ -316,3 +319,18 @@
                 if task.placed and task.box == life:
                     self._progress.requeue(task, now)
         self._state.inherited.clear()
+
+
+def _run_lost(box: BoxView, task: Task, now: float) -> Noted:
+    """Return the line about a run that was lost with its box; times are from its start
+    to the box's last answer, and to when the box fell silent."""
+    silent_at = now if box.silent_since is None else box.silent_since
+    inputs = {
+        "run": task.run,
+        "box": box.life,
+        "answered": bool(task.confirmed_at),
+        "state": STATE_NAMES[task.state],
+        "seen_s": round(max(0.0, box.clock_at - task.started_at), 3),
+        "silent_after_s": round(max(0.0, silent_at - task.started_at), 3),
+    }
+    return Noted("run_lost", task.name, inputs)
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -13,6 +13,7 @@
     "PENDING",
     "RUNNING",
     "STARTING",
+    "STATE_NAMES",
     "STOPPING",
     "Step",
     "Submission",
@@ -27,6 +28,8 @@
 RUNNING: t.Final = 2
 STOPPING: t.Final = 3
 DONE: t.Final = 4
+# As shown in logs.
+STATE_NAMES: t.Final = ("pending", "starting", "running", "stopping", "done")
 FULL_PACE: t.Final = 100
 
 WorkflowState: t.TypeAlias = t.Literal[
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -2,6 +2,7 @@
 killed, frozen and replaced; orders and answers are lost or come late; boxes crash, are
 cut off and come back. After each step it is checked what really ran."""
 
+import collections
 import random
 import typing as t
 
@@ -41,6 +42,16 @@
 # How long tasks run, by their index; the longest outlasts a lease.
 TASK_S = (0.6, 0.3, 5.0)
 MAX_ATTEMPTS = 3
+# A task that crashes its box does so within this; the box's entry stays listed for a
+# while, and another life answers at its address after some time.
+CRASH_AFTER_S = 0.04
+STAYS_LISTED_S = 1.5
+BACK_AFTER_S = 1.0
+# After so many boxes crashed under a task it may be started so many times more; after
+# so many its job may be given up.
+CRASHES = 3
+MORE_STARTS = 2
+CRASHES_TO_GIVE_UP = 2
 QUEUE = Queue("q", "host", "/q/", "pool", 0, MAX_ATTEMPTS, 1.5, 1000.0)
 CONFIG = Config(1, (QUEUE,), {"pool": True}, 262144)
 
@@ -78,6 +89,13 @@
         self.late_share = 0.0
         self.lost_share = 0.0
         self.fail_share = 0.0
+        # Tasks that crash each box that starts them.
+        self.crashing: set[str] = set()
+        # Task -> how many boxes crashed while it ran there.
+        self.crashes: dict[str, int] = {}
+        self._started_after: dict[str, int] = {}
+        self._back_at: dict[str, float] = {}
+        self._unlisted_at: dict[str, float] = {}
         self.accepted: dict[str, Submission] = {}
         self.cancelled: dict[str, float] = {}
         self._asked: dict[str, JobCall] = {}
@@ -150,13 +168,39 @@
         """End a box's life; another one begins at its address a little later."""
         life = self._pick(choice)
         if life is not None:
-            self.boxes[life].crash(self.now)
+            self._crashed(life)
             entry = self.entries.pop(life)
             self._serial += 1
             again = f"b{self._serial}"
             self.boxes[again] = BoxModel(again, self.terms.lease_s)
             self.entries[again] = entry._replace(life=again)
 
+    def _crashed(self, life: str) -> None:
+        box = self.boxes[life]
+        for task in box.running:
+            self.crashes[task] = self.crashes.get(task, 0) + 1
+        box.crash(self.now)
+
+    def _crash_boxes(self) -> None:
+        """Crash the boxes whose tasks do that, and let others answer in their place."""
+        for life, box in list(self.boxes.items()):
+            bad = [run for run in box.running.values() if run.task in self.crashing]
+            if any(self.now - run.began >= CRASH_AFTER_S for run in bad):
+                self._crashed(life)
+                self._back_at[life] = self.now + BACK_AFTER_S
+                self._unlisted_at[life] = self.now + STAYS_LISTED_S
+        for life, at in list(self._back_at.items()):
+            if at <= self.now:
+                del self._back_at[life]
+                self._serial += 1
+                again = f"b{self._serial}"
+                self.boxes[again] = BoxModel(again, self.terms.lease_s)
+                self.entries[again] = self.entries[life]._replace(life=again)
+        for life, at in list(self._unlisted_at.items()):
+            if at <= self.now:
+                del self._unlisted_at[life]
+                self.entries.pop(life, None)
+
     def cut_box(self, choice: int, seconds: float) -> None:
         """Cut a box off from every decider; it runs on."""
         life = self._pick(choice)
@@ -164,7 +208,7 @@
             self.cut[life] = self.now + seconds
 
     def _pick(self, choice: int) -> str | None:
-        alive = sorted(self.entries)
+        alive = [life for life in sorted(self.entries) if self.boxes[life].alive]
         return alive[choice % len(alive)] if alive else None
 
     def submit(self, steps: tuple[Step, ...]) -> str:
@@ -247,7 +291,7 @@
     def _carry_out(self, order: Order, until: int, token: int) -> OrderOutcome:
         box = self.boxes[order.life]
         if not box.alive:
-            return BoxReplaced()
+            return self._dead(order.life)
         if isinstance(order, StartTask):
             outcome = box.start(
                 order.task, order.run, order.spec, until, token, self.now
@@ -267,7 +311,7 @@
             return BoxNoAnswer("cut")
         box = self.boxes[life]
         if not box.alive:
-            return BoxReplaced()
+            return self._dead(life)
         for row in box.unconfirmed():
             if row.number <= known:
                 self._confirmed(box, row)
@@ -287,6 +331,11 @@
                 if run.task == row.task and run.began > ended and not lapsed:
                     raise PromiseBroken(f"{run.task} began after an end that counts")
 
+    def _dead(self, life: str) -> BoxReplaced | BoxNoAnswer:
+        """Return what a call gets at the address of a life that has ended."""
+        waits = self._back_at.get(life, 0.0) > self.now
+        return BoxNoAnswer("connection refused") if waits else BoxReplaced()
+
     def _unreachable(self, life: str) -> bool:
         return self.now < self.cut.get(life, 0.0)
 
@@ -309,6 +358,7 @@
         for late in due:
             if self.boxes[late.order.life].alive:
                 self._carry_out(late.order, late.lease_ends_ms, late.token)
+        self._crash_boxes()
         for box in self.boxes.values():
             box.tick(self.now)
             for run in list(box.running.values()):
@@ -347,6 +397,12 @@
             raise PromiseBroken(f"{run.task} began again after it was done")
         if self._failed.get(run.task, 0) >= MAX_ATTEMPTS:
             raise PromiseBroken(f"{run.task} began after its last attempt failed")
+        if self.crashes.get(run.task, 0) >= CRASHES and run.task in self.crashing:
+            self._started_after[run.task] = self._started_after.get(run.task, 0) + 1
+            if self._started_after[run.task] > MORE_STARTS:
+                raise PromiseBroken(
+                    f"{run.task} crashes its boxes and is started again"
+                )
         if run.spec != f"spec-{job}" or job not in self._asked:
             raise PromiseBroken(f"{run.task} was not asked for")
         self._judge_order(run, job)
@@ -372,6 +428,24 @@
             if lasts and not workflow.terminal:
                 self.cancel(job)
 
+    def _may_have_failed(self, job: str) -> bool:
+        """Say whether a task of a job failed often enough, or lost enough boxes."""
+        failed: collections.Counter[str] = collections.Counter(
+            run.task
+            for box in self.boxes.values()
+            for run in box.history
+            if run.how == "failed"
+        )
+        prefix = f"{job}."
+        return any(
+            task.startswith(prefix) and count >= most
+            for counts, most in (
+                (failed, MAX_ATTEMPTS),
+                (self.crashes, CRASHES_TO_GIVE_UP),
+            )
+            for task, count in counts.items()
+        )
+
     def settle(self, seconds: float) -> None:
         """Mend everything, cancel what lasts, and check that every accepted job comes to
         its end.
@@ -401,6 +475,8 @@
                 raise PromiseBroken(f"{job} did not end: {left}")
             if workflow.ended == "cancelled" and job not in self.cancelled:
                 raise PromiseBroken(f"{job} counts as cancelled")
+            if workflow.ended == "failed" and not self._may_have_failed(job):
+                raise PromiseBroken(f"{job} counts as failed")
         running = [run for box in self.boxes.values() for run in box.running]
         if running:
             raise PromiseBroken(f"{running[0]} still runs at the end")
