No record and no request ends the process that reads it, and its successor

Cause, sought after the repeated crashes: work and records that take down whoever takes them up next. Ruled out: bytes that are no UTF-8 in values, which were refused already. Now: entries of boxes are checked where they are decoded (address, state, room), those of services that nobody knows are left out, numbers up to 2**53 only.

--- /dev/null
+++ b/features/steps/foreign_steps.py
@@ -0,0 +1,308 @@
+"""Steps of the scenarios over records and requests by somebody else."""
+
+import asyncio
+import base64
+import json
+import struct
+import time
+import urllib.parse
+
+import hypothesis.strategies as st
+from behave import then
+from behave import when
+from hypothesis import HealthCheck
+from hypothesis import given as drawn
+from hypothesis import settings
+
+from granitetrestle.calls import Reply
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import WatchBox
+from granitetrestle.errors import InvalidInput
+from granitetrestle.feeds import BoxFeed
+from granitetrestle.feeds import Sources
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import Look
+from granitetrestle.outside import Newest
+from granitetrestle.outside import Record
+from granitetrestle.outside import Records
+from granitetrestle.platform.boxes import decode_entry
+from granitetrestle.platform.front import QueueIndex
+from granitetrestle.platform.front import decode_call
+from granitetrestle.platform.store import PlatformStore
+from granitetrestle.registry import LeaderEntry
+from granitetrestle.registry import NodeEntry
+from granitetrestle.registry import Registry
+from granitetrestle.shardstate import DeciderTerms
+from granitetrestle_standins.nativestore import MemoryStore
+from granitetrestle_standins.nativestore import StoreModel
+from granitetrestle_standins.shardworld import CONFIG
+
+SOUND = {
+    "service": "pool",
+    "address": "127.0.0.1:80",
+    "zone": "h",
+    "state": "ready",
+    "capacity": {"cpu": 4000, "mem_mb": 8000},
+    "labels": ["kind", "rack"],
+}
+
+
+def entry(**changes):
+    fields = {k: v for k, v in {**SOUND, **changes}.items() if v is not None}
+    return json.dumps(fields).encode()
+
+
+FOREIGN = {
+    "of bytes that are no text": b"\xff\xfe\x00\x80",
+    "that is cut short": entry()[:20],
+    "that is no table": b"[1, 2]",
+    "without an address": entry(address=None),
+    "with an address that is none": entry(address="x"),
+    "with a port that is none": entry(address="10.0.0.1:999999"),
+    "with a name for an address": entry(address="box.example:80"),
+    "in a state that nobody knows": entry(state="resting"),
+    "with room below nothing": entry(capacity={"cpu": -1}),
+    "with room beyond all bounds": entry(capacity={"cpu": 10**30}),
+    "with labels that are no text": entry(labels=[1, None]),
+    "of a service that nobody knows": entry(service="elsewhere"),
+}
+
+
+class Lines:
+    def __init__(self):
+        self.lines = []
+
+    def event(self, event, /, **fields):
+        self.lines.append((event, fields))
+
+
+class ListedBoxes:
+    """The list of boxes as a decider takes it up."""
+
+    def __init__(self):
+        self.decider = Decider(DeciderTerms(), time.monotonic())
+        self.decider.configured(CONFIG)
+        self.log = Lines()
+        self.watched = []
+        sources = Sources(None, None, "", "", None, decode_entry)
+        self.feed = BoxFeed(sources, self.decider, self.apply, self.log)
+
+    def apply(self, decisions):
+        self.watched += [d.life for d in decisions if isinstance(d, WatchBox)]
+
+    def begin(self, *records):
+        self.feed.begin(Newest(records, 0))
+
+    def follow(self, *records):
+        self.feed._take(records)
+
+    def used(self):
+        boxes = self.decider.state.boxes
+        return sorted(life for life, box in boxes.items() if box.listed)
+
+
+@when("the list of boxes holds a sound entry and one {what}")
+def foreign_entry(context, what):
+    context.listed = listed = ListedBoxes()
+    foreign = Record("foreign", FOREIGN[what])
+    listed.begin(Record("sound", entry()), foreign)
+    for _ in range(3):
+        listed.follow(foreign)
+
+
+@when(
+    "the list of boxes holds two sound entries, and one is overwritten with bytes that "
+    "are no text"
+)
+def overwritten(context):
+    context.listed = listed = ListedBoxes()
+    listed.begin(
+        Record("sound", entry()), Record("foreign", entry(address="127.0.0.2:80"))
+    )
+    assert listed.used() == ["foreign", "sound"]
+    for _ in range(3):
+        listed.follow(Record("foreign", b"\xff\xfe"))
+
+
+@then("only the sound one is used, and the other is said once, with its key")
+def only_sound(context):
+    listed = context.listed
+    assert listed.used() == ["sound"], listed.used()
+    said = [fields for event, fields in listed.log.lines if event == "box_malformed"]
+    assert [fields["box"] for fields in said] == ["foreign"], listed.log.lines
+
+
+@then("once it can be read again it is used again")
+def used_again(context):
+    listed = context.listed
+    listed.follow(Record("foreign", entry(address="127.0.0.2:80")))
+    assert listed.used() == ["foreign", "sound"]
+
+
+@when("the entries of processes hold a sound one, and others by another writer")
+def process_entries(context):
+    store = MemoryStore(StoreModel())
+    registry = Registry(store)
+
+    async def fill():
+        await registry.enter("n1", NodeEntry("127.0.0.1:7000", "h", 1.0))
+        foreign = [b"\xff", b"\xc1", b"\x93\x01\x02\x03", b"text", b"\x91\xa1x"]
+        records = [Record(f"node/f{i}", value) for i, value in enumerate(foreign)]
+        records.append(Record("leader", b"\xc1"))
+        records.append(Record("something", b"\xc1"))
+        await store.append("keyed.nodes", records, None, 1.0)
+        return await registry.read()
+
+    context.known = asyncio.run(fill())
+
+
+@then("the sound one is known, and the others are named")
+def sound_process(context):
+    known = context.known
+    assert sorted(known.nodes) == ["n1"], known
+    assert known.leader == LeaderEntry(), known
+    assert sorted(known.unreadable) == ["leader", *(f"node/f{i}" for i in range(5))]
+
+
+def record(key, value):
+    length = 1 + len(key) + len(value)
+    return struct.pack(">IB", length, len(key)) + key + value
+
+
+class OneReply:
+    def __init__(self, body):
+        self._body = body
+
+    async def call(self, *_, **__):
+        return Reply(200, (), self._body)
+
+
+@when("the store answers with a record whose key is no text, before a sound one")
+def foreign_key(context):
+    body = bytes(16) + record(b"\xff\xfe", b"1") + record(b"sound", b"2")
+    store = PlatformStore("127.0.0.1:1", OneReply(body))
+    context.read = asyncio.run(store.read("keyed.servers", 5, 0.0))
+
+
+@then("the sound one is read")
+def sound_read(context):
+    assert isinstance(context.read, Records), context.read
+    assert context.read.end == 7
+    assert context.read.records[-1] == Record("sound", b"2"), context.read
+
+
+NUMBERS = st.one_of(
+    st.integers(-2, 5),
+    st.sampled_from([2**31, 2**53, 2**63, 2**64, 10**30, 1e300, 0.5, -(2**70)]),
+)
+STEP = st.fixed_dictionaries(
+    {"count": st.one_of(st.integers(1, 3), NUMBERS)},
+    optional={
+        **{
+            name: NUMBERS
+            for name in (
+                *("cpu", "mem_mb", "gpu", "estimate_ms"),
+                *("anti_affinity", "target_ms", "may_miss"),
+            )
+        },
+        "depends_on": st.lists(NUMBERS, max_size=2),
+        "image": st.text(max_size=3),
+        "affinity": st.text(max_size=3),
+        "requirements": st.text(max_size=3),
+        **{
+            name: st.booleans()
+            for name in (
+                *("gang", "fills", "long_running"),
+                *("checkpointing", "speculative", "rack_local"),
+            )
+        },
+    },
+)
+JOB = st.fixed_dictionaries(
+    {"steps": st.lists(STEP, min_size=1, max_size=3)},
+    optional={
+        "spec": st.text(max_size=5),
+        **{name: NUMBERS for name in ("repeat_count", "start_at_ms", "interval_ms")},
+    },
+)
+
+
+def survives(body):
+    """Take up a job, or refuse it; go on as a successor does with what is written."""
+    try:
+        call = decode_call(QueueIndex(CONFIG), "POST", "host", f"/q/{'a' * 16}", body)
+    except InvalidInput:
+        return False
+    now, records = 100.0, []
+    for _ in range(2):
+        decider = Decider(DeciderTerms(), now)
+        decider.configured(CONFIG)
+        decider.restore(records, now)
+        box = BoxEntry(
+            "b", "a", "pool", "h", "r", frozenset(), 4000, 8000, 0, False, None
+        )
+        decider.evacuation.all_ordered([], (), now)
+        decider.evacuation.heard(now)
+        decider.fleet.listed({"b": box}, now)
+        decider.fleet.looked("b", now, now, Look(1000, (), ()))
+        decider.called("r", call, now)
+        for turn in range(5):
+            decider.decide(now + turn * 0.1, 1000 + turn)
+        records += decider.take_writes()
+        now += 1.0
+    return True
+
+
+@then(
+    "of {count:d} random jobs each is refused as malformed, or a successor goes on "
+    "with it"
+)
+def random_jobs(context, count):
+    taken = []
+
+    @settings(
+        max_examples=count,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @drawn(JOB)
+    def play(job):
+        taken.append(survives(json.dumps(job).encode()))
+
+    play()
+    assert 20 < sum(taken) < len(taken) - 20, (sum(taken), len(taken))
+
+
+@when(
+    "another writer fills the list of boxes, and a client hands in numbers without end"
+)
+def foreign_at_work(context):
+    cluster = context.cluster
+    context.leader = cluster.leader()
+    for number, value in enumerate(FOREIGN.values()):
+        encoded = urllib.parse.quote(base64.b64encode(value))
+        cluster.store(f"/test/write?topic=keyed.servers&key=f{number}&value={encoded}")
+    statuses = set()
+    for name in cluster.nodes():
+        body = {"spec": "1", "steps": [{"count": 1, "cpu": 10**30}]}
+        answer = cluster.call("POST", cluster.fronts[name], f"/jobs/{'b' * 16}", body)
+        statuses.add(answer.status)
+    assert statuses == {400}, statuses
+    time.sleep(1.5)
+
+
+@then("the same decider goes on, and a job completes")
+def goes_on(context):
+    cluster = context.cluster
+    job = "00000000000000f1"
+    cluster.submit(job, [{"count": 2, "cpu": 1000, "mem_mb": 100}])
+    cluster.wait(lambda: cluster.state(job) == "completed", job)
+    taken = [
+        line
+        for name in cluster.nodes()
+        for line in cluster.log(name)
+        if line["event"] == "took_over"
+    ]
+    assert len(taken) == 1 and cluster.leader() == context.leader, taken
--- a/src/granitetrestle/calls.py
+++ b/src/granitetrestle/calls.py
@@ -2,6 +2,7 @@
 directly, in a free list for each address, so that a slot is a connection and it is
 known exactly whether the first byte has left."""
 
+import ipaddress
 import time
 import typing as t
 
@@ -13,7 +14,7 @@
 from .connection import connect
 from .events import Proof
 
-__all__ = ["CallFailure", "Caller", "Reply"]
+__all__ = ["CallFailure", "Caller", "Reply", "is_address"]
 
 IDLE_S = 3.0
 FRESH_S = 0.5
@@ -26,6 +27,16 @@
 REFUSED = b"x-refused"
 
 
+def is_address(text: str) -> bool:
+    """Say whether ``text`` is IP:PORT; names are not looked up."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) < 65536
+
+
 class Reply(t.NamedTuple):
     """A whole answer."""
 
@@ -183,7 +194,8 @@
     host, _, port = address.rpartition(":")
     try:
         return await connect(host, int(port), limit, changed)
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # The latter two: what should be an address is none.
         return CallFailure(Proof(False, f"not connected: {error!r}"))
 
 
--- a/src/granitetrestle/errors.py
+++ b/src/granitetrestle/errors.py
@@ -15,6 +15,7 @@
     "InvariantViolated",
     "LogGapError",
     "LogUnavailable",
+    "MalformedEntry",
     "MalformedOrder",
     "NotFound",
     "NotRunError",
@@ -166,6 +167,19 @@
         self.first = first
 
 
+class MalformedEntry(GranitetrestleError):
+    """What the store holds of a box can't be read, or names no box to use.
+
+    :param key: its key in the store.
+    """
+
+    code = "malformed_entry"
+
+    def __init__(self, key: str, reason: str) -> None:
+        super().__init__(f"{key}: {reason}", "find out who writes this entry")
+        self.key = key
+
+
 class MalformedOrder(GranitetrestleError):
     """What operators ask under a key can't be read; it changes nothing.
 
--- a/src/granitetrestle/feeds.py
+++ b/src/granitetrestle/feeds.py
@@ -6,10 +6,10 @@
 import typing as t
 
 import anyio
-import msgspec
 
 from .decider import Decider
 from .decisions import Decision
+from .errors import MalformedEntry
 from .errors import MalformedOrder
 from .nodelog import NodeLog
 from .outside import Advisor
@@ -180,6 +180,8 @@
     ) -> None:
         super().__init__(sources, decider, apply, log)
         self._entries: dict[str, BoxEntry] = {}
+        # Keys of entries that name no box to use, as was said.
+        self._foreign: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -207,13 +209,36 @@
 
     def _take(self, records: t.Iterable[Record]) -> None:
         for record in records:
+            self._entries.pop(record.key, None)
             try:
                 entry = self._sources.decode_box(record)
-            except msgspec.DecodeError as error:
-                self._log.event("box_malformed", box=record.key, error=str(error))
+            except MalformedEntry as error:
+                self._say_foreign(error.key, error.message)
                 continue
             if entry is None:
-                self._entries.pop(record.key, None)
+                self._foreign.discard(record.key)
             else:
                 self._entries[record.key] = entry
-        self._apply(self._decider.fleet.listed(self._entries, time.monotonic()))
+        self._apply(self._decider.fleet.listed(self._usable(), time.monotonic()))
+
+    def _usable(self) -> dict[str, BoxEntry]:
+        """Return the boxes that are in use, or of a service that is configured."""
+        config = self._decider.state.config
+        if config is None:
+            return self._entries
+        services = config.guarded.keys() | {queue.service for queue in config.queues}
+        in_use = self._decider.state.boxes
+        usable = {
+            life: entry
+            for life, entry in self._entries.items()
+            if entry.service in services or life in in_use
+        }
+        self._foreign -= usable.keys()
+        for life in self._entries.keys() - usable.keys():
+            self._say_foreign(life, f"no such service: {self._entries[life].service}")
+        return usable
+
+    def _say_foreign(self, key: str, why: str) -> None:
+        if key not in self._foreign:
+            self._foreign.add(key)
+            self._log.event("box_malformed", box=key, error=why)
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -118,6 +118,8 @@
         self._stopping = False
         self._registered = False
         self._leader_seen = ""
+        # Keys of entries that can't be read, as was said.
+        self._unreadable: frozenset[str] = frozenset()
         self._leaderless_since = time.monotonic()
         self._ask_store_at = 0.0
         self._beat_seen: tuple[tuple[int, int], float] | None = None
@@ -235,6 +237,10 @@
             self._leadership.was_leading(known.leader.epoch, known.leader.node, now)
 
     def _take_members(self, known: Known) -> None:
+        for key in known.unreadable:
+            if key not in self._unreadable:
+                self._log.event("entry_unreadable", key=key)
+        self._unreadable = frozenset(known.unreadable)
         for node, other in known.nodes.items():
             member = Member(node, other.address, other.hall, other.cores)
             self._membership.learn(member)
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -7,6 +7,8 @@
 from ..calls import Caller
 from ..calls import CallFailure
 from ..calls import Reply
+from ..calls import is_address
+from ..errors import MalformedEntry
 from ..outside import BoxCalls
 from ..outside import BoxEntry
 from ..outside import BoxNoAnswer
@@ -34,10 +36,15 @@
 LIFE_HEADER: t.Final = b"expect-instance"
 
 
+# No box has as much of anything; what says so was not written by one.
+MOST_ROOM: t.Final = 2**40
+_Amount = t.Annotated[int, msgspec.Meta(ge=0, le=MOST_ROOM)]
+
+
 class _Capacity(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
 
 class _Entry(msgspec.Struct):
@@ -46,10 +53,10 @@
     service: str
     address: str
     zone: str = ""
-    state: str = "ready"
+    state: t.Literal["ready", "draining"] = "ready"
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
     labels: list[str] = []
-    remaining_ms: float | None = None
+    remaining_ms: t.Annotated[float, msgspec.Meta(ge=0, le=MOST_ROOM)] | None = None
     machine: str = ""
     cold_remaining_ms: float = 0.0
 
@@ -74,11 +81,16 @@
 def decode_entry(record: Record) -> BoxEntry | None:
     """Return what a box says of itself, or ``None`` once it is gone.
 
-    :raises msgspec.DecodeError: if the record is malformed.
+    :raises MalformedEntry: if the record is malformed.
     """
     if record.value is None:
         return None
-    raw = _entries.decode(record.value)
+    try:
+        raw = _entries.decode(record.value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise MalformedEntry(record.key, str(error)) from error
+    if not is_address(raw.address):
+        raise MalformedEntry(record.key, f"no address: {raw.address!r}")
     leaving = raw.remaining_ms
     return BoxEntry(
         life=record.key,
--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -44,6 +44,9 @@
 MAX_SPEC: t.Final = 4000
 MAX_STEPS: t.Final = 100
 MAX_TASKS: t.Final = 5000
+# Numbers above this are exact in no client's JSON, and above 64 bits can't be written
+# down: one such job ended the decider that took it, and the next when it came again.
+MAX_NUMBER: t.Final = 2**53
 OK: t.Final = 200
 GONE: t.Final = 410
 
@@ -253,8 +256,9 @@
         raise InvalidInput(f"spec has more than {MAX_SPEC} bytes")
     if not 0 < len(raw.steps) <= MAX_STEPS:
         raise InvalidInput(f"a job has 1 to {MAX_STEPS} steps")
-    if min(raw.repeat_count, raw.start_at_ms, raw.interval_ms) < 0:
-        raise InvalidInput("times are not negative")
+    times = (raw.repeat_count, raw.start_at_ms, raw.interval_ms)
+    if not _in_range(times):
+        raise InvalidInput("a time is out of range")
     steps = tuple(_step(number, step) for number, step in enumerate(raw.steps))
     tasks = sum(step.count for step in steps) * max(1, raw.repeat_count)
     if tasks > MAX_TASKS:
@@ -273,7 +277,8 @@
 
 def _step(number: int, raw: _Step) -> Step:
     amounts = (raw.cpu, raw.mem_mb, raw.gpu, raw.anti_affinity, raw.may_miss)
-    if raw.count < 1 or min(amounts) < 0 or raw.estimate_ms < 0 or raw.target_ms < 0:
+    durations = (raw.estimate_ms, raw.target_ms)
+    if raw.count < 1 or not _in_range(amounts) or not _in_range(durations):
         raise InvalidInput(f"step {number}: an amount is out of range")
     if any(not 0 <= earlier < number for earlier in raw.depends_on):
         raise InvalidInput(f"step {number}: depends on no earlier step")
@@ -299,6 +304,10 @@
     )
 
 
+def _in_range(numbers: t.Iterable[float]) -> bool:
+    return all(0 <= number <= MAX_NUMBER for number in numbers)
+
+
 def _labels(raw: str | list[str]) -> tuple[str, ...]:
     labels = [raw] if isinstance(raw, str) else raw
     return tuple(label for label in labels if label)
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -131,10 +131,10 @@
                 return StoreUnavailable(str(reply.status), undone=True)
             try:
                 page = _pages.decode(reply.body)
-            except msgspec.DecodeError:
+                for item in page.items:
+                    records.append(Record(item.key, base64.b64decode(item.value)))
+            except (msgspec.DecodeError, ValueError):
                 return StoreUnavailable("malformed answer")
-            for item in page.items:
-                records.append(Record(item.key, base64.b64decode(item.value)))
             # Pages are no snapshot: what comes after the first is read again.
             end = page.end if end is None else end
             if not page.more or not page.items:
@@ -160,7 +160,7 @@
             return StoreUnavailable(str(reply.status), undone=True)
         try:
             records = decode_records(reply.body[16:])
-        except (struct.error, UnicodeDecodeError, IndexError):
+        except (struct.error, IndexError):
             return StoreUnavailable("malformed answer")
         return Records(tuple(records), start + len(records))
 
@@ -212,7 +212,8 @@
         if position + length > len(data):
             raise struct.error("cut short")
         key_ends = position + 1 + data[position]
-        key = data[position + 1 : key_ends].decode()
+        # Keys of other writers may be no text; their records must not stop the reading.
+        key = data[position + 1 : key_ends].decode(errors="replace")
         value = data[key_ends : position + length]
         records.append(Record(key, value or None))
         position += length
--- a/src/granitetrestle/registry.py
+++ b/src/granitetrestle/registry.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .calls import is_address
 from .outside import Appended
 from .outside import Newest
 from .outside import Record
@@ -37,10 +38,14 @@
 
 
 class Known(t.NamedTuple):
-    """What the store shows."""
+    """What the store shows.
+
+    :param unreadable: keys of entries that can't be read, which are passed over.
+    """
 
     nodes: dict[str, NodeEntry]
     leader: LeaderEntry
+    unreadable: tuple[str, ...] = ()
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -48,6 +53,13 @@
 _leaders = msgspec.msgpack.Decoder(LeaderEntry)
 
 
+def _node_entry(value: bytes) -> NodeEntry:
+    entry = _nodes.decode(value)
+    if not is_address(entry.address):
+        raise msgspec.DecodeError(f"no address: {entry.address!r}")
+    return entry
+
+
 class Registry:
     """Reads and writes the entries."""
 
@@ -61,12 +73,16 @@
             return outcome
         nodes: dict[str, NodeEntry] = {}
         leader = LeaderEntry()
+        unreadable: list[str] = []
         for key, value in outcome.records:
-            if value and key == LEADER_KEY:
-                leader = _leaders.decode(value)
-            elif value and key.startswith(NODE_KEY):
-                nodes[key.removeprefix(NODE_KEY)] = _nodes.decode(value)
-        return Known(nodes, leader)
+            try:
+                if value and key == LEADER_KEY:
+                    leader = _leaders.decode(value)
+                elif value and key.startswith(NODE_KEY):
+                    nodes[key.removeprefix(NODE_KEY)] = _node_entry(value)
+            except (msgspec.DecodeError, UnicodeDecodeError):
+                unreadable.append(key)
+        return Known(nodes, leader, tuple(unreadable))
 
     async def enter(self, node: str, entry: NodeEntry) -> bool:
         """Enter a process; says whether the store took it."""
--- a/src/granitetrestle_standins/nativeplatform.py
+++ b/src/granitetrestle_standins/nativeplatform.py
@@ -67,6 +67,7 @@
 class StoreServer:
     """The store; ``POST /test/lose?n=N`` loses the next N answers to appends, ``POST
     /test/order?key=K&value=V`` lets an operator write, or drop a key without a value,
+    ``POST /test/write?topic=T&key=K&value=V`` writes anything, V in base64,
     ``POST /test/store?how=HOW&s=S`` lets it be ``busy``, ``silent`` or ``slow`` for S
     seconds, ``POST /test/forget`` drops the history of what operators wrote."""
 
@@ -87,6 +88,10 @@
             value = query.get("value", "").encode() or None
             self.model.append("keyed.op", [Record(query["key"], value)], None)
             return _json(200, {"at": time.monotonic()})
+        if path == "/test/write":
+            value = base64.b64decode(query["value"])
+            self.model.append(query["topic"], [Record(query["key"], value)], None)
+            return _json(200, {})
         if path == "/test/store":
             self._how = query["how"]
             self._until = time.monotonic() + float(query["s"])
