A process that others name as the decider, and is not, takes over at once

Cause: beliefs about who decides named a process, not its life. A restarted decider that the store did not show yet learnt from others that it decides itself; who leads by belief never considers taking over, and its reports named itself as the decider, so that all others kept hearing from 'the decider'. Class: a right read off a name that a new life has taken. Now only the epoch that this life has raised makes it the decider; named for any other, it knows that an earlier life was meant and that nobody decides, and goes first, as it did where the store told it.

--- a/features/report_world.py
+++ b/features/report_world.py
@@ -75,7 +75,7 @@
         self.learn(now)
         self.see_beat(now)
         if self.world.shown[0]:
-            self.leadership.was_leading(*self.world.shown, now)
+            self.leadership.leads(*self.world.shown, now)
 
     def see_beat(self, now):
         beat = self.world.beat
@@ -142,7 +142,7 @@
     def read(self, now):
         if self.world.shown[0] > self.leadership.epoch:
             self.trying = False
-            self.leadership.was_leading(*self.world.shown, now)
+            self.leadership.leads(*self.world.shown, now)
             return
         self.ask_store(self.append)
 
--- a/features/steps/leadership_steps.py
+++ b/features/steps/leadership_steps.py
@@ -19,7 +19,7 @@
 @given("a process that the store names as the last decider")
 def named_by_store(context):
     context.leadership = Leadership("n1", 0.0, 0.5)
-    context.leadership.was_leading(7 << 24, "n1", 0.1)
+    context.leadership.leads(7 << 24, "n1", 0.1)
 
 
 @then("it takes over by itself instead of waiting for itself")
@@ -133,7 +133,7 @@
 @given("a decider of half a core that hears a ready process of two cores")
 def small_decider(context):
     leadership = context.leadership = Leadership("n0", 0.0, 0.0)
-    leadership.leads(5, "n0", 10.0)
+    leadership.took_over(5, 10.0)
     for tick in range(40):
         leadership.heard(replace(status("n1", 5, "n0"), cores=2.0), 10.0 + tick * 0.4)
 
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -293,7 +293,7 @@
             self.known_at = None
             for other in self.world.processes:
                 leadership.know(other.name)
-            leadership.was_leading(self.world.old_epoch, "n00", now)
+            leadership.leads(self.world.old_epoch, "n00", now)
             self.beat_seen = now
         if now - self.reported >= REPORT:
             self.report(now)
@@ -334,7 +334,7 @@
         self.trying = False
         self.world.epoch += 1
         self.world.taken.append(now)
-        self.leadership.leads(self.world.epoch, self.name, now)
+        self.leadership.took_over(self.world.epoch, now)
         self.report(now)
 
     def report(self, now):
@@ -412,7 +412,7 @@
     leadership = context.leadership = Leadership("n2", 0.0, 0.0)
     leadership.know("n1")
     leadership.know("n3")
-    leadership.leads(5, "n2", 10.0)
+    leadership.took_over(5, 10.0)
 
 
 @then("it names the first of them as its heir")
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -97,6 +97,8 @@
         self._majority_at: float | None = None
         # Whether the newest epoch known was that of an earlier life of this process.
         self._led_before = False
+        # The epoch that this life of the process has raised.
+        self._took = 0
 
     @property
     def epoch(self) -> int:
@@ -151,30 +153,35 @@
             return None
         return 0.0 if self._leader == self._node else now - self._leader_heard
 
-    def leads(self, epoch: int, node: str, now: float) -> None:
-        """Learn who decides in an epoch."""
-        if epoch > self._epoch or (epoch == self._epoch and not self._leader):
-            self._epoch = epoch
-            self._leading_since = now
-            self._leader = node
-            self._leader_heard = now
-            self._leader_store_lost = None
-            self._led_before = False
-            self._trying = False
-
     def took_over(self, epoch: int, now: float) -> None:
-        """This process decides in an epoch."""
-        self.leads(epoch, self._node, now)
+        """This process decides in an epoch, which it has raised itself."""
+        self._took = epoch
+        self._begins(epoch, self._node, now)
 
-    def was_leading(self, epoch: int, node: str, now: float) -> None:
-        """Learn from the store who decided last. If that was an earlier life of this
-        process, nobody does now."""
-        self.leads(epoch, node, now)
-        if self._leader == self._node:
-            self._leader = ""
+    def leads(self, epoch: int, node: str, now: float) -> None:
+        """Learn from others, or from the store, who decides in an epoch. If that is this
+        process, it was an earlier life of it, and nobody does now."""
+        if epoch < self._epoch or (epoch == self._epoch and self._leader):
+            return
+        if node != self._node:
+            self._begins(epoch, node, now)
+        elif epoch != self._took:
+            # A process that believed others that it decides waited for itself, and its
+            # reports kept their belief: nobody decided for 75 s, until the end.
+            if epoch > self._epoch:
+                self._begins(epoch, "", now)
             self._leader_heard = now - SILENT_S
             self._led_before = True
 
+    def _begins(self, epoch: int, node: str, now: float) -> None:
+        self._epoch = epoch
+        self._leading_since = now
+        self._leader = node
+        self._leader_heard = now
+        self._leader_store_lost = None
+        self._led_before = False
+        self._trying = False
+
     def deposed(self) -> None:
         """This process decides no more; who does is not known yet."""
         if self._leader == self._node:
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -234,7 +234,7 @@
         self._take_members(known)
         if known.leader.epoch:
             now = time.monotonic()
-            self._leadership.was_leading(known.leader.epoch, known.leader.node, now)
+            self._leadership.leads(known.leader.epoch, known.leader.node, now)
 
     def _take_members(self, known: Known) -> None:
         for key in known.unreadable:
@@ -420,7 +420,7 @@
                 self._log.event("take_over_failed", reason=outcome.reason)
                 return
             if outcome:
-                self._leadership.leads(epoch, self._terms.node, time.monotonic())
+                self._leadership.took_over(epoch, time.monotonic())
                 tasks.start_soon(self._lead, epoch)
                 return
             previous = epoch
