--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -91,3 +91,10 @@
     Given a task whose start got no answer, alone on its box
     When each look waits 1.5 seconds for an end, and each stop is answered at once
     Then the task starts again within 4 seconds
+
+  Scenario: What ran on a box that went dark starts again one lease after its last answer
+    Looks that nobody answered renewed the lease for 1.2 s more, since they might have
+    arrived: lasting work was away for 13.4 s after a crash, with leases of 10 s.
+    Given a shard of 6 boxes among models
+    When a lasting task runs and its box goes dark for good, and its entry goes
+    Then it runs on another box within 3.5 seconds, a lease of 3 and a little
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -368,3 +368,25 @@
     }
     assert hows.pop(context.left) == ["stopped"], hows
     assert [len(runs) for runs in hows.values()] == [1], hows
+
+
+@when("a lasting task runs and its box goes dark for good, and its entry goes")
+def box_goes_dark(context):
+    world = context.world
+    job = world.submit((Step(count=1, cpu=500, memory_mb=10, lasting=True),))
+    world.advance(4.0)
+    (task,) = world.leader.decider.state.workflows[job].tasks.values()
+    world.cut[task.box] = world.now + 1000.0
+    context.dark, context.since = task.box, world.now
+    world.advance(0.5)
+    del world.entries[task.box]
+
+
+@then("it runs on another box within {seconds:g} seconds, a lease of 3 and a little")
+def runs_elsewhere(context, seconds):
+    world = context.world
+    others = [world.boxes[life] for life in world.entries]
+    while not any(box.running for box in others) and world.now - context.since < 10.0:
+        world.advance(0.05)
+    took = world.now - context.since
+    assert took <= seconds, took
