--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -370,18 +370,37 @@
     assert [len(runs) for runs in hows.values()] == [1], hows
 
 
-@when("a lasting task runs and its box goes dark for good, and its entry goes")
-def box_goes_dark(context):
+def go_dark(context, task):
     world = context.world
-    job = world.submit((Step(count=1, cpu=500, memory_mb=10, lasting=True),))
-    world.advance(4.0)
-    (task,) = world.leader.decider.state.workflows[job].tasks.values()
     world.cut[task.box] = world.now + 1000.0
     context.dark, context.since = task.box, world.now
     world.advance(0.5)
     del world.entries[task.box]
 
 
+def lasting_task(context):
+    context.job = context.world.submit(
+        (Step(count=1, cpu=500, memory_mb=10, lasting=True),)
+    )
+    context.world.advance(4.0)
+    decider = context.world.leader.decider
+    (task,) = decider.state.workflows[context.job].tasks.values()
+    return task
+
+
+@when("a lasting task runs and its box goes dark for good, and its entry goes")
+def box_goes_dark(context):
+    go_dark(context, lasting_task(context))
+
+
+@when("a lasting task runs, a successor takes over, and the box goes dark for good")
+def dark_after_take_over(context):
+    task = lasting_task(context)
+    context.world.take_over()
+    context.world.advance(0.2)
+    go_dark(context, task)
+
+
 @then("it runs on another box within {seconds:g} seconds, a lease of 3 and a little")
 def runs_elsewhere(context, seconds):
     world = context.world
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -237,6 +237,10 @@
         effects += self._compare(box, sent, now)
         if not box.adopted:
             box.adopted = True
+            # It refuses a predecessor's leases from here on, and none that it has is
+            # longer: tasks were away for up to the 8 s more that one may go on for.
+            lease_ends = now + self._state.terms.lease_bound_s
+            box.lease_ends = min(box.lease_ends, lease_ends)
             inputs = {"running": len(look.running), "ended": len(look.ended)}
             effects.append(Noted("box_adopted", box.life, inputs))
             if box.entry.draining:
