--- a/features/box_crashes.feature
+++ b/features/box_crashes.feature
@@ -42,6 +42,11 @@
     When a box crashes on which 16 tasks of 16 lasting jobs have just begun
     Then all of them run again within 0.3 seconds of its end, and few boxes are closed
 
+  Scenario: A task whose start never left is not blamed for the box
+    Given a shard of 1 boxes among models
+    When a job has just begun, another's start is held back as the store is away, and the box crashes
+    Then the first is suspected, and the other is not
+
   Scenario: The log names each run that was lost with its box, and how young it was
     Given a shard of 3 boxes among models
     When a long job runs, a task that crashes its box starts beside it, and the crash is noticed
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -255,3 +255,26 @@
 def random_rooms(context, seed):
     context.shard = RandomShard(seed, rooms=True)
     context.shard.run()
+
+
+@when(
+    "a job has just begun, another's start is held back as the store is away, and the "
+    "box crashes"
+)
+def held_back(context):
+    world = context.world
+    step = Step(count=1, cpu=500, memory_mb=10)
+    context.begun = world.submit((step,))
+    world.advance(0.1)
+    world.store_down = True
+    context.held = world.submit((step,))
+    world.advance(0.1)
+    world.crash_box(0)
+    world.advance(0.2)
+
+
+@then("the first is suspected, and the other is not")
+def only_begun(context):
+    lost = {note.subject: note.inputs for note in notes(context, "run_lost")}
+    assert lost[f"{context.begun}.0.0.0"]["suspicion"] == LIKELY, lost
+    assert lost[f"{context.held}.0.0.0"]["suspicion"] == 0, lost
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -173,8 +173,13 @@
             return self._place_gang(entry, step, pool, now)
         kind = (step.image, step.cpu, step.memory_mb, step.required_labels, step.fills)
         entry.since = now if entry.since is None else entry.since
-        effects = self._place_suspects(entry, pool, now, most)
-        tasks = [task for task in entry.tasks.values() if not task.suspicion]
+        effects: list[Decision] = []
+        tasks = list(entry.tasks.values())
+        if entry.suspects:
+            suspects = [task for task in tasks if task.suspicion]
+            entry.suspects = bool(suspects)
+            effects += self._place_suspects(entry, suspects[:most], pool, now)
+            tasks = [task for task in tasks if not task.suspicion]
         if not tasks:
             return effects
         search = self._begin(entry, pool, now)
@@ -203,13 +208,12 @@
         return self._start(task, box, now)
 
     def _place_suspects(
-        self, entry: WaitingStep, pool: Pool, now: float, most: int
+        self, entry: WaitingStep, suspects: list[Task], pool: Pool, now: float
     ) -> list[Decision]:
         """Start tasks under which boxes have crashed, each where a crash would tell most.
         Placed as others are, 24 of 6,169 jobs that did nothing wrong were given up as
         well, and one task that did wrong was started too often; so none was of 6,581 (20
         seeds of 12 model boxes with six such tasks in 40 s)."""
-        suspects = [task for task in entry.tasks.values() if task.suspicion][:most]
         if not suspects:
             return []
         effects: list[Decision] = []
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -68,6 +68,7 @@
     :ivar last_use: when it must have started for its job to be of any use.
     :ivar since: when a pass first found it waiting, or last started one of its tasks.
     :ivar waits_since: since when it waits, or last started one of its tasks.
+    :ivar suspects: whether one of its tasks may be suspected; see :mod:`.crashloops`.
     :ivar able: boxes where its tasks had room; see :mod:`.boxsearch`.
     """
 
@@ -84,6 +85,7 @@
         "since",
         "spec",
         "step",
+        "suspects",
         "tasks",
         "tickets",
         "waits_since",
@@ -113,6 +115,7 @@
         self.last_use = latest_start
         self.waits_since = 0.0
         self.spec = workflow.submission.steps[step]
+        self.suspects = False
         self.able: AbleBoxes | None = None
 
 
@@ -264,6 +267,7 @@
         if task.name not in entry.tasks:
             task.times.enter("room", now)
         entry.tasks[task.name] = task
+        entry.suspects = entry.suspects or task.suspicion > 0
 
     def _waiting_step(self, task: Task) -> WaitingStep:
         workflow = task.workflow
--- a/src/granitetrestle/waitingorder.py
+++ b/src/granitetrestle/waitingorder.py
@@ -121,8 +121,10 @@
 
 
 def waiting_tasks(entries: t.Iterable[WaitingStep], now: float) -> dict[str, int]:
-    """Return how many tasks wait, by class of work and by how late they are."""
-    waiting = dict.fromkeys(("short", "fills", "lasting", "late", "too_late"), 0)
+    """Return how many tasks wait, by class of work, by how late they are, and how many
+    are suspected of crashing boxes."""
+    kinds = ("short", "fills", "lasting", "late", "too_late", "suspected")
+    waiting = dict.fromkeys(kinds, 0)
     for entry in entries:
         kind = "short"
         if entry.spec.fills:
@@ -130,6 +132,9 @@
         elif entry.spec.lasting:
             kind = "lasting"
         waiting[kind] += len(entry.tasks)
+        if entry.suspects:
+            tasks = entry.tasks.values()
+            waiting["suspected"] += sum(task.suspicion > 0 for task in tasks)
         lateness = _lateness(entry, now)
         if lateness != IN_TIME:
             waiting["late" if lateness == LATE else "too_late"] += len(entry.tasks)
