--- a/features/native_machines.py
+++ b/features/native_machines.py
@@ -86,8 +86,8 @@
         self.jobs.append(job)
         step = choice % len(steps)
         index = choice % steps[step].count
-        self.world.crashing.add(f"{job}.0.{step}.{index}")
-        self.world.crash_unanswered = unanswered
+        self.world.box_crashes.crashing.add(f"{job}.0.{step}.{index}")
+        self.world.box_crashes.unanswered = unanswered
 
     @rule(choice=CHOICE, seconds=st.sampled_from([0.5, 2.0, 4.0, 8.0]))
     def cut_box(self, choice, seconds):
--- a/features/random_shard.py
+++ b/features/random_shard.py
@@ -104,8 +104,8 @@
         self._jobs.append(job)
         step = self._draw.randrange(len(steps))
         index = self._draw.randrange(steps[step].count)
-        self.world.crashing.add(f"{job}.0.{step}.{index}")
-        self.world.crash_unanswered = self._draw.random() < 0.5
+        self.world.box_crashes.crashing.add(f"{job}.0.{step}.{index}")
+        self.world.box_crashes.unanswered = self._draw.random() < 0.5
 
 
 def crashes_among_others(seed, culprits=6):
@@ -123,14 +123,16 @@
             others.append(world.submit((step,)))
         if turn % 33 == 0 and len(bad) < culprits:
             bad.append(world.submit((step,)))
-            world.crashing.add(f"{bad[-1]}.0.0.{world.random.randrange(4)}")
+            world.box_crashes.crashing.add(f"{bad[-1]}.0.0.{world.random.randrange(4)}")
     world.advance(30.0)
     states = {
         job: workflow.state
         for job, workflow in world.leader.decider.state.workflows.items()
     }
     assert all(states[job] == "failed" for job in bad), [states[job] for job in bad]
-    crashes = [world.crashes.get(task, 0) for task in world.crashing]
+    crashes = [
+        world.box_crashes.counts.get(task, 0) for task in world.box_crashes.crashing
+    ]
     return crashes, sum(states[job] == "failed" for job in others), len(others)
 
 
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -39,7 +39,7 @@
     context.long = world.submit((lasting,))
     world.advance(6.0)
     context.bad = world.submit((Step(count=1, cpu=500, memory_mb=10),))
-    world.crashing.add(f"{context.bad}.0.0.0")
+    world.box_crashes.crashing.add(f"{context.bad}.0.0.0")
     world.advance(1.5)
 
 
@@ -89,10 +89,10 @@
 @when("a task that crashes its box is handed in, and {what} for {seconds:g} seconds")
 def crashing_task(context, what, seconds):
     world = context.world
-    world.crash_unanswered = what == "its starts are never answered"
+    world.box_crashes.unanswered = what == "its starts are never answered"
     context.bad = world.submit((Step(count=1, cpu=500, memory_mb=10),))
     context.task = f"{context.bad}.0.0.0"
-    world.crashing.add(context.task)
+    world.box_crashes.crashing.add(context.task)
     ends, crashes = world.now + seconds, 0
     context.broken = None
     try:
@@ -100,8 +100,11 @@
             world.advance(0.1)
             if int(world.now * 10) % 5 == 0:
                 context.others.append(world.submit((SHORT,)))
-            if AFTER_CRASH[what] and world.crashes.get(context.task, 0) > crashes:
-                crashes = world.crashes[context.task]
+            if (
+                AFTER_CRASH[what]
+                and world.box_crashes.counts.get(context.task, 0) > crashes
+            ):
+                crashes = world.box_crashes.counts[context.task]
                 AFTER_CRASH[what](world)
     except PromiseBroken as error:
         context.broken = error
@@ -110,7 +113,7 @@
 @then("at most {most:d} boxes have crashed under it, and its job is shown as failed")
 def given_up(context, most):
     world = context.world
-    crashes = world.crashes.get(context.task, 0)
+    crashes = world.box_crashes.counts.get(context.task, 0)
     assert 2 <= crashes <= most, (crashes, context.broken)
     assert context.broken is None, context.broken
     job = world.leader.decider.state.workflows[context.bad]
--- a/src/granitetrestle/crashloops.py
+++ b/src/granitetrestle/crashloops.py
@@ -98,7 +98,10 @@
 
 
 def is_given_up(task: Task, alone: bool) -> bool:
-    """Say whether a task that has just been blamed is not tried again."""
+    """Say whether a task whose box was lost is not tried again.
+
+    :param alone: whether it alone can have been the cause.
+    """
     return task.suspicion >= (GIVEN_UP_ALONE if alone else GIVEN_UP)
 
 
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -152,7 +152,7 @@
         for task in list(box.tasks.values()):
             suspected = task in blamed.tasks
             effects.append(_run_lost(box, task, suspected, now))
-            given_up = suspected and is_given_up(task, blamed.alone)
+            given_up = is_given_up(task, suspected and blamed.alone)
             effects += self._progress.lost(task, given_up, now)
         return effects
 
@@ -349,9 +349,9 @@
         for life, tasks in self._state.inherited.items():
             there = [task for task in tasks if task.placed and task.box == life]
             effects.append(Noted("box_never_listed", life, {"tasks_lost": len(there)}))
-            blamed = blame(there)
+            blame(there)
             for task in there:
-                given_up = task in blamed.tasks and is_given_up(task, blamed.alone)
+                given_up = is_given_up(task, alone=False)
                 effects += self._progress.lost(task, given_up, now)
         self._state.inherited.clear()
         return effects
--- /dev/null
+++ b/src/granitetrestle_standins/boxcrashes.py
@@ -0,0 +1,89 @@
+"""Tasks that crash the boxes that start them, as the model world has them: which these
+are, how many boxes each has crashed, and whether it is started too often. A box that they
+crash stays listed for a while, and another life answers at its address some time later."""
+
+from granitetrestle_standins.nativebox import BoxModel
+
+__all__ = ["BoxCrashes"]
+
+CRASH_AFTER_S = 0.04
+STAYS_LISTED_S = 1.5
+BACK_AFTER_S = 1.0
+# After so many boxes crashed under a task it may be started so many times more; after
+# so many its job may be given up.
+CRASHES = 3
+MORE_STARTS = 2
+CRASHES_TO_GIVE_UP = 2
+
+
+class BoxCrashes:
+    """Times in seconds.
+
+    :ivar crashing: tasks that crash each box that starts them.
+    :ivar unanswered: whether they do so before their start is answered.
+    :ivar counts: task -> how many boxes crashed while it ran there.
+    """
+
+    def __init__(self) -> None:
+        self.crashing: set[str] = set()
+        self.unanswered = False
+        self.counts: dict[str, int] = {}
+        self._started_after: dict[str, int] = {}
+        self._back_at: dict[str, float] = {}
+        self._unlisted_at: dict[str, float] = {}
+
+    def crash(self, box: BoxModel, now: float) -> None:
+        """Crash a box, under all that runs there."""
+        for task in box.running:
+            self.counts[task] = self.counts.get(task, 0) + 1
+        box.crash(now)
+
+    def crash_for_now(self, box: BoxModel, now: float) -> None:
+        """Crash a box that comes back."""
+        self.crash(box, now)
+        self._back_at[box.life] = now + BACK_AFTER_S
+        self._unlisted_at[box.life] = now + STAYS_LISTED_S
+
+    def due(self, box: BoxModel, now: float) -> bool:
+        """Say whether what runs on a box crashes it now."""
+        return any(
+            run.task in self.crashing and now - run.began >= CRASH_AFTER_S
+            for run in box.running.values()
+        )
+
+    def crashes_at_once(self, box: BoxModel) -> bool:
+        """Say whether a box crashes before it answers the start of a task."""
+        return self.unanswered and bool(self.crashing.intersection(box.running))
+
+    def is_down(self, life: str, now: float) -> bool:
+        """Say whether nobody answers yet in the place of a life that has crashed."""
+        return self._back_at.get(life, 0.0) > now
+
+    def take_back(self, now: float) -> list[str]:
+        """Return the lives in whose place another one answers from now on."""
+        return _take_due(self._back_at, now)
+
+    def take_unlisted(self, now: float) -> list[str]:
+        """Return the lives whose entries go now."""
+        return _take_due(self._unlisted_at, now)
+
+    def started_too_often(self, task: str) -> bool:
+        """Take up a start; says whether its task must not be started any more."""
+        if task not in self.crashing or self.counts.get(task, 0) < CRASHES:
+            return False
+        self._started_after[task] = self._started_after.get(task, 0) + 1
+        return self._started_after[task] > MORE_STARTS
+
+    def may_be_given_up(self, job: str) -> bool:
+        """Say whether enough boxes crashed under a task of a job."""
+        return any(
+            task.startswith(f"{job}.") and count >= CRASHES_TO_GIVE_UP
+            for task, count in self.counts.items()
+        )
+
+
+def _take_due(times: dict[str, float], now: float) -> list[str]:
+    due = [life for life, at in times.items() if at <= now]
+    for life in due:
+        del times[life]
+    return due
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -27,6 +27,7 @@
 from granitetrestle.workflows import DONE
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
+from granitetrestle_standins.boxcrashes import BoxCrashes
 from granitetrestle_standins.nativebox import BoxModel
 from granitetrestle_standins.nativebox import BoxRun
 from granitetrestle_standins.nativestore import StoreModel
@@ -45,16 +46,6 @@
 # How long after a box's room shrank a start may still count on the room before: orders
 # are under way, and the list of boxes is read a few times a second.
 ROOM_SEEN_S = 0.2
-# A task that crashes its box does so within this; the box's entry stays listed for a
-# while, and another life answers at its address after some time.
-CRASH_AFTER_S = 0.04
-STAYS_LISTED_S = 1.5
-BACK_AFTER_S = 1.0
-# After so many boxes crashed under a task it may be started so many times more; after
-# so many its job may be given up.
-CRASHES = 3
-MORE_STARTS = 2
-CRASHES_TO_GIVE_UP = 2
 QUEUE = Queue("q", "host", "/q/", "pool", 0, MAX_ATTEMPTS, 1.5, 1000.0)
 CONFIG = Config(1, (QUEUE,), {"pool": True}, 262144)
 
@@ -92,15 +83,7 @@
         self.late_share = 0.0
         self.lost_share = 0.0
         self.fail_share = 0.0
-        # Tasks that crash each box that starts them.
-        self.crashing: set[str] = set()
-        # Whether they do so before the start is answered.
-        self.crash_unanswered = False
-        # Task -> how many boxes crashed while it ran there.
-        self.crashes: dict[str, int] = {}
-        self._started_after: dict[str, int] = {}
-        self._back_at: dict[str, float] = {}
-        self._unlisted_at: dict[str, float] = {}
+        self.box_crashes = BoxCrashes()
         # Box -> its room before, in thousandths of a core, and until when that may count.
         self._room_before: dict[str, tuple[int, float]] = {}
         self.accepted: dict[str, Submission] = {}
@@ -175,36 +158,26 @@
         """End a box's life; another one begins at its address a little later."""
         life = self._pick(choice)
         if life is not None:
-            self._crashed(life)
+            self.box_crashes.crash(self.boxes[life], self.now)
             entry = self.entries.pop(life)
             self._serial += 1
             again = f"b{self._serial}"
             self.boxes[again] = BoxModel(again, self.terms.lease_s)
             self.entries[again] = entry._replace(life=again)
 
-    def _crashed(self, life: str) -> None:
-        box = self.boxes[life]
-        for task in box.running:
-            self.crashes[task] = self.crashes.get(task, 0) + 1
-        box.crash(self.now)
-
     def _crash_boxes(self) -> None:
         """Crash the boxes whose tasks do that, and let others answer in their place."""
-        for life, box in list(self.boxes.items()):
-            bad = [run for run in box.running.values() if run.task in self.crashing]
-            if any(self.now - run.began >= CRASH_AFTER_S for run in bad):
-                self._crash_for_now(life)
-        for life, at in list(self._back_at.items()):
-            if at <= self.now:
-                del self._back_at[life]
-                self._serial += 1
-                again = f"b{self._serial}"
-                self.boxes[again] = BoxModel(again, self.terms.lease_s)
-                self.entries[again] = self.entries[life]._replace(life=again)
-        for life, at in list(self._unlisted_at.items()):
-            if at <= self.now:
-                del self._unlisted_at[life]
-                self.entries.pop(life, None)
+        crashes = self.box_crashes
+        for box in list(self.boxes.values()):
+            if crashes.due(box, self.now):
+                crashes.crash_for_now(box, self.now)
+        for life in crashes.take_back(self.now):
+            self._serial += 1
+            again = f"b{self._serial}"
+            self.boxes[again] = BoxModel(again, self.terms.lease_s)
+            self.entries[again] = self.entries[life]._replace(life=again)
+        for life in crashes.take_unlisted(self.now):
+            self.entries.pop(life, None)
 
     def resize_box(self, choice: int, cpu: int) -> None:
         """Let the room of a box shrink or grow, as it says of itself; it refuses nothing
@@ -216,11 +189,6 @@
             self._room_before[life] = before, self.now + ROOM_SEEN_S
             self.entries[life] = entry._replace(cpu=cpu)
 
-    def _crash_for_now(self, life: str) -> None:
-        self._crashed(life)
-        self._back_at[life] = self.now + BACK_AFTER_S
-        self._unlisted_at[life] = self.now + STAYS_LISTED_S
-
     def cut_box(self, choice: int, seconds: float) -> None:
         """Cut a box off from every decider; it runs on."""
         life = self._pick(choice)
@@ -321,8 +289,8 @@
         else:
             outcome = box.pace(order.task, order.run, order.percent, token, self.now)
         self.check()
-        if self.crash_unanswered and self.crashing.intersection(box.running):
-            self._crash_for_now(order.life)
+        if self.box_crashes.crashes_at_once(box):
+            self.box_crashes.crash_for_now(box, self.now)
             return BoxNoAnswer("connection lost")
         return outcome
 
@@ -356,8 +324,9 @@
 
     def _dead(self, life: str) -> BoxReplaced | BoxNoAnswer:
         """Return what a call gets at the address of a life that has ended."""
-        waits = self._back_at.get(life, 0.0) > self.now
-        return BoxNoAnswer("connection refused", sent=False) if waits else BoxReplaced()
+        if self.box_crashes.is_down(life, self.now):
+            return BoxNoAnswer("connection refused", sent=False)
+        return BoxReplaced()
 
     def _unreachable(self, life: str) -> bool:
         return self.now < self.cut.get(life, 0.0)
@@ -439,12 +408,8 @@
             raise PromiseBroken(f"{run.task} began again after it was done")
         if self._failed.get(run.task, 0) >= MAX_ATTEMPTS:
             raise PromiseBroken(f"{run.task} began after its last attempt failed")
-        if self.crashes.get(run.task, 0) >= CRASHES and run.task in self.crashing:
-            self._started_after[run.task] = self._started_after.get(run.task, 0) + 1
-            if self._started_after[run.task] > MORE_STARTS:
-                raise PromiseBroken(
-                    f"{run.task} crashes its boxes and is started again"
-                )
+        if self.box_crashes.started_too_often(run.task):
+            raise PromiseBroken(f"{run.task} crashes its boxes and is started again")
         if run.spec != f"spec-{job}" or job not in self._asked:
             raise PromiseBroken(f"{run.task} was not asked for")
         self._judge_order(run, job)
@@ -478,15 +443,11 @@
             for run in box.history
             if run.how == "failed"
         )
-        prefix = f"{job}."
-        return any(
-            task.startswith(prefix) and count >= most
-            for counts, most in (
-                (failed, MAX_ATTEMPTS),
-                (self.crashes, CRASHES_TO_GIVE_UP),
-            )
-            for task, count in counts.items()
+        often = any(
+            task.startswith(f"{job}.") and count >= MAX_ATTEMPTS
+            for task, count in failed.items()
         )
+        return often or self.box_crashes.may_be_given_up(job)
 
     def settle(self, seconds: float) -> None:
         """Mend everything, cancel what lasts, and check that every accepted job comes to
