Silent boxes get leases for 1.2 s again

By its logs a box was silent for 6 s; with no lease after its silence its runs counted as lapsed 3 s later (leases_lapsed at 41:11.13, box_answers at 41:11.71 with the ends of four jobs' tasks, done meanwhile), so that they were started again and done twice. Ruled out: the first looks' count (the take-over was 10 s earlier).

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -92,20 +92,13 @@
     When each look waits 1.5 seconds for an end, and each stop is answered at once
     Then the task starts again within 4 seconds
 
-  Scenario: What ran on a box that went dark starts again one lease after its last answer
-    Looks that nobody answered renewed the lease for 1.2 s more, since they might have
-    arrived: lasting work was away for 13.4 s after a crash, with leases of 10 s.
-    Given a shard of 6 boxes among models
-    When a lasting task runs and its box goes dark for good, and its entry goes
-    Then it runs on another box within 3.5 seconds, a lease of 3 and a little
-
   Scenario: A successor counts the leases of a box from its own first look there
     From then on the box refuses its predecessor, so that no lease of that one can begin
     later. Counted from the take-over and what a predecessor may go on for, lasting work
     was away for 13.4 s with leases of 6 s, as its box went dark after a take-over.
     Given a shard of 6 boxes among models
     When a lasting task runs, a successor takes over, and the box goes dark for good
-    Then it runs on another box within 3.7 seconds, a lease of 3 and a little
+    Then it runs on another box within 4.9 seconds, as if nobody had taken over
 
   Scenario Outline: No start takes a box over its room, seed <seed>
     246, 281, 726: the room shrank while the store was away and starts were held back; they
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -388,11 +388,6 @@
     return task
 
 
-@when("a lasting task runs and its box goes dark for good, and its entry goes")
-def box_goes_dark(context):
-    go_dark(context, lasting_task(context))
-
-
 @when("a lasting task runs, a successor takes over, and the box goes dark for good")
 def dark_after_take_over(context):
     task = lasting_task(context)
@@ -401,7 +396,7 @@
     go_dark(context, task)
 
 
-@then("it runs on another box within {seconds:g} seconds, a lease of 3 and a little")
+@then("it runs on another box within {seconds:g} seconds, as if nobody had taken over")
 def runs_elsewhere(context, seconds):
     world = context.world
     others = [world.boxes[life] for life in world.entries]
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -34,6 +34,10 @@
 
 __all__ = ["Fleet", "LookPlan"]
 
+# A box that has not answered for so long gets no more lease, so that what it runs
+# has a known end. Two looks and their time-outs fit in. Without it, where leases last
+# 4 s, a box that was silent for 6 s lost what it had done meanwhile: it was done twice.
+SILENT_S: t.Final = 1.2
 # A look waits so long for an end; shorter where the pace may have to change.
 LOOK_WAIT_MS: t.Final = 1500
 LOOK_WAIT_PACED_MS: t.Final = 500
@@ -173,10 +177,10 @@
 
     def lease_until(self, box: BoxView, now: float) -> int | None:
         """Return the end of a lease renewed now, on the box's clock in ms."""
-        if not box.clock_at or box.silent_since is not None:
-            # Whether a lease arrives at a silent box is not known, so that each makes
-            # what it runs wait longer: with 1.2 s of them lasting work was away for
-            # 13.4 s after a box went dark, with leases of 10 s.
+        if not box.clock_at:
+            return None
+        silent = box.silent_since
+        if silent is not None and now - silent > SILENT_S:
             return None
         terms = self._state.terms
         box.lease_ends = max(box.lease_ends, now + terms.lease_bound_s)
