Sight: what a successor finds missing, appends that kept nothing, how old a right is

A decider compares where the store says that its topic ends with what it appended, and logs append_not_kept; took_over names records and end, load lines log_end; box_adopted counts tasks that were neither running nor listed, run_not_there names them; the age of the right with which starts leave is a histogram (start_right_age). The keeper of a box is given the right as one object in place of a function.

--- /dev/null
+++ b/features/rights.py
@@ -0,0 +1,19 @@
+"""A right to decide that the test sets."""
+
+from granitetrestle.right import Right
+
+
+class GivenRight(Right):
+    """A right of a given age."""
+
+    def __init__(self, age_s=0.0):
+        self.age = age_s
+
+    def age_s(self):
+        return self.age
+
+    def may_renew(self):
+        return True
+
+
+CONFIRMED = GivenRight()
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -29,6 +29,7 @@
 from granitetrestle.outside import OrderAccepted
 from granitetrestle.peerlink import PeerLink
 from granitetrestle_standins.nativecluster import free_port
+from rights import CONFIRMED
 
 GIVEN_UP_S = 0.7
 
@@ -114,7 +115,7 @@
         calls,
         decider,
         lambda decisions: None,
-        lambda: True,
+        CONFIRMED,
         NodeMetrics(),
         OrderWindow(),
         LoopLag(),
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -23,6 +23,7 @@
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle_bench.deciding import Load
+from rights import CONFIRMED
 
 GIVEN_UP_S = 0.4
 
@@ -89,7 +90,7 @@
                 link,
                 decider,
                 lambda decisions: None,
-                lambda: True,
+                CONFIRMED,
                 NodeMetrics(),
                 window,
                 LoopLag(),
@@ -298,7 +299,7 @@
             context.quick,
             LookingDecider(),
             lambda decisions: None,
-            lambda: True,
+            CONFIRMED,
             NodeMetrics(),
             OrderWindow(),
             measured,
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -29,6 +29,7 @@
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle.workflows import Workflow
+from rights import CONFIRMED
 
 # By how much each image stretches the work of serving tasks with a whole box.
 STRENGTHS = {"bad": 5.0, "mild": 0.3}
@@ -213,7 +214,7 @@
             context.calls,
             decider,
             lambda decisions: None,
-            lambda: True,
+            CONFIRMED,
             NodeMetrics(),
             OrderWindow(),
             LoopLag(),
--- a/src/granitetrestle/boxlife.py
+++ b/src/granitetrestle/boxlife.py
@@ -27,6 +27,7 @@
 from .outside import OrderOutcome
 from .outside import OrderRejected
 from .outside import TaskOrder
+from .right import Right
 
 __all__ = ["BoxKeeper"]
 
@@ -48,7 +49,7 @@
     """The connection between the decider and one life of a box.
 
     :param apply: takes decisions that follow from what was learnt.
-    :param may_renew: whether this process was confirmed as decider of late.
+    :param right: this process's right to decide.
     :param window: shared by all boxes of a decider.
     :param budget: of the looks at all boxes.
     :param lag: how far behind this process's own event loop is.
@@ -62,7 +63,7 @@
         boxes: BoxCalls,
         decider: Decider,
         apply: t.Callable[[list[Decision]], None],
-        may_renew: t.Callable[[], bool],
+        right: Right,
         metrics: NodeMetrics,
         window: OrderWindow,
         lag: LoopLag,
@@ -77,7 +78,7 @@
         self._boxes = boxes
         self._decider = decider
         self._apply = apply
-        self._may_renew = may_renew
+        self._right = right
         self._metrics = metrics
         self._durable = anyio.Event()
         self._work_came = anyio.Event()
@@ -160,7 +161,7 @@
 
     async def _look_once(self, waits: bool) -> bool:
         sent = time.monotonic()
-        plan = self._decider.fleet.plan_look(self._life, sent, self._may_renew())
+        plan = self._decider.fleet.plan_look(self._life, sent, self._right.may_renew())
         if plan is None:
             return False
         wait_ms = plan.wait_ms if waits else 0
@@ -206,6 +207,7 @@
                 until = self._decider.fleet.lease_until(box, time.monotonic())
             if until is None:
                 return OrderNotSent("no lease can be given")
+            self._metrics.observe("start_right_age", self._right.age_s())
             return await self._boxes.start(
                 self._order(order),
                 self._epoch,
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -238,6 +238,7 @@
             box.known = known
             effects.append(EndsKnown(box.life, known))
         box.running = {row.task: row for row in look.running}
+        placed = len(box.tasks)
         effects += self._compare(box, sent, now)
         if not box.adopted:
             box.adopted = True
@@ -245,7 +246,11 @@
             # longer: tasks were away for up to the 8 s more that one may go on for.
             lease_ends = now + self._state.terms.lease_bound_s
             box.lease_ends = min(box.lease_ends, lease_ends)
-            inputs = {"running": len(look.running), "ended": len(look.ended)}
+            inputs = {
+                "running": len(look.running),
+                "ended": len(look.ended),
+                "not_there": placed - len(box.tasks),
+            }
             effects.append(Noted("box_adopted", box.life, inputs))
             if box.entry.draining:
                 # Its leaving was seen by a predecessor, which may not have moved all.
@@ -305,8 +310,13 @@
         """A task of ours that the box does not run."""
         if not box.adopted:
             # Orders of older epochs are refused from here on: it never began.
+            inputs = {
+                "run": task.run,
+                "box": box.life,
+                "state": STATE_NAMES[task.state],
+            }
             self._progress.requeue(task, now)
-            return []
+            return [Noted("run_not_there", task.name, inputs)]
         answered = task.confirmed_at
         if not answered:
             return self._unconfirmed(task, now)
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -12,8 +12,9 @@
 from .outside import Record
 from .outside import Store
 from .outside import Writer
+from .right import Right
 
-__all__ = ["Journal", "JournalStatus"]
+__all__ = ["Journal", "JournalRight", "JournalStatus", "NotKept"]
 
 # The store's calls are priced and limited; half of this is added to a decision at
 # the mean, out of some 500 ms that a short job leaves.
@@ -43,12 +44,27 @@
     waiting_since: float | None
 
 
+class NotKept(t.NamedTuple):
+    """An append whose answer does not show that its records are kept.
+
+    :param before: where the topic ended before it, by the answer then.
+    :param end: where it ends by the answer to this one.
+    """
+
+    sequence: int
+    records: int
+    before: int
+    end: int
+
+
 class Journal:
     """The one writer of a shard's topic in one epoch.
 
     :param prepare: makes the decisions that are due and returns what to write.
     :param release: carries out what the batch held back.
     :param unanswered: told why an append is repeated, and how long it has taken.
+    :param not_kept: told of an append that was answered, and after which the store's log
+        did not end as much later as it had records.
     """
 
     def __init__(
@@ -60,6 +76,7 @@
         release: t.Callable[[list[t.Any]], None],
         clock: t.Callable[[], float],
         unanswered: t.Callable[[str, float], None],
+        not_kept: t.Callable[["NotKept"], None] = lambda _: None,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -69,6 +86,9 @@
         self._release = release
         self._clock = clock
         self._unanswered = unanswered
+        self._not_kept = not_kept
+        # Where the topic ends by the newest answer; it has one writer.
+        self._end: int | None = None
         self._held: list[t.Any] = []
         self._wake = anyio.Event()
         self._confirmed_at = clock()
@@ -82,6 +102,16 @@
         """How well the store takes our appends."""
         return JournalStatus(self._confirmed_at, self._waiting_since)
 
+    @property
+    def confirmed_age_s(self) -> float:
+        """How long ago the newest append that succeeded was sent."""
+        return self._clock() - self._confirmed_at
+
+    @property
+    def end(self) -> int | None:
+        """Where the topic ends by the newest answer."""
+        return self._end
+
     @property
     def idle(self) -> bool:
         """Whether nothing is held back."""
@@ -123,12 +153,19 @@
         began = self._waiting_since = self._clock()
         settled = await self._settle(records, writer)
         if isinstance(settled.outcome, Appended):
+            self._check_kept(writer, len(records), settled.outcome.end)
             taken = self._clock() - began
             self._usual_s += LEARNING_RATE * (taken - self._usual_s)
             self._confirmed_at = settled.sent
         self._waiting_since = None
         return settled.outcome
 
+    def _check_kept(self, writer: Writer, records: int, end: int) -> None:
+        """Compare where the topic ends with what was appended."""
+        if self._end is not None and end < self._end + records:
+            self._not_kept(NotKept(writer.sequence, records, self._end, end))
+        self._end = end if self._end is None else max(end, self._end)
+
     async def _settle(self, records: t.Sequence[Record], writer: Writer) -> "_Settled":
         """Try until the store says how the append went."""
         settled: list[_Settled] = []
@@ -166,6 +203,25 @@
         return settled[0]
 
 
+class JournalRight(Right):
+    """What the journal's appends prove.
+
+    :param orphan_s: how long leases are renewed without a new proof.
+    """
+
+    def __init__(self, journal: Journal, orphan_s: float) -> None:
+        self._journal = journal
+        self._orphan_s = orphan_s
+
+    def age_s(self) -> float:
+        """See :meth:`.right.Right.age_s`."""
+        return self._journal.confirmed_age_s
+
+    def may_renew(self) -> bool:
+        """See :meth:`.right.Right.may_renew`."""
+        return self.age_s() < self._orphan_s
+
+
 class _Settled(t.NamedTuple):
     """How an append went.
 
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -34,6 +34,8 @@
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
 from .journal import Journal
+from .journal import JournalRight
+from .journal import NotKept
 from .lookbudget import LookBudget
 from .looplag import LoopLag
 from .mechanisms import Mechanism
@@ -101,7 +103,9 @@
             # taken over, and an answer would rest on what was confirmed before.
             steadyclock.now,
             self._append_unanswered,
+            self._append_not_kept,
         )
+        self._right = JournalRight(self._journal, terms.orphan_s)
         parts = (sources, self._decider, self._apply, log)
         self._operators = OperatorFeed(*parts)
         self._listed = BoxFeed(*parts)
@@ -136,6 +140,8 @@
             "looks_to_begin": float(self._budget.opening.waiting),
             "halls_evacuated": float(len(self._decider.state.evacuated_halls)),
             "orders_unreadable": float(self._operators.unreadable),
+            "log_end": float(self._journal.end or 0),
+            "right_age_s": round(self._right.age_s(), 3),
         }
 
     @property
@@ -216,6 +222,8 @@
             "took_over",
             epoch=self._epoch,
             jobs=len(self._decider.state.workflows),
+            records=len(jobs.records),
+            end=jobs.end,
             boxes=len(self._listed),
             config=self.config.version if self.config else None,
             took_s=round(now - started, 3),
@@ -238,6 +246,10 @@
                 waiting_s=round(waiting_s, 3),
             )
 
+    def _append_not_kept(self, what: NotKept) -> None:
+        self._metrics.count("append_not_kept")
+        self._log.event("append_not_kept", epoch=self._epoch, **what._asdict())
+
     def _store_answers(self) -> None:
         if self._store_lost_at is not None:
             lost_s = time.monotonic() - self._store_lost_at
@@ -294,7 +306,7 @@
             self._sources.boxes,
             self._decider,
             self._apply,
-            self._may_renew,
+            self._right,
             self._metrics,
             self._window,
             self._lag,
@@ -316,10 +328,6 @@
             advice = await self._sources.advisor.advise(step, asked.lives)
         self._apply(self._decider.advised(asked, advice, time.monotonic()))
 
-    def _may_renew(self) -> bool:
-        age = steadyclock.now() - self._journal.status.confirmed_at
-        return age < self._terms.orphan_s
-
     def _release(self, held: list[t.Any]) -> None:
         self._store_answers()
         for decision in held:
