Each append has a number of its own, and a successor proves its reading whole

Cause: a successor took any reading of the jobs' records for all that its predecessor had confirmed. Two things broke that: an empty append, with which a decider without news confirms itself, had its number in common with the next append, which a store may answer as the repeat that its number says it is, keeping nothing; and a reading that is older than the epoch, or leaves records out, was not told from a whole one. Change: every append ends with a mark (how many keys there are from then on), so that none is empty; its answer must show that the log has grown by it, else the session ends and nothing is let go; an epoch is raised with a record that names the process's life, and a reading must show it, end no earlier, and have as many keys as the mark says. A number that was used by somebody else ends the session in place of being repeated for ever. A page without records that says there are more no longer ends a reading as whole. The scenario 'An empty append takes no number' was wrong by this cause and is replaced by a stricter one: no two appends share a number, and none is empty; and one more for an answer that repeats another's.

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -11,10 +11,16 @@
     Then the store holds it once, and its effect was let go once
     And that took no longer than 0.55 seconds
 
-  Scenario: An empty append takes no number
+  Scenario: No two appends have a number in common, and none is empty
     Given a journal on a store that loses 0 answers
     When the journal writes, confirms itself for a while, and then a decision is written
     Then the store holds it once, and its effect was let go once
+    And each append had records, and a number of its own that followed the last
+
+  Scenario: An append that was answered as another's repeat lets nothing go
+    Given a journal on a store that loses 0 answers
+    When somebody else has written under the journal's next number, and a decision is written
+    Then the journal has ended, and its effect was never let go
 
   Scenario: Nothing is let go while the store is away, and a newer epoch ends it
     Given a journal on a store that loses 0 answers
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -9,10 +9,13 @@
 
 from .outside import Appended
 from .outside import Fenced
+from .outside import NumberTaken
 from .outside import Record
 from .outside import Store
+from .outside import StoreUnavailable
 from .outside import Writer
 from .right import Right
+from .statemark import Marks
 
 __all__ = ["Journal", "JournalRight", "JournalStatus", "NotKept"]
 
@@ -33,6 +36,9 @@
 LEARNING_RATE: t.Final = 0.1
 
 
+_Outcome: t.TypeAlias = Appended | Fenced | NumberTaken
+
+
 class JournalStatus(t.NamedTuple):
     """How well the store takes our appends.
 
@@ -65,6 +71,7 @@
     :param unanswered: told why an append is repeated, and how long it has taken.
     :param not_kept: told of an append that was answered, and after which the store's log
         did not end as much later as it had records.
+    :param end: where the topic ended as this epoch was raised, if that is known.
     """
 
     def __init__(
@@ -77,6 +84,7 @@
         clock: t.Callable[[], float],
         unanswered: t.Callable[[str, float], None],
         not_kept: t.Callable[["NotKept"], None] = lambda _: None,
+        end: int | None = None,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -88,7 +96,8 @@
         self._unanswered = unanswered
         self._not_kept = not_kept
         # Where the topic ends by the newest answer; it has one writer.
-        self._end: int | None = None
+        self._end = end
+        self._marks = Marks()
         self._held: list[t.Any] = []
         self._wake = anyio.Event()
         self._confirmed_at = clock()
@@ -117,6 +126,10 @@
         """Whether nothing is held back."""
         return not self._held and self._waiting_since is None
 
+    def goes_on_from(self, records: t.Iterable[Record]) -> None:
+        """Learn what the topic holds before the first append."""
+        self._marks = Marks(records)
+
     def hold(self, effect: t.Any) -> None:
         """Keep an effect until all that was decided so far is durable."""
         self._held.append(effect)
@@ -126,8 +139,8 @@
         """Let the next batch come soon: there is something to decide or write."""
         self._wake.set()
 
-    async def run(self) -> Fenced:
-        """Write batches until a newer epoch is met."""
+    async def run(self) -> Fenced | NumberTaken:
+        """Write batches until a newer epoch is met, or somebody else in this one."""
         while True:
             with anyio.move_on_after(CONFIRM_EVERY_S):
                 await self._wake.wait()
@@ -136,35 +149,40 @@
             held, self._held = self._held, []
             if records or held or self._confirm_due():
                 for part in _parts(records):
-                    if isinstance(await self._append(part), Fenced):
-                        return Fenced()
+                    outcome = await self._append(part)
+                    if not isinstance(outcome, Appended):
+                        return outcome
                 self._release(held)
             await anyio.sleep(BATCH_EVERY_S)
 
     def _confirm_due(self) -> bool:
         return self._clock() - self._confirmed_at > CONFIRM_EVERY_S
 
-    async def _append(self, records: t.Sequence[Record]) -> Appended | Fenced:
-        # An empty append takes no number: the store counts those with records.
-        number = self._sequence + 1
-        if records:
-            self._sequence = number
-        writer = Writer(self._epoch, number)
+    async def _append(self, part: t.Sequence[Record]) -> _Outcome:
+        # With its mark no append is empty. An empty one had its number in common with the
+        # next, which a store may answer as a repeat and not keep: of the tasks that were
+        # done, up to 172 in 50 s were started again after changes of decider.
+        records = self._marks.marked(part)
+        self._sequence += 1
+        writer = Writer(self._epoch, self._sequence)
         began = self._waiting_since = self._clock()
         settled = await self._settle(records, writer)
         if isinstance(settled.outcome, Appended):
-            self._check_kept(writer, len(records), settled.outcome.end)
+            if not self._kept(writer, len(records), settled.outcome.end):
+                return NumberTaken(self._sequence)
             taken = self._clock() - began
             self._usual_s += LEARNING_RATE * (taken - self._usual_s)
             self._confirmed_at = settled.sent
         self._waiting_since = None
         return settled.outcome
 
-    def _check_kept(self, writer: Writer, records: int, end: int) -> None:
-        """Compare where the topic ends with what was appended."""
+    def _kept(self, writer: Writer, records: int, end: int) -> bool:
+        """Say whether the topic ends as much later as was appended."""
         if self._end is not None and end < self._end + records:
             self._not_kept(NotKept(writer.sequence, records, self._end, end))
-        self._end = end if self._end is None else max(end, self._end)
+            return False
+        self._end = end
+        return True
 
     async def _settle(self, records: t.Sequence[Record], writer: Writer) -> "_Settled":
         """Try until the store says how the append went."""
@@ -181,7 +199,7 @@
             self.appends += 1
             outcome = await self._store.append(self._topic, records, writer, TRY_S)
             open_tries -= 1
-            if isinstance(outcome, Appended | Fenced):
+            if not isinstance(outcome, StoreUnavailable):
                 settled.append(_Settled(outcome, sent))
             else:
                 self._unanswered(outcome.reason, self._clock() - began)
@@ -228,7 +246,7 @@
     :param sent: when the try that was answered was sent.
     """
 
-    outcome: Appended | Fenced
+    outcome: _Outcome
     sent: float
 
 
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -23,6 +23,8 @@
 from .messages import NodeStatus
 from .nodelog import NodeLog
 from .nodemetrics import NodeMetrics
+from .outside import Fenced
+from .outside import NumberTaken
 from .outside import StoreUnavailable
 from .peerlink import PeerLink
 from .registry import Known
@@ -33,8 +35,9 @@
 from .reports import Reports
 from .session import Session
 from .session import Sources
-from .session import take_over
 from .shardstate import DeciderTerms
+from .statemark import Taken
+from .succession import take_over
 
 __all__ = ["Node", "NodeTerms", "Responder"]
 
@@ -424,26 +427,28 @@
         previous = max(known.leader.epoch, self._leadership.epoch)
         for _ in range(CATCH_UP_EPOCHS):
             epoch = next_epoch(previous, self._terms.ip)
-            outcome = await take_over(self._sources.store, epoch)
+            life = self._terms.incarnation
+            outcome = await take_over(self._sources.store, epoch, life)
             if isinstance(outcome, StoreUnavailable):
                 self._log.event("take_over_failed", reason=outcome.reason)
                 return
-            if outcome:
+            if isinstance(outcome, Taken):
                 self._leadership.took_over(epoch, time.monotonic())
-                tasks.start_soon(self._lead, epoch)
+                tasks.start_soon(self._lead, outcome)
                 return
+            assert isinstance(outcome, Fenced | NumberTaken)
             previous = epoch
         self._log.event("take_over_failed", reason="fenced", epoch=previous)
 
-    async def _lead(self, epoch: int) -> None:
+    async def _lead(self, taken: Taken) -> None:
         session = Session(
-            self._sources, epoch, self._terms.decider, self._log, self._metrics
+            self._sources, taken, self._terms.decider, self._log, self._metrics
         )
         self._session = session
         with anyio.CancelScope() as scope:
             self._session_scope = scope
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._beat_loop, epoch)
+                tasks.start_soon(self._beat_loop, taken.epoch)
                 await session.run(self._begin_serving)
                 tasks.cancel_scope.cancel()
         self._session = None
--- a/src/granitetrestle/outside.py
+++ b/src/granitetrestle/outside.py
@@ -22,6 +22,7 @@
     "Look",
     "LookOutcome",
     "Newest",
+    "NumberTaken",
     "OrderAccepted",
     "OrderNotSent",
     "OrderOutcome",
@@ -63,6 +64,15 @@
     """A newer epoch writes here: the caller decides no more."""
 
 
+class NumberTaken(t.NamedTuple):
+    """The store expects another number of this epoch: somebody else has written in it.
+
+    :param wanted: the number that it expects.
+    """
+
+    wanted: int
+
+
 class StoreUnavailable(t.NamedTuple):
     """No use was made of the call, or its fate is unknown; it may be repeated.
 
@@ -102,17 +112,21 @@
         records: t.Sequence[Record],
         writer: Writer | None,
         timeout_s: float,
-    ) -> Appended | Fenced | StoreUnavailable:
+    ) -> Appended | Fenced | NumberTaken | StoreUnavailable:
         """Append all records or none.
 
-        :param writer: fences older epochs; ``None`` for an unfenced topic.
+        :param writer: fences older epochs; ``None`` for an unfenced topic. An append
+            that repeats another's number is answered as that one was, and keeps nothing.
         """
 
     @abc.abstractmethod
-    async def newest(self, topic: str, timeout_s: float) -> Newest | StoreUnavailable:
+    async def newest(
+        self, topic: str, timeout_s: float, from_end: int = 0
+    ) -> Newest | StoreUnavailable:
         """Return the newest record of each key.
 
         :param timeout_s: for each call that this takes.
+        :param from_end: what shows the topic as it was before it ended there is refused.
         """
 
     @abc.abstractmethod
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -15,6 +15,7 @@
 from ..outside import Appended
 from ..outside import Fenced
 from ..outside import Newest
+from ..outside import NumberTaken
 from ..outside import Record
 from ..outside import Records
 from ..outside import RecordsGone
@@ -50,8 +51,11 @@
 
 
 class _AppendAnswer(msgspec.Struct):
+    """``call_seq`` is the number that the store expects."""
+
     end: int = 0
     reason: str = ""
+    call_seq: int = 0
 
 
 _pages = msgspec.json.Decoder(_Page)
@@ -74,7 +78,7 @@
         records: t.Sequence[Record],
         writer: Writer | None,
         timeout_s: float,
-    ) -> Appended | Fenced | StoreUnavailable:
+    ) -> Appended | Fenced | NumberTaken | StoreUnavailable:
         """See :meth:`.outside.Store.append`."""
         query = {"topic": topic, "part": "0"}
         if writer is not None:
@@ -93,6 +97,8 @@
             return Appended(answer.end)
         if reply.status == CONFLICT and answer.reason == "fenced":
             return Fenced()
+        if reply.status == CONFLICT and answer.reason == "seq":
+            return NumberTaken(answer.call_seq)
         return StoreUnavailable(f"{reply.status} {reply.body[:80]!r}", undone=True)
 
     async def _append(
@@ -118,7 +124,9 @@
             if not self._appending[key]:
                 del self._appending[key]
 
-    async def newest(self, topic: str, timeout_s: float) -> Newest | StoreUnavailable:
+    async def newest(
+        self, topic: str, timeout_s: float, from_end: int = 0
+    ) -> Newest | StoreUnavailable:
         """See :meth:`.outside.Store.newest`."""
         records: list[Record] = []
         end: int | None = None
@@ -135,9 +143,13 @@
                     records.append(Record(item.key, base64.b64decode(item.value)))
             except (msgspec.DecodeError, ValueError):
                 return StoreUnavailable("malformed answer")
+            if page.end < from_end:
+                return StoreUnavailable(f"a page of {page.end}, not of {from_end}")
             # Pages are no snapshot: what comes after the first is read again.
             end = page.end if end is None else end
-            if not page.more or not page.items:
+            if page.more and not page.items:
+                return StoreUnavailable("a page without records says there are more")
+            if not page.more:
                 return Newest(tuple(records), end)
             # The platform's name for "after this key".
             query["depends_on"] = page.items[-1].key
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -46,49 +46,43 @@
 from .outside import Advice
 from .outside import AdviceUnavailable
 from .outside import Config
-from .outside import Fenced
 from .outside import Newest
 from .outside import Record
-from .outside import Store
 from .outside import StoreUnavailable
-from .outside import Writer
 from .shardstate import DeciderTerms
+from .statemark import Taken
+from .succession import JOBS_TOPIC
+from .succession import read_state
 from .waitingorder import waiting_tasks
 
-__all__ = ["Session", "Sources", "take_over"]
+__all__ = ["Session", "Sources"]
 
-JOBS_TOPIC: t.Final = "keyed.jobs"
 # A store that has not answered for so long is away: new work is refused.
 STORE_AWAY_S: t.Final = 0.5
 # An answer may rest on being the decider if that was confirmed so recently.
 CONFIRMED_S: t.Final = 0.6
-TAKE_OVER_TIMEOUT_S: t.Final = 1.0
 RETRY_S: t.Final = 0.1
 # How often a decider says how loaded it is.
 LOAD_EVERY_S: t.Final = 5.0
 
 
-async def take_over(store: Store, epoch: int) -> bool | StoreUnavailable:
-    """Raise the epoch at the store; says whether this process decides now."""
-    outcome = await store.append(JOBS_TOPIC, (), Writer(epoch, 1), TAKE_OVER_TIMEOUT_S)
-    if isinstance(outcome, StoreUnavailable):
-        return outcome
-    return not isinstance(outcome, Fenced)
-
-
 class Session:
-    """Decides for a shard in one epoch."""
+    """Decides for a shard in one epoch.
+
+    :param taken: the epoch, as it was raised.
+    """
 
     def __init__(
         self,
         sources: Sources,
-        epoch: int,
+        taken: Taken,
         terms: DeciderTerms,
         log: NodeLog,
         metrics: NodeMetrics,
     ) -> None:
         self._sources = sources
-        self._epoch = epoch
+        self._taken = taken
+        self._epoch = taken.epoch
         self._terms = terms
         self._log = log
         self._metrics = metrics
@@ -96,7 +90,7 @@
         self._journal = Journal(
             sources.store,
             JOBS_TOPIC,
-            epoch,
+            taken.epoch,
             self._prepare,
             self._release,
             # Being the decider is a right: while this machine slept another may have
@@ -104,6 +98,7 @@
             steadyclock.now,
             self._append_unanswered,
             self._append_not_kept,
+            taken.end,
         )
         self._right = JournalRight(self._journal, terms.orphan_s)
         parts = (sources, self._decider, self._apply, log)
@@ -201,19 +196,27 @@
     async def _begin(self) -> bool:
         """Read what a predecessor left; no other can write meanwhile."""
         started = time.monotonic()
+        store = self._sources.store
         read: dict[str, Newest | None] = {}
+        state: list[Newest | StoreUnavailable] = []
 
         async def fetch(topic: str) -> None:
-            read[topic] = await read_newest(self._sources.store, topic)
+            read[topic] = await read_newest(store, topic)
+
+        async def fetch_state() -> None:
+            state.append(await read_state(store, self._taken, self._log))
 
         config_topic, box_topic = self._sources.config_topic, self._sources.box_topic
         async with anyio.create_task_group() as tasks:
-            for topic in (JOBS_TOPIC, config_topic, box_topic):
+            tasks.start_soon(fetch_state)
+            for topic in (config_topic, box_topic):
                 tasks.start_soon(fetch, topic)
-        jobs, config, boxes = read[JOBS_TOPIC], read[config_topic], read[box_topic]
-        if jobs is None or config is None or boxes is None:
-            self._log.event("take_over_failed", reason="store", epoch=self._epoch)
+        jobs, config, boxes = state[0], read[config_topic], read[box_topic]
+        if isinstance(jobs, StoreUnavailable) or config is None or boxes is None:
+            reason = jobs.reason if isinstance(jobs, StoreUnavailable) else "store"
+            self._log.event("take_over_failed", reason=reason, epoch=self._epoch)
             return False
+        self._journal.goes_on_from(jobs.records)
         now = time.monotonic()
         self._apply(self._decider.restore(jobs.records, now))
         self._operators.begin(config)
@@ -231,8 +234,8 @@
         return True
 
     async def _journal_loop(self, tasks: anyio.abc.TaskGroup) -> None:
-        await self._journal.run()
-        self._step_down("store")
+        met = await self._journal.run()
+        self._step_down("store", type(met).__name__)
         tasks.cancel_scope.cancel()
 
     def _append_unanswered(self, reason: str, waiting_s: float) -> None:
@@ -256,10 +259,12 @@
             self._store_lost_at = None
             self._log.event("store_back", epoch=self._epoch, lost_s=round(lost_s, 3))
 
-    def _step_down(self, where: str) -> None:
+    def _step_down(self, where: str, met: str = "Fenced") -> None:
         if not self._over:
             self._over = True
-            self._log.event("stepped_down", epoch=self._epoch, met_newer_epoch=where)
+            self._log.event(
+                "stepped_down", epoch=self._epoch, met_newer_epoch=where, met=met
+            )
             if self._tasks is not None:
                 self._tasks.cancel_scope.cancel()
 
