A start leaves only on a right that is fresh, else when it is confirmed anew

Cause: a start that was decided, written and let go left whenever its turn came, however long its process had stood still; a decider that was told of a newer epoch by others went on until a box or the store turned it away. Change: one place, Right.confirmed, is passed by each start as it is sent: a right that was confirmed within 0.8 s lets it go at once, an older one, or one that others' reports put in doubt, after an append that is sent from then on has succeeded. Stops end a run for good whoever decides, paces rest on the lease's right; both go on. Time spent waiting for the right does not count as the path's.

--- a/features/rights.py
+++ b/features/rights.py
@@ -15,5 +15,8 @@
     def may_renew(self):
         return True
 
+    async def confirmed(self):
+        pass
+
 
 CONFIRMED = GivenRight()
--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,184 @@
+"""Steps of the scenarios over orders that leave late."""
+
+import time
+
+import anyio
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.outside import Appended
+from granitetrestle.outside import Writer
+from granitetrestle.statemark import Taken
+from granitetrestle.succession import JOBS_TOPIC
+from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+from granitetrestle_standins.nativestore import StoreModel
+from session_world import SessionWorld
+from session_world import WaitingStore
+
+# Long enough for what was let go to leave.
+AFTER_S = 1.5
+
+
+def job(tasks, name="1"):
+    step = Step(count=tasks, cpu=500, memory_mb=10, estimate_ms=200)
+    return Submission(name.rjust(16, "0"), "q", "pool", "s", (step,))
+
+
+@given("a decider, and a box that takes {seconds:g} seconds to answer each start")
+def slow_box(context, seconds):
+    context.world = SessionWorld(WaitingStore(StoreModel()), 1, context.folder)
+    boxes = context.world.boxes
+    start = boxes.start
+    context.arrived = []
+
+    async def slow_start(order, *rest):
+        context.arrived.append(time.monotonic())
+        outcome = await start(order, *rest)
+        await anyio.sleep(seconds)
+        return outcome
+
+    boxes.start = slow_start
+
+
+def successor(context):
+    """Let another process raise the epoch; it has not reached the box yet."""
+    record = Taken.record("another")
+    context.world.store.model.append(JOBS_TOPIC, [record], Writer(2, 1))
+
+
+def stand_still(seconds):
+    """Stop the whole process, as a signal or a busy machine does."""
+    time.sleep(seconds)
+
+
+async def has_begun(context, starts):
+    with anyio.fail_after(5.0):
+        while len(context.arrived) < starts:
+            await anyio.sleep(0.005)
+
+
+def play(context, tasks, meanwhile):
+    async def script():
+        async with context.world.session(1) as session:
+            async with anyio.create_task_group() as group:
+                group.start_soon(session.call, "r", SubmitJob(job(tasks)))
+                await has_begun(context, 1)
+            await meanwhile(session)
+            context.since = time.monotonic()
+            await anyio.sleep(AFTER_S)
+            context.over = session.over
+
+    anyio.run(script)
+
+
+@when(
+    "it has {tasks:d} tasks to start there, stands still for {seconds:g} seconds, and "
+    "another takes over meanwhile"
+)
+def stands_still(context, tasks, seconds):
+    async def meanwhile(session):
+        successor(context)
+        stand_still(seconds)
+
+    play(context, tasks, meanwhile)
+
+
+@when("it has {tasks:d} tasks to start there, and stands still for {seconds:g} seconds")
+def only_stands_still(context, tasks, seconds):
+    async def meanwhile(session):
+        stand_still(seconds)
+        # Eight starts, four at a time, and the tasks' own time.
+        await anyio.sleep(2.0)
+
+    play(context, tasks, meanwhile)
+
+
+@when(
+    "it has {tasks:d} tasks to start there, and hears of a newer epoch, which the store "
+    "knows"
+)
+def hears_of_another(context, tasks):
+    async def meanwhile(session):
+        successor(context)
+        session.hears_of(2)
+
+    play(context, tasks, meanwhile)
+
+
+@when(
+    "it stands still for {seconds:g} seconds as the answer to its record is on the way, "
+    "and another takes over meanwhile"
+)
+def stands_still_at_the_answer(context, seconds):
+    store = context.world.store
+    append = store.append
+
+    async def late_answer(topic, records, writer, timeout_s):
+        outcome = await append(topic, records, writer, timeout_s)
+        started = any(record.key.startswith("t/") for record in records)
+        if started and isinstance(outcome, Appended):
+            successor(context)
+            stand_still(seconds)
+            context.since = time.monotonic()
+        return outcome
+
+    store.append = late_answer
+
+    async def script():
+        async with context.world.session(1) as session:
+            with anyio.move_on_after(AFTER_S + seconds):
+                await session.call("r", SubmitJob(job(8)))
+                await anyio.sleep(AFTER_S)
+            context.over = session.over
+
+    anyio.run(script)
+
+
+@when("it starts {tasks:d} tasks, one job after the other")
+def starts_many(context, tasks):
+    async def script():
+        async with context.world.session(1) as session:
+            context.waits = []
+            confirmed = session._right.confirmed
+
+            async def measured():
+                began = time.perf_counter()
+                await confirmed()
+                context.waits.append(time.perf_counter() - began)
+
+            session._right.confirmed = measured
+            for number in range(tasks // 8):
+                submission = job(8, f"{number + 1}")
+                await session.call(f"r{number}", SubmitJob(submission))
+                await has_begun(context, 8 * (number + 1))
+
+    anyio.run(script)
+
+
+@then("no order of it reaches the box after that, and it has stepped down")
+def nothing_arrives(context):
+    late = [
+        round(at - context.since, 3) for at in context.arrived if at > context.since
+    ]
+    assert not late, f"{len(late)} starts reached the box, after {late} s"
+    assert context.over
+
+
+@then("each of the {tasks:d} tasks runs once")
+def runs_once(context, tasks):
+    runs = [(task, run) for task, run, _ in context.world.boxes.runs()]
+    assert len({task for task, _ in runs}) == len(runs) == tasks, runs
+
+
+@then(
+    "half of its starts had to wait {half:g} ms or less for its right, and 99 in 100 "
+    "{most:g} ms or less"
+)
+def hardly_wait(context, half, most):
+    waits = sorted(1000.0 * wait for wait in context.waits)
+    assert len(waits) >= 100, len(waits)
+    assert waits[len(waits) // 2] <= half, waits
+    assert waits[len(waits) * 99 // 100] <= most, waits
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -241,6 +241,7 @@
             self._over = False
             self._operators = self
             self._journal = self
+            self._right = JournalRight(self, DeciderTerms().orphan_s)
             self._come_back = SteadyReturns()
 
         config = CONFIG
@@ -250,7 +251,11 @@
             confirmed_at = steadyclock.now() - seconds
             waiting_since = steadyclock.now() - seconds
 
-        def nudge(self):
+        @property
+        def confirmed_age_s(self):
+            return steadyclock.now() - self.status.confirmed_at
+
+        def ask(self):
             pass
 
     context.session = Away()
@@ -444,7 +449,7 @@
         def confirmed_age_s(self):
             return steadyclock.now() - self.status.confirmed_at
 
-        def nudge(self):
+        def ask(self):
             self.nudged += 1
             self.status.confirmed_at = steadyclock.now()
 
--- a/src/granitetrestle/boxlife.py
+++ b/src/granitetrestle/boxlife.py
@@ -271,6 +271,10 @@
         self, send: t.Callable[[], t.Awaitable[OrderOutcome]], kind: int
     ) -> OrderOutcome:
         async with self._window.turn(kind, self._life) as turn:
+            if kind != FIRST:
+                # A stop ends a run for good whoever decides; a start begins one.
+                await self._right.confirmed()
+                turn.begins(time.monotonic())
             outcome = await send()
             if not isinstance(outcome, OrderNotSent):
                 turn.ended(not isinstance(outcome, BoxNoAnswer), time.monotonic())
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -3,6 +3,7 @@
 the store says how it went; only a newer epoch ends that. A repeat does not end the
 try before it: a store that is slow answers that one first."""
 
+import math
 import typing as t
 
 import anyio
@@ -31,6 +32,10 @@
 TRY_S: t.Final = 1.2
 MOST_TRIES_AT_ONCE: t.Final = 3
 RETRY_EVERY_S: t.Final = 0.08
+# A right is fresh for so long; nobody takes over sooner after a decider's last sign of
+# life. After a longer stand-still all starts in hand left at once, up to three times the
+# order window's size, while another decided.
+FRESH_S: t.Final = 0.8
 RECORDS_BYTES: t.Final = 1_500_000
 USUAL_S: t.Final = 0.012
 LEARNING_RATE: t.Final = 0.1
@@ -99,6 +104,9 @@
         self._end = end
         self._marks = Marks()
         self._held: list[t.Any] = []
+        # Whether somebody waits for the next append, and what tells that one succeeded.
+        self._asked = False
+        self._success = anyio.Event()
         self._wake = anyio.Event()
         self._confirmed_at = clock()
         self._waiting_since: float | None = None
@@ -139,15 +147,32 @@
         """Let the next batch come soon: there is something to decide or write."""
         self._wake.set()
 
+    def now(self) -> float:
+        """Return the time on the clock by which appends are timed."""
+        return self._clock()
+
+    def ask(self) -> None:
+        """Let an append come soon, whether or not there is something to write."""
+        self._asked = True
+        self.nudge()
+
+    async def confirm(self) -> None:
+        """Return once an append that is sent from now on has succeeded."""
+        asked_at = self._clock()
+        while self._confirmed_at < asked_at:
+            self.ask()
+            await self._success.wait()
+
     async def run(self) -> Fenced | NumberTaken:
         """Write batches until a newer epoch is met, or somebody else in this one."""
         while True:
             with anyio.move_on_after(CONFIRM_EVERY_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
+            asked, self._asked = self._asked, False
             records = self._prepare()
             held, self._held = self._held, []
-            if records or held or self._confirm_due():
+            if records or held or asked or self._confirm_due():
                 for part in _parts(records):
                     outcome = await self._append(part)
                     if not isinstance(outcome, Appended):
@@ -173,6 +198,8 @@
             taken = self._clock() - began
             self._usual_s += LEARNING_RATE * (taken - self._usual_s)
             self._confirmed_at = settled.sent
+            self._success.set()
+            self._success = anyio.Event()
         self._waiting_since = None
         return settled.outcome
 
@@ -230,6 +257,17 @@
     def __init__(self, journal: Journal, orphan_s: float) -> None:
         self._journal = journal
         self._orphan_s = orphan_s
+        self._doubted_at = -math.inf
+
+    def doubt(self) -> None:
+        """Take nothing for confirmed until it is anew: others follow a newer epoch."""
+        self._doubted_at = self._journal.now()
+        self._journal.ask()
+
+    def fresh(self, within_s: float) -> bool:
+        """Say whether the right was confirmed within so many seconds."""
+        confirmed_at = self._journal.status.confirmed_at
+        return confirmed_at >= self._doubted_at and self.age_s() < within_s
 
     def age_s(self) -> float:
         """See :meth:`.right.Right.age_s`."""
@@ -239,6 +277,11 @@
         """See :meth:`.right.Right.may_renew`."""
         return self.age_s() < self._orphan_s
 
+    async def confirmed(self) -> None:
+        """See :meth:`.right.Right.confirmed`."""
+        if not self.fresh(FRESH_S):
+            await self._journal.confirm()
+
 
 class _Settled(t.NamedTuple):
     """How an append went.
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -268,6 +268,8 @@
     def _heard(self, status: NodeStatus) -> None:
         now = time.monotonic()
         self._say(self._reports.heard(status, self._own_state(), now))
+        if self._session is not None:
+            self._session.hears_of(self._leadership.epoch)
         self._leader_changed()
 
     def _say(self, reports: list[Report]) -> None:
--- a/src/granitetrestle/right.py
+++ b/src/granitetrestle/right.py
@@ -1,5 +1,5 @@
-"""The right of a decider to act, as it leaves a process: an order may wait, or its process
-stand still, between the decision and the moment it is sent."""
+"""The right of a decider to act, as it is when something leaves its process: an order may
+wait, or its process stand still, between the decision and the moment it is sent."""
 
 import abc
 
@@ -17,3 +17,8 @@
     @abc.abstractmethod
     def may_renew(self) -> bool:
         """Say whether leases of what runs may still be renewed."""
+
+    @abc.abstractmethod
+    async def confirmed(self) -> None:
+        """Return once a start may leave: at once if the right is fresh, else when it has
+        been confirmed anew. Does not return if another process decides."""
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -115,6 +115,8 @@
         self._callers: dict[str, _Caller] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._over = False
+        # The newest epoch that others are known to follow.
+        self._epoch_heard = taken.epoch
         self._store_lost_at: float | None = None
 
     @property
@@ -375,13 +377,21 @@
             raise Deposed
         return caller.outcome
 
+    def hears_of(self, epoch: int) -> None:
+        """Learn that other processes follow an epoch: a newer one must be ruled out by
+        the store before anything leaves."""
+        if epoch > self._epoch_heard:
+            self._epoch_heard = epoch
+            self._log.event("newer_epoch_heard", epoch=self._epoch, heard=epoch)
+            self._right.doubt()
+
     async def confirm(self) -> bool:
         """Return once this process is proved to decide still, or false as soon as the
         store is away, so that nobody waits for what can't be answered.
 
         :raises Deposed: if it does not decide any more.
         """
-        if steadyclock.now() - self._journal.status.confirmed_at < CONFIRMED_S:
+        if self._right.fresh(CONFIRMED_S):
             return True
         asked = steadyclock.now()
         while self._journal.status.confirmed_at < asked:
@@ -389,7 +399,7 @@
                 raise Deposed
             if self.store_away:
                 return False
-            self._journal.nudge()
+            self._journal.ask()
             await anyio.sleep(RETRY_S)
         return True
 
