A process that returns under its name sees that its old epoch is used

Cause, of the same class: an epoch is made of the one before and the process's address, so that a process that was killed right after it raised one could raise it again in its next life; the store then answers what it writes first as repeats of what the first life wrote (kept nothing), or refuses its number for ever ('409 seq' was repeated without end). Change: the record that raises an epoch names epoch and life; a reading that shows another life in this epoch, or a number that is taken, ends the try at once, and the next epoch is raised.

--- a/features/session_world.py
+++ b/features/session_world.py
@@ -195,12 +195,12 @@
         return BoxEntry(life, life, "pool", "h", "r", frozenset(), *room, False, None)
 
     @contextlib.asynccontextmanager
-    async def session(self, epoch):
+    async def session(self, epoch, life=""):
         """Let a process take over; it is killed as the block ends."""
         log = NodeLog(descriptor=os.dup(self._log_file.fileno()), node=f"n{epoch}")
         ready = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            taken = await take_over(self.store, epoch, f"life-{epoch}")
+            taken = await take_over(self.store, epoch, life or f"life-{epoch}")
             session = Session(self._sources, taken, TERMS, log, NodeMetrics())
             tasks.start_soon(session.run, ready.set)
             with anyio.fail_after(10.0):
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -45,7 +45,7 @@
 
 def successor(context):
     """Let another process raise the epoch; it has not reached the box yet."""
-    record = Taken.record("another")
+    record = Taken.record(2, "another")
     context.world.store.model.append(JOBS_TOPIC, [record], Writer(2, 1))
 
 
--- a/features/steps/succession_steps.py
+++ b/features/steps/succession_steps.py
@@ -7,6 +7,11 @@
 from behave import then
 from behave import when
 
+from granitetrestle.nodelog import NodeLog
+from granitetrestle.outside import NumberTaken
+from granitetrestle.statemark import Taken
+from granitetrestle.succession import read_state
+from granitetrestle.succession import take_over
 from granitetrestle_standins.nativestore import StoreModel
 from session_world import CountingModel
 from session_world import CutShort
@@ -75,6 +80,33 @@
     anyio.run(script)
 
 
+@when(
+    "a process raises an epoch, does {jobs:d} jobs of {tasks:d} tasks, is killed, and "
+    "raises it again in a new life"
+)
+def same_epoch(context, jobs, tasks):
+    world = context.world
+
+    async def script():
+        async with world.session(1, "first life") as session:
+            for _ in range(jobs):
+                await world.do_job(session, tasks)
+        context.taken = await take_over(world.store, 1, "second life")
+        if isinstance(context.taken, Taken):
+            log = NodeLog(descriptor=2)
+            context.read = await read_state(world.store, context.taken, log)
+
+    anyio.run(script)
+
+
+@then("the new life sees that the epoch is used, and decides nothing in it")
+def sees_used(context):
+    if isinstance(context.taken, Taken):
+        assert isinstance(context.read, NumberTaken), context.read
+    else:
+        assert isinstance(context.taken, NumberTaken), context.taken
+
+
 @then("each task ran once, and the successor knows each job as completed")
 def ran_once(context):
     world = context.world
--- a/features/succession.feature
+++ b/features/succession.feature
@@ -20,3 +20,14 @@
       | counts the numbers of empty appends                        |
       | shows records as they were 2 seconds ago, for 3 readings   |
       | leaves out the last half of the records, for 3 readings    |
+
+  Scenario Outline: A process that returns under its name does not decide in its old epoch
+    Given a store that counts only appends with records, and 3 boxes
+    When a process raises an epoch, does <jobs> jobs of 8 tasks, is killed, and raises it again in a new life
+    Then the new life sees that the epoch is used, and decides nothing in it
+
+    Examples:
+      | jobs |
+      | 0    |
+      | 1    |
+      | 4    |
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -47,6 +47,7 @@
 from .outside import AdviceUnavailable
 from .outside import Config
 from .outside import Newest
+from .outside import NumberTaken
 from .outside import Record
 from .outside import StoreUnavailable
 from .shardstate import DeciderTerms
@@ -200,7 +201,7 @@
         started = time.monotonic()
         store = self._sources.store
         read: dict[str, Newest | None] = {}
-        state: list[Newest | StoreUnavailable] = []
+        state: list[Newest | NumberTaken | StoreUnavailable] = []
 
         async def fetch(topic: str) -> None:
             read[topic] = await read_newest(store, topic)
@@ -214,8 +215,12 @@
             for topic in (config_topic, box_topic):
                 tasks.start_soon(fetch, topic)
         jobs, config, boxes = state[0], read[config_topic], read[box_topic]
-        if isinstance(jobs, StoreUnavailable) or config is None or boxes is None:
-            reason = jobs.reason if isinstance(jobs, StoreUnavailable) else "store"
+        if not isinstance(jobs, Newest) or config is None or boxes is None:
+            reason = "the store did not answer"
+            if isinstance(jobs, NumberTaken):
+                reason = "an earlier life decided in this epoch"
+            elif isinstance(jobs, StoreUnavailable):
+                reason = jobs.reason
             self._log.event("take_over_failed", reason=reason, epoch=self._epoch)
             return False
         self._journal.goes_on_from(jobs.records)
--- a/src/granitetrestle/statemark.py
+++ b/src/granitetrestle/statemark.py
@@ -25,6 +25,13 @@
     keys: int
 
 
+class _TakenBy(msgspec.Struct, frozen=True, array_like=True):
+    """Which life of a process raised an epoch."""
+
+    epoch: int
+    by: str
+
+
 class Taken(t.NamedTuple):
     """An epoch that was raised.
 
@@ -37,13 +44,14 @@
     end: int
 
     @staticmethod
-    def record(by: str) -> Record:
+    def record(epoch: int, by: str) -> Record:
         """Return the record with which a process raises an epoch."""
-        return Record(TAKEN_KEY, by.encode())
+        return Record(TAKEN_KEY, _encode(_TakenBy(epoch, by)))
 
 
 _encode = msgspec.msgpack.Encoder().encode
 _marks = msgspec.msgpack.Decoder(StateMark)
+_taken = msgspec.msgpack.Decoder(_TakenBy)
 
 
 class Marks:
@@ -69,20 +77,26 @@
     """Why a reading is not the whole of what was kept.
 
     :param ours: whether it shows the first record of the epoch, so that it is no older.
+    :param used: whether an earlier life of the process has decided in the epoch.
     """
 
     reason: str
-    ours: bool
+    ours: bool = False
+    used: bool = False
 
 
-def what_is_wrong(read: Newest, by: str) -> NotWhole | None:
+def what_is_wrong(read: Newest, taken: Taken) -> NotWhole | None:
     """Return why a reading is not the whole of what was kept, or ``None`` if it is.
 
-    :param by: the life of the process that raised the epoch before it read.
+    :param taken: the epoch, as it was raised before the reading.
     """
     values = {record.key: record.value for record in read.records}
-    if values.get(TAKEN_KEY) != by.encode():
-        return NotWhole("this process's own first record is not there", ours=False)
+    shown = _shown(values.get(TAKEN_KEY))
+    if shown != _TakenBy(taken.epoch, taken.by):
+        used = shown is not None and shown.epoch == taken.epoch
+        return NotWhole(
+            f"the epoch's first record is not there, but {shown}", used=used
+        )
     mark = values.get(MARK_KEY)
     if mark is None:
         # Nobody decided yet, or an older version did.
@@ -95,3 +109,10 @@
     if found == expected:
         return None
     return NotWhole(f"{found} keys, of {expected}", ours=True)
+
+
+def _shown(value: bytes | None) -> _TakenBy | None:
+    try:
+        return _taken.decode(value) if value else None
+    except msgspec.DecodeError:
+        return None
--- a/src/granitetrestle/succession.py
+++ b/src/granitetrestle/succession.py
@@ -40,7 +40,7 @@
     :returns: ``Taken`` if this process decides now; ``NumberTaken`` if an earlier life
         of it has decided in this epoch.
     """
-    records = (Taken.record(by),)
+    records = (Taken.record(epoch, by),)
     writer = Writer(epoch, 1)
     outcome = await store.append(JOBS_TOPIC, records, writer, TAKE_OVER_TIMEOUT_S)
     if isinstance(outcome, Fenced | NumberTaken | StoreUnavailable):
@@ -50,19 +50,25 @@
 
 async def read_state(
     store: Store, taken: Taken, log: NodeLog
-) -> Newest | StoreUnavailable:
-    """Read what a predecessor left; no other can write meanwhile."""
+) -> Newest | NumberTaken | StoreUnavailable:
+    """Read what a predecessor left; no other can write meanwhile.
+
+    :returns: ``NumberTaken`` if an earlier life of this process has decided in this
+        epoch: what is written next would be answered as repeats of what that one wrote.
+    """
     why = ""
     for number in range(READ_TRIES):
         read = await store.newest(JOBS_TOPIC, NEWEST_TIMEOUT_S, taken.end)
         if isinstance(read, StoreUnavailable):
             why = read.reason
         else:
-            wrong = what_is_wrong(read, taken.by)
+            wrong = what_is_wrong(read, taken)
             if wrong is None:
                 return read
             why = wrong.reason
             log.event("reading_not_whole", epoch=taken.epoch, why=why, end=read.end)
+            if wrong.used:
+                return NumberTaken(0)
             if wrong.ours and number >= MISSING_TRIES:
                 return read
         await anyio.sleep(READ_AGAIN_S)
--- a/src/granitetrestle_standins/shardprocess.py
+++ b/src/granitetrestle_standins/shardprocess.py
@@ -21,6 +21,8 @@
 from granitetrestle.outside import Records
 from granitetrestle.outside import Writer
 from granitetrestle.shardstate import DeciderTerms
+from granitetrestle.statemark import Marks
+from granitetrestle.statemark import Taken
 from granitetrestle_standins.nativestore import StoreModel
 
 __all__ = ["HALLS", "JOBS", "STEP_S", "DeciderProcess", "Order", "World"]
@@ -81,8 +83,11 @@
         self.notes: list[Noted] = []
         self.looked_at: dict[str, float] = {}
         self.apply(self.decider.configured(world.config))
-        world.store.append(JOBS, (), Writer(epoch, 1))
-        self.decider.restore(world.store.newest(JOBS).records, world.now)
+        taken = Taken.record(epoch, f"life-{epoch}")
+        world.store.append(JOBS, (taken,), Writer(epoch, 1))
+        left = world.store.newest(JOBS).records
+        self.marks = Marks(left)
+        self.decider.restore(left, world.now)
         self.halls_from = -1
         self.read_orders()
         self.list_boxes()
@@ -152,13 +157,13 @@
     def _write(self) -> None:
         if self.world.store_down:
             return
-        records = self.decider.take_writes()
+        records = self.marks.marked(self.decider.take_writes())
         writer = Writer(self.epoch, self.sequence + 1)
         outcome = self.world.store.append(JOBS, records, writer)
         if not isinstance(outcome, Appended):
             self.over = True
             return
-        self.sequence += bool(records)
+        self.sequence += 1
         self.confirmed_at = self.now
         held, self.held = self.held, []
         for decision in held:
