--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -537,6 +537,51 @@
         ),
         "load_store_away",
     ),
+    Mutant(
+        "native: kept: an append may be empty and share its number with the next",
+        (
+            (
+                "journal.py",
+                "records = self._marks.marked(part)\n        self._sequence += 1\n"
+                "        writer = Writer(self._epoch, self._sequence)",
+                "records = list(part)\n        number = self._sequence + 1\n"
+                "        self._sequence += bool(records)\n"
+                "        writer = Writer(self._epoch, number)",
+            ),
+        ),
+        "succession",
+    ),
+    Mutant(
+        "native: kept: an answer is believed though the log has not grown",
+        (
+            (
+                "journal.py",
+                "            return False\n        self._end = end",
+                "        self._end = end",
+            ),
+        ),
+        "native_parts",
+    ),
+    Mutant(
+        "native: kept: any reading counts as whole",
+        (("succession.py", "if wrong is None:", "if True:"),),
+        "succession",
+    ),
+    Mutant(
+        "native: kept: a new life decides in an epoch of the life before",
+        (("succession.py", "if wrong.used:", "if False:"),),
+        "succession",
+    ),
+    Mutant(
+        "native: kept: starts leave however old the right is",
+        (("boxlife.py", "if kind != FIRST:", "if False:"),),
+        "leaving_orders",
+    ),
+    Mutant(
+        "native: kept: a newer epoch that others follow puts nothing in doubt",
+        (("session.py", "            self._right.doubt()", "            pass"),),
+        "leaving_orders",
+    ),
 )
 
 
