Failing: a take-over whose jobs' records fill more than 200 pages; drawn page sizes

Cause: PlatformStore.newest gives up after 200 pages with "too many pages", and read_newest drops that reason and begins again at the first page, 20 times. Ruled out: the store, which answered every page; with 500 records a page the same scenario passes. The platform in small takes the records of a page as an argument (2 stays the default); the soak of real processes draws it from its seed.

--- /dev/null
+++ b/features/steps/page_steps.py
@@ -0,0 +1,248 @@
+"""Steps of the scenarios over a store that tells its newest records in pages."""
+
+import collections
+import json
+import urllib.parse
+
+import anyio
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.calls import Caller
+from granitetrestle.calls import Reply
+from granitetrestle.feeds import read_newest
+from granitetrestle.nodemetrics import NodeMetrics
+from granitetrestle.outside import Newest
+from granitetrestle.outside import Record
+from granitetrestle.platform.boxes import decode_entry
+from granitetrestle.platform.front import decode_order
+from granitetrestle.platform.store import CONFIG_TOPIC
+from granitetrestle.platform.store import LIFE_TOPIC
+from granitetrestle.platform.store import PlatformStore
+from granitetrestle.session import JOBS_TOPIC
+from granitetrestle.session import Session
+from granitetrestle.session import Sources
+from granitetrestle.shardstate import DeciderTerms
+from granitetrestle_standins.nativeplatform import StoreServer
+from granitetrestle_standins.nativestore import StoreModel
+
+# What the store keeps of a job that completed, in MessagePack.
+ENDED = b"\x92\xa9completed\xa4work"
+LONGEST_S = 30.0
+
+
+def ended_record(number):
+    return Record(f"e/{number:016x}", ENDED)
+
+
+class PagedCaller(Caller):
+    """Calls the store in small without a connection, and counts pages of the jobs.
+
+    :ivar change: replaces a page of the jobs before it is answered, by its number.
+    """
+
+    def __init__(self, count, size):
+        super().__init__()
+        self.model = StoreModel()
+        self.server = StoreServer(self.model, size)
+        self.pages = -(-count // size)
+        self.change = {}
+        self.asked = collections.Counter()
+        self.model.append(JOBS_TOPIC, [ended_record(n) for n in range(count)], None)
+        self.last_keys = [
+            ended_record(min(count, first + size) - 1).key
+            for first in range(0, count, size)
+        ]
+
+    async def call(self, address, path, headers=(), body=b"", *args, **options):
+        route, _, query = path.partition("?")
+        query = dict(urllib.parse.parse_qsl(query))
+        reply = await self.server.handle(route, query, body)
+        if route == "/api/log-newest" and query["topic"] == JOBS_TOPIC:
+            number = self._number(query.get("depends_on"))
+            self.asked[number] += 1
+            reply = self.change.get(number, lambda reply: reply)(reply)
+        return Reply(reply.status, (), reply.body)
+
+    def _number(self, after):
+        """Return which page comes after a key; those beyond the first records count
+        as one."""
+        if after is None:
+            return 0
+        known = after in self.last_keys
+        return self.last_keys.index(after) + 1 if known else self.pages
+
+
+class Lines:
+    """Keeps what a session logs."""
+
+    def __init__(self):
+        self.lines = []
+
+    def event(self, event, /, **fields):
+        self.lines.append((event, fields))
+
+    def only(self, wanted):
+        (fields,) = [fields for event, fields in self.lines if event == wanted]
+        return fields
+
+
+class Failing:
+    """Refuses a page so many times."""
+
+    def __init__(self, times):
+        self.times = times
+
+    def __call__(self, reply):
+        self.times -= 1
+        return Reply(503, (), b"{}") if self.times >= 0 else reply
+
+
+def ends_with(key):
+    def change(reply):
+        page = json.loads(reply.body)
+        page["items"][-1]["key"] = key
+        return Reply(200, (), json.dumps(page).encode())
+
+    return change
+
+
+def empty(reply):
+    page = {**json.loads(reply.body), "items": [], "more": True}
+    return Reply(200, (), json.dumps(page).encode())
+
+
+@given("a store with {count:d} records of ended jobs on pages of {size:d}")
+def paged_store(context, count, size):
+    context.count = count
+    context.caller = PagedCaller(count, size)
+
+
+@given("a fourth page that {what}")
+def fourth_page(context, what):
+    keys = context.caller.last_keys
+    changes = {
+        "ends with the third's key": ends_with(keys[2]),
+        "ends with the first's key": ends_with(keys[0]),
+        "is empty, with more to come": empty,
+    }
+    context.caller.change[3] = changes[what]
+
+
+@given("its fourth page fails {times:d} times")
+def fourth_fails(context, times):
+    context.caller.change[3] = Failing(times)
+
+
+@given("its fourth page fails {fourth:d} times, and its seventh {seventh:d} times")
+def two_fail(context, fourth, seventh):
+    context.caller.change[3] = Failing(fourth)
+    context.caller.change[6] = Failing(seventh)
+    context.refused = {3: fourth, 6: seventh}
+
+
+@when("a decider takes over")
+def takes_over(context):
+    context.log = Lines()
+    store = PlatformStore("store", context.caller)
+    sources = Sources(store, None, CONFIG_TOPIC, LIFE_TOPIC, decode_order, decode_entry)
+    session = context.session = Session(
+        sources, 1, DeciderTerms(), context.log, NodeMetrics()
+    )
+
+    async def run():
+        with anyio.fail_after(LONGEST_S):
+            async with anyio.create_task_group() as tasks:
+
+                async def decide():
+                    await session.run(tasks.cancel_scope.cancel)
+                    tasks.cancel_scope.cancel()
+
+                tasks.start_soon(decide)
+
+    anyio.run(run)
+
+
+@then("it knows all jobs, and asked for each page once")
+def knows_all(context):
+    context.refused = {}
+    knows_all_but_failed(context)
+
+
+@then("it knows all jobs, and asked for each page once but for those that failed")
+def knows_all_but_failed(context):
+    assert context.log.only("took_over")["jobs"] == context.count
+    caller = context.caller
+    wanted = {n: 1 + context.refused.get(n, 0) for n in range(caller.pages)}
+    assert dict(caller.asked) == wanted, caller.asked
+
+
+@then('that fails for "{why}", after {pages:d} pages with {records:d} records')
+def fails_for(context, why, pages, records):
+    fields = context.log.only("take_over_failed")
+    assert why in fields["reason"], fields
+    assert fields["topic"] == JOBS_TOPIC, fields
+    assert (fields["pages"], fields["records"]) == (pages, records), fields
+
+
+@then("the store was asked {times:d} times for pages")
+def asked_times(context, times):
+    assert context.caller.asked.total() == times, context.caller.asked
+
+
+@when("all newest records are read, while a record is added with each page")
+def read_while_added(context):
+    caller = context.caller
+    fails = caller.change[3]
+
+    def adding(number):
+        def change(reply):
+            caller.model.append(JOBS_TOPIC, [ended_record(1000 + number)], None)
+            return fails(reply) if number == 3 else reply
+
+        return change
+
+    caller.change = {number: adding(number) for number in range(caller.pages)}
+    context.end = caller.model.end(JOBS_TOPIC)
+    store = PlatformStore("store", caller)
+    context.newest = anyio.run(read_newest, store, JOBS_TOPIC)
+
+
+@then("reading goes on from where the first page ended")
+def goes_on_from_first(context):
+    newest = context.newest
+    assert isinstance(newest, Newest), newest
+    assert newest.end == context.end, newest.end
+    keys = [record.key for record in newest.records]
+    assert len(keys) == len(set(keys)), keys
+    assert {ended_record(n).key for n in range(context.count)} <= set(keys), keys
+
+
+@when("records of ended jobs fill {pages:d} pages and the decider is killed")
+def fill_and_kill(context, pages):
+    cluster = context.cluster
+    context.ended = pages * 2
+    value = "kqljb21wbGV0ZWSkd29yaw=="
+    for number in range(context.ended):
+        key = urllib.parse.quote(ended_record(number + 1).key)
+        cluster.store(f"/test/write?topic={JOBS_TOPIC}&key={key}&value={value}")
+    cluster.kill(cluster.leader())
+
+
+@then(
+    "another one takes over with all of them within {seconds:g} seconds, "
+    "and a job completes"
+)
+def other_takes_over(context, seconds):
+    cluster = context.cluster
+    (name,) = [n for n in cluster.nodes() if cluster.processes[n].poll() is None]
+
+    def took_over():
+        return [line for line in cluster.log(name) if line["event"] == "took_over"]
+
+    (line,) = cluster.wait(took_over, "another decider", seconds)
+    assert line["jobs"] == context.ended, line
+    job = "00000000000000f1"
+    cluster.submit(job, [{"count": 2, "cpu": 1000, "mem_mb": 100}], name)
+    cluster.wait(lambda: cluster.state(job, name) == "completed", job)
--- /dev/null
+++ b/features/take_over_pages.feature
@@ -0,0 +1,33 @@
+Feature: A take-over reads all that the store holds, page by page
+  The store tells the newest records in pages. A limit of 200 pages ended every take-over
+  once the jobs filled more, and nobody decided any more: no job could end, so that the
+  records stayed.
+
+  Scenario: A decider is replaced while the jobs' records fill 250 pages
+    Given 2 nodes on the platform with 1 boxes
+    When records of ended jobs fill 250 pages and the decider is killed
+    Then another one takes over with all of them within 10 seconds, and a job completes
+
+  Scenario Outline: Records are all read, each once, whatever the size of the pages
+    Given a store with 1203 records of ended jobs on pages of <size>
+    When a decider takes over
+    Then it knows all jobs, and asked for each page once
+
+    Examples:
+      | size |
+      | 2    |
+      | 50   |
+      | 500  |
+
+  Scenario Outline: A page that makes no progress ends the read with its reason
+    Given a store with 20 records of ended jobs on pages of 2
+    And a fourth page that <what>
+    When a decider takes over
+    Then that fails for "no progress", after 3 pages with 6 records
+    And the store was asked 23 times for pages
+
+    Examples:
+      | what                        |
+      | ends with the third's key   |
+      | ends with the first's key   |
+      | is empty, with more to come |
--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -52,6 +52,7 @@
     """Nodes ``n1``, ``n2`` and so on, and boxes that take turns to lie in two halls.
 
     :param folder: for settings and logs.
+    :param page: records on a page of the store's newest ones.
     """
 
     # A call that failed so may have been taken, and may be made again.
@@ -62,7 +63,9 @@
         OSError,
     )
 
-    def __init__(self, folder: pathlib.Path, nodes: int, boxes: int) -> None:
+    def __init__(
+        self, folder: pathlib.Path, nodes: int, boxes: int, page: int = 2
+    ) -> None:
         self.folder = folder
         self.boxes = boxes
         self.port = free_port(run=boxes + 1)
@@ -75,6 +78,7 @@
             [
                 *("-m", "granitetrestle_standins.nativeplatform"),
                 *("--port", str(self.port), "--boxes", str(boxes)),
+                *("--page", str(page)),
             ],
             {},
         )
--- a/src/granitetrestle_standins/nativeplatform.py
+++ b/src/granitetrestle_standins/nativeplatform.py
@@ -24,7 +24,7 @@
 from granitetrestle_standins.nativestore import StoreModel
 from granitetrestle_standins.serving import serve
 
-__all__ = ["main"]
+__all__ = ["PAGE_SIZES", "StoreServer", "main"]
 
 Scope: t.TypeAlias = t.MutableMapping[str, t.Any]
 Send: t.TypeAlias = t.Callable[[t.MutableMapping[str, t.Any]], t.Awaitable[None]]
@@ -33,6 +33,9 @@
 HOST = "jobs.example"
 PREFIX = "/jobs/"
 TICK_S = 0.02
+# Records on a page of newest ones: few, so that small runs have many pages, and up to
+# what the platform's own store puts on one.
+PAGE_SIZES = (2, 50, 500)
 # How long a slow store takes for an answer.
 SLOW_S = 0.3
 ROUTE = {
@@ -69,10 +72,14 @@
     /test/order?key=K&value=V`` lets an operator write, or drop a key without a value,
     ``POST /test/write?topic=T&key=K&value=V`` writes anything, V in base64,
     ``POST /test/store?how=HOW&s=S`` lets it be ``busy``, ``silent`` or ``slow`` for S
-    seconds, ``POST /test/forget`` drops the history of what operators wrote."""
+    seconds, ``POST /test/forget`` drops the history of what operators wrote.
 
-    def __init__(self, model: StoreModel) -> None:
+    :param page: records on a page of newest ones.
+    """
+
+    def __init__(self, model: StoreModel, page: int = PAGE_SIZES[0]) -> None:
         self.model = model
+        self._page = page
         self.lose = 0
         self._how = ""
         self._until = 0.0
@@ -132,7 +139,7 @@
     def _newest(self, topic: str, after: str) -> Reply:
         newest = self.model.newest(topic)
         records = sorted(newest.records)
-        page = [record for record in records if record.key > after][:2]
+        page = [record for record in records if record.key > after][: self._page]
         items = [
             {"key": r.key, "value": base64.b64encode(r.value or b"").decode()}
             for r in page
@@ -239,8 +246,8 @@
 class PlatformApp:
     """Dispatches by port: the first is the store's, the others the boxes'."""
 
-    def __init__(self, port: int, boxes: int) -> None:
-        self.store = StoreServer(StoreModel())
+    def __init__(self, port: int, boxes: int, page: int) -> None:
+        self.store = StoreServer(StoreModel(), page)
         self.boxes = {port + 1 + i: BoxServer(BoxModel(f"b{i}")) for i in range(boxes)}
         model = self.store.model
         config = json.dumps(CONFIG).encode()
@@ -297,8 +304,8 @@
         return await box.handle(scope["path"], json.loads(body or b"{}"))
 
 
-async def _run(port: int, boxes: int) -> None:
-    app = PlatformApp(port, boxes)
+async def _run(port: int, boxes: int, page: int) -> None:
+    app = PlatformApp(port, boxes, page)
     async with asyncio.TaskGroup() as tasks:
         for number in range(port, port + boxes + 1):
             tasks.create_task(serve(app, "127.0.0.1", number))
@@ -311,8 +318,9 @@
     parser = argparse.ArgumentParser(description=main.__doc__)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--boxes", type=int, default=3)
+    parser.add_argument("--page", type=int, default=PAGE_SIZES[0])
     arguments = parser.parse_args()
-    asyncio.run(_run(arguments.port, arguments.boxes))
+    asyncio.run(_run(arguments.port, arguments.boxes, arguments.page))
 
 
 if __name__ == "__main__":
--- a/src/granitetrestle_standins/nativesoak.py
+++ b/src/granitetrestle_standins/nativesoak.py
@@ -17,6 +17,7 @@
 from absl import flags
 
 from .nativecluster import NativeCluster
+from .nativeplatform import PAGE_SIZES
 
 __all__ = ["PromiseBroken", "Soak", "main"]
 
@@ -59,7 +60,9 @@
     ) -> None:
         self._draw = random.Random(seed)
         self._operations = operations
-        self._cluster = NativeCluster(folder, nodes, boxes)
+        # Apart from what happens, so that a seed plays the same whatever the pages.
+        page = random.Random(f"page {seed}").choice(PAGE_SIZES)
+        self._cluster = NativeCluster(folder, nodes, boxes, page)
         self._frozen: dict[str, float] = {}
         self._accepted: set[str] = set()
         self._refused: set[str] = set()
