A take-over reads all pages, and says why and where it could not

Cause: 200 pages were the most that was read, told as a store that is away; the next try began at the first page. Ruled out: a larger limit, which would end the service at a larger size; a key that must lie above the last, since the order of keys is the store's own. Change: newestread.py reads on until the store says there is no more; a page whose last key was there before, or an empty one with more to come, makes no progress. A page that fails is asked for again, 20 times in a row at most, and those before it are kept; Newest.end stays the first page's. take_over_failed names topic, reason, pages and records; topic_unread does for the feeds. Values are decoded from base64 as they are read.

--- a/features/steps/page_steps.py
+++ b/features/steps/page_steps.py
@@ -11,7 +11,7 @@
 
 from granitetrestle.calls import Caller
 from granitetrestle.calls import Reply
-from granitetrestle.feeds import read_newest
+from granitetrestle.newestread import read_newest
 from granitetrestle.nodemetrics import NodeMetrics
 from granitetrestle.outside import Newest
 from granitetrestle.outside import Record
--- a/features/take_over_pages.feature
+++ b/features/take_over_pages.feature
@@ -31,3 +31,21 @@
       | ends with the third's key   |
       | ends with the first's key   |
       | is empty, with more to come |
+
+  Scenario: A page that fails is asked for again, and those before it are not
+    Given a store with 20 records of ended jobs on pages of 2
+    And its fourth page fails 5 times, and its seventh 19 times
+    When a decider takes over
+    Then it knows all jobs, and asked for each page once but for those that failed
+
+  Scenario: A store that stays away ends the read with its reason, and how far it came
+    Given a store with 20 records of ended jobs on pages of 2
+    And its fourth page fails 1000 times
+    When a decider takes over
+    Then that fails for "503", after 3 pages with 6 records
+
+  Scenario: What changes after the first page is read again, also where a page failed
+    Given a store with 20 records of ended jobs on pages of 2
+    And its fourth page fails 3 times
+    When all newest records are read, while a record is added with each page
+    Then reading goes on from where the first page ended
--- a/src/granitetrestle/feeds.py
+++ b/src/granitetrestle/feeds.py
@@ -12,6 +12,7 @@
 from .decisions import Decision
 from .errors import MalformedEntry
 from .errors import MalformedOrder
+from .newestread import read_newest
 from .nodelog import NodeLog
 from .outside import Advisor
 from .outside import BoxCalls
@@ -19,13 +20,14 @@
 from .outside import Config
 from .outside import HallOrder
 from .outside import Newest
+from .outside import NewestUnavailable
 from .outside import Record
 from .outside import Records
 from .outside import RecordsGone
 from .outside import Store
 from .outside import StoreUnavailable
 
-__all__ = ["BoxFeed", "OperatorFeed", "Sources", "read_newest"]
+__all__ = ["BoxFeed", "OperatorFeed", "Sources"]
 
 # Boxes write every second or two; a change of theirs should be seen well within
 # the two seconds that a leaving box may still be given work.
@@ -34,9 +36,6 @@
 # Nothing is decided for clients on a configuration that was confirmed longer ago.
 CONFIG_FRESH_S: t.Final = 1.8
 RETRY_S: t.Final = 0.1
-READ_TRIES: t.Final = 20
-# A page has up to a megabyte, which the smallest links (10 Mbit/s) carry in a second.
-NEWEST_TIMEOUT_S: t.Final = 5.0
 
 Apply: t.TypeAlias = t.Callable[[list[Decision]], None]
 
@@ -57,16 +56,6 @@
     advisor: Advisor | None = None
 
 
-async def read_newest(store: Store, topic: str) -> Newest | None:
-    """Return the newest record of each key, or ``None`` if the store stays away."""
-    for _ in range(READ_TRIES):
-        outcome = await store.newest(topic, NEWEST_TIMEOUT_S)
-        if isinstance(outcome, Newest):
-            return outcome
-        await anyio.sleep(RETRY_S)
-    return None
-
-
 class _Feed(abc.ABC):
     """One topic that is read on and on.
 
@@ -91,6 +80,14 @@
     async def follow(self) -> None:
         """Read on until cancelled."""
 
+    async def _read_anew(self, topic: str) -> Newest | None:
+        """Return all there is, or ``None`` if it can't be read, which is logged."""
+        outcome = await read_newest(self._sources.store, topic)
+        if isinstance(outcome, NewestUnavailable):
+            self._log.event("topic_unread", topic=topic, **outcome._asdict())
+            return None
+        return outcome
+
 
 class OperatorFeed(_Feed):
     """The configuration, and which data halls are evacuated."""
@@ -130,7 +127,7 @@
             outcome: Records | Newest | RecordsGone | StoreUnavailable | None
             outcome = await store.read(topic, self._from, wait_s)
             if isinstance(outcome, RecordsGone):
-                outcome = await read_newest(store, topic)
+                outcome = await self._read_anew(topic)
             if outcome is None or isinstance(outcome, StoreUnavailable):
                 # The next answer should come at once: starts are held without news.
                 wait_s = 0.0
@@ -200,7 +197,7 @@
             outcome: Records | Newest | RecordsGone | StoreUnavailable | None
             outcome = await store.read(topic, self._from, 0.0)
             if isinstance(outcome, RecordsGone):
-                outcome = await read_newest(store, topic)
+                outcome = await self._read_anew(topic)
                 if outcome is not None:
                     self._entries.clear()
             if outcome is None or isinstance(outcome, StoreUnavailable):
--- /dev/null
+++ b/src/granitetrestle/newestread.py
@@ -0,0 +1,86 @@
+"""Reads the newest record of each key, page by page. What must be read has no bound but
+the store's own: with one, a topic that outgrew it could never be read again, and nobody
+could take over. A page that fails is asked for again, and those before it are kept."""
+
+import typing as t
+
+import anyio
+
+from .outside import Newest
+from .outside import NewestPage
+from .outside import NewestUnavailable
+from .outside import Record
+from .outside import Store
+from .outside import StoreUnavailable
+
+__all__ = ["NewestRead", "read_newest"]
+
+# A page has up to a megabyte, which the smallest links (10 Mbit/s) carry in a second.
+PAGE_TIMEOUT_S: t.Final = 5.0
+RETRY_S: t.Final = 0.1
+# Tries in a row of one page, after which another process may fare better.
+PAGE_TRIES: t.Final = 20
+NO_PROGRESS: t.Final = "no progress: a page ends with a key that was there before"
+
+
+class NewestRead:
+    """One read of a topic; goes on from the page that failed."""
+
+    def __init__(self, store: Store, topic: str) -> None:
+        self._store = store
+        self._topic = topic
+        self._records: list[Record] = []
+        self._end: int | None = None
+        # Last keys of the pages so far. The order of keys is the store's own: a lower
+        # key proves nothing, one that was there before proves a loop.
+        self._last_keys: set[str] = set()
+        self._after: str | None = None
+        self._pages = 0
+
+    async def go_on(self, timeout_s: float) -> Newest | NewestUnavailable:
+        """Read until the last page, or one that fails.
+
+        :param timeout_s: for each page.
+        """
+        while True:
+            page = await self._store.newest_page(self._topic, self._after, timeout_s)
+            if isinstance(page, StoreUnavailable):
+                return self._failed(page.reason)
+            if page.more and self._repeats(page):
+                return self._failed(NO_PROGRESS)
+            end = self._take(page)
+            if not page.more:
+                return Newest(tuple(self._records), end)
+
+    def _repeats(self, page: NewestPage) -> bool:
+        return not page.records or page.records[-1].key in self._last_keys
+
+    def _take(self, page: NewestPage) -> int:
+        """Keep a page; returns the offset from which to read on."""
+        if self._end is None:
+            # Pages are no snapshot: what comes after the first is read again.
+            self._end = page.end
+        self._records += page.records
+        self._pages += 1
+        if page.records:
+            self._after = page.records[-1].key
+            self._last_keys.add(self._after)
+        return self._end
+
+    def _failed(self, reason: str) -> NewestUnavailable:
+        return NewestUnavailable(reason, self._pages, len(self._records))
+
+
+async def read_newest(store: Store, topic: str) -> Newest | NewestUnavailable:
+    """Return the newest record of each key, unless one page fails again and again."""
+    reading = NewestRead(store, topic)
+    tries = pages = 0
+    while True:
+        outcome = await reading.go_on(PAGE_TIMEOUT_S)
+        if isinstance(outcome, Newest):
+            return outcome
+        tries = tries + 1 if outcome.pages == pages else 1
+        pages = outcome.pages
+        if tries >= PAGE_TRIES:
+            return outcome
+        await anyio.sleep(RETRY_S)
--- a/src/granitetrestle/outside.py
+++ b/src/granitetrestle/outside.py
@@ -22,6 +22,8 @@
     "Look",
     "LookOutcome",
     "Newest",
+    "NewestPage",
+    "NewestUnavailable",
     "OrderAccepted",
     "OrderNotSent",
     "OrderOutcome",
@@ -81,6 +83,28 @@
     end: int
 
 
+class NewestPage(t.NamedTuple):
+    """Some of the newest records; the next page follows the last key of this one.
+
+    :param end: the offset after the last record of all when this page was made.
+    """
+
+    records: tuple[Record, ...]
+    end: int
+    more: bool
+
+
+class NewestUnavailable(t.NamedTuple):
+    """The newest records could not all be read.
+
+    :param pages: how many pages came, with so many records.
+    """
+
+    reason: str
+    pages: int
+    records: int
+
+
 class Records(t.NamedTuple):
     """Records in order, and the offset at which to read on."""
 
@@ -109,10 +133,13 @@
         """
 
     @abc.abstractmethod
-    async def newest(self, topic: str, timeout_s: float) -> Newest | StoreUnavailable:
-        """Return the newest record of each key.
+    async def newest_page(
+        self, topic: str, after: str | None, timeout_s: float
+    ) -> NewestPage | StoreUnavailable:
+        """Return some of the newest records, one for each key. The pages of a topic are
+        no snapshot; :mod:`.newestread` reads them all.
 
-        :param timeout_s: for each call that this takes.
+        :param after: last key of the page before; ``None`` for the first page.
         """
 
     @abc.abstractmethod
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -1,7 +1,6 @@
 """Calls to the platform's store: appends that fence by epoch, the newest record of
 each key, and reads from an offset."""
 
-import base64
 import collections
 import struct
 import typing as t
@@ -14,7 +13,7 @@
 from ..calls import Reply
 from ..outside import Appended
 from ..outside import Fenced
-from ..outside import Newest
+from ..outside import NewestPage
 from ..outside import Record
 from ..outside import Records
 from ..outside import RecordsGone
@@ -31,16 +30,16 @@
 # An answer takes some 5 ms; a store that is slow takes up to half a second.
 READ_TIMEOUT_S: t.Final = 1.0
 MAX_ANSWER: t.Final = 4 * 1024 * 1024
-PAGES: t.Final = 200
 OK: t.Final = 200
 CONFLICT: t.Final = 409
 GONE: t.Final = 410
 
 
 class _Item(msgspec.Struct):
+    """The value is decoded from base64 as it is read: its text is never held."""
+
     key: str
-    value: str = ""
-    offset: int = 0
+    value: bytes = b""
 
 
 class _Page(msgspec.Struct):
@@ -118,30 +117,25 @@
             if not self._appending[key]:
                 del self._appending[key]
 
-    async def newest(self, topic: str, timeout_s: float) -> Newest | StoreUnavailable:
-        """See :meth:`.outside.Store.newest`."""
-        records: list[Record] = []
-        end: int | None = None
+    async def newest_page(
+        self, topic: str, after: str | None, timeout_s: float
+    ) -> NewestPage | StoreUnavailable:
+        """See :meth:`.outside.Store.newest_page`."""
         query = {"topic": topic, "part": "0"}
-        for _ in range(PAGES):
-            reply = await self._call("GET", "/api/log-newest", query, timeout_s)
-            if isinstance(reply, StoreUnavailable):
-                return reply
-            if reply.status != OK:
-                return StoreUnavailable(str(reply.status), undone=True)
-            try:
-                page = _pages.decode(reply.body)
-                for item in page.items:
-                    records.append(Record(item.key, base64.b64decode(item.value)))
-            except (msgspec.DecodeError, ValueError):
-                return StoreUnavailable("malformed answer")
-            # Pages are no snapshot: what comes after the first is read again.
-            end = page.end if end is None else end
-            if not page.more or not page.items:
-                return Newest(tuple(records), end)
+        if after is not None:
             # The platform's name for "after this key".
-            query["depends_on"] = page.items[-1].key
-        return StoreUnavailable("too many pages")
+            query["depends_on"] = after
+        reply = await self._call("GET", "/api/log-newest", query, timeout_s)
+        if isinstance(reply, StoreUnavailable):
+            return reply
+        if reply.status != OK:
+            return StoreUnavailable(str(reply.status), undone=True)
+        try:
+            page = _pages.decode(reply.body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return StoreUnavailable("malformed answer")
+        records = tuple(Record(item.key, item.value) for item in page.items)
+        return NewestPage(records, page.end, page.more)
 
     async def read(
         self, topic: str, start: int, wait_s: float
--- a/src/granitetrestle/registry.py
+++ b/src/granitetrestle/registry.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from .calls import is_address
+from .newestread import NewestRead
 from .outside import Appended
-from .outside import Newest
+from .outside import NewestUnavailable
 from .outside import Record
 from .outside import Store
 from .outside import StoreUnavailable
@@ -68,9 +69,9 @@
 
     async def read(self) -> Known | StoreUnavailable:
         """Return all processes and the newest decider."""
-        outcome = await self._store.newest(NODES_TOPIC, READ_TIMEOUT_S)
-        if not isinstance(outcome, Newest):
-            return outcome
+        outcome = await NewestRead(self._store, NODES_TOPIC).go_on(READ_TIMEOUT_S)
+        if isinstance(outcome, NewestUnavailable):
+            return StoreUnavailable(outcome.reason)
         nodes: dict[str, NodeEntry] = {}
         leader = LeaderEntry()
         unreadable: list[str] = []
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -29,7 +29,6 @@
 from .feeds import BoxFeed
 from .feeds import OperatorFeed
 from .feeds import Sources
-from .feeds import read_newest
 from .forwarding import Deposed
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
@@ -37,6 +36,7 @@
 from .lookbudget import LookBudget
 from .looplag import LoopLag
 from .mechanisms import Mechanism
+from .newestread import read_newest
 from .nodelog import NodeLog
 from .nodemetrics import NodeMetrics
 from .orderwindow import OpenWindow
@@ -46,6 +46,7 @@
 from .outside import Config
 from .outside import Fenced
 from .outside import Newest
+from .outside import NewestUnavailable
 from .outside import Record
 from .outside import Store
 from .outside import StoreUnavailable
@@ -195,23 +196,14 @@
     async def _begin(self) -> bool:
         """Read what a predecessor left; no other can write meanwhile."""
         started = time.monotonic()
-        read: dict[str, Newest | None] = {}
-
-        async def fetch(topic: str) -> None:
-            read[topic] = await read_newest(self._sources.store, topic)
-
         config_topic, box_topic = self._sources.config_topic, self._sources.box_topic
-        async with anyio.create_task_group() as tasks:
-            for topic in (JOBS_TOPIC, config_topic, box_topic):
-                tasks.start_soon(fetch, topic)
-        jobs, config, boxes = read[JOBS_TOPIC], read[config_topic], read[box_topic]
-        if jobs is None or config is None or boxes is None:
-            self._log.event("take_over_failed", reason="store", epoch=self._epoch)
+        read = await self._read_all((JOBS_TOPIC, config_topic, box_topic))
+        if read is None:
             return False
         now = time.monotonic()
-        self._apply(self._decider.restore(jobs.records, now))
-        self._operators.begin(config)
-        self._listed.begin(boxes)
+        self._apply(self._decider.restore(read[JOBS_TOPIC].records, now))
+        self._operators.begin(read[config_topic])
+        self._listed.begin(read[box_topic])
         self._log.event(
             "took_over",
             epoch=self._epoch,
@@ -222,6 +214,28 @@
         )
         return True
 
+    async def _read_all(self, topics: t.Iterable[str]) -> dict[str, Newest] | None:
+        """Return the newest records of each topic, or ``None`` if they can't be read."""
+        read: dict[str, Newest] = {}
+
+        async def fetch(topic: str) -> None:
+            outcome = await read_newest(self._sources.store, topic)
+            if isinstance(outcome, NewestUnavailable):
+                self._log.event(
+                    "take_over_failed",
+                    epoch=self._epoch,
+                    topic=topic,
+                    **outcome._asdict(),
+                )
+                tasks.cancel_scope.cancel()
+            else:
+                read[topic] = outcome
+
+        async with anyio.create_task_group() as tasks:
+            for topic in topics:
+                tasks.start_soon(fetch, topic)
+        return None if tasks.cancel_scope.cancel_called else read
+
     async def _journal_loop(self, tasks: anyio.abc.TaskGroup) -> None:
         await self._journal.run()
         self._step_down("store")
--- a/src/granitetrestle_standins/nativestore.py
+++ b/src/granitetrestle_standins/nativestore.py
@@ -6,6 +6,7 @@
 from granitetrestle.outside import Appended
 from granitetrestle.outside import Fenced
 from granitetrestle.outside import Newest
+from granitetrestle.outside import NewestPage
 from granitetrestle.outside import Record
 from granitetrestle.outside import Records
 from granitetrestle.outside import RecordsGone
@@ -123,9 +124,14 @@
             return StoreUnavailable("no answer")
         return outcome
 
-    async def newest(self, topic: str, timeout_s: float) -> Newest | StoreUnavailable:
-        """See :meth:`granitetrestle.outside.Store.newest`."""
-        return StoreUnavailable("down") if self.down else self.model.newest(topic)
+    async def newest_page(
+        self, topic: str, after: str | None, timeout_s: float
+    ) -> NewestPage | StoreUnavailable:
+        """See :meth:`granitetrestle.outside.Store.newest_page`; one page has all."""
+        if self.down:
+            return StoreUnavailable("down")
+        newest = self.model.newest(topic)
+        return NewestPage(newest.records, newest.end, more=False)
 
     async def read(
         self, topic: str, start: int, wait_s: float
