A task whose end is not among the first 500 listed is left alone until it is

Cause: a box lists 500 ends at a time; a task of ours in neither list was taken for never begun by a successor's first look (started again at once), and by the second look after a cut (stopped, then started again). Both were done twice. Ruled out: a list cut by the box's own history; BoxModel listed all ends at once, so that no scenario could see it: it lists 500 now. Change: Look says whether more ends may come; while so, absent tasks are not judged and the box is not adopted.

--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -239,6 +239,11 @@
             effects.append(EndsKnown(box.life, known))
         box.running = {row.task: row for row in look.running}
         effects += self._compare(box, sent, now)
+        if look.more_ends:
+            # What is in neither list may have ended: tasks that a successor took for
+            # never begun were started again, and done twice.
+            return effects + self._keep_targets(box, now)
+        effects += self._compare_absent(box, sent, now)
         if not box.adopted:
             box.adopted = True
             # It refuses a predecessor's leases from here on, and none that it has is
@@ -271,7 +276,7 @@
         return effects
 
     def _compare(self, box: BoxView, sent: float, now: float) -> list[Decision]:
-        """Bring our tasks in line with what the box runs."""
+        """Bring our tasks in line with what the box lists as running."""
         effects: list[Decision] = []
         for name, row in box.running.items():
             task = box.tasks.get(name)
@@ -283,14 +288,20 @@
             if task.state == STARTING:
                 task.runs(now)
                 task.paced_at = now
-        for task in list(box.tasks.values()):
-            row_or_none = box.running.get(task.name)
-            if row_or_none is None or row_or_none.run != task.run:
-                effects += self._absent(box, task, sent, now)
             elif task.state == STOPPING and now - task.stop_sent_at > STOP_AGAIN_S:
                 effects += self._progress.stop(task, now)
         return effects
 
+    def _compare_absent(self, box: BoxView, sent: float, now: float) -> list[Decision]:
+        """Bring our tasks in line with what the box lists neither as running nor as
+        ended."""
+        effects: list[Decision] = []
+        for task in list(box.tasks.values()):
+            row = box.running.get(task.name)
+            if row is None or row.run != task.run:
+                effects += self._absent(box, task, sent, now)
+        return effects
+
     def _foreign(self, box: BoxView, name: str, run: int) -> list[Decision]:
         """A run that we have not placed there: an older one, or of an ended job."""
         inputs = {"run": run}
--- a/src/granitetrestle/outside.py
+++ b/src/granitetrestle/outside.py
@@ -313,11 +313,15 @@
 
 
 class Look(t.NamedTuple):
-    """All that runs on a box, and the ends not yet known."""
+    """All that runs on a box, and the ends not yet known, the first ones first.
+
+    :param more_ends: whether there may be ends that are listed only once these are known.
+    """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    more_ends: bool = False
 
 
 LookOutcome: t.TypeAlias = Look | OrderRejected | BoxReplaced | BoxNoAnswer
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -34,6 +34,8 @@
 CONFLICT: t.Final = 409
 OTHER_LIFE: t.Final = 421
 LIFE_HEADER: t.Final = b"expect-instance"
+# Ends that one answer of a box lists.
+ENDS_AT_ONCE: t.Final = 500
 
 
 # No box has as much of anything; what says so was not written by one.
@@ -230,4 +232,4 @@
         for row in raw.running
     )
     ended = tuple(EndedRun(*row[:5]) for row in raw.finished)
-    return Look(raw.clock_ms, running, ended)
+    return Look(raw.clock_ms, running, ended, len(ended) >= ENDS_AT_ONCE)
--- a/src/granitetrestle_standins/nativebox.py
+++ b/src/granitetrestle_standins/nativebox.py
@@ -13,6 +13,9 @@
 
 __all__ = ["BoxModel", "BoxRun"]
 
+# Ends that one answer lists.
+ENDS_AT_ONCE = 500
+
 
 class BoxRun:
     """One run of a task on a box. Times in seconds."""
@@ -132,7 +135,8 @@
         running = tuple(
             RunningTask(run.task, run.run, "", 0, 0.0) for run in self.running.values()
         )
-        return Look(clock, running, tuple(self._ended))
+        listed = tuple(self._ended[:ENDS_AT_ONCE])
+        return Look(clock, running, listed, len(listed) >= ENDS_AT_ONCE)
 
     def end(self, task: str, how: str, now: float) -> None:
         """Let a run end."""
