Four limits of ours that could end a service for good

Each scenario of features/own_limits.feature but two (a job of exactly the longest record, and the parameters that are new) failed before its change: - A successor tries 5 epochs above the newest it knows and forgets how far it came: with the jobs' epoch 12 steps above, nobody decided within 15 s, every try ended "fenced". It goes on from the epoch that was refused last. - A batch is cut at 1.5 MB whatever the settings say of the store's calls; one that is refused is repeated for ever. It is cut at call_bytes. - A job is taken whose record is longer than the store takes: refused with 400. - An answer of a box above 1 MB is no answer, and the box is silent for good: 32 MB, for all calls to boxes, since the limit belongs to the connection. - Advice is asked about the 24 roomiest boxes, the same ones for ever if none of them is good: those that were not good are left out until all were asked about. Run: own_limits, native_policy, native_index, native_parts, native_silence.

--- /dev/null
+++ b/features/steps/limit_steps.py
@@ -0,0 +1,258 @@
+"""Steps of the scenarios over limits of tries, bytes and entries."""
+
+import collections
+import json
+import time
+from types import SimpleNamespace
+
+import anyio
+import anyio.abc
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.calls import Caller
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import AskAdvice
+from granitetrestle.decisions import StartTask
+from granitetrestle.forwarding import ClientCall
+from granitetrestle.jobcalls import JobAccepted
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.journal import Journal
+from granitetrestle.leadership import ADDRESS_BITS
+from granitetrestle.outside import Advice
+from granitetrestle.outside import Config
+from granitetrestle.outside import Look
+from granitetrestle.outside import Queue
+from granitetrestle.outside import Record
+from granitetrestle.outside import StoreUnavailable
+from granitetrestle.outside import TaskOrder
+from granitetrestle.outside import Writer
+from granitetrestle.platform.boxes import PlatformBoxes
+from granitetrestle.platform.server import FrontResponder
+from granitetrestle.session import JOBS_TOPIC
+from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+from granitetrestle_standins.nativestore import MemoryStore
+from granitetrestle_standins.nativestore import StoreModel
+from granitetrestle_standins.shardworld import CONFIG
+from granitetrestle_standins.shardworld import ShardWorld
+
+
+@when("somebody raises the jobs' epoch by {steps:d} steps, without a word to anybody")
+def raise_epoch(context, steps):
+    cluster = context.cluster
+    leader = cluster.leader()
+    (line,) = [x for x in cluster.log(leader) if x["event"] == "took_over"]
+    epoch = line["epoch"] + (steps << ADDRESS_BITS)
+    context.epoch = epoch
+    path = (
+        f"/api/log-append?topic={JOBS_TOPIC}&part=0"
+        f"&producer=granitetrestle&epoch={epoch}&call_seq=1"
+    )
+    answer = cluster.call("POST", f"127.0.0.1:{cluster.port}", path, b"")
+    assert answer.status == 200, answer
+
+
+@then("a process decides again within {seconds:g} seconds, and a job completes")
+def decides_again(context, seconds):
+    cluster = context.cluster
+
+    def took_over():
+        lines = [line for name in cluster.nodes() for line in cluster.log(name)]
+        return [
+            line
+            for line in lines
+            if line["event"] == "took_over" and line["epoch"] > context.epoch
+        ]
+
+    cluster.wait(took_over, "a decider above the epoch", seconds)
+    job = "00000000000000f2"
+    cluster.submit(job, [{"count": 2, "cpu": 1000, "mem_mb": 100}])
+    cluster.wait(lambda: cluster.state(job) == "completed", job)
+
+
+@given("a store that takes at most {most:d} bytes in a call")
+def small_calls(context, most):
+    context.most = most
+    context.store = store = MemoryStore(StoreModel())
+    append = store.append
+
+    async def limited(topic, records, writer, timeout_s):
+        if sum(5 + len(r.key) + len(r.value or b"") for r in records) > most:
+            return StoreUnavailable("413", undone=True)
+        return await append(topic, records, writer, timeout_s)
+
+    store.append = limited
+
+
+@when("{count:d} records of {size:d} bytes are written at once")
+def write_at_once(context, count, size):
+    store = context.store
+    store.model.append("t", (), Writer(1, 1))
+    due = [Record(f"r/{number}", bytes(size)) for number in range(count)]
+    context.wanted = list(due)
+
+    def take():
+        records = list(due)
+        due.clear()
+        return records
+
+    journal = Journal(
+        store,
+        "t",
+        1,
+        take,
+        lambda held: None,
+        time.monotonic,
+        lambda reason, waiting_s: None,
+        call_bytes=context.most,
+    )
+
+    async def write():
+        with anyio.move_on_after(2.0):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(journal.run)
+                journal.nudge()
+                while len(store.model.topics["t"]) < count:
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(write)
+
+
+@then("all of them are in the store within {seconds:g} seconds")
+def all_in_store(context, seconds):
+    assert context.store.model.topics["t"] == context.wanted
+
+
+STOPPED = b'HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{"clock_ms":1}'
+QUEUE = Queue("q", "host", "/q/", "pool", 0, 3, 1.5, 1.0)
+
+
+@when("a job is handed in whose record has {size:d} bytes, where {most:d} are taken")
+def hand_in_long(context, size, most):
+    async def confirm():
+        return True
+
+    async def accept(request, call):
+        context.taken = call
+        return JobAccepted()
+
+    session = SimpleNamespace(
+        over=False,
+        config=Config(1, (QUEUE,), {}, 1_000_000),
+        serving=True,
+        store_away=False,
+        confirm=confirm,
+        call=accept,
+    )
+
+    def answer(label):
+        step = {"count": 1, "cpu": 1, "requirements": label}
+        body = json.dumps({"steps": [step]}).encode()
+        call = ClientCall("POST", "host", f"/q/{'a' * 16}", body)
+        return anyio.run(FrontResponder(most).answer, session, "r", call)
+
+    # Within the labels from 256 to 65,535 bytes one more makes the record one longer.
+    assert answer("x" * 1000).status == 200
+    shorter = record_bytes(context.taken.submission)
+    context.answer = answer("x" * (1000 + size - shorter))
+
+
+def record_bytes(submission):
+    """Return how long a job's record is in a call, as the store counts it: the length of
+    its key (1 byte), the key, the value."""
+    decider = Decider(ShardWorld(1, 0).terms, 0.0)
+    decider.called("r", SubmitJob(submission), 0.0)
+    (record,) = decider.take_writes()
+    return 1 + len(record.key) + len(record.value)
+
+
+@then("it is answered {status:d}")
+def answered(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@when("a box answers a look with {megabytes:d} megabytes of checkpoints")
+def long_look(context, megabytes):
+    saved = "c" * 10_000
+    context.count = megabytes * 100
+    rows = [[f"{'a' * 16}.0.0.{n}", 1, saved, 50] for n in range(context.count)]
+    body = json.dumps({"clock_ms": 1, "running": rows, "finished": []}).encode()
+    head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+
+    async def serve(stream):
+        async with stream:
+            while True:
+                request = await stream.receive()
+                stop = b"/api/run-stop" in request
+                await stream.send(STOPPED if stop else head + body)
+
+    async def look():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            boxes = PlatformBoxes(Caller())
+            address = f"127.0.0.1:{port}"
+            # The look goes over the connection that an order has opened.
+            await boxes.stop(TaskOrder("life", address, "task", 1), 1)
+            context.look = await boxes.look("life", address, 1, 0, None, 0)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(look)
+
+
+@then("all its tasks are seen")
+def all_seen(context):
+    assert isinstance(context.look, Look), context.look
+    assert len(context.look.running) == context.count
+
+
+@given("{count:d} boxes alike, of which advice names {which} as good for a step")
+def advised_boxes(context, count, which):
+    world = ShardWorld(1, count)
+    decider = context.decider = Decider(world.terms, 0.0)
+    queue = CONFIG.queues[0]._replace(advised=True)
+    decider.configured(CONFIG._replace(queues=(queue,)))
+    decider.evacuation.all_ordered([], (), 0.0)
+    decider.evacuation.heard(0.0)
+    decider.fleet.listed(world.entries, 0.0)
+    for life in world.entries:
+        decider.fleet.looked(life, 0.0, 0.1, Look(100, (), ()))
+    context.good = {max(world.entries)} if which == "only the last" else set()
+
+
+@when("a job of that step waits for {seconds:g} seconds")
+def wait_for_advice(context, seconds):
+    decider = context.decider
+    step = Step(count=1, cpu=100, memory_mb=1)
+    decider.called("r", SubmitJob(Submission("1", "q", "pool", "", (step,))), 0.2)
+    context.asked = collections.Counter()
+    context.starts = []
+    now = 0.2
+    while now < seconds:
+        now += 0.1
+        for decision in decider.decide(now, int(now * 1000)):
+            if isinstance(decision, AskAdvice):
+                context.asked.update(decision.lives)
+                assert len(decision.lives) <= 100, decision
+                good = {life: "t" for life in decision.lives if life in context.good}
+                decider.advised(decision, Advice(good, 1.0), now)
+            elif isinstance(decision, StartTask):
+                context.starts.append(decision)
+        decider.evacuation.heard(now)
+
+
+@then("it has started there, and no box was asked about twice")
+def started_there(context):
+    (start,) = context.starts
+    assert {start.life} == context.good, start
+    assert max(context.asked.values()) == 1, context.asked
+
+
+@then("some boxes were asked about twice")
+def asked_twice(context):
+    assert not context.starts
+    assert len(context.asked) == 60 and max(context.asked.values()) > 1, context.asked
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -273,7 +273,13 @@
         if now - entry.asked_at < ADVICE_AGAIN_S:
             return []
         entry.asked_at = now
-        roomy = sorted(pool.boxes.values(), key=lambda box: (-box.cpu_free, box.life))
+        # Which boxes are good for a step does not change. Where none of the roomiest was,
+        # as among idle boxes, the same ones were asked about for ever.
+        boxes = [box for box in pool.boxes.values() if box.life not in entry.unfit]
+        if not boxes:
+            entry.unfit.clear()
+            boxes = list(pool.boxes.values())
+        roomy = sorted(boxes, key=lambda box: (-box.cpu_free, box.life))
         lives = tuple(box.life for box in roomy[:ADVICE_BOXES])
         job = entry.workflow.submission.job
         return [AskAdvice(job, entry.occurrence, entry.step, lives)]
@@ -288,8 +294,11 @@
         entry = self._state.waiting.get((asked.job, asked.occurrence, asked.step))
         if entry is not None:
             entry.tickets = advice.tickets
+            entry.unfit.update(asked.lives)
+            entry.unfit.difference_update(advice.tickets)
             # A start takes a while to arrive.
-            entry.advice_until = now + advice.valid_s * ADVICE_USED
+            valid_s = advice.valid_s * ADVICE_USED if advice.tickets else 0.0
+            entry.advice_until = now + valid_s
         inputs = {"asked": len(asked.lives), "good": len(advice.tickets)}
         return [Noted("advised", name, inputs)]
 
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -17,7 +17,7 @@
 from .workflows import Workflow
 from .workflows import WorkflowState
 
-__all__ = ["JobRecords", "Restored", "restore_jobs"]
+__all__ = ["JobRecords", "Restored", "restore_jobs", "submission_record"]
 
 SUBMISSION_KEY: t.Final = "s/"
 PROGRESS_KEY: t.Final = "p/"
@@ -102,6 +102,11 @@
     return GroupId(job, task.occurrence, task.step, task.index // GROUP_SIZE)
 
 
+def submission_record(submission: Submission) -> Record:
+    """Return the record of a new job."""
+    return Record(SUBMISSION_KEY + submission.job, _encode(submission))
+
+
 class JobRecords:
     """What of the jobs must be written, and as what."""
 
@@ -153,9 +158,8 @@
     def take(self) -> list[Record]:
         """Return what must be written since the last call."""
         records = []
-        for job, workflow in self._accepted.items():
-            value = _encode(workflow.submission)
-            records.append(Record(SUBMISSION_KEY + job, value))
+        for workflow in self._accepted.values():
+            records.append(submission_record(workflow.submission))
         for group, workflow in self._groups.items():
             if not workflow.retired:
                 records.append(Record(group.key, _encode(_rows(group, workflow))))
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -49,6 +49,8 @@
     :param prepare: makes the decisions that are due and returns what to write.
     :param release: carries out what the batch held back.
     :param unanswered: told why an append is repeated, and how long it has taken.
+    :param call_bytes: most that the store takes in one call. A batch above it would be
+        refused and repeated for ever.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         release: t.Callable[[list[t.Any]], None],
         clock: t.Callable[[], float],
         unanswered: t.Callable[[str, float], None],
+        call_bytes: int = RECORDS_BYTES,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -69,6 +72,7 @@
         self._release = release
         self._clock = clock
         self._unanswered = unanswered
+        self._batch_bytes = min(RECORDS_BYTES, call_bytes)
         self._held: list[t.Any] = []
         self._wake = anyio.Event()
         self._confirmed_at = clock()
@@ -105,7 +109,7 @@
             records = self._prepare()
             held, self._held = self._held, []
             if records or held or self._confirm_due():
-                for part in _parts(records):
+                for part in _parts(records, self._batch_bytes):
                     if isinstance(await self._append(part), Fenced):
                         return Fenced()
                 self._release(held)
@@ -176,13 +180,13 @@
     sent: float
 
 
-def _parts(records: list[Record]) -> t.Iterator[list[Record]]:
-    """Cut records into calls that the store takes; at least one call."""
+def _parts(records: list[Record], most: int) -> t.Iterator[list[Record]]:
+    """Cut records into calls of at most so many bytes; at least one call."""
     part: list[Record] = []
     size = 0
     for record in records:
         length = len(record.key) + len(record.value or b"") + 8
-        if part and size + length > RECORDS_BYTES:
+        if part and size + length > most:
             yield part
             part, size = [], 0
         part.append(record)
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -126,6 +126,8 @@
         self._unreadable: frozenset[str] = frozenset()
         self._leaderless_since = time.monotonic()
         self._ask_store_at = 0.0
+        # Newest epoch that the store refused; without it each try began below it again.
+        self._refused_epoch = 0
         self._beat_seen: tuple[tuple[int, int], float] | None = None
         # Whether the store is asked who decides, and whether the epoch is being raised.
         self._trying = False
@@ -421,7 +423,8 @@
         if self._leadership.epoch > epoch_before:
             # Somebody was faster; its reports will come now that it is known here.
             return
-        previous = max(known.leader.epoch, self._leadership.epoch)
+        epochs = (known.leader.epoch, self._leadership.epoch, self._refused_epoch)
+        previous = max(epochs)
         for _ in range(CATCH_UP_EPOCHS):
             epoch = next_epoch(previous, self._terms.ip)
             outcome = await take_over(self._sources.store, epoch)
@@ -432,7 +435,7 @@
                 self._leadership.took_over(epoch, time.monotonic())
                 tasks.start_soon(self._lead, epoch)
                 return
-            previous = epoch
+            previous = self._refused_epoch = epoch
         self._log.event("take_over_failed", reason="fenced", epoch=previous)
 
     async def _lead(self, epoch: int) -> None:
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -36,6 +36,9 @@
 LIFE_HEADER: t.Final = b"expect-instance"
 # Ends that one answer of a box lists.
 ENDS_AT_ONCE: t.Final = 500
+# Of an answer. The page bounds neither the tasks on a box nor their checkpoints: with 1 MB
+# a box that lists more was never seen again, and all its tasks were taken for lost.
+ANSWER_BYTES: t.Final = 32 * 1024 * 1024
 
 
 # No box has as much of anything; what says so was not written by one.
@@ -198,7 +201,7 @@
             (LIFE_HEADER, life.encode()),
         )
         reply = await self._caller.call(
-            address, path, headers, _encode(body), timeout_s
+            address, path, headers, _encode(body), timeout_s, limit=ANSWER_BYTES
         )
         if isinstance(reply, CallFailure):
             return BoxNoAnswer(
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -89,12 +89,14 @@
             lease_s=settings.hold_max_s,
             keep_s=settings.status_s * 1.25,
             connections=settings.max_files - FILES_RESERVED,
+            call_bytes=settings.call_bytes,
             off=off,
         ),
     )
     peers = PeerLink(settings.node, incarnation, PEER_TOKEN, address)
     sources = _sources(settings, caller)
-    return Node(terms, sources, FrontResponder(), peers, log, metrics)
+    responder = FrontResponder(settings.record_bytes)
+    return Node(terms, sources, responder, peers, log, metrics)
 
 
 def _listen(address: Address) -> socket.socket:
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -9,10 +9,13 @@
 from ..forwarding import ClientCall
 from ..forwarding import Deposed
 from ..jobcalls import SubmitJob
+from ..jobrecords import submission_record
 from ..node import Node
 from ..outside import Config
 from ..session import Session
 from . import front
+from .store import LENGTH_BYTES
+from .store import encode_record
 
 __all__ = ["FrontResponder", "Ports", "make_app"]
 
@@ -22,6 +25,8 @@
 # Taken off a client's time limit, so that its answer still reaches it.
 ANSWER_SLACK_S: t.Final = 0.05
 MAX_BODY: t.Final = 1024 * 1024
+# What the store takes where the settings don't say it.
+RECORD_BYTES: t.Final = 262_144
 COME_BACK_S: t.Final = 1
 
 Scope: t.TypeAlias = t.MutableMapping[str, t.Any]
@@ -30,9 +35,13 @@
 
 
 class FrontResponder:
-    """Decodes a client's request by the session's configuration and answers it."""
+    """Decodes a client's request by the session's configuration and answers it.
 
-    def __init__(self) -> None:
+    :param record_bytes: longest record that the store takes.
+    """
+
+    def __init__(self, record_bytes: int = RECORD_BYTES) -> None:
+        self._record_bytes = record_bytes
         self._indexed: tuple[Config, front.QueueIndex] | None = None
 
     def _index(self, config: Config) -> front.QueueIndex:
@@ -53,6 +62,7 @@
         method, host, path, body = call
         try:
             asked = front.decode_call(self._index(config), method, host, path, body)
+            self._check_size(asked)
         except InvalidInput as error:
             return ClientAnswer(400, error.message.encode(), why=error.message)
         refused = ""
@@ -70,6 +80,18 @@
         answer = front.encode_outcome(outcome)
         return ClientAnswer(answer.status, answer.body)
 
+    def _check_size(self, asked: front.Asked) -> None:
+        """Refuse what the store would not take: its append would be repeated for ever,
+        by this decider and by each next one that the job is handed to.
+
+        :raises InvalidInput: if a job is too long for a record.
+        """
+        if not isinstance(asked, SubmitJob):
+            return
+        record = encode_record(submission_record(asked.submission))
+        if len(record) - LENGTH_BYTES > self._record_bytes:
+            raise InvalidInput("the job is too long for the store")
+
 
 def _taken(session: Session, asked: front.Asked) -> bool:
     """Say whether a job was taken, perhaps not yet durably: to refuse it now would
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -21,12 +21,21 @@
 from ..outside import StoreUnavailable
 from ..outside import Writer
 
-__all__ = ["CONFIG_TOPIC", "LIFE_TOPIC", "PlatformStore"]
+__all__ = [
+    "CONFIG_TOPIC",
+    "LENGTH_BYTES",
+    "LIFE_TOPIC",
+    "PlatformStore",
+    "decode_records",
+    "encode_record",
+]
 
 # Topics that the platform itself writes: the operator's records and the boxes'.
 CONFIG_TOPIC: t.Final = "keyed.op"
 LIFE_TOPIC: t.Final = "keyed.servers"
 PRODUCER: t.Final = "granitetrestle"
+# Of a record's length, which stands before it and does not count.
+LENGTH_BYTES: t.Final = 4
 # An answer takes some 5 ms; a store that is slow takes up to half a second.
 READ_TIMEOUT_S: t.Final = 1.0
 MAX_ANSWER: t.Final = 4 * 1024 * 1024
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -102,6 +102,7 @@
             # taken over, and an answer would rest on what was confirmed before.
             steadyclock.now,
             self._append_unanswered,
+            terms.call_bytes,
         )
         parts = (sources, self._decider, self._apply, log)
         self._operators = OperatorFeed(*parts)
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -43,6 +43,7 @@
     :param clock_slack: how much slower than ours a box's clock may run.
     :param keep_s: how long an ended job can be asked about.
     :param connections: how many a process may have open.
+    :param call_bytes: most that the store takes in one call.
     :param off: mechanisms that are switched off.
     """
 
@@ -51,6 +52,7 @@
     clock_slack: float = 0.03
     keep_s: float = 120.0
     connections: int = 3900
+    call_bytes: int = 2_097_152
     off: frozenset[Mechanism] = frozenset()
 
     @property
@@ -62,7 +64,8 @@
 class WaitingStep:
     """Tasks of one step that wait for a box.
 
-    :ivar tickets: for a queue under advice, the boxes that may run the step.
+    :ivar tickets: for a queue under advice, the boxes that may run the step; ``unfit``
+        are those that were asked about and may not.
     :ivar roomy_since: since when there has been room for one of its tasks that last,
         but for short gaps; ``roomy_at``: when it was last seen.
     :ivar last_use: when it must have started for its job to be of any use.
@@ -88,6 +91,7 @@
         "suspects",
         "tasks",
         "tickets",
+        "unfit",
         "waits_since",
         "workflow",
     )
@@ -107,6 +111,7 @@
         self.latest_start = latest_start
         self.tasks: dict[str, Task] = {}
         self.tickets: dict[str, str] = {}
+        self.unfit: set[str] = set()
         self.advice_until = 0.0
         self.asked_at = -1e9
         self.since: float | None = None
