The epoch that a scenario raises is no process's own

Cause: features/own_limits.feature:5 failed in 4 of 5 runs on: the epoch that it raised was the decider's own number 12 steps on, which that process took as its own next one (equal, so that the store let it in), and the scenario waits for a higher one. The product was right. Ruled out: a slow take-over (logs: it decided after 2.1 s). Change: the epoch raised ends in bits that no address has, above all of its step; as strict as before.

--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -44,7 +44,9 @@
     cluster = context.cluster
     leader = cluster.leader()
     (line,) = [x for x in cluster.log(leader) if x["event"] == "took_over"]
-    epoch = line["epoch"] + (steps << ADDRESS_BITS)
+    # An epoch that no process would choose, above all others of its step.
+    step = (line["epoch"] >> ADDRESS_BITS) + steps
+    epoch = (step + 1 << ADDRESS_BITS) - 1
     context.epoch = epoch
     path = (
         f"/api/log-append?topic={JOBS_TOPIC}&part=0"
