Failing: a take-over at half of the target's size stands still for 1.5 s; make takeover

Cause: records, and then boxes, are taken up in one go in the event loop. A process that says nothing for 1.3 s is no longer counted as taking over, and the next takes over, which stands still for as long.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check setup soak slopes idle bench recovery mutants deciding
+.PHONY: demo test check setup soak slopes idle bench recovery mutants deciding takeover
 
 setup: $(VENV)/ready
 
@@ -45,3 +45,6 @@
 
 deciding: setup
 	$(BIN)/python -m granitetrestle_bench.deciding
+
+takeover: setup
+	$(BIN)/python -m granitetrestle_bench.takeover
--- a/features/steps/page_steps.py
+++ b/features/steps/page_steps.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import time
 import urllib.parse
 
 import anyio
@@ -13,6 +14,7 @@
 from granitetrestle.calls import Reply
 from granitetrestle.newestread import read_newest
 from granitetrestle.nodemetrics import NodeMetrics
+from granitetrestle.outside import BoxCalls
 from granitetrestle.outside import Newest
 from granitetrestle.outside import Record
 from granitetrestle.platform.boxes import decode_entry
@@ -24,6 +26,9 @@
 from granitetrestle.session import Session
 from granitetrestle.session import Sources
 from granitetrestle.shardstate import DeciderTerms
+from granitetrestle.workflows import RUNNING
+from granitetrestle_bench.takeover import BOXES
+from granitetrestle_bench.takeover import Filling
 from granitetrestle_standins.nativeplatform import StoreServer
 from granitetrestle_standins.nativestore import StoreModel
 
@@ -142,11 +147,53 @@
     context.refused = {3: fourth, 6: seventh}
 
 
+@given("a store with the records of {tasks:d} running tasks on {boxes:d} boxes")
+def running_store(context, tasks, boxes):
+    context.caller = caller = PagedCaller(0, 500)
+    filling = Filling(caller.model, boxes / BOXES, seed=1)
+    filling.fill(ended=500)
+    assert filling.boxes == boxes
+
+
+class SilentBoxes(BoxCalls):
+    """Boxes that never answer."""
+
+    async def look(self, *args):
+        await anyio.sleep_forever()
+
+    start = stop = pace = look
+
+
+class Turns:
+    """How much processor time went by between two turns of the event loop.
+
+    :ivar longest_s: in seconds.
+    """
+
+    def __init__(self):
+        self.longest_s = 0.0
+        self.last = time.process_time()
+
+    def turned(self):
+        now = time.process_time()
+        self.longest_s = max(self.longest_s, now - self.last)
+        self.last = now
+
+    async def run(self):
+        while True:
+            self.turned()
+            await anyio.sleep(0.005)
+
+
 @when("a decider takes over")
 def takes_over(context):
     context.log = Lines()
+    context.turns = Turns()
     store = PlatformStore("store", context.caller)
-    sources = Sources(store, None, CONFIG_TOPIC, LIFE_TOPIC, decode_order, decode_entry)
+    boxes = SilentBoxes()
+    sources = Sources(
+        store, boxes, CONFIG_TOPIC, LIFE_TOPIC, decode_order, decode_entry
+    )
     session = context.session = Session(
         sources, 1, DeciderTerms(), context.log, NodeMetrics()
     )
@@ -155,10 +202,15 @@
         with anyio.fail_after(LONGEST_S):
             async with anyio.create_task_group() as tasks:
 
+                def ready():
+                    context.turns.turned()
+                    tasks.cancel_scope.cancel()
+
                 async def decide():
-                    await session.run(tasks.cancel_scope.cancel)
+                    await session.run(ready)
                     tasks.cancel_scope.cancel()
 
+                tasks.start_soon(context.turns.run)
                 tasks.start_soon(decide)
 
     anyio.run(run)
@@ -178,6 +230,23 @@
     assert dict(caller.asked) == wanted, caller.asked
 
 
+@then(
+    "it knows {count:d} running tasks and never computed for more than {seconds:g} "
+    "seconds at once"
+)
+def never_long(context, count, seconds):
+    workflows = context.session.decider.state.workflows.values()
+    running = [
+        task
+        for workflow in workflows
+        for task in workflow.tasks.values()
+        if task.state == RUNNING
+    ]
+    # The last job of a kind may have some tasks more.
+    assert count <= len(running) < count + 200, len(running)
+    assert context.turns.longest_s <= seconds, context.turns.longest_s
+
+
 @then('that fails for "{why}", after {pages:d} pages with {records:d} records')
 def fails_for(context, why, pages, records):
     fields = context.log.only("take_over_failed")
--- a/features/take_over_pages.feature
+++ b/features/take_over_pages.feature
@@ -49,3 +49,10 @@
     And its fourth page fails 3 times
     When all newest records are read, while a record is added with each page
     Then reading goes on from where the first page ended
+
+  Scenario: A process that takes over much goes on saying that it is there
+    One that says nothing for 1.3 s is taken for dead, and the next takes over, which says
+    nothing for as long: nobody would ever decide.
+    Given a store with the records of 28000 running tasks on 1550 boxes
+    When a decider takes over
+    Then it knows 28000 running tasks and never computed for more than 0.25 seconds at once
