--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -10,6 +10,7 @@
 
 from .errors import UnreadableRecord
 from .outside import Record
+from .slices import Steps
 from .workflows import DONE
 from .workflows import STOPPING
 from .workflows import Submission
@@ -17,7 +18,7 @@
 from .workflows import Workflow
 from .workflows import WorkflowState
 
-__all__ = ["JobRecords", "Restored", "restore_jobs"]
+__all__ = ["JobRecords", "Restored", "restore_jobs", "submission_record"]
 
 SUBMISSION_KEY: t.Final = "s/"
 PROGRESS_KEY: t.Final = "p/"
@@ -102,6 +103,11 @@
     return GroupId(job, task.occurrence, task.step, task.index // GROUP_SIZE)
 
 
+def submission_record(submission: Submission) -> Record:
+    """Return the record of a new job."""
+    return Record(SUBMISSION_KEY + submission.job, _encode(submission))
+
+
 class JobRecords:
     """What of the jobs must be written, and as what."""
 
@@ -153,9 +159,8 @@
     def take(self) -> list[Record]:
         """Return what must be written since the last call."""
         records = []
-        for job, workflow in self._accepted.items():
-            value = _encode(workflow.submission)
-            records.append(Record(SUBMISSION_KEY + job, value))
+        for workflow in self._accepted.values():
+            records.append(submission_record(workflow.submission))
         for group, workflow in self._groups.items():
             if not workflow.retired:
                 records.append(Record(group.key, _encode(_rows(group, workflow))))
@@ -209,9 +214,9 @@
     unreadable: list[UnreadableRecord]
 
 
-def restore_jobs(records: t.Iterable[Record], now: float) -> Restored:
-    """Return the jobs in ``records``. One that can't be read is named, and the rest
-    goes on."""
+def restore_jobs(records: t.Iterable[Record], now: float) -> Steps[Restored]:
+    """Return the jobs in ``records``, a few at a step. One that can't be read is named,
+    and the rest goes on."""
     by_kind: dict[str, dict[str, bytes]] = collections.defaultdict(dict)
     for record in records:
         if record.value is not None:
@@ -221,14 +226,18 @@
         submission = _read(_submissions, SUBMISSION_KEY + job, value, restored)
         if submission is not None:
             restored.workflows[job] = Workflow(submission, now)
+        yield
     for job, value in by_kind[ENDED_KEY].items():
         ended = _read(_ended_rows, ENDED_KEY + job, value, restored)
         if ended is not None:
             restored.workflows[job] = _retired(job, ended, now)
+        yield
     for job, value in by_kind[PROGRESS_KEY].items():
         _restore_state(job, value, restored, now)
+        yield
     for place, value in by_kind[GROUP_KEY].items():
         _restore_group(place, value, restored, now)
+        yield
     return restored
 
 
@@ -294,7 +303,7 @@
 
 def _restore_task(task: Task, row: TaskRow, now: float) -> None:
     task.run = row.run
-    task.failed_runs = set(row.failed_runs)
+    task.failed_runs = frozenset(row.failed_runs)
     task.checkpoint = row.checkpoint
     task.suspicion = row.suspicion
     task.workflow.begun = True
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -16,6 +16,7 @@
 from .outside import StoreUnavailable
 from .outside import Writer
 from .right import Right
+from .statemark import MARK_BYTES
 from .statemark import Marks
 
 __all__ = ["Journal", "JournalRight", "JournalStatus", "NotKept"]
@@ -77,6 +78,8 @@
     :param not_kept: told of an append that was answered, and after which the store's log
         did not end as much later as it had records.
     :param end: where the topic ended as this epoch was raised, if that is known.
+    :param call_bytes: most that the store takes in one call. A batch above it would be
+        refused and repeated for ever.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         unanswered: t.Callable[[str, float], None],
         not_kept: t.Callable[["NotKept"], None] = lambda _: None,
         end: int | None = None,
+        call_bytes: int = RECORDS_BYTES,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -103,6 +107,7 @@
         # Where the topic ends by the newest answer; it has one writer.
         self._end = end
         self._marks = Marks()
+        self._batch_bytes = min(RECORDS_BYTES, call_bytes) - MARK_BYTES
         self._held: list[t.Any] = []
         # Whether somebody waits for the next append, and what tells that one succeeded.
         self._asked = False
@@ -173,7 +178,7 @@
             records = self._prepare()
             held, self._held = self._held, []
             if records or held or asked or self._confirm_due():
-                for part in _parts(records):
+                for part in _parts(records, self._batch_bytes):
                     outcome = await self._append(part)
                     if not isinstance(outcome, Appended):
                         return outcome
@@ -293,13 +298,13 @@
     sent: float
 
 
-def _parts(records: list[Record]) -> t.Iterator[list[Record]]:
-    """Cut records into calls that the store takes; at least one call."""
+def _parts(records: list[Record], most: int) -> t.Iterator[list[Record]]:
+    """Cut records into calls of at most so many bytes; at least one call."""
     part: list[Record] = []
     size = 0
     for record in records:
         length = len(record.key) + len(record.value or b"") + 8
-        if part and size + length > RECORDS_BYTES:
+        if part and size + length > most:
             yield part
             part, size = [], 0
         part.append(record)
--- a/src/granitetrestle/outside.py
+++ b/src/granitetrestle/outside.py
@@ -23,6 +23,8 @@
     "LookOutcome",
     "Newest",
     "NumberTaken",
+    "NewestPage",
+    "NewestUnavailable",
     "OrderAccepted",
     "OrderNotSent",
     "OrderOutcome",
@@ -91,6 +93,28 @@
     end: int
 
 
+class NewestPage(t.NamedTuple):
+    """Some of the newest records; the next page follows the last key of this one.
+
+    :param end: the offset after the last record of all when this page was made.
+    """
+
+    records: tuple[Record, ...]
+    end: int
+    more: bool
+
+
+class NewestUnavailable(t.NamedTuple):
+    """The newest records could not all be read.
+
+    :param pages: how many pages came, with so many records.
+    """
+
+    reason: str
+    pages: int
+    records: int
+
+
 class Records(t.NamedTuple):
     """Records in order, and the offset at which to read on."""
 
@@ -120,13 +144,13 @@
         """
 
     @abc.abstractmethod
-    async def newest(
-        self, topic: str, timeout_s: float, from_end: int = 0
-    ) -> Newest | StoreUnavailable:
-        """Return the newest record of each key.
+    async def newest_page(
+        self, topic: str, after: str | None, timeout_s: float
+    ) -> NewestPage | StoreUnavailable:
+        """Return some of the newest records, one for each key. The pages of a topic are
+        no snapshot; :mod:`.newestread` reads them all.
 
-        :param timeout_s: for each call that this takes.
-        :param from_end: what shows the topic as it was before it ended there is refused.
+        :param after: last key of the page before; ``None`` for the first page.
         """
 
     @abc.abstractmethod
@@ -300,11 +324,15 @@
 
 
 class Look(t.NamedTuple):
-    """All that runs on a box, and the ends not yet known."""
+    """All that runs on a box, and the ends not yet known, the first ones first.
+
+    :param more_ends: whether there may be ends that are listed only once these are known.
+    """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    more_ends: bool = False
 
 
 LookOutcome: t.TypeAlias = Look | OrderRejected | BoxReplaced | BoxNoAnswer
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -9,6 +9,8 @@
 
 from . import steadyclock
 from .boxlife import BoxKeeper
+from .collector import made_to_stay
+from .collector import take_back
 from .comeback import ComeBack
 from .comeback import FollowingOutage
 from .comeback import SteadyReturns
@@ -29,7 +31,6 @@
 from .feeds import BoxFeed
 from .feeds import OperatorFeed
 from .feeds import Sources
-from .feeds import read_newest
 from .forwarding import Deposed
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
@@ -39,6 +40,7 @@
 from .lookbudget import LookBudget
 from .looplag import LoopLag
 from .mechanisms import Mechanism
+from .newestread import read_newest
 from .nodelog import NodeLog
 from .nodemetrics import NodeMetrics
 from .orderwindow import OpenWindow
@@ -47,13 +49,14 @@
 from .outside import AdviceUnavailable
 from .outside import Config
 from .outside import Newest
-from .outside import NumberTaken
+from .outside import NewestUnavailable
 from .outside import Record
-from .outside import StoreUnavailable
 from .shardstate import DeciderTerms
+from .slices import in_slices
 from .statemark import Taken
 from .succession import JOBS_TOPIC
-from .succession import read_state
+from .succession import NotRead
+from .succession import StateRead
 from .waitingorder import waiting_tasks
 
 __all__ = ["Session", "Sources"]
@@ -100,6 +103,7 @@
             self._append_unanswered,
             self._append_not_kept,
             taken.end,
+            terms.call_bytes,
         )
         self._right = JournalRight(self._journal, terms.orphan_s)
         parts = (sources, self._decider, self._apply, log)
@@ -193,53 +197,71 @@
                 ready()
         finally:
             self._over = True
+            take_back()
             for caller in self._callers.values():
                 caller.news.set()
 
     async def _begin(self) -> bool:
         """Read what a predecessor left; no other can write meanwhile."""
         started = time.monotonic()
-        store = self._sources.store
-        read: dict[str, Newest | None] = {}
-        state: list[Newest | NumberTaken | StoreUnavailable] = []
-
-        async def fetch(topic: str) -> None:
-            read[topic] = await read_newest(store, topic)
-
-        async def fetch_state() -> None:
-            state.append(await read_state(store, self._taken, self._log))
-
-        config_topic, box_topic = self._sources.config_topic, self._sources.box_topic
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(fetch_state)
-            for topic in (config_topic, box_topic):
-                tasks.start_soon(fetch, topic)
-        jobs, config, boxes = state[0], read[config_topic], read[box_topic]
-        if not isinstance(jobs, Newest) or config is None or boxes is None:
-            reason = "the store did not answer"
-            if isinstance(jobs, NumberTaken):
-                reason = "an earlier life decided in this epoch"
-            elif isinstance(jobs, StoreUnavailable):
-                reason = jobs.reason
-            self._log.event("take_over_failed", reason=reason, epoch=self._epoch)
+        read = await self._read_all()
+        if read is None:
             return False
-        self._journal.goes_on_from(jobs.records)
         now = time.monotonic()
-        self._apply(self._decider.restore(jobs.records, now))
-        self._operators.begin(config)
-        self._listed.begin(boxes)
+        state = read.pop(JOBS_TOPIC)
+        records, end = len(state.records), state.end
+        with made_to_stay():
+            self._journal.goes_on_from(state.records)
+            restoring = self._decider.restoring(state.records, now)
+            del state
+            self._apply(await in_slices(restoring))
+            self._operators.begin(read[self._sources.config_topic])
+            await in_slices(self._listed.beginning(read[self._sources.box_topic]))
         self._log.event(
             "took_over",
             epoch=self._epoch,
             jobs=len(self._decider.state.workflows),
-            records=len(jobs.records),
-            end=jobs.end,
+            records=records,
+            end=end,
             boxes=len(self._listed),
             config=self.config.version if self.config else None,
-            took_s=round(now - started, 3),
+            read_s=round(now - started, 3),
+            took_s=round(time.monotonic() - started, 3),
         )
         return True
 
+    async def _read_all(self) -> dict[str, Newest] | None:
+        """Return the newest records of each topic, or ``None`` if they can't be read."""
+        read: dict[str, Newest] = {}
+        store = self._sources.store
+        state = StateRead(store, self._taken, self._log)
+
+        async def fetch(topic: str) -> None:
+            outcome: Newest | NewestUnavailable | NotRead
+            if topic == JOBS_TOPIC:
+                outcome = await state.run()
+            else:
+                outcome = await read_newest(store, topic)
+            if not isinstance(outcome, Newest):
+                self._log.event(
+                    "take_over_failed",
+                    epoch=self._epoch,
+                    topic=topic,
+                    **outcome._asdict(),
+                )
+                tasks.cancel_scope.cancel()
+            else:
+                read[topic] = outcome
+
+        async with anyio.create_task_group() as tasks:
+            for topic in (
+                JOBS_TOPIC,
+                self._sources.config_topic,
+                self._sources.box_topic,
+            ):
+                tasks.start_soon(fetch, topic)
+        return None if tasks.cancel_scope.cancel_called else read
+
     async def _journal_loop(self, tasks: anyio.abc.TaskGroup) -> None:
         met = await self._journal.run()
         self._step_down("store", type(met).__name__)
--- a/src/granitetrestle/statemark.py
+++ b/src/granitetrestle/statemark.py
@@ -1,28 +1,49 @@
 """What proves to a successor that the records it has read are all that its predecessor
-believed to be kept. Each append ends with a mark: how many keys the topic holds from then
-on. So no append is empty, and none has its number in common with another; a reading that
-leaves records out does not agree with its mark; and one that does not show a successor's
-own first record is older than its epoch, or the epoch is not its own."""
+believed to be kept. Each append ends with a mark: a sum over the keys and values that the
+topic holds from then on. So no append is empty, and none has its number in common with
+another; a reading that leaves records out, or shows older ones, does not agree with its
+mark; and one that does not show a successor's own first record is older than its epoch, or
+the epoch is not its own."""
 
+import enum
 import typing as t
+import zlib
 
 import msgspec
 
 from .outside import Newest
 from .outside import Record
 
-__all__ = ["MARK_KEY", "TAKEN_KEY", "Marks", "NotWhole", "Taken", "what_is_wrong"]
+__all__ = [
+    "MARK_BYTES",
+    "MARK_KEY",
+    "TAKEN_KEY",
+    "Marks",
+    "NotWhole",
+    "Taken",
+    "Verdict",
+    "judge",
+]
 
 # Keys of no job: a reader of jobs passes over them.
 MARK_KEY: t.Final = "m/state"
 TAKEN_KEY: t.Final = "m/taken"
 _OWN_KEYS: t.Final = frozenset({MARK_KEY, TAKEN_KEY})
+# The most that a mark adds to an append, with the lengths before it.
+MARK_BYTES: t.Final = 64
+# A topic that has seen no more records than this may hold nothing but those with which
+# epochs were raised: all processes try at the first start, some of them several times.
+ONLY_RAISED: t.Final = 64
 
 
 class StateMark(msgspec.Struct, frozen=True, array_like=True):
-    """How many keys a topic holds, those of marks left out."""
+    """What a topic holds, records of this module left out.
+
+    :param total: exclusive or of the check sums of each key with its value.
+    """
 
     keys: int
+    total: int
 
 
 class _TakenBy(msgspec.Struct, frozen=True, array_like=True):
@@ -55,60 +76,82 @@
 
 
 class Marks:
-    """Follows which keys a topic holds.
+    """Follows what a topic holds.
 
     :param records: what it holds now.
     """
 
     def __init__(self, records: t.Iterable[Record] = ()) -> None:
-        self._keys = {record.key for record in records} - _OWN_KEYS
+        self._sums: dict[str, int] = {}
+        self._total = 0
+        for record in records:
+            self._take(record)
+
+    def _take(self, record: Record) -> None:
+        if record.key in _OWN_KEYS:
+            return
+        self._total ^= self._sums.pop(record.key, 0)
+        if record.value is not None:
+            self._sums[record.key] = total = zlib.crc32(
+                record.value, zlib.crc32(record.key.encode())
+            )
+            self._total ^= total
+
+    @property
+    def mark(self) -> StateMark:
+        """What the topic holds now."""
+        return StateMark(len(self._sums), self._total)
 
     def marked(self, records: t.Sequence[Record]) -> list[Record]:
         """Return the records of an append with their mark."""
         for record in records:
-            if record.value is None:
-                self._keys.discard(record.key)
-            else:
-                self._keys.add(record.key)
-        return [*records, Record(MARK_KEY, _encode(StateMark(len(self._keys))))]
+            self._take(record)
+        return [*records, Record(MARK_KEY, _encode(self.mark))]
 
 
-class NotWhole(t.NamedTuple):
-    """Why a reading is not the whole of what was kept.
+class Verdict(enum.Enum):
+    """What a reading is that is not proved to be the whole of what was kept."""
+
+    # It is older than the epoch, or part of it is.
+    OLD = "old"
+    # Another process has raised a newer epoch.
+    OVER = "over"
+    # An earlier life of this process has decided in the epoch.
+    USED = "used"
+    # It does not agree with its mark: records are missing, or older ones are shown.
+    DIFFERS = "differs"
+    # It has no mark: an older version of this program wrote last, or the mark is missing.
+    UNMARKED = "unmarked"
 
-    :param ours: whether it shows the first record of the epoch, so that it is no older.
-    :param used: whether an earlier life of the process has decided in the epoch.
-    """
 
+class NotWhole(t.NamedTuple):
+    """Why a reading is not proved to be the whole of what was kept."""
+
+    verdict: Verdict
     reason: str
-    ours: bool = False
-    used: bool = False
 
 
-def what_is_wrong(read: Newest, taken: Taken) -> NotWhole | None:
-    """Return why a reading is not the whole of what was kept, or ``None`` if it is.
+def judge(read: Newest, taken: Taken) -> NotWhole | None:
+    """Return why a reading is not proved to be whole, or ``None`` if it is.
 
     :param taken: the epoch, as it was raised before the reading.
     """
     values = {record.key: record.value for record in read.records}
     shown = _shown(values.get(TAKEN_KEY))
     if shown != _TakenBy(taken.epoch, taken.by):
-        used = shown is not None and shown.epoch == taken.epoch
-        return NotWhole(
-            f"the epoch's first record is not there, but {shown}", used=used
-        )
-    mark = values.get(MARK_KEY)
-    if mark is None:
-        # Nobody decided yet, or an older version did.
-        return None
+        return _not_ours(shown, taken)
+    found = Marks(read.records).mark
+    if MARK_KEY not in values:
+        if not found.keys and taken.end <= ONLY_RAISED:
+            return None
+        return NotWhole(Verdict.UNMARKED, f"no mark beside {found.keys} keys")
     try:
-        expected = _marks.decode(mark).keys
-    except msgspec.DecodeError:
-        return NotWhole("the mark can't be read", ours=True)
-    found = len(values.keys() - _OWN_KEYS)
+        expected = _marks.decode(values[MARK_KEY] or b"")
+    except msgspec.DecodeError as error:
+        return NotWhole(Verdict.UNMARKED, f"the mark can't be read: {error}")
     if found == expected:
         return None
-    return NotWhole(f"{found} keys, of {expected}", ours=True)
+    return NotWhole(Verdict.DIFFERS, f"{found}, not {expected}")
 
 
 def _shown(value: bytes | None) -> _TakenBy | None:
@@ -116,3 +159,12 @@
         return _taken.decode(value) if value else None
     except msgspec.DecodeError:
         return None
+
+
+def _not_ours(shown: _TakenBy | None, taken: Taken) -> NotWhole:
+    reason = f"the epoch's first record is not there, but {shown}"
+    if shown is None or shown.epoch < taken.epoch:
+        return NotWhole(Verdict.OLD, reason)
+    if shown.epoch > taken.epoch:
+        return NotWhole(Verdict.OVER, reason)
+    return NotWhole(Verdict.USED, reason)
--- a/src/granitetrestle/succession.py
+++ b/src/granitetrestle/succession.py
@@ -3,32 +3,41 @@
 any reading for whole started again what its predecessor had done: up to 192 tasks in 30 s
 of work that was shown as completed, where the store showed records 3 s late."""
 
+import time
 import typing as t
 
 import anyio
 
-from .feeds import NEWEST_TIMEOUT_S
+from .newestread import NewestRead
 from .nodelog import NodeLog
 from .outside import Fenced
 from .outside import Newest
+from .outside import NewestUnavailable
 from .outside import NumberTaken
 from .outside import Store
 from .outside import StoreUnavailable
 from .outside import Writer
+from .statemark import NotWhole
 from .statemark import Taken
-from .statemark import what_is_wrong
+from .statemark import Verdict
+from .statemark import judge
 
-__all__ = ["JOBS_TOPIC", "read_state", "take_over"]
+__all__ = ["JOBS_TOPIC", "NotRead", "StateRead", "take_over"]
 
 JOBS_TOPIC: t.Final = "keyed.jobs"
 TAKE_OVER_TIMEOUT_S: t.Final = 1.0
-# A reading that is not whole is read again after this, so many times. A store that was
-# slow for seconds has then caught up; one that stays behind is not decided upon.
+# A page has up to a megabyte, which the smallest links (10 Mbit/s) carry in a second.
+PAGE_TIMEOUT_S: t.Final = 2.0
+# A page that fails, and a reading that is not whole, are read again after this.
 READ_AGAIN_S: t.Final = 0.1
-READ_TRIES: t.Final = 40
-# Records that are missing in so many readings are lost, or an older version of this
-# program wrote last, without marks: waiting longer would leave nobody deciding.
-MISSING_TRIES: t.Final = 10
+# Another process may fare better than one to which the store has refused a page so often,
+# or that no page has reached for so long.
+PAGE_TRIES: t.Final = 20
+SILENT_S: t.Final = 4.0
+# What a reading lacks for so long is lost: to wait longer would leave nobody deciding. An
+# older version writes no marks, which is seen at the first change to this one.
+DIFFERS_FOR_S: t.Final = 4.0
+UNMARKED_FOR_S: t.Final = 1.0
 
 
 async def take_over(
@@ -48,28 +57,64 @@
     return Taken(epoch, by, outcome.end)
 
 
-async def read_state(
-    store: Store, taken: Taken, log: NodeLog
-) -> Newest | NumberTaken | StoreUnavailable:
-    """Read what a predecessor left; no other can write meanwhile.
+class NotRead(t.NamedTuple):
+    """This process can't go on from what its predecessor left."""
 
-    :returns: ``NumberTaken`` if an earlier life of this process has decided in this
-        epoch: what is written next would be answered as repeats of what that one wrote.
-    """
-    why = ""
-    for number in range(READ_TRIES):
-        read = await store.newest(JOBS_TOPIC, NEWEST_TIMEOUT_S, taken.end)
-        if isinstance(read, StoreUnavailable):
-            why = read.reason
-        else:
-            wrong = what_is_wrong(read, taken)
+    reason: str
+    pages: int = 0
+    records: int = 0
+
+
+class StateRead:
+    """Reads what a predecessor left; no other can write meanwhile."""
+
+    def __init__(self, store: Store, taken: Taken, log: NodeLog) -> None:
+        self._store = store
+        self._taken = taken
+        self._log = log
+        # Since when readings have had the same fault, and which.
+        self._fault: NotWhole | None = None
+        self._fault_since = 0.0
+
+    async def run(self) -> Newest | NotRead:
+        """Return the records once they are proved to be whole, or are lost."""
+        while True:
+            read = await self._read()
+            if isinstance(read, NotRead):
+                return read
+            wrong = judge(read, self._taken)
             if wrong is None:
                 return read
-            why = wrong.reason
-            log.event("reading_not_whole", epoch=taken.epoch, why=why, end=read.end)
-            if wrong.used:
-                return NumberTaken(0)
-            if wrong.ours and number >= MISSING_TRIES:
+            inputs = {"verdict": wrong.verdict.value, "why": wrong.reason}
+            self._log.event("reading_not_whole", epoch=self._taken.epoch, **inputs)
+            if wrong.verdict in (Verdict.OVER, Verdict.USED):
+                return NotRead(wrong.reason)
+            if self._is_lost(wrong, time.monotonic()):
+                self._log.event("records_lost", epoch=self._taken.epoch, **inputs)
                 return read
-        await anyio.sleep(READ_AGAIN_S)
-    return StoreUnavailable(why)
+            await anyio.sleep(READ_AGAIN_S)
+
+    def _is_lost(self, wrong: NotWhole, now: float) -> bool:
+        """Say whether what a reading lacks has been missing for too long."""
+        if wrong != self._fault:
+            self._fault, self._fault_since = wrong, now
+        for_s = now - self._fault_since
+        if wrong.verdict is Verdict.UNMARKED:
+            return for_s > UNMARKED_FOR_S
+        return wrong.verdict is Verdict.DIFFERS and for_s > DIFFERS_FOR_S
+
+    async def _read(self) -> Newest | NotRead:
+        """Read all pages, those again that fail."""
+        reading = NewestRead(self._store, JOBS_TOPIC, self._taken.end)
+        pages, tries, since = 0, 0, time.monotonic()
+        while True:
+            outcome = await reading.go_on(PAGE_TIMEOUT_S)
+            if not isinstance(outcome, NewestUnavailable):
+                return outcome
+            now = time.monotonic()
+            if outcome.pages > pages:
+                pages, tries, since = outcome.pages, 0, now
+            tries += 1
+            if tries >= PAGE_TRIES or now - since > SILENT_S:
+                return NotRead(*outcome)
+            await anyio.sleep(READ_AGAIN_S)
