A start leaves only while its right holds, checked after the last wait

Cause: a review showed that a start that waited for its right to be confirmed anew left however long its process had stood still after that, and that starts which waited for it kept the turns of other orders, a pace among them. Change: the right holds by an append that was sent after the process last stood still (its event loop turned no more for 0.8 s) and answered a moment ago; it is checked with the turn in hand, and the turn is given back while it does not hold. A slow store, whose appends take longer than a right is fresh, holds no start back for good.

--- a/features/rights.py
+++ b/features/rights.py
@@ -15,6 +15,9 @@
     def may_renew(self):
         return True
 
+    def holds(self):
+        return True
+
     async def confirmed(self):
         pass
 
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -22,6 +22,7 @@
 from granitetrestle.journal import Journal
 from granitetrestle.journal import JournalRight
 from granitetrestle.leadership import Leadership
+from granitetrestle.looplag import LoopLag
 from granitetrestle.messages import LeaderResigned
 from granitetrestle.messages import NodeStatus
 from granitetrestle.outside import Config
@@ -241,7 +242,7 @@
             self._over = False
             self._operators = self
             self._journal = self
-            self._right = JournalRight(self, DeciderTerms().orphan_s)
+            self._right = JournalRight(self, DeciderTerms().orphan_s, LoopLag())
             self._come_back = SteadyReturns()
 
         config = CONFIG
@@ -438,7 +439,7 @@
             self._over = False
             self._journal = self
             self._terms = DeciderTerms()
-            self._right = JournalRight(self, self._terms.orphan_s)
+            self._right = JournalRight(self, self._terms.orphan_s, LoopLag())
             self.nudged = 0
 
         class status:
--- a/src/granitetrestle/boxlife.py
+++ b/src/granitetrestle/boxlife.py
@@ -270,15 +270,19 @@
     async def _send(
         self, send: t.Callable[[], t.Awaitable[OrderOutcome]], kind: int
     ) -> OrderOutcome:
-        async with self._window.turn(kind, self._life) as turn:
-            if kind != FIRST:
-                # A stop ends a run for good whoever decides; a start begins one.
+        # A stop ends a run for good whoever decides; a start begins one.
+        rests_on_right = kind != FIRST
+        while True:
+            if rests_on_right:
                 await self._right.confirmed()
-                turn.begins(time.monotonic())
-            outcome = await send()
-            if not isinstance(outcome, OrderNotSent):
-                turn.ended(not isinstance(outcome, BoxNoAnswer), time.monotonic())
-            return outcome
+            async with self._window.turn(kind, self._life) as turn:
+                if rests_on_right and not self._right.holds():
+                    # Others have their turn meanwhile: without this a pace waited too.
+                    continue
+                outcome = await send()
+                if not isinstance(outcome, OrderNotSent):
+                    turn.ended(not isinstance(outcome, BoxNoAnswer), time.monotonic())
+                return outcome
 
     @staticmethod
     def _doubted(outcome: OrderOutcome) -> OrderOutcome:
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from .looplag import LoopLag
 from .outside import Appended
 from .outside import Fenced
 from .outside import NumberTaken
@@ -49,10 +50,12 @@
     """How well the store takes our appends.
 
     :param confirmed_at: when the newest append that succeeded was sent.
+    :param answered_at: when it was answered.
     :param waiting_since: when the append under way was first sent, if there is one.
     """
 
     confirmed_at: float
+    answered_at: float
     waiting_since: float | None
 
 
@@ -113,7 +116,7 @@
         self._asked = False
         self._success = anyio.Event()
         self._wake = anyio.Event()
-        self._confirmed_at = clock()
+        self._confirmed_at = self._answered_at = clock()
         self._waiting_since: float | None = None
         self._usual_s = USUAL_S
         self.appends = 0
@@ -122,7 +125,7 @@
     @property
     def status(self) -> JournalStatus:
         """How well the store takes our appends."""
-        return JournalStatus(self._confirmed_at, self._waiting_since)
+        return JournalStatus(self._confirmed_at, self._answered_at, self._waiting_since)
 
     @property
     def confirmed_age_s(self) -> float:
@@ -202,7 +205,7 @@
                 return NumberTaken(self._sequence)
             taken = self._clock() - began
             self._usual_s += LEARNING_RATE * (taken - self._usual_s)
-            self._confirmed_at = settled.sent
+            self._confirmed_at, self._answered_at = settled.sent, self._clock()
             self._success.set()
             self._success = anyio.Event()
         self._waiting_since = None
@@ -257,11 +260,13 @@
     """What the journal's appends prove.
 
     :param orphan_s: how long leases are renewed without a new proof.
+    :param lag: tells whether this process has stood still since.
     """
 
-    def __init__(self, journal: Journal, orphan_s: float) -> None:
+    def __init__(self, journal: Journal, orphan_s: float, lag: LoopLag) -> None:
         self._journal = journal
         self._orphan_s = orphan_s
+        self._lag = lag
         self._doubted_at = -math.inf
 
     def doubt(self) -> None:
@@ -282,9 +287,18 @@
         """See :meth:`.right.Right.may_renew`."""
         return self.age_s() < self._orphan_s
 
+    def holds(self) -> bool:
+        """See :meth:`.right.Right.holds`. Proved by an append that was sent after this
+        process last stood still, and answered a moment ago: a store that takes longer
+        for an append than a right is fresh would hold back every start."""
+        status = self._journal.status
+        since = max(self._doubted_at, self._lag.stood_still_until)
+        answered_s_ago = self._journal.now() - status.answered_at
+        return status.confirmed_at >= since and answered_s_ago < FRESH_S
+
     async def confirmed(self) -> None:
         """See :meth:`.right.Right.confirmed`."""
-        if not self.fresh(FRESH_S):
+        while not self.holds():
             await self._journal.confirm()
 
 
--- a/src/granitetrestle/looplag.py
+++ b/src/granitetrestle/looplag.py
@@ -1,6 +1,7 @@
 """How far behind this process's own event loop is. What takes long because the process
 itself is busy must not be taken for a slow link, and less urgent work gives way to it."""
 
+import math
 import time
 import typing as t
 
@@ -14,6 +15,10 @@
 KEEP: t.Final = 0.9
 
 
+# A process that has not turned for so long has stood still: others take it for dead.
+STILL_S: t.Final = 0.8
+
+
 class LoopLag:
     """Measures by how much a short sleep is exceeded.
 
@@ -22,8 +27,17 @@
 
     def __init__(self, clock: t.Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
+        self._turned_at = clock()
+        self._stood_still_until = -math.inf
         self.lag_s = 0.0
 
+    @property
+    def stood_still_until(self) -> float:
+        """When this process last went on after it had stood still, on its clock; now, if
+        that was just before, so that nothing has measured it yet."""
+        now = self._clock()
+        return now if now - self._turned_at > STILL_S else self._stood_still_until
+
     async def run(self) -> None:
         """Measure until cancelled."""
         while True:
@@ -33,4 +47,7 @@
 
     def took(self, seconds: float) -> None:
         """Take up how long a sleep of ``EVERY_S`` took."""
+        self._turned_at = self._clock()
+        if seconds > STILL_S:
+            self._stood_still_until = self._turned_at
         self.lag_s = max(seconds - EVERY_S, self.lag_s * KEEP)
--- a/src/granitetrestle/orderwindow.py
+++ b/src/granitetrestle/orderwindow.py
@@ -206,11 +206,6 @@
         self._window = window
         self._began = began
 
-    def begins(self, now: float) -> None:
-        """Tell that the order is sent only now: what it waited for says nothing of the
-        path."""
-        self._began = now
-
     def ended(self, answered: bool, now: float) -> None:
         """Tell how it went."""
         if answered:
--- a/src/granitetrestle/right.py
+++ b/src/granitetrestle/right.py
@@ -18,7 +18,11 @@
     def may_renew(self) -> bool:
         """Say whether leases of what runs may still be renewed."""
 
+    @abc.abstractmethod
+    def holds(self) -> bool:
+        """Say whether a start may leave now."""
+
     @abc.abstractmethod
     async def confirmed(self) -> None:
-        """Return once a start may leave: at once if the right is fresh, else when it has
-        been confirmed anew. Does not return if another process decides."""
+        """Return once a start may leave: at once, or when the right has been confirmed
+        anew. Does not return if another process decides."""
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -105,7 +105,8 @@
             taken.end,
             terms.call_bytes,
         )
-        self._right = JournalRight(self._journal, terms.orphan_s)
+        self._lag = LoopLag(steadyclock.now)
+        self._right = JournalRight(self._journal, terms.orphan_s, self._lag)
         parts = (sources, self._decider, self._apply, log)
         self._operators = OperatorFeed(*parts)
         self._listed = BoxFeed(*parts)
@@ -113,7 +114,6 @@
         steady = Mechanism.STEADY_RETURNS not in terms.off
         self._come_back: ComeBack = SteadyReturns() if steady else FollowingOutage()
         limited = Mechanism.ORDER_WINDOW not in terms.off
-        self._lag = LoopLag()
         self._window = OrderWindow(lag=self._lag) if limited else OpenWindow()
         self._budget = LookBudget(terms.connections)
         self._loaded_at = time.monotonic()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -569,12 +569,12 @@
     ),
     Mutant(
         "native: kept: a new life decides in an epoch of the life before",
-        (("succession.py", "if wrong.used:", "if False:"),),
+        (("statemark.py", "NotWhole(Verdict.USED, reason)", "None"),),
         "succession",
     ),
     Mutant(
         "native: kept: starts leave however old the right is",
-        (("boxlife.py", "if kind != FIRST:", "if False:"),),
+        (("boxlife.py", "rests_on_right = kind != FIRST", "rests_on_right = False"),),
         "leaving_orders",
     ),
     Mutant(
