--- /dev/null
+++ b/features/steps/review_findings_steps.py
@@ -0,0 +1,474 @@
+"""Steps of the scenarios over what a review found to be taken for granted."""
+
+import collections
+import time
+
+import anyio
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import LeaveBox
+from granitetrestle.decisions import PaceTask
+from granitetrestle.decisions import StartTask
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.nodelog import NodeLog
+from granitetrestle.nodemetrics import NodeMetrics
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import BoxReplaced
+from granitetrestle.outside import Look
+from granitetrestle.outside import Newest
+from granitetrestle.outside import RunningTask
+from granitetrestle.outside import StoreUnavailable
+from granitetrestle.outside import Writer
+from granitetrestle.session import Session
+from granitetrestle.statemark import MARK_KEY
+from granitetrestle.statemark import Taken
+from granitetrestle.succession import JOBS_TOPIC
+from granitetrestle.succession import StateRead
+from granitetrestle.succession import take_over
+from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+from granitetrestle_standins.nativestore import StoreModel
+from session_world import CONFIG
+from session_world import TERMS
+from session_world import SessionWorld
+from session_world import WaitingStore
+
+# Ends that a box lists in one answer.
+ENDS_LISTED = 500
+# What a look needs to reach a box.
+ON_THE_WAY_S = 0.003
+
+
+def refused(whole, log):
+    return StoreUnavailable("503", undone=True)
+
+
+def no_tasks(whole, log):
+    """Leave out what became of tasks and of jobs that are not forgotten yet."""
+    kept = (r for r in whole.records if r.key[:2] not in ("t/", "p/"))
+    return whole._replace(records=tuple(kept))
+
+
+def no_mark(whole, log):
+    """Leave out the mark as well."""
+    records = tuple(r for r in no_tasks(whole, log).records if r.key != MARK_KEY)
+    return whole._replace(records=records)
+
+
+def first_values(whole, log):
+    """Show the first value of each task's record in place of the newest."""
+    first = {r.key: r for r in reversed(log) if r.value and r.key.startswith("t/")}
+    records = tuple(first.get(r.key, r) for r in whole.records)
+    return whole._replace(records=records)
+
+
+READINGS = {
+    "11 refusals, then 1 without tasks": [*[refused] * 11, no_tasks],
+    "15 without tasks": [no_tasks] * 15,
+    "3 without tasks and without the mark": [no_mark] * 3,
+    "3 with tasks as they were at first": [first_values] * 3,
+}
+
+
+class AnsweringStore(WaitingStore):
+    """Answers the readings of a successor as told; ``_readings`` is set when it begins."""
+
+    _readings = ()
+
+    async def newest_page(self, topic, after, timeout_s):
+        """See :meth:`WaitingStore.newest_page`."""
+        whole = await super().newest_page(topic, after, timeout_s)
+        if topic != JOBS_TOPIC or not self._readings:
+            return whole
+        first, *self._readings = self._readings
+        return first(whole, self.model.topics[topic])
+
+
+class SilentStore(WaitingStore):
+    """Gives no answer to readings of the jobs."""
+
+    async def newest_page(self, topic, after, timeout_s):
+        """See :meth:`WaitingStore.newest_page`."""
+        if topic != JOBS_TOPIC:
+            return await super().newest_page(topic, after, timeout_s)
+        await anyio.sleep(timeout_s)
+        return StoreUnavailable("no answer")
+
+
+class LeavingStore(WaitingStore):
+    """Takes its time for an append with tasks in it, and answers none after that."""
+
+    def __init__(self, model, took_s):
+        super().__init__(model)
+        self._took_s = took_s
+        self._last = None
+
+    async def append(self, topic, records, writer, timeout_s):
+        """See :meth:`WaitingStore.append`."""
+        if topic != JOBS_TOPIC or writer is None:
+            return await super().append(topic, records, writer, timeout_s)
+        if self._last is None and any(r.key.startswith("t/") for r in records):
+            self._last = writer.sequence
+        if self._last is None:
+            return await super().append(topic, records, writer, timeout_s)
+        if writer.sequence > self._last:
+            await anyio.sleep(timeout_s)
+            return StoreUnavailable("no answer")
+        await anyio.sleep(self._took_s)
+        return await super().append(topic, records, writer, timeout_s)
+
+
+class SlowStore(WaitingStore):
+    """Takes its time for each append of a decider."""
+
+    def __init__(self, model, took_s):
+        super().__init__(model)
+        self._took_s = took_s
+
+    async def append(self, topic, records, writer, timeout_s):
+        """See :meth:`WaitingStore.append`."""
+        if writer is not None:
+            await anyio.sleep(self._took_s)
+        return await super().append(topic, records, writer, timeout_s)
+
+
+def submission(tasks, cpu):
+    step = Step(count=tasks, cpu=cpu, memory_mb=1, estimate_ms=200)
+    return Submission("1".rjust(16, "0"), "q", "pool", "s", (step,))
+
+
+@given(
+    "{boxes:d} boxes, and a store that answers the first readings of a successor with "
+    "{readings}"
+)
+def answering_store(context, boxes, readings):
+    context.world = SessionWorld(AnsweringStore(StoreModel()), boxes, context.folder)
+    context.readings = READINGS[readings]
+
+
+@when(
+    "a decider does {jobs:d} jobs of {tasks:d} tasks one after the other, is killed, and "
+    "another takes over"
+)
+def change_of_decider(context, jobs, tasks):
+    world = context.world
+
+    async def script():
+        # Less time than passes until the details of ended jobs are forgotten.
+        async with world.session(1) as session:
+            for _ in range(jobs):
+                await world.do_job(session, tasks)
+        world.store._readings = context.readings
+        async with world.session(2) as session:
+            await anyio.sleep(1.5)
+            context.states = {
+                job: workflow.state
+                for job, workflow in session.decider.state.workflows.items()
+            }
+
+    anyio.run(script)
+
+
+@when(
+    "a decider has done the first {tasks:d} tasks of a job and begun the last, is killed, "
+    "and another takes over"
+)
+def killed_amid_job(context, tasks):
+    world = context.world
+    first = Step(count=tasks, cpu=500, memory_mb=1, estimate_ms=200)
+    last = Step(count=1, cpu=500, memory_mb=1, estimate_ms=200, depends_on=(0,))
+    job = Submission("1".rjust(16, "0"), "q", "pool", "s", (first, last))
+
+    async def script():
+        async with world.session(1) as session:
+            await session.call("r", SubmitJob(job))
+            with anyio.fail_after(5.0):
+                while len(world.boxes.runs()) <= tasks:
+                    await anyio.sleep(0.005)
+            await session.drain()
+        world.store._readings = context.readings
+        async with world.session(2):
+            await anyio.sleep(1.5)
+
+    anyio.run(script)
+
+
+@then("each of the first {tasks:d} tasks ran once")
+def first_ran_once(context, tasks):
+    runs = collections.Counter(task for task, _, _ in context.world.boxes.runs())
+    first = {task: n for task, n in runs.items() if task.split(".")[2] == "0"}
+    assert len(first) == tasks, first
+    again = sorted(task for task, count in first.items() if count > 1)
+    assert not again, f"started again: {again}"
+
+
+@when(
+    "a process raises an epoch, and another raises a newer one before the first has read"
+)
+def overtaken(context):
+    store = context.world.store
+
+    async def script():
+        taken = await take_over(store, 1, "first")
+        await take_over(store, 2, "second")
+        began = time.monotonic()
+        context.outcome = await StateRead(store, taken, NodeLog(descriptor=2)).run()
+        context.took_s = time.monotonic() - began
+
+    anyio.run(script)
+
+
+@then("the first process ends its try within {seconds:g} second")
+def ends_its_try(context, seconds):
+    assert not isinstance(context.outcome, Newest), context.outcome
+    assert context.took_s < seconds, f"{context.took_s:.2f} s: {context.outcome}"
+
+
+@given(
+    "a store that is silent to a process from when it raised an epoch, and {boxes:d} "
+    "boxes"
+)
+def silent_store(context, boxes):
+    context.world = SessionWorld(SilentStore(StoreModel()), boxes, context.folder)
+
+
+@when("that process begins to decide")
+def begins_to_decide(context):
+    world = context.world
+
+    async def script():
+        taken = await take_over(world.store, 1, "life")
+        log = NodeLog(descriptor=2)
+        session = Session(world._sources, taken, TERMS, log, NodeMetrics())
+        with anyio.move_on_after(6.0):
+            context.began = time.monotonic()
+            await session.run(lambda: None)
+            context.took_s = time.monotonic() - context.began
+            return
+        context.took_s = None
+
+    anyio.run(script)
+
+
+@then("it ends its try within {seconds:g} seconds")
+def ends_soon(context, seconds):
+    assert context.took_s is not None, "it still tries after 6 s"
+    assert context.took_s < seconds, context.took_s
+
+
+@given("a box that lists 500 ends at a time")
+def listing_box(context):
+    context.world = SessionWorld(WaitingStore(StoreModel()), 1, context.folder)
+    model = context.world.boxes.models["b0"]
+    look = model.look
+
+    def some(*args):
+        outcome = look(*args)
+        ended = getattr(outcome, "ended", ())
+        return outcome._replace(ended=ended[:ENDS_LISTED]) if ended else outcome
+
+    model.look = some
+
+
+@when(
+    "a decider starts {tasks:d} short tasks there and is killed, and another takes over"
+)
+def killed_after_starts(context, tasks):
+    world = context.world
+    job = submission(tasks, 10)
+
+    async def script():
+        async with world.session(1) as session:
+            await session.call("r", SubmitJob(job))
+            with anyio.fail_after(15.0):
+                while len(world.boxes.runs()) < tasks:
+                    await anyio.sleep(0.005)
+        # All end before the successor looks.
+        await anyio.sleep(0.7)
+        async with world.session(2) as session:
+            with anyio.fail_after(15.0):
+                while session.decider.state.workflows[job.job].state != "completed":
+                    await anyio.sleep(0.01)
+
+    model = world.boxes.models["b0"]
+    look = world.boxes.look
+
+    async def look_unless_first(life, address, token, *rest):
+        # Nothing ends while the first decider starts, so that none of it is noted.
+        if token == 1:
+            seen = model.look(0, rest[1], token, time.monotonic())
+            await anyio.sleep(0.05)
+            return seen
+        await anyio.sleep(ON_THE_WAY_S)
+        return await look(life, address, token, *rest)
+
+    world.boxes.look = look_unless_first
+    anyio.run(script)
+
+
+@then("each of the {tasks:d} tasks ran once, by the box's own record")
+def ran_once_there(context, tasks):
+    runs = collections.Counter(task for task, _, _ in context.world.boxes.runs())
+    again = sorted(task for task, count in runs.items() if count > 1)
+    assert len(runs) == tasks, len(runs)
+    assert not again, f"{len(again)} tasks that were done were started again: {again}"
+
+
+def entry(life):
+    room = (8000, 8000, 0)
+    return BoxEntry(life, "a:1", "pool", "h", "r", frozenset(), *room, False, None)
+
+
+@given("a box whose earlier life ended, and whose present life runs a task")
+def two_lives(context):
+    decider = context.decider = Decider(TERMS, 0.0)
+    decider.configured(CONFIG)
+    decider.fleet.listed({"first": entry("first")}, 0.0)
+    decider.fleet.looked("first", 0.1, 0.1, Look(100, (), ()))
+    both = {"first": entry("first"), "second": entry("second")}
+    decider.fleet.listed(both, 1.0)
+    decider.fleet.looked("first", 1.1, 1.1, BoxReplaced())
+    decider.fleet.looked("second", 1.1, 1.1, Look(100, (), ()))
+    decider.called("r", SubmitJob(submission(1, 100)), 1.2)
+    (start,) = [d for d in decider.decide(1.2, 1200) if isinstance(d, StartTask)]
+    assert start.life == "second", start
+    running = (RunningTask(start.task, start.run, "", 10, 0.0),)
+    decider.fleet.looked("second", 1.3, 1.3, Look(300, running, ()))
+
+
+@when("the list of boxes shows the earlier life alone")
+def earlier_alone(context):
+    fleet = context.decider.fleet
+    context.decisions = fleet.listed({"first": entry("first")}, 1.5)
+
+
+@then("the present life is not taken for ended")
+def still_there(context):
+    assert LeaveBox("second") not in context.decisions, context.decisions
+
+
+@when(
+    "{waiting:d} of its {tasks:d} starts wait to be confirmed anew, it stands still for "
+    "{seconds:g} seconds as the answer to that is on the way, and another takes over "
+    "meanwhile"
+)
+def stands_still_while_confirmed(context, waiting, tasks, seconds):
+    store = context.world.store
+    append = store.append
+    numbers = []
+
+    async def late_answer(topic, records, writer, timeout_s):
+        outcome = await append(topic, records, writer, timeout_s)
+        if topic != JOBS_TOPIC or writer is None:
+            return outcome
+        if writer.sequence not in numbers:
+            numbers.append(writer.sequence)
+        if writer.sequence == numbers[0]:
+            # Until the first starts are answered, and the others have their turn.
+            await anyio.sleep(0.5)
+        elif context.since is None:
+            record = Taken.record(2, "another")
+            store.model.append(JOBS_TOPIC, [record], Writer(2, 1))
+            time.sleep(seconds)
+            context.since = time.monotonic()
+        return outcome
+
+    async def script():
+        context.since = None
+        async with context.world.session(1) as session:
+            await session.call("r", SubmitJob(submission(tasks, 500)))
+            with anyio.fail_after(5.0):
+                while len(context.arrived) < tasks - waiting:
+                    await anyio.sleep(0.005)
+            store.append = late_answer
+            session.hears_of(2)
+            await anyio.sleep(seconds + 2.0)
+            context.over = session.over
+
+    anyio.run(script)
+
+
+@given(
+    "a store that takes {seconds:g} second for an append and then is away, and "
+    "{boxes:d} boxes"
+)
+def leaving_store(context, seconds, boxes):
+    store = LeavingStore(StoreModel(), seconds)
+    context.world = SessionWorld(store, boxes, context.folder)
+
+
+@when(
+    "{tasks:d} starts for a box wait as others follow a newer epoch, and a task there is "
+    "to be slowed down"
+)
+def pace_meanwhile(context, tasks):
+    world = context.world
+    context.paced = []
+    pace = world.boxes.pace
+
+    async def noted(order, token, percent):
+        context.paced.append(time.monotonic())
+        return await pace(order, token, percent)
+
+    world.boxes.pace = noted
+
+    async def script():
+        async with world.session(1) as session:
+            async with anyio.create_task_group() as group:
+                group.start_soon(session.call, "r", SubmitJob(submission(tasks, 100)))
+                await anyio.sleep(0.3)
+                session.hears_of(2)
+            # The starts' record is confirmed, and the right to send them is not.
+            await anyio.sleep(1.0)
+            context.asked = time.monotonic()
+            session._apply([PaceTask("b0", "1".rjust(16, "0") + ".0.0.0", 1, 50)])
+            await anyio.sleep(1.5)
+
+    anyio.run(script)
+
+
+@then("the order reaches the box within {seconds:g} seconds")
+def reaches_box(context, seconds):
+    assert not context.world.boxes.runs(), "the starts did not wait"
+    assert context.paced, "it has not come after 1.5 s"
+    assert context.paced[0] - context.asked < seconds, context.paced
+
+
+@given("a store that takes {seconds:g} seconds for each append, and {boxes:d} boxes")
+def slow_store(context, seconds, boxes):
+    store = SlowStore(StoreModel(), seconds)
+    context.world = SessionWorld(store, boxes, context.folder)
+
+
+@when("a job of {tasks:d} tasks is handed in")
+def handed_in(context, tasks):
+    context.tasks = tasks
+
+
+@then("all of them have begun within {seconds:g} seconds")
+def all_begun(context, seconds):
+    world = context.world
+    start = world.boxes.start
+
+    async def on_the_way(*order):
+        await anyio.sleep(0.02)
+        return await start(*order)
+
+    world.boxes.start = on_the_way
+
+    async def script():
+        async with world.session(1) as session:
+            with anyio.move_on_after(seconds):
+                job = SubmitJob(submission(context.tasks, 100))
+                await session.call("r", job)
+                while len(begun()) < context.tasks:
+                    await anyio.sleep(0.01)
+
+    def begun():
+        return {task for task, _, _ in world.boxes.runs()}
+
+    anyio.run(script)
+    assert len(begun()) == context.tasks, f"{len(begun())} of {context.tasks}"
--- a/src/granitetrestle/feeds.py
+++ b/src/granitetrestle/feeds.py
@@ -84,7 +84,7 @@
 
     async def _read_anew(self, topic: str) -> Newest | None:
         """Return all there is, or ``None`` if it can't be read, which is logged."""
-        outcome = await read_newest(self._sources.store, topic)
+        outcome = await read_newest(self._sources.store, topic, self._from)
         if isinstance(outcome, NewestUnavailable):
             self._log.event("topic_unread", topic=topic, **outcome._asdict())
             return None
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -88,12 +88,17 @@
         """Take up the newest list of boxes, as a whole, a box at a step."""
         effects: list[Decision] = []
         by_address = {entry.address: life for life, entry in entries.items()}
+        order = {life: number for number, life in enumerate(self._state.boxes)}
         for life, box in list(self._state.boxes.items()):
             box.listed = life in entries
             if box.listed:
                 continue
             successor = by_address.get(box.entry.address)
-            if successor is not None:
+            # An entry that outlives its box is no successor of the life that came after
+            # it: what that one ran was taken for lost, and started a second time.
+            if successor is None or successor in self._ended:
+                continue
+            if order.get(successor, len(order)) > order[life]:
                 effects += self.box_over(life, f"replaced by {successor}", now)
         self._ended &= entries.keys()
         for life, entry in entries.items():
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -174,6 +174,9 @@
             self._led_before = True
 
     def _begins(self, epoch: int, node: str, now: float) -> None:
+        if epoch > self._epoch:
+            # Whoever asked this process to go on has been followed by another.
+            self._asked = False
         self._epoch = epoch
         self._leading_since = now
         self._leader = node
--- a/src/granitetrestle/newestread.py
+++ b/src/granitetrestle/newestread.py
@@ -77,9 +77,14 @@
         return NewestUnavailable(reason, self._pages, len(self._records))
 
 
-async def read_newest(store: Store, topic: str) -> Newest | NewestUnavailable:
-    """Return the newest record of each key, unless one page fails again and again."""
-    reading = NewestRead(store, topic)
+async def read_newest(
+    store: Store, topic: str, from_end: int = 0
+) -> Newest | NewestUnavailable:
+    """Return the newest record of each key, unless one page fails again and again.
+
+    :param from_end: how far the topic was read before; nothing older is taken.
+    """
+    reading = NewestRead(store, topic, from_end)
     tries = pages = 0
     while True:
         outcome = await reading.go_on(PAGE_TIMEOUT_S)
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -33,6 +33,7 @@
 BAD_REQUEST: t.Final = 400
 CONFLICT: t.Final = 409
 OTHER_LIFE: t.Final = 421
+UNWELL: t.Final = (429, 503)
 LIFE_HEADER: t.Final = b"expect-instance"
 # Ends that one answer of a box lists.
 ENDS_AT_ONCE: t.Final = 500
@@ -182,7 +183,7 @@
         if not isinstance(reply, Reply):
             return reply
         if reply.status != OK:
-            return _rejected(reply)
+            return _refused(reply)
         try:
             return OrderAccepted(_orders.decode(reply.body or b"{}").clock_ms)
         except msgspec.DecodeError as error:
@@ -216,6 +217,14 @@
     return {"task": order.task, "run": order.run, "fencing_token": token}
 
 
+def _refused(reply: Reply) -> OrderRejected | BoxNoAnswer:
+    """Return how an order was refused. Only these statuses say that nothing was done; an
+    order that failed in another way may have been carried out."""
+    if reply.status in (BAD_REQUEST, CONFLICT, *UNWELL):
+        return _rejected(reply)
+    return BoxNoAnswer(f"status {reply.status}")
+
+
 def _rejected(reply: Reply) -> OrderRejected:
     if reply.status == BAD_REQUEST:
         return OrderRejected("malformed")
