Links between every pair of a cluster go through a proxy that can disturb them

Cause: nothing of the tests cut, delayed or reset a link between one pair of processes or of one hall; a box fell silent for everybody, and the decider was stopped. Runs beside each other took each other's ports.

Ruled out: a wrapper that binds the source of connections (it changes the program that runs), ports per pair only in the stand-in of the store (messages between processes carry addresses too and would pass the proxy by).

Change: linkproxy carries all links, with a port for each pair; addresses are translated in the store's answers and in messages. linkfaults checks faults by name, links sets them, a proxy that ends is a RigFault. A cluster reserves a block of addresses instead of looking for free ports.

--- /dev/null
+++ b/src/granitetrestle_standins/linkpipes.py
@@ -0,0 +1,244 @@
+"""One connection through the proxy: bytes are taken from one side and delivered to the
+other as the condition of the way allows at that moment. Ends of connections are delivered
+like bytes: a side that closes or resets while the way is cut is missed by the other only
+afterwards, and what it sent before comes first."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+import typing as t
+
+from .linkviews import Rewriter
+
+__all__ = ["Condition", "Pipe", "reset_socket"]
+
+# Bytes taken at a time.
+CHUNK: t.Final = 65536
+# Chunks on their way in one direction of a connection; then nothing more is read.
+MOST_ON_THE_WAY: t.Final = 64
+# How often something that waits looks whether the fault is over.
+RECHECK_S: t.Final = 0.02
+# A slow way delivers what it may in so long at a time.
+SLOW_STEP_S: t.Final = 0.05
+NO_LINGER: t.Final = struct.pack("ii", 1, 0)
+
+
+class Condition:
+    """How one direction between two places is.
+
+    :ivar delay_s: how much later everything arrives.
+    :ivar bytes_per_s: how much arrives at most; 0 for any amount.
+    :ivar reset: whether connections are reset.
+    :ivar loses_answers: whether answers to what the source asks are lost.
+    """
+
+    def __init__(self) -> None:
+        self._passable = asyncio.Event()
+        self._free_at = 0.0
+        self.heal()
+
+    @property
+    def cut(self) -> bool:
+        """Whether nothing passes."""
+        return not self._passable.is_set()
+
+    def heal(self) -> None:
+        """Go back to good."""
+        self._passable.set()
+        self.delay_s = 0.0
+        self.bytes_per_s = 0.0
+        self.reset = False
+        self.loses_answers = False
+
+    def cut_off(self) -> None:
+        """Let nothing pass."""
+        self._passable.clear()
+
+    async def passable(self) -> None:
+        """Return once something may pass."""
+        await self._passable.wait()
+
+    def take_turn(self, size: int, now: float) -> float:
+        """Return when ``size`` bytes have passed, one after the other for all."""
+        self._free_at = max(self._free_at, now) + size / self.bytes_per_s
+        return self._free_at
+
+
+class _Arrived(t.NamedTuple):
+    """Bytes at the proxy, or the end of them.
+
+    :param at: seconds on the loop's clock.
+    :param data: empty at the end.
+    :param was_reset: whether the end was a reset.
+    """
+
+    at: float
+    data: bytes
+    was_reset: bool = False
+
+
+class _Flow:
+    """One direction of a connection.
+
+    :param condition: of the way that the bytes take.
+    :param asked: condition of the way of the requests, if these are answers to them.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        condition: Condition,
+        rewriter: Rewriter,
+        asked: Condition | None,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._condition = condition
+        self._rewriter = rewriter
+        self._asked = asked
+        self._silenced = False
+        self._on_the_way: asyncio.Queue[_Arrived] = asyncio.Queue(MOST_ON_THE_WAY)
+        self.held_until = 0.0
+
+    async def run(self) -> None:
+        """Carry bytes until their end was delivered."""
+        taking = asyncio.create_task(self._take())
+        try:
+            await self._deliver()
+        finally:
+            taking.cancel()
+
+    async def _take(self) -> None:
+        now = asyncio.get_running_loop().time
+        try:
+            while data := await self._reader.read(CHUNK):
+                if whole := self._rewriter.feed(data):
+                    await self._on_the_way.put(_Arrived(now(), whole))
+            if rest := self._rewriter.rest():
+                await self._on_the_way.put(_Arrived(now(), rest))
+        except OSError:
+            await self._on_the_way.put(_Arrived(now(), b"", was_reset=True))
+        else:
+            await self._on_the_way.put(_Arrived(now(), b""))
+
+    async def _deliver(self) -> None:
+        while True:
+            arrived = await self._on_the_way.get()
+            await self._wait(arrived.at)
+            if self._asked is not None and self._asked.loses_answers:
+                self._silenced = True
+            if self._silenced:
+                if not arrived.data:
+                    return
+                continue
+            if arrived.was_reset:
+                reset_writer(self._writer)
+                return
+            try:
+                if not arrived.data:
+                    self._writer.write_eof()
+                    return
+                await self._write(arrived.data)
+            except (OSError, RuntimeError):
+                # The far side is gone; the other direction tells of that.
+                return
+
+    async def _wait(self, arrived_at: float) -> None:
+        now = asyncio.get_running_loop().time
+        while True:
+            await self._condition.passable()
+            due = max(arrived_at + self._condition.delay_s, self.held_until)
+            if due <= now():
+                return
+            await asyncio.sleep(min(due - now(), RECHECK_S))
+
+    async def _write(self, data: bytes) -> None:
+        now = asyncio.get_running_loop().time
+        while data:
+            step = len(data)
+            if rate := self._condition.bytes_per_s:
+                step = max(1, int(rate * SLOW_STEP_S))
+                turn = self._condition.take_turn(len(data[:step]), now())
+                await asyncio.sleep(max(0.0, turn - now()))
+                await self._condition.passable()
+            self._writer.write(data[:step])
+            await self._writer.drain()
+            data = data[step:]
+
+
+class Pipe:
+    """A connection that was accepted, and the one to where it leads.
+
+    :param there: condition of the way from who connected; ``back`` of the way back.
+    """
+
+    def __init__(
+        self,
+        there: Condition,
+        back: Condition,
+        asking: Rewriter,
+        answering: Rewriter,
+    ) -> None:
+        self._there = there
+        self._back = back
+        self._rewriters = (asking, answering)
+        self._flows: tuple[_Flow, ...] = ()
+        self._writers: tuple[asyncio.StreamWriter, ...] = ()
+
+    async def run(self, accepted: socket.socket, target: tuple[str, int]) -> None:
+        """Carry bytes until both sides have ended."""
+        if self._there.reset or self._back.reset:
+            reset_socket(accepted)
+            return
+        near_reader, near = await asyncio.open_connection(sock=accepted)
+        self._writers = (near,)
+        try:
+            far_reader, far = await asyncio.open_connection(*target)
+        except OSError:
+            # Nobody listens there. A connection that is open can't be refused any more.
+            self.reset()
+            return
+        self._writers = (near, far)
+        for writer in self._writers:
+            channel = writer.get_extra_info("socket")
+            channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        asking, answering = self._rewriters
+        self._flows = (
+            _Flow(near_reader, far, self._there, asking, None),
+            _Flow(far_reader, near, self._back, answering, self._there),
+        )
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                for flow in self._flows:
+                    tasks.create_task(flow.run())
+        finally:
+            for writer in self._writers:
+                writer.close()
+
+    def hold(self, condition: Condition, until: float) -> None:
+        """Deliver nothing before ``until`` (s, loop's clock) in one direction."""
+        for flow, way in zip(self._flows, (self._there, self._back), strict=False):
+            if way is condition:
+                flow.held_until = until
+
+    def reset(self) -> None:
+        """Reset both sides."""
+        for writer in self._writers:
+            reset_writer(writer)
+
+
+def reset_writer(writer: asyncio.StreamWriter) -> None:
+    """End a connection by a reset."""
+    channel = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        channel.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    writer.transport.abort()
+
+
+def reset_socket(accepted: socket.socket) -> None:
+    """End a connection that was just accepted by a reset."""
+    with contextlib.suppress(OSError):
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    accepted.close()
--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -1,5 +1,6 @@
 """Real processes of the platform's program against the platform in small, each on an
-address of 127.0.0.0/8 of its own; only processes started here are ended, by id."""
+address of 127.0.0.0/8 of its own; only processes started here are ended, by id. With links,
+all that they say to each other passes through a proxy that can disturb it."""
 
 import json
 import os
@@ -13,11 +14,25 @@
 
 import httpcore
 
+from .linkfaults import Fault
+from .linkfaults import Place
+from .linkfaults import PlaceKind
+from .linkfaults import Topology
+from .links import CLIENT
+from .links import STORE
+from .links import Links
+from .links import write_topology
+from .reservednet import FIRST_PORT
+from .reservednet import METRICS_PORT
+from .reservednet import ReservedNet
+
 __all__ = ["NativeCluster", "Steps", "free_port"]
 
 HOST: t.Final = "jobs.example"
 LONGEST_S: t.Final = 25.0
-METRICS_PORT: t.Final = 9464
+HALLS: t.Final = ("hall-1", "hall-2")
+# The one hall of all processes, where no link is disturbed.
+ONE_HALL: t.Final = "hall"
 
 Steps: t.TypeAlias = t.Sequence[t.Mapping[str, t.Any]]
 T = t.TypeVar("T")
@@ -52,6 +67,10 @@
     """Nodes ``n1``, ``n2`` and so on, and boxes that take turns to lie in two halls.
 
     :param folder: for settings and logs.
+    :param links: faults from the start on links that go through a proxy; ``None`` for no
+        proxy. With links, processes lie in the two halls by turns.
+    :raises LinkFaultError: naming a fault that can't be, before anything starts.
+    :raises RigFault: if the proxy does not start.
     """
 
     # A call that failed so may have been taken, and may be made again.
@@ -62,27 +81,105 @@
         OSError,
     )
 
-    def __init__(self, folder: pathlib.Path, nodes: int, boxes: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        nodes: int,
+        boxes: int,
+        links: t.Sequence[Fault] | None = None,
+    ) -> None:
         self.folder = folder
         self.boxes = boxes
-        self.port = free_port(run=boxes + 1)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.fronts: dict[str, str] = {}
         self.readies: dict[str, str] = {}
         self.http = httpcore.ConnectionPool(max_connections=50)
+        self._net = ReservedNet()
+        self._links: Links | None = None
+        self._ips = {f"n{i}": self._net.host(i) for i in range(1, nodes + 1)}
+        topology = self._topology()
+        try:
+            for fault in links or ():
+                topology.ways(fault)
+            self._start_platform()
+            if links is not None:
+                self._start_links(topology, links)
+            for name in self._ips:
+                self._start_node(name)
+        except BaseException:
+            self.stop()
+            raise
+
+    @property
+    def links(self) -> Links:
+        """The links between all places.
+
+        :raises LookupError: if this cluster was made without them.
+        """
+        if self._links is None:
+            raise LookupError("the cluster was made without links")
+        return self._links
+
+    def check_rig(self) -> None:
+        """Return if what carries the links is at work, or there is none.
+
+        :raises RigFault: if it has ended.
+        """
+        if self._links is not None:
+            self._links.check()
+
+    def _topology(self) -> Topology:
+        places = {
+            name: Place(
+                PlaceKind.NODE,
+                HALLS[number % 2],
+                (f"{ip}:{FIRST_PORT + 2}", f"{ip}:{FIRST_PORT}"),
+            )
+            for number, (name, ip) in enumerate(self._ips.items())
+        }
+        for box in range(self.boxes):
+            hall = HALLS[(1 + box) % 2]
+            place = Place(PlaceKind.BOX, hall, (self._box_address(box),))
+            places[f"b{box}"] = place
+        places[STORE] = Place(PlaceKind.STORE, "", (self._store_address,))
+        places[CLIENT] = Place(PlaceKind.CLIENT, "", ())
+        return Topology(places)
+
+    @property
+    def _store_address(self) -> str:
+        return f"{self._net.platform}:{FIRST_PORT}"
+
+    def _box_address(self, box: int) -> str:
+        return f"{self._net.platform}:{FIRST_PORT + 1 + box}"
+
+    def _start_platform(self) -> None:
         self._spawn(
             "platform",
             [
                 *("-m", "granitetrestle_standins.nativeplatform"),
-                *("--port", str(self.port), "--boxes", str(boxes)),
+                *("--ip", self._net.platform, "--port", str(FIRST_PORT)),
+                *("--boxes", str(self.boxes)),
             ],
             {},
         )
         self.wait(lambda: self.store("newest?topic=keyed.op&part=0").status == 200)
-        # One number in the third byte keeps runs beside each other apart.
-        self.net = 1 + os.getpid() % 250
-        for number in range(1, nodes + 1):
-            self.start_node(f"n{number}", f"127.20.{self.net}.{number}")
+
+    def _start_links(self, topology: Topology, faults: t.Sequence[Fault]) -> None:
+        path = self.folder / "links.json"
+        write_topology(path, topology)
+        self._spawn(
+            "links",
+            [
+                *("-m", "granitetrestle_standins.linkproxy"),
+                *("--topology", str(path), "--ip", self._net.links),
+                *("--control-port", str(FIRST_PORT)),
+            ],
+            {},
+        )
+        control = (self._net.links, FIRST_PORT)
+        self._links = Links(topology, self.processes["links"], control)
+        for fault in faults:
+            self._links.set(fault)
 
     def _spawn(self, name: str, arguments: list[str], env: t.Mapping[str, str]) -> None:
         out = (self.folder / f"{name}.log").open("ab")
@@ -93,18 +190,22 @@
             stderr=out,
         )
 
-    def start_node(self, name: str, ip: str) -> None:
-        """Start a process of the program."""
-        port = free_port(ip, 5)
-        self.fronts[name] = f"{ip}:{port}"
-        self.readies[name] = f"{ip}:{port + 1}"
+    def _start_node(self, name: str) -> None:
+        ip = self._ips[name]
+        front, store, hall = f"{ip}:{FIRST_PORT}", self._store_address, ONE_HALL
+        self.fronts[name] = front
+        self.readies[name] = f"{ip}:{FIRST_PORT + 1}"
+        if self._links is not None:
+            self.fronts[name] = self._links.view(CLIENT, front)
+            store = self._links.view(name, store)
+            hall = HALLS[list(self._ips).index(name) % 2]
         settings = {
             "node_name": name,
-            "zone": "hall",
+            "zone": hall,
             "ip": ip,
-            "listen": {"front": f"{ip}:{port}", "ready": f"{ip}:{port + 1}"},
-            "internal_ports": [port + 2, port + 4],
-            "platform": {"address": f"127.0.0.1:{self.port}", "unknown": [1]},
+            "listen": {"front": front, "ready": self.readies[name]},
+            "internal_ports": [FIRST_PORT + 2, FIRST_PORT + 4],
+            "platform": {"address": store, "unknown": [1]},
             "bounds": {"hold_max_ms": 4000, "grace_s": 4},
             "limits": {"cpu_share": 1.0, "cores": 1},
             "something_new": {"a": 1},
@@ -125,7 +226,7 @@
 
     def nodes(self) -> list[str]:
         """Return the names of all nodes."""
-        return sorted(self.fronts)
+        return sorted(self._ips)
 
     def call(
         self,
@@ -153,7 +254,7 @@
         """Call the store, or one of its test hooks."""
         method = "POST" if call.startswith("/test") else "GET"
         path = call if call.startswith("/test") else f"/api/log-{call}"
-        return self.call(method, f"127.0.0.1:{self.port}", path)
+        return self.call(method, self._store_address, path)
 
     def order(self, key: str, value: str = "") -> float:
         """Let an operator write to the store; without a value the key is dropped.
@@ -166,7 +267,7 @@
 
     def box(self, box: int, path: str) -> Answer:
         """Call a test hook of a box."""
-        return self.call("POST", f"127.0.0.1:{self.port + 1 + box}", path)
+        return self.call("POST", self._box_address(box), path)
 
     def history(self) -> list[list[t.Any]]:
         """Return task, run and end of each run that any box began."""
@@ -191,8 +292,8 @@
         """Return a figure of the decider's metrics page."""
         leader = self.leader()
         assert leader is not None
-        host = self.fronts[leader].rpartition(":")[0]
-        _, content, _ = self.call("GET", f"{host}:{METRICS_PORT}", "/metrics")
+        address = f"{self._ips[leader]}:{METRICS_PORT}"
+        _, content, _ = self.call("GET", address, "/metrics")
         for line in content.decode().splitlines():
             if line.startswith(f'granitetrestle_state{{what="{name}"}}'):
                 return float(line.split()[-1])
@@ -288,3 +389,6 @@
         for process in self.processes.values():
             process.wait(10)
         self.http.close()
+        if self._links is not None:
+            self._links.close()
+        self._net.close()
--- a/src/granitetrestle_standins/nativeplatform.py
+++ b/src/granitetrestle_standins/nativeplatform.py
@@ -239,7 +239,7 @@
 class PlatformApp:
     """Dispatches by port: the first is the store's, the others the boxes'."""
 
-    def __init__(self, port: int, boxes: int) -> None:
+    def __init__(self, ip: str, port: int, boxes: int) -> None:
         self.store = StoreServer(StoreModel())
         self.boxes = {port + 1 + i: BoxServer(BoxModel(f"b{i}")) for i in range(boxes)}
         model = self.store.model
@@ -248,7 +248,7 @@
         for number, box in self.boxes.items():
             entry = {
                 "service": "pool",
-                "address": f"127.0.0.1:{number}",
+                "address": f"{ip}:{number}",
                 "zone": f"hall-{1 + (number - port) % 2}",
                 "state": "ready",
                 "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
@@ -297,11 +297,11 @@
         return await box.handle(scope["path"], json.loads(body or b"{}"))
 
 
-async def _run(port: int, boxes: int) -> None:
-    app = PlatformApp(port, boxes)
+async def _run(ip: str, port: int, boxes: int) -> None:
+    app = PlatformApp(ip, port, boxes)
     async with asyncio.TaskGroup() as tasks:
         for number in range(port, port + boxes + 1):
-            tasks.create_task(serve(app, "127.0.0.1", number))
+            tasks.create_task(serve(app, ip, number))
         for box in app.boxes.values():
             tasks.create_task(box.run())
 
@@ -309,10 +309,11 @@
 def main() -> None:
     """Run the platform in small until the process is ended."""
     parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--ip", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--boxes", type=int, default=3)
     arguments = parser.parse_args()
-    asyncio.run(_run(arguments.port, arguments.boxes))
+    asyncio.run(_run(arguments.ip, arguments.port, arguments.boxes))
 
 
 if __name__ == "__main__":
