The soak of real processes can disturb links and stop the decider for up to 15 s

Cause: the soak silenced boxes for everybody and stopped the decider for 2.5 s at most.

Ruled out: more kinds of operation without a flag (every seed would draw other things than before).

The proxy logs its faults in the form of the processes' logs, and ends over a failure of its own, which the soak tells as a fault of the rig.

--- a/features/links.feature
+++ b/features/links.feature
@@ -145,3 +145,12 @@
     When the proxy dies
     Then the run ends as a fault of the rig
     And so does the next fault that is asked for
+
+  Scenario: A connection that the proxy itself can't carry is a fault of the rig
+    Given a link from n1 to n2 with an open connection
+    When the proxy fails over bytes that n1 sends
+    Then it ends with that failure
+
+  Scenario: Real processes and the links between them are disturbed from seed 7001
+    When 4 real processes, 8 boxes, the store and all links are disturbed 30 times from seed 7001
+    Then every promise that clients were given was kept
--- a/features/steps/link_fault_steps.py
+++ b/features/steps/link_fault_steps.py
@@ -34,9 +34,11 @@
 from granitetrestle_standins.linkfaults import decode_fault
 from granitetrestle_standins.linkproxy import LinkProxy
 from granitetrestle_standins.links import RigFault
+from granitetrestle_standins.linkviews import PassedOn
 from granitetrestle_standins.linkviews import PeerFrames
 from granitetrestle_standins.linkviews import StoreAnswers
 from granitetrestle_standins.nativecluster import NativeCluster
+from granitetrestle_standins.nativesoak import soak
 
 JOB = "00000000000000c1"
 TWO_STEPS = [
@@ -605,3 +607,36 @@
     except RigFault:
         return
     raise AssertionError("no fault of the rig")
+
+
+@when("the proxy fails over bytes that n1 sends")
+def proxy_fails(context):
+    with unittest.mock.patch.object(PassedOn, "feed", side_effect=ZeroDivisionError):
+        context.cluster.send("n1", b"a")
+        context.cluster.wait(0.05)
+
+
+@then("it ends with that failure")
+def ends_with_failure(context):
+    async def failure():
+        async with asyncio.timeout(1.0):
+            await context.cluster.proxy.failed()
+
+    try:
+        context.cluster.loop.run_until_complete(failure())
+    except ExceptionGroup as error:
+        # One for each direction that failed.
+        assert error.subgroup(ZeroDivisionError) is not None, error
+        return
+    raise AssertionError("no failure")
+
+
+@when(
+    "{nodes:d} real processes, {boxes:d} boxes, the store and all links are disturbed "
+    "{times:d} times from seed {seed:d}"
+)
+def disturb_links(context, nodes, boxes, times, seed):
+    # Raises with the seed and the logs when a promise was broken.
+    context.times = times
+    context.counts = soak(seed, nodes, boxes, times, links=True)
+    assert context.counts["link_fault"] > 0, context.counts
--- a/src/granitetrestle_standins/linkpipes.py
+++ b/src/granitetrestle_standins/linkpipes.py
@@ -104,10 +104,9 @@
 
     async def run(self) -> None:
         """Carry bytes until their end was delivered."""
-        taking = asyncio.create_task(self._take())
-        try:
+        async with asyncio.TaskGroup() as tasks:
+            taking = tasks.create_task(self._take())
             await self._deliver()
-        finally:
             taking.cancel()
 
     async def _take(self) -> None:
--- a/src/granitetrestle_standins/linkproxy.py
+++ b/src/granitetrestle_standins/linkproxy.py
@@ -18,6 +18,9 @@
 import time
 import typing as t
 
+from granitetrestle.nodelog import NodeLog
+
+from .linkfaults import EVERYBODY
 from .linkfaults import Fault
 from .linkfaults import FaultKind
 from .linkfaults import LinkFaultError
@@ -38,6 +41,8 @@
 BACKLOG: t.Final = 512
 # How often the proxy looks how late its own loop is.
 LAG_EVERY_S: t.Final = 0.1
+# A decider's silence counts from 0.8 s on; what the proxy adds must stay far below.
+NOTABLE_LAG_S: t.Final = 0.1
 
 Accepted: t.TypeAlias = t.Callable[[socket.socket], None]
 
@@ -128,6 +133,9 @@
                 self._names[address] = name
                 self._real[address] = address
         self.lag_s = 0.0
+        # A connection that can't be carried for a reason of the proxy's own ends it:
+        # what comes of that must not be taken for the program's doing.
+        self._failed: asyncio.Future[t.Never] = asyncio.Future()
 
     def view(self, source: str, address: str) -> str:
         """Return where ``source`` reaches what listens at ``address``.
@@ -226,7 +234,21 @@
         )
         task = asyncio.create_task(self._run(way, pipe, accepted, address))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None and not self._failed.done():
+            self._failed.set_exception(error)
+
+    async def failed(self) -> t.Never:
+        """Wait for a fault of the proxy itself.
+
+        :raises Exception: what went wrong.
+        """
+        await self._failed
+        raise AssertionError
 
     async def _run(
         self, way: Way, pipe: Pipe, accepted: socket.socket, address: str
@@ -255,12 +277,15 @@
             return StoreAnswers(translate)
         return PassedOn(translate)
 
-    async def watch_lag(self) -> None:
+    async def watch_lag(self, log: NodeLog) -> None:
         """Measure how late the proxy itself is, for ever."""
         while True:
             began = time.monotonic()
             await asyncio.sleep(LAG_EVERY_S)
-            self.lag_s = max(self.lag_s, time.monotonic() - began - LAG_EVERY_S)
+            lag_s = time.monotonic() - began - LAG_EVERY_S
+            self.lag_s = max(self.lag_s, lag_s)
+            if lag_s > NOTABLE_LAG_S:
+                log.event("links_stood_still", seconds=round(lag_s, 3))
 
 
 class Control:
@@ -271,9 +296,10 @@
     ``source`` and a ``target`` for theirs, and ``{"do": "figures"}``.
     """
 
-    def __init__(self, topology: Topology, proxy: LinkProxy) -> None:
+    def __init__(self, topology: Topology, proxy: LinkProxy, log: NodeLog) -> None:
         self._topology = topology
         self._proxy = proxy
+        self._log = log
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -293,9 +319,13 @@
         if what == "view":
             return {"view": self._proxy.view(command["source"], command["address"])}
         if what == "set":
-            self._proxy.set(decode_fault(command))
+            fault = decode_fault(command)
+            self._proxy.set(fault)
+            self._log.event("link_fault", **fault._asdict())
         elif what == "heal":
             self._proxy.heal(self._healed(command))
+            named = {key: command.get(key, EVERYBODY) for key in ("source", "target")}
+            self._log.event("link_healed", **named)
         elif what == "figures":
             return self._proxy.figures()
         else:
@@ -326,10 +356,13 @@
 
 async def _run(topology: Topology, ip: str, port: int) -> None:
     proxy = LinkProxy(topology, ip)
-    control = Control(topology, proxy)
+    # In the form of the processes' own logs, so that one timeline can hold both.
+    log = NodeLog(node="links")
+    control = Control(topology, proxy, log)
     server = await asyncio.start_server(control.serve, ip, port)
     async with server, asyncio.TaskGroup() as tasks:
-        tasks.create_task(proxy.watch_lag())
+        tasks.create_task(proxy.watch_lag(log))
+        tasks.create_task(proxy.failed())
         tasks.create_task(server.serve_forever())
 
 
--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -236,10 +236,15 @@
         body: t.Any = None,
         host: str = HOST,
         left_ms: int = 3000,
+        read_s: float = 6.0,
     ) -> Answer:
-        """Make one call."""
+        """Make one call.
+
+        :param left_ms: how long the program is told that the client waits.
+        :param read_s: how long it really waits for bytes.
+        """
         content = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
-        timeout = {"connect": 1.0, "read": 6.0, "write": 1.0, "pool": 1.0}
+        timeout = {"connect": 1.0, "read": read_s, "write": 1.0, "pool": 1.0}
         response = self.http.request(
             method,
             f"http://{address}{path}",
--- a/src/granitetrestle_standins/nativesoak.py
+++ b/src/granitetrestle_standins/nativesoak.py
@@ -1,7 +1,8 @@
 """Random work and faults over real processes of the platform's program: processes are
 killed, stopped, frozen and started again, boxes fall silent, the store is slow, busy or
 silent or forgets, halls are evacuated and taken back, and clients submit, ask and cancel
-all the while. Promises are judged by what clients were told and what boxes ran."""
+all the while; with links, these are cut, slow, reset and late as well, and the decider is
+stopped for longer. Promises are judged by what clients were told and what boxes ran."""
 
 import itertools
 import json
@@ -16,12 +17,14 @@
 from absl import app
 from absl import flags
 
+from .links import RigFault
+from .nativecluster import HALLS
 from .nativecluster import NativeCluster
+from .soaklinks import LinkFaults
 
 __all__ = ["PromiseBroken", "Soak", "main"]
 
 FLAGS: t.Final = flags.FLAGS
-HALLS: t.Final = ("hall-1", "hall-2")
 REFUSED: t.Final = 503
 # Calls that are answered late end on a client's side after this.
 CLIENT_S: t.Final = 2.0
@@ -31,6 +34,11 @@
 # All work of a run ends within this once nothing is disturbed any more.
 SETTLE_S: t.Final = 40.0
 FREEZE_S: t.Final = (0.3, 1.2, 2.5)
+# With links the decider is stopped for a time between these, short ones more often.
+LONG_FREEZE_S: t.Final = (0.2, 15.0)
+# How long a client waits for bytes; over a link that is silent none ever come.
+READ_S: t.Final = 6.0
+READ_WITH_LINKS_S: t.Final = 2.5
 
 
 class PromiseBroken(AssertionError):
@@ -52,14 +60,26 @@
     """One seeded run.
 
     :param operations: how many things happen, some five a second.
+    :param links: whether links are disturbed too; a seed draws other things then.
     """
 
     def __init__(
-        self, folder: pathlib.Path, seed: int, nodes: int, boxes: int, operations: int
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        nodes: int,
+        boxes: int,
+        operations: int,
+        links: bool = False,
     ) -> None:
         self._draw = random.Random(seed)
         self._operations = operations
-        self._cluster = NativeCluster(folder, nodes, boxes)
+        self._cluster = NativeCluster(folder, nodes, boxes, () if links else None)
+        self._links: LinkFaults | None = None
+        if links:
+            names = [f"b{box}" for box in range(boxes)]
+            parts = (self._cluster.links, self._cluster.nodes(), names, HALLS)
+            self._links = LinkFaults(self._draw, *parts)
         self._frozen: dict[str, float] = {}
         self._accepted: set[str] = set()
         self._refused: set[str] = set()
@@ -73,21 +93,32 @@
         """Play, let everything recover, and judge.
 
         :raises PromiseBroken: naming what was broken.
+        :raises RigFault: if the run shows nothing, for what carries the links has failed.
         """
         try:
-            self._cluster.ready()
-            for _ in range(self._operations):
-                self._happen()
-                time.sleep(self._draw.uniform(0.05, 0.35))
-                self._thaw(all_of_them=False)
-                self._judge(self._runs())
-            self._settle()
+            self._play()
+        except AssertionError:
+            # Without what carries its links the program can't keep any promise.
+            self._cluster.check_rig()
+            raise
         finally:
             self._thaw(all_of_them=True)
             self._cluster.stop()
 
+    def _play(self) -> None:
+        self._cluster.ready()
+        for _ in range(self._operations):
+            self._happen()
+            time.sleep(self._draw.uniform(0.05, 0.35))
+            self._thaw(all_of_them=False)
+            if self._links is not None:
+                self._links.end()
+            self._judge(self._runs())
+        self._settle()
+        self._cluster.check_rig()
+
     def _happen(self) -> None:
-        kinds = (
+        kinds: tuple[tuple[t.Callable[[], None], int], ...] = (
             (self._submit, 10),
             (self._cancel, 2),
             (self._kill, 1),
@@ -98,6 +129,8 @@
             (self._evacuate, 2),
             (self._forget, 1),
         )
+        if self._links is not None:
+            kinds += ((self._link_fault, 4), (self._long_freeze, 1))
         functions, weights = zip(*kinds, strict=True)
         (function,) = self._draw.choices(functions, weights)
         name = function.__name__.lstrip("_")
@@ -113,7 +146,12 @@
         left_ms = int(CLIENT_S * 1000)
         try:
             return self._cluster.call(
-                method, address, f"/jobs/{job}", body, left_ms=left_ms
+                method,
+                address,
+                f"/jobs/{job}",
+                body,
+                left_ms=left_ms,
+                read_s=READ_S if self._links is None else READ_WITH_LINKS_S,
             ).status
         except self._cluster.LOST:
             return 0
@@ -154,6 +192,18 @@
             self._cluster.kill(leader, signal.SIGSTOP)
             self._frozen[leader] = time.monotonic() + self._draw.choice(FREEZE_S)
 
+    def _long_freeze(self) -> None:
+        shortest_s, longest_s = LONG_FREEZE_S
+        seconds = shortest_s * (longest_s / shortest_s) ** self._draw.random()
+        leader = self._cluster.leader()
+        if leader is not None and leader not in self._frozen:
+            self._cluster.kill(leader, signal.SIGSTOP)
+            self._frozen[leader] = time.monotonic() + seconds
+
+    def _link_fault(self) -> None:
+        assert self._links is not None
+        self._links.begin(self._cluster.leader())
+
     def _thaw(self, all_of_them: bool) -> None:
         for name, until in list(self._frozen.items()):
             if all_of_them or time.monotonic() > until:
@@ -220,6 +270,8 @@
     def _settle(self) -> None:
         """Take every hall back, let all be well, and wait for all work to end."""
         self._thaw(all_of_them=True)
+        if self._links is not None:
+            self._links.end(all_of_them=True)
         for hall, spans in self._closed.items():
             if spans and spans[-1][1] == float("inf"):
                 self._cluster.order(f"evacuate/{hall}")
@@ -241,17 +293,21 @@
             raise PromiseBroken(f"{job} was accepted and is {state}") from error
 
 
-def soak(seed: int, nodes: int, boxes: int, operations: int) -> dict[str, int]:
+def soak(
+    seed: int, nodes: int, boxes: int, operations: int, links: bool = False
+) -> dict[str, int]:
     """Play one seed; returns how often what happened.
 
+    :param links: whether links are disturbed too.
     :raises PromiseBroken: naming the seed, the logs and what was broken.
+    :raises RigFault: if the run shows nothing; named alike.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"granitetrestle-soak-{seed}-"))
-    played = Soak(folder, seed, nodes, boxes, operations)
     try:
+        played = Soak(folder, seed, nodes, boxes, operations, links)
         played.run()
-    except PromiseBroken as error:
-        raise PromiseBroken(f"seed {seed}, logs in {folder}: {error}") from error
+    except (PromiseBroken, RigFault) as error:
+        raise type(error)(f"seed {seed}, logs in {folder}: {error}") from error
     return played.counts
 
 
@@ -261,13 +317,17 @@
     for seed in range(first, first + FLAGS.runs):
         began = time.monotonic()
         try:
-            counts = soak(seed, FLAGS.nodes, FLAGS.boxes, FLAGS.operations)
+            size = (FLAGS.nodes, FLAGS.boxes, FLAGS.operations)
+            counts = soak(seed, *size, links=FLAGS.links)
             said = f"ok {counts}"
         except PromiseBroken as error:
             failed += 1
             said = f"BROKEN {error}"
+        except RigFault as error:
+            failed += 1
+            said = f"FAULT OF THE RIG {error}"
         print(f"seed {seed}: {time.monotonic() - began:.1f} s, {said}", flush=True)
-    print(f"{FLAGS.runs - failed} kept, {failed} broken")
+    print(f"{FLAGS.runs - failed} kept, {failed} broken or without a verdict")
     sys.exit(1 if failed else 0)
 
 
@@ -278,6 +338,7 @@
     flags.DEFINE_integer("nodes", 4, "processes of the program")
     flags.DEFINE_integer("boxes", 4, "boxes, in two halls")
     flags.DEFINE_integer("operations", 100, "how many things happen in a run")
+    flags.DEFINE_boolean("links", False, "disturb links between all places too")
     app.run(_main)
 
 
