--- a/features/steps/native_steps.py
+++ b/features/steps/native_steps.py
@@ -207,7 +207,8 @@
     failed = [
         line
         for line in lines
-        if line["event"] == "request_failed" and line["path"] == f"/jobs/{JOB}"
+        if line["event"] == "request_failed"
+        and (line["method"], line["path"]) == ("POST", f"/jobs/{JOB}")
     ]
     assert failed, lines
     assert failed[0]["why"] == "store away", failed
--- a/src/granitetrestle_bench/takeover.py
+++ b/src/granitetrestle_bench/takeover.py
@@ -202,7 +202,7 @@
 
 
 def _serve_store(port: int, share: float, ended: int, seed: int) -> None:
-    platform = PlatformApp(port, 0, PAGE)
+    platform = PlatformApp("127.0.0.1", port, 0, PAGE)
     model = platform.store.model
     Filling(model, share, seed).fill(ended)
     model.append(CONFIG_TOPIC, [Record("config", _config())], None)
