Lasting work that waits for long says for what

Cause: a lasting task that waits 17 to 24 s beside free room left one figure, how many wait; which of a lease, a kept box, memory or the order held it could not be told. Change: every 2 s a line "lasting_waits" for each of at most 6 steps that have waited over 3 s, with the cause and what decided it, and for each box that is silent or not listed with lasting tasks on it; figures tasks_waiting_long_CAUSE. 7 rows of a scenario.

--- a/features/native_policy.feature
+++ b/features/native_policy.feature
@@ -58,3 +58,18 @@
       | 0.17 |
       | 0.2  |
       | 0.3  |
+
+  Scenario Outline: Why lasting work waits is told while it waits
+    Given four boxes of 64 cores, where lasting work waits for <reason>
+    When 5 seconds pass in which nothing frees room
+    Then every 2 seconds from 3 on it is told that it waits for <cause>
+
+    Examples:
+      | reason                          | cause     |
+      | processor time                  | cpu       |
+      | memory                          | memory    |
+      | boxes that fail what they start | put_aside |
+      | evacuated data halls            | evacuated |
+      | the lease of a silent box       | lease     |
+      | a box that a predecessor used   | lease     |
+      | operators' orders not known     | unreached |
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -27,6 +27,7 @@
 from .jobcalls import NoSuchJob
 from .jobcalls import SubmitJob
 from .jobcalls import WaitingCount
+from .lastingwaits import LastingWaits
 from .outside import Advice
 from .outside import AdviceUnavailable
 from .outside import BoxNoAnswer
@@ -72,6 +73,7 @@
         self._fleet = Fleet(self._state, self._progress, now)
         self._dispatcher = Dispatcher(self._state, self._progress, packer, now)
         self._evacuation = Evacuation(self._state)
+        self._lasting_waits = LastingWaits(self._state)
         self._swept_at = now
         self._learnt_at = now
         self._doubtful: list[Workflow] = []
@@ -91,6 +93,11 @@
         """Operators' orders about data halls."""
         return self._evacuation
 
+    @property
+    def lasting_waits(self) -> LastingWaits:
+        """Why lasting work waits."""
+        return self._lasting_waits
+
     @property
     def dispatcher(self) -> Dispatcher:
         """What places tasks."""
@@ -196,6 +203,9 @@
         if now - self._learnt_at > LEARNT_EVERY_S:
             self._learnt_at = now
             self._state.note_interference()
+        effects += self._lasting_waits.tell(
+            self._dispatcher.headroom, most_starts, self._fleet.inherited_ends, now
+        )
         effects += self._evacuation.held(now)
         if not self._evacuation.up_to_date(now):
             return effects
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -93,6 +93,11 @@
         # Kinds of task that found no box in the pass under way.
         self._no_box: set[Kind] = set()
 
+    @property
+    def headroom(self) -> Headroom:
+        """Which boxes lasting work leaves alone."""
+        return self._headroom
+
     def submitted(self, workflow: Workflow) -> None:
         """Take note of a job that came, or that a predecessor left."""
         self._order.submitted(workflow)
@@ -167,6 +172,7 @@
         self, entry: WaitingStep, pool: Pool, now: float, most: int
     ) -> list[Decision]:
         step = entry.spec
+        entry.reached_at = now
         if self._advised(entry) and now > entry.advice_until:
             return self._ask_advice(entry, pool, now)
         if step.gang:
--- a/src/granitetrestle/headroom.py
+++ b/src/granitetrestle/headroom.py
@@ -54,6 +54,10 @@
     ) -> list[BoxView]:
         """Return those of ``boxes``, which all have room, where a lasting task may go."""
 
+    @abc.abstractmethod
+    def keeps(self, box: BoxView) -> bool:
+        """Say whether a box is kept free of lasting work now."""
+
 
 class NoHeadroom(Headroom):
     """Lasting work may go anywhere."""
@@ -76,6 +80,10 @@
         """Return all."""
         return boxes
 
+    def keeps(self, box: BoxView) -> bool:
+        """Return false."""
+        return False
+
 
 class KeptBoxes(Headroom):
     """Keeps whole boxes, so that wide tasks find room in one piece. Without it worth
@@ -136,6 +144,10 @@
         entry.roomy_at = now
         return boxes if now - entry.roomy_since > UNUSED_S else []
 
+    def keeps(self, box: BoxView) -> bool:
+        """See :meth:`Headroom.keeps`."""
+        return box.life in self._kept
+
 
 def _lasting_share(box: BoxView) -> tuple[float, str]:
     return ((box.cpu_used - box.short_cpu) / max(1, box.entry.cpu), box.life)
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -34,6 +34,7 @@
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
 from .journal import Journal
+from .lastingwaits import WaitCause
 from .lookbudget import LookBudget
 from .looplag import LoopLag
 from .mechanisms import Mechanism
@@ -127,8 +128,13 @@
         """Return what waits, and how far behind this process is."""
         entries = self._decider.state.waiting.values()
         waiting = waiting_tasks(entries, now)
+        causes = self._decider.lasting_waits.causes
         return {
             **{f"tasks_waiting_{kind}": float(n) for kind, n in waiting.items()},
+            **{
+                f"tasks_waiting_long_{cause}": float(causes.get(cause, 0))
+                for cause in WaitCause
+            },
             "orders_waiting": float(self._window.waiting),
             "orders_at_once": float(self._window.size),
             "loop_lag_s": round(self._lag.lag_s, 3),
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -66,6 +66,7 @@
     :ivar roomy_since: since when there has been room for one of its tasks that last,
         but for short gaps; ``roomy_at``: when it was last seen.
     :ivar last_use: when it must have started for its job to be of any use.
+    :ivar reached_at: when a pass last came to it.
     :ivar since: when a pass first found it waiting, or last started one of its tasks.
     :ivar waits_since: since when it waits, or last started one of its tasks.
     :ivar suspects: whether one of its tasks may be suspected; see :mod:`.crashloops`.
@@ -80,6 +81,7 @@
         "latest_start",
         "occurrence",
         "priority",
+        "reached_at",
         "roomy_at",
         "roomy_since",
         "since",
@@ -113,6 +115,7 @@
         self.roomy_since = 0.0
         self.roomy_at = -1e9
         self.last_use = latest_start
+        self.reached_at = -1e9
         self.waits_since = 0.0
         self.spec = workflow.submission.steps[step]
         self.suspects = False
