Tests in which lasting work waits beside room, failing

The box with room was put aside at 25.96 s for 4 s, and by three more failures in the same look for 16 s; one more at 27.02 s held it closed until 43.02 s. Ruled out by the lines: kept boxes (at most 1.9 s), memory, per_box, advice, the order. Model: two more things a decider may lack, the store and single boxes; a scenario that passes already guards what the mend of the leases must not break.

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -100,6 +100,24 @@
     When a lasting task runs, a successor takes over, and the box goes dark for good
     Then it runs on another box within 4.9 seconds, as if nobody had taken over
 
+  Scenario Outline: A box that fell silent before a change of decider holds its tasks for one lease
+    Its leases were counted from the take-over and what a predecessor may go on for, 8 s
+    more on real boxes: lasting work was away for 20 s, though nobody had renewed them.
+    Given a shard of 6 boxes among models
+    When a lasting task runs, its box goes dark for good, <listed>, and a successor takes over
+    Then it runs on another box within 6.2 seconds of when it went dark
+
+    Examples:
+      | listed                |
+      | still listed          |
+      | and is listed no more |
+
+  Scenario: A box that answers again is leased only once a successor would know
+    Given a shard of 2 boxes among models
+    When a lasting task runs, and its box is cut off and back while the store is away
+    And a successor takes over that does not reach the box, and the older one still does
+    Then no task ever ran on two boxes
+
   Scenario Outline: No start takes a box over its room, seed <seed>
     246, 281, 726: the room shrank while the store was away and starts were held back; they
     were sent all the same.
--- a/features/native_policy.feature
+++ b/features/native_policy.feature
@@ -59,6 +59,26 @@
       | 0.2  |
       | 0.3  |
 
+  Scenario: What fails together on a box puts it aside once
+    Given a box on which tasks of eight jobs run
+    When all of them fail at once
+    Then the box takes work again after 4 seconds
+
+  Scenario Outline: Lasting work runs soon on a box that was put aside
+    The pause doubles up to 16 s; a lasting task that had room nowhere else waited for its
+    end, 24 s in all, on a box that had failed nothing for 11 s.
+    Given a lasting task that has room only on a box where every run fails
+    When the box fails what it starts for <seconds> seconds
+    Then meanwhile it was tried there at most once every 2 seconds, and no short job was
+    And the lasting task runs there for good within 4 seconds more
+
+    Examples:
+      | seconds |
+      | 3       |
+      | 5       |
+      | 13      |
+      | 30      |
+
   Scenario Outline: Why lasting work waits is told while it waits
     Given four boxes of 64 cores, where lasting work waits for <reason>
     When 5 seconds pass in which nothing frees room
--- a/features/steps/lasting_steps.py
+++ b/features/steps/lasting_steps.py
@@ -11,11 +11,14 @@
 from granitetrestle.decider import Decider
 from granitetrestle.mechanisms import Mechanism
 from granitetrestle.outside import BoxNoAnswer
+from granitetrestle.outside import EndedRun
 from granitetrestle.outside import HallOrder
 from granitetrestle.shardstate import DeciderTerms
 from granitetrestle.workflows import Step
 
 LARGE = Step(count=30, cpu=1000, memory_mb=100_000, lasting=True)
+ONE = msgspec.structs.replace(SERVING, count=1)
+SMALL = Step(count=1, cpu=1000, memory_mb=100, estimate_ms=800)
 OFF = frozenset({Mechanism.HEADROOM})
 
 
@@ -39,14 +42,14 @@
 
 
 def wait_for_lease(desk):
-    desk.submit("job", msgspec.structs.replace(SERVING, count=1))
+    desk.submit("job", ONE)
     (task,) = desk.decider.state.workflows["job"].tasks.values()
     lost = BoxNoAnswer("no answer")
     desk.take(desk.decider.fleet.looked(task.box, desk.now, desk.now, lost))
 
 
 def wait_for_predecessor(desk):
-    desk.submit("job", msgspec.structs.replace(SERVING, count=1))
+    desk.submit("job", ONE)
     records = desk.decider.take_writes()
     desk.decider = Decider(DeciderTerms(), desk.now)
     desk.decider.configured(CONFIG)
@@ -89,3 +92,119 @@
     assert 1 <= len(causes) <= 3 and set(causes) == {cause}, notes
     (counted,) = context.desk.decider.lasting_waits.causes.items()
     assert counted[0].value == cause and counted[1] >= 1, counted
+
+
+class FailingBox:
+    """A decider with one box, where every run fails after a moment while ``fails``."""
+
+    def __init__(self):
+        self.desk = Desk(1, OFF)
+        self.fails = True
+        self.lasting = self.desk.submit("lasting", ONE)
+        self.lasting_starts = []
+        self.short_starts = []
+        self._seen = set()
+        self._jobs = 0
+
+    def _note(self, task):
+        if (task.name, task.run) not in self._seen:
+            self._seen.add((task.name, task.run))
+            starts = self.lasting_starts if task.spec.lasting else self.short_starts
+            starts.append(self.desk.now)
+
+    def step(self):
+        """Let 0.1 s pass; each run ends in the step after the one it began in."""
+        desk = self.desk
+        before = self._tasks()
+        desk.wait(0.1)
+        for task in self._tasks():
+            self._note(task)
+        for task in before:
+            if task.placed and (self.fails or not task.spec.lasting):
+                desk.end(task, "failed" if self.fails else "done")
+
+    def _tasks(self):
+        (box,) = self.desk.decider.state.boxes.values()
+        return list(box.tasks.values())
+
+    def submit_short(self, count):
+        for _ in range(count):
+            self._jobs += 1
+            self.desk.submit(f"short{self._jobs}", SMALL)
+
+
+@given("a box on which tasks of eight jobs run")
+def eight_jobs(context):
+    context.desk = Desk(1, OFF)
+    for number in range(8):
+        context.desk.submit(f"job{number}", SMALL)
+    (context.box,) = context.desk.decider.state.boxes.values()
+    assert len(context.box.tasks) == 8
+
+
+@when("all of them fail at once")
+def fail_at_once(context):
+    desk = context.desk
+    tasks = list(context.box.tasks.values())
+    first = desk.ends + 1
+    desk.ends += len(tasks)
+    rows = [
+        EndedRun(first + number, task.name, task.run, "failed", "")
+        for number, task in enumerate(tasks)
+    ]
+    desk.look(context.box.life, rows)
+    assert not context.box.open_for_work(desk.now)
+
+
+@then("the box takes work again after {seconds:g} seconds")
+def takes_work_after(context, seconds):
+    now = context.desk.now
+    assert not context.box.open_for_work(now + seconds - 0.2)
+    assert context.box.open_for_work(now + seconds + 0.2)
+
+
+@given("a lasting task that has room only on a box where every run fails")
+def only_failing_box(context):
+    context.failing = FailingBox()
+    context.failing.submit_short(6)
+    context.failing.step()
+    context.failing.step()
+    (context.box,) = context.failing.desk.decider.state.boxes.values()
+    assert not context.box.open_for_work(context.failing.desk.now)
+
+
+@when("the box fails what it starts for {seconds:g} seconds")
+def fails_for(context, seconds):
+    failing = context.failing
+    failing.submit_short(40)
+    failing.lasting_starts.clear()
+    context.asides = []
+    for _ in range(round(seconds / 0.1)):
+        closed = not context.box.open_for_work(failing.desk.now)
+        starts = len(failing.short_starts), len(failing.lasting_starts)
+        failing.step()
+        if closed and not context.box.open_for_work(failing.desk.now):
+            now = len(failing.short_starts), len(failing.lasting_starts)
+            context.asides.append((now[0] - starts[0], now[1] - starts[1]))
+    failing.fails = False
+
+
+@then("meanwhile it was tried there at most once every 2 seconds, and no short job was")
+def tried_seldom(context):
+    assert not any(short for short, _ in context.asides)
+    tried = sum(lasting for _, lasting in context.asides)
+    assert tried <= len(context.asides) * 0.1 / 2.0 + 1, tried
+
+
+@then("the lasting task runs there for good within {seconds:g} seconds more")
+def runs_for_good(context, seconds):
+    failing = context.failing
+    (task,) = failing.lasting.tasks.values()
+    began = failing.desk.now
+    while not task.placed and failing.desk.now - began < 30.0:
+        failing.step()
+    took = failing.desk.now - began
+    assert took <= seconds, took
+    for _ in range(50):
+        failing.step()
+        assert task.placed
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -404,3 +404,57 @@
         world.advance(0.05)
     took = world.now - context.since
     assert took <= seconds, took
+
+
+@when(
+    "a lasting task runs, its box goes dark for good, {listed},"
+    " and a successor takes over"
+)
+def dark_before_take_over(context, listed):
+    world = context.world
+    task = lasting_task(context)
+    world.cut[task.box] = world.now + 1000.0
+    context.dark, context.since = task.box, world.now
+    world.advance(2.0)
+    if listed != "still listed":
+        del world.entries[task.box]
+    world.advance(0.5)
+    world.take_over()
+
+
+@then("it runs on another box within {seconds:g} seconds of when it went dark")
+def runs_on_another(context, seconds):
+    world = context.world
+    others = [box for life, box in world.boxes.items() if life != context.dark]
+    while not any(box.running for box in others) and world.now - context.since < 20.0:
+        world.advance(0.05)
+    took = world.now - context.since
+    assert took <= seconds, took
+
+
+@when("a lasting task runs, and its box is cut off and back while the store is away")
+def back_without_store(context):
+    world = context.world
+    context.task = lasting_task(context)
+    world.cut[context.task.box] = world.now + 2.0
+    world.advance(1.8)
+    context.older = world.leader
+    context.older.without_store = True
+    world.advance(0.5)
+
+
+@when(
+    "a successor takes over that does not reach the box, and the older one still does"
+)
+def parted(context):
+    world = context.world
+    world.take_over()
+    world.leader.cut_from.add(context.task.box)
+    world.advance(20.0)
+
+
+@then("no task ever ran on two boxes")
+def on_one_box(context):
+    # Judged at each step of the world.
+    runs_there = [run for box in context.world.boxes.values() for run in box.history]
+    assert len(runs_there) == 2, runs_there
--- a/src/granitetrestle_standins/shardprocess.py
+++ b/src/granitetrestle_standins/shardprocess.py
@@ -71,6 +71,9 @@
         # Whether it hears nothing of what operators ask.
         self.deaf = False
         self.over = False
+        # Whether it alone does not reach the store, and the boxes it does not reach.
+        self.without_store = False
+        self.cut_from: set[str] = set()
         # How long its machine was suspended, which its steady clock does not count.
         self._suspended_s = 0.0
         self._suspended_at: float | None = None
@@ -108,7 +111,7 @@
     def read_orders(self) -> None:
         """Take up what operators asked since the last time, or all there is."""
         store, evacuation = self.world.store, self.decider.evacuation
-        if self.world.store_down or self.deaf:
+        if self.world.store_down or self.without_store or self.deaf:
             return
         news = store.read(HALLS, max(0, self.halls_from))
         if self.halls_from >= 0 and isinstance(news, Records):
@@ -150,7 +153,7 @@
                 self._look(life)
 
     def _write(self) -> None:
-        if self.world.store_down:
+        if self.world.store_down or self.without_store:
             return
         records = self.decider.take_writes()
         writer = Writer(self.epoch, self.sequence + 1)
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -240,7 +240,7 @@
             at = self.now + self.random.uniform(0.2, 6.0)
             self._late.append(_Late(at, sender.epoch, until, order))
             outcome: OrderOutcome = BoxNoAnswer("late")
-        elif self._unreachable(order.life):
+        elif self._unreachable(sender, order.life):
             outcome = BoxNoAnswer("cut")
         else:
             outcome = self._carry_out(order, until, sender.epoch)
@@ -298,7 +298,7 @@
         self, sender: DeciderProcess, life: str, known: int, lease_ends_ms: int | None
     ) -> LookOutcome:
         """Look at a box."""
-        if self._unreachable(life):
+        if self._unreachable(sender, life):
             return BoxNoAnswer("cut")
         box = self.boxes[life]
         if not box.alive:
@@ -328,8 +328,8 @@
             return BoxNoAnswer("connection refused", sent=False)
         return BoxReplaced()
 
-    def _unreachable(self, life: str) -> bool:
-        return self.now < self.cut.get(life, 0.0)
+    def _unreachable(self, sender: DeciderProcess, life: str) -> bool:
+        return life in sender.cut_from or self.now < self.cut.get(life, 0.0)
 
     def advance(self, seconds: float) -> None:
         """Let time pass."""
