--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -499,6 +499,27 @@
         ),
         "native_evacuation",
     ),
+    Mutant(
+        "native: a lease is renewed that a successor does not count on",
+        (("fleet.py", "if box.life in self._state.withdrawn_leases or ", "if "),),
+        "native_decider",
+    ),
+    Mutant(
+        "native: failures together double the pause of a box",
+        (("boxes.py", "        if now < self.aside_until:\n", "        if False:\n"),),
+        "native_policy",
+    ),
+    Mutant(
+        "native: boxes that were put aside are closed to lasting work",
+        (
+            (
+                "dispatch.py",
+                "if box is None and step.lasting and pool.aside",
+                "if False",
+            ),
+        ),
+        "native_policy",
+    ),
     Mutant(
         "native: shifted: an answered stop is given again while a look waits",
         (("fleet.py", "if not answered:", "if not answered or sent <= answered:"),),
