Records of withdrawn leases go with the boxes that are gone

Cause: the record of a box whose leases are renewed no more was taken back only when the box answered; one that was lost for good left it in the store, and in every decider's memory, for ever.

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -112,6 +112,17 @@
       | still listed          |
       | and is listed no more |
 
+  Scenario Outline: What was written of the leases of a box goes with the box, or as it answers
+    Given a shard of 6 boxes among models
+    When a lasting task runs, its box goes dark for good, and is listed no more, and a successor takes over
+    And <what happens>
+    Then 10 seconds later nothing is written of its leases
+
+    Examples:
+      | what happens              |
+      | nothing else happens      |
+      | the box is back after all |
+
   Scenario: A box that answers again is leased only once a successor would know
     Given a shard of 6 boxes among models
     When a lasting task runs, and its box is cut off and back while the store is away
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -416,6 +416,7 @@
     world.cut[task.box] = world.now + 1000.0
     context.dark, context.since = task.box, world.now
     world.advance(2.0)
+    context.entry = world.entries[task.box]
     if listed != "still listed":
         del world.entries[task.box]
     world.advance(0.5)
@@ -460,3 +461,27 @@
     # Judged at each step of the world.
     runs_there = [run for box in context.world.boxes.values() for run in box.history]
     assert len(runs_there) == 2, runs_there
+
+
+def lease_records(context):
+    records = context.world.store.newest("keyed.jobs").records
+    return [record.key for record in records if record.key.startswith("l/")]
+
+
+@when("nothing else happens")
+def nothing_else(context):
+    assert lease_records(context) == [f"l/{context.dark}"]
+
+
+@when("the box is back after all")
+def back_after_all(context):
+    assert lease_records(context) == [f"l/{context.dark}"]
+    context.world.entries[context.dark] = context.entry
+    del context.world.cut[context.dark]
+
+
+@then("{seconds:g} seconds later nothing is written of its leases")
+def no_lease_records(context, seconds):
+    context.world.advance(seconds)
+    assert lease_records(context) == []
+    assert context.dark not in context.world.leader.decider.state.withdrawn_leases
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -200,6 +200,7 @@
         if now - self._swept_at > ENDED_SWEEP_S:
             self._swept_at = now
             self._sweep(now)
+            effects += self._fleet.forget_leases()
         if now - self._learnt_at > LEARNT_EVERY_S:
             self._learnt_at = now
             self._state.note_interference()
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -176,6 +176,16 @@
         """Renew leases of a box from now on: a successor would know."""
         self._state.withdrawn_leases.given_back(again)
 
+    def forget_leases(self) -> list[Decision]:
+        """Let what was written of boxes go that are gone for certain, with all that ran
+        there; else such a record would stay for every box that was ever lost."""
+        leases = self._state.withdrawn_leases
+        effects: list[Decision] = []
+        for life in list(leases.lives):
+            if life not in self._state.boxes and life not in self._state.inherited:
+                effects += leases.give_back(life)
+        return effects
+
     def plan_look(self, life: str, now: float, may_renew: bool) -> LookPlan | None:
         """Return the next look at a box, or ``None`` if it is not ours any more.
 
--- a/src/granitetrestle/leaserights.py
+++ b/src/granitetrestle/leaserights.py
@@ -34,6 +34,11 @@
         """Whether something must be written."""
         return bool(self._rows)
 
+    @property
+    def lives(self) -> t.Collection[str]:
+        """The boxes."""
+        return self._returning.keys()
+
     def take(self) -> list[Record]:
         """Return what changed since the last call, as records."""
         records = [Record(LEASE_KEY + life, row) for life, row in self._rows.items()]
