--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -3,17 +3,22 @@
 the store says how it went; only a newer epoch ends that. A repeat does not end the
 try before it: a store that is slow answers that one first."""
 
+import math
 import typing as t
 
 import anyio
 
 from .outside import Appended
 from .outside import Fenced
+from .outside import NumberTaken
 from .outside import Record
 from .outside import Store
+from .outside import StoreUnavailable
 from .outside import Writer
+from .right import Right
+from .statemark import Marks
 
-__all__ = ["Journal", "JournalStatus"]
+__all__ = ["Journal", "JournalRight", "JournalStatus", "NotKept"]
 
 # The store's calls are priced and limited; half of this is added to a decision at
 # the mean, out of some 500 ms that a short job leaves.
@@ -27,11 +32,18 @@
 TRY_S: t.Final = 1.2
 MOST_TRIES_AT_ONCE: t.Final = 3
 RETRY_EVERY_S: t.Final = 0.08
+# A right is fresh for so long; nobody takes over sooner after a decider's last sign of
+# life. After a longer stand-still all starts in hand left at once, up to three times the
+# order window's size, while another decided.
+FRESH_S: t.Final = 0.8
 RECORDS_BYTES: t.Final = 1_500_000
 USUAL_S: t.Final = 0.012
 LEARNING_RATE: t.Final = 0.1
 
 
+_Outcome: t.TypeAlias = Appended | Fenced | NumberTaken
+
+
 class JournalStatus(t.NamedTuple):
     """How well the store takes our appends.
 
@@ -43,12 +55,28 @@
     waiting_since: float | None
 
 
+class NotKept(t.NamedTuple):
+    """An append whose answer does not show that its records are kept.
+
+    :param before: where the topic ended before it, by the answer then.
+    :param end: where it ends by the answer to this one.
+    """
+
+    sequence: int
+    records: int
+    before: int
+    end: int
+
+
 class Journal:
     """The one writer of a shard's topic in one epoch.
 
     :param prepare: makes the decisions that are due and returns what to write.
     :param release: carries out what the batch held back.
     :param unanswered: told why an append is repeated, and how long it has taken.
+    :param not_kept: told of an append that was answered, and after which the store's log
+        did not end as much later as it had records.
+    :param end: where the topic ended as this epoch was raised, if that is known.
     """
 
     def __init__(
@@ -60,6 +88,8 @@
         release: t.Callable[[list[t.Any]], None],
         clock: t.Callable[[], float],
         unanswered: t.Callable[[str, float], None],
+        not_kept: t.Callable[["NotKept"], None] = lambda _: None,
+        end: int | None = None,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -69,7 +99,14 @@
         self._release = release
         self._clock = clock
         self._unanswered = unanswered
+        self._not_kept = not_kept
+        # Where the topic ends by the newest answer; it has one writer.
+        self._end = end
+        self._marks = Marks()
         self._held: list[t.Any] = []
+        # Whether somebody waits for the next append, and what tells that one succeeded.
+        self._asked = False
+        self._success = anyio.Event()
         self._wake = anyio.Event()
         self._confirmed_at = clock()
         self._waiting_since: float | None = None
@@ -82,11 +119,25 @@
         """How well the store takes our appends."""
         return JournalStatus(self._confirmed_at, self._waiting_since)
 
+    @property
+    def confirmed_age_s(self) -> float:
+        """How long ago the newest append that succeeded was sent."""
+        return self._clock() - self._confirmed_at
+
+    @property
+    def end(self) -> int | None:
+        """Where the topic ends by the newest answer."""
+        return self._end
+
     @property
     def idle(self) -> bool:
         """Whether nothing is held back."""
         return not self._held and self._waiting_since is None
 
+    def goes_on_from(self, records: t.Iterable[Record]) -> None:
+        """Learn what the topic holds before the first append."""
+        self._marks = Marks(records)
+
     def hold(self, effect: t.Any) -> None:
         """Keep an effect until all that was decided so far is durable."""
         self._held.append(effect)
@@ -96,39 +147,70 @@
         """Let the next batch come soon: there is something to decide or write."""
         self._wake.set()
 
-    async def run(self) -> Fenced:
-        """Write batches until a newer epoch is met."""
+    def now(self) -> float:
+        """Return the time on the clock by which appends are timed."""
+        return self._clock()
+
+    def ask(self) -> None:
+        """Let an append come soon, whether or not there is something to write."""
+        self._asked = True
+        self.nudge()
+
+    async def confirm(self) -> None:
+        """Return once an append that is sent from now on has succeeded."""
+        asked_at = self._clock()
+        while self._confirmed_at < asked_at:
+            self.ask()
+            await self._success.wait()
+
+    async def run(self) -> Fenced | NumberTaken:
+        """Write batches until a newer epoch is met, or somebody else in this one."""
         while True:
             with anyio.move_on_after(CONFIRM_EVERY_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
+            asked, self._asked = self._asked, False
             records = self._prepare()
             held, self._held = self._held, []
-            if records or held or self._confirm_due():
+            if records or held or asked or self._confirm_due():
                 for part in _parts(records):
-                    if isinstance(await self._append(part), Fenced):
-                        return Fenced()
+                    outcome = await self._append(part)
+                    if not isinstance(outcome, Appended):
+                        return outcome
                 self._release(held)
             await anyio.sleep(BATCH_EVERY_S)
 
     def _confirm_due(self) -> bool:
         return self._clock() - self._confirmed_at > CONFIRM_EVERY_S
 
-    async def _append(self, records: t.Sequence[Record]) -> Appended | Fenced:
-        # An empty append takes no number: the store counts those with records.
-        number = self._sequence + 1
-        if records:
-            self._sequence = number
-        writer = Writer(self._epoch, number)
+    async def _append(self, part: t.Sequence[Record]) -> _Outcome:
+        # With its mark no append is empty. An empty one had its number in common with the
+        # next, which a store may answer as a repeat and not keep: of the tasks that were
+        # done, up to 172 in 50 s were started again after changes of decider.
+        records = self._marks.marked(part)
+        self._sequence += 1
+        writer = Writer(self._epoch, self._sequence)
         began = self._waiting_since = self._clock()
         settled = await self._settle(records, writer)
         if isinstance(settled.outcome, Appended):
+            if not self._kept(writer, len(records), settled.outcome.end):
+                return NumberTaken(self._sequence)
             taken = self._clock() - began
             self._usual_s += LEARNING_RATE * (taken - self._usual_s)
             self._confirmed_at = settled.sent
+            self._success.set()
+            self._success = anyio.Event()
         self._waiting_since = None
         return settled.outcome
 
+    def _kept(self, writer: Writer, records: int, end: int) -> bool:
+        """Say whether the topic ends as much later as was appended."""
+        if self._end is not None and end < self._end + records:
+            self._not_kept(NotKept(writer.sequence, records, self._end, end))
+            return False
+        self._end = end
+        return True
+
     async def _settle(self, records: t.Sequence[Record], writer: Writer) -> "_Settled":
         """Try until the store says how the append went."""
         settled: list[_Settled] = []
@@ -144,7 +226,7 @@
             self.appends += 1
             outcome = await self._store.append(self._topic, records, writer, TRY_S)
             open_tries -= 1
-            if isinstance(outcome, Appended | Fenced):
+            if not isinstance(outcome, StoreUnavailable):
                 settled.append(_Settled(outcome, sent))
             else:
                 self._unanswered(outcome.reason, self._clock() - began)
@@ -166,13 +248,48 @@
         return settled[0]
 
 
+class JournalRight(Right):
+    """What the journal's appends prove.
+
+    :param orphan_s: how long leases are renewed without a new proof.
+    """
+
+    def __init__(self, journal: Journal, orphan_s: float) -> None:
+        self._journal = journal
+        self._orphan_s = orphan_s
+        self._doubted_at = -math.inf
+
+    def doubt(self) -> None:
+        """Take nothing for confirmed until it is anew: others follow a newer epoch."""
+        self._doubted_at = self._journal.now()
+        self._journal.ask()
+
+    def fresh(self, within_s: float) -> bool:
+        """Say whether the right was confirmed within so many seconds."""
+        confirmed_at = self._journal.status.confirmed_at
+        return confirmed_at >= self._doubted_at and self.age_s() < within_s
+
+    def age_s(self) -> float:
+        """See :meth:`.right.Right.age_s`."""
+        return self._journal.confirmed_age_s
+
+    def may_renew(self) -> bool:
+        """See :meth:`.right.Right.may_renew`."""
+        return self.age_s() < self._orphan_s
+
+    async def confirmed(self) -> None:
+        """See :meth:`.right.Right.confirmed`."""
+        if not self.fresh(FRESH_S):
+            await self._journal.confirm()
+
+
 class _Settled(t.NamedTuple):
     """How an append went.
 
     :param sent: when the try that was answered was sent.
     """
 
-    outcome: Appended | Fenced
+    outcome: _Outcome
     sent: float
 
 
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -35,6 +35,8 @@
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
 from .journal import Journal
+from .journal import JournalRight
+from .journal import NotKept
 from .lastingwaits import WaitCause
 from .lookbudget import LookBudget
 from .looplag import LoopLag
@@ -46,49 +48,44 @@
 from .outside import Advice
 from .outside import AdviceUnavailable
 from .outside import Config
-from .outside import Fenced
 from .outside import Newest
+from .outside import NumberTaken
 from .outside import Record
-from .outside import Store
 from .outside import StoreUnavailable
-from .outside import Writer
 from .shardstate import DeciderTerms
+from .statemark import Taken
+from .succession import JOBS_TOPIC
+from .succession import read_state
 from .waitingorder import waiting_tasks
 
-__all__ = ["Session", "Sources", "take_over"]
+__all__ = ["Session", "Sources"]
 
-JOBS_TOPIC: t.Final = "keyed.jobs"
 # A store that has not answered for so long is away: new work is refused.
 STORE_AWAY_S: t.Final = 0.5
 # An answer may rest on being the decider if that was confirmed so recently.
 CONFIRMED_S: t.Final = 0.6
-TAKE_OVER_TIMEOUT_S: t.Final = 1.0
 RETRY_S: t.Final = 0.1
 # How often a decider says how loaded it is.
 LOAD_EVERY_S: t.Final = 5.0
 
 
-async def take_over(store: Store, epoch: int) -> bool | StoreUnavailable:
-    """Raise the epoch at the store; says whether this process decides now."""
-    outcome = await store.append(JOBS_TOPIC, (), Writer(epoch, 1), TAKE_OVER_TIMEOUT_S)
-    if isinstance(outcome, StoreUnavailable):
-        return outcome
-    return not isinstance(outcome, Fenced)
-
-
 class Session:
-    """Decides for a shard in one epoch."""
+    """Decides for a shard in one epoch.
+
+    :param taken: the epoch, as it was raised.
+    """
 
     def __init__(
         self,
         sources: Sources,
-        epoch: int,
+        taken: Taken,
         terms: DeciderTerms,
         log: NodeLog,
         metrics: NodeMetrics,
     ) -> None:
         self._sources = sources
-        self._epoch = epoch
+        self._taken = taken
+        self._epoch = taken.epoch
         self._terms = terms
         self._log = log
         self._metrics = metrics
@@ -96,14 +93,17 @@
         self._journal = Journal(
             sources.store,
             JOBS_TOPIC,
-            epoch,
+            taken.epoch,
             self._prepare,
             self._release,
             # Being the decider is a right: while this machine slept another may have
             # taken over, and an answer would rest on what was confirmed before.
             steadyclock.now,
             self._append_unanswered,
+            self._append_not_kept,
+            taken.end,
         )
+        self._right = JournalRight(self._journal, terms.orphan_s)
         parts = (sources, self._decider, self._apply, log)
         self._operators = OperatorFeed(*parts)
         self._listed = BoxFeed(*parts)
@@ -118,6 +118,8 @@
         self._callers: dict[str, _Caller] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._over = False
+        # The newest epoch that others are known to follow.
+        self._epoch_heard = taken.epoch
         self._store_lost_at: float | None = None
 
     @property
@@ -143,6 +145,8 @@
             "looks_to_begin": float(self._budget.opening.waiting),
             "halls_evacuated": float(len(self._decider.state.evacuated_halls)),
             "orders_unreadable": float(self._operators.unreadable),
+            "log_end": float(self._journal.end or 0),
+            "right_age_s": round(self._right.age_s(), 3),
         }
 
     @property
@@ -202,19 +206,31 @@
     async def _begin(self) -> bool:
         """Read what a predecessor left; no other can write meanwhile."""
         started = time.monotonic()
+        store = self._sources.store
         read: dict[str, Newest | None] = {}
+        state: list[Newest | NumberTaken | StoreUnavailable] = []
 
         async def fetch(topic: str) -> None:
-            read[topic] = await read_newest(self._sources.store, topic)
+            read[topic] = await read_newest(store, topic)
+
+        async def fetch_state() -> None:
+            state.append(await read_state(store, self._taken, self._log))
 
         config_topic, box_topic = self._sources.config_topic, self._sources.box_topic
         async with anyio.create_task_group() as tasks:
-            for topic in (JOBS_TOPIC, config_topic, box_topic):
+            tasks.start_soon(fetch_state)
+            for topic in (config_topic, box_topic):
                 tasks.start_soon(fetch, topic)
-        jobs, config, boxes = read[JOBS_TOPIC], read[config_topic], read[box_topic]
-        if jobs is None or config is None or boxes is None:
-            self._log.event("take_over_failed", reason="store", epoch=self._epoch)
+        jobs, config, boxes = state[0], read[config_topic], read[box_topic]
+        if not isinstance(jobs, Newest) or config is None or boxes is None:
+            reason = "the store did not answer"
+            if isinstance(jobs, NumberTaken):
+                reason = "an earlier life decided in this epoch"
+            elif isinstance(jobs, StoreUnavailable):
+                reason = jobs.reason
+            self._log.event("take_over_failed", reason=reason, epoch=self._epoch)
             return False
+        self._journal.goes_on_from(jobs.records)
         now = time.monotonic()
         self._apply(self._decider.restore(jobs.records, now))
         self._operators.begin(config)
@@ -223,6 +239,8 @@
             "took_over",
             epoch=self._epoch,
             jobs=len(self._decider.state.workflows),
+            records=len(jobs.records),
+            end=jobs.end,
             boxes=len(self._listed),
             config=self.config.version if self.config else None,
             took_s=round(now - started, 3),
@@ -230,8 +248,8 @@
         return True
 
     async def _journal_loop(self, tasks: anyio.abc.TaskGroup) -> None:
-        await self._journal.run()
-        self._step_down("store")
+        met = await self._journal.run()
+        self._step_down("store", type(met).__name__)
         tasks.cancel_scope.cancel()
 
     def _append_unanswered(self, reason: str, waiting_s: float) -> None:
@@ -245,16 +263,22 @@
                 waiting_s=round(waiting_s, 3),
             )
 
+    def _append_not_kept(self, what: NotKept) -> None:
+        self._metrics.count("append_not_kept")
+        self._log.event("append_not_kept", epoch=self._epoch, **what._asdict())
+
     def _store_answers(self) -> None:
         if self._store_lost_at is not None:
             lost_s = time.monotonic() - self._store_lost_at
             self._store_lost_at = None
             self._log.event("store_back", epoch=self._epoch, lost_s=round(lost_s, 3))
 
-    def _step_down(self, where: str) -> None:
+    def _step_down(self, where: str, met: str = "Fenced") -> None:
         if not self._over:
             self._over = True
-            self._log.event("stepped_down", epoch=self._epoch, met_newer_epoch=where)
+            self._log.event(
+                "stepped_down", epoch=self._epoch, met_newer_epoch=where, met=met
+            )
             if self._tasks is not None:
                 self._tasks.cancel_scope.cancel()
 
@@ -301,7 +325,7 @@
             self._sources.boxes,
             self._decider,
             self._apply,
-            self._may_renew,
+            self._right,
             self._metrics,
             self._window,
             self._lag,
@@ -323,10 +347,6 @@
             advice = await self._sources.advisor.advise(step, asked.lives)
         self._apply(self._decider.advised(asked, advice, time.monotonic()))
 
-    def _may_renew(self) -> bool:
-        age = steadyclock.now() - self._journal.status.confirmed_at
-        return age < self._terms.orphan_s
-
     def _release(self, held: list[t.Any]) -> None:
         self._store_answers()
         for decision in held:
@@ -371,13 +391,21 @@
             raise Deposed
         return caller.outcome
 
+    def hears_of(self, epoch: int) -> None:
+        """Learn that other processes follow an epoch: a newer one must be ruled out by
+        the store before anything leaves."""
+        if epoch > self._epoch_heard:
+            self._epoch_heard = epoch
+            self._log.event("newer_epoch_heard", epoch=self._epoch, heard=epoch)
+            self._right.doubt()
+
     async def confirm(self) -> bool:
         """Return once this process is proved to decide still, or false as soon as the
         store is away, so that nobody waits for what can't be answered.
 
         :raises Deposed: if it does not decide any more.
         """
-        if steadyclock.now() - self._journal.status.confirmed_at < CONFIRMED_S:
+        if self._right.fresh(CONFIRMED_S):
             return True
         asked = steadyclock.now()
         while self._journal.status.confirmed_at < asked:
@@ -385,7 +413,7 @@
                 raise Deposed
             if self.store_away:
                 return False
-            self._journal.nudge()
+            self._journal.ask()
             await anyio.sleep(RETRY_S)
         return True
 
