--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -427,7 +427,7 @@
     ),
     Mutant(
         "native: a request is kept until its deadline without a decider",
-        (("forwarding.py", "now - leaderless_since > WAIT_FOR_LEADER_S", "False"),),
+        (("forwarding.py", "now - unreached_since > WAIT_FOR_LEADER_S", "False"),),
         "native_parts",
     ),
     Mutant(
