--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -50,10 +50,10 @@
     epoch = (step + 1 << ADDRESS_BITS) - 1
     context.epoch = epoch
     path = (
-        f"/api/log-append?topic={JOBS_TOPIC}&part=0"
+        f"append?topic={JOBS_TOPIC}&part=0"
         f"&producer=granitetrestle&epoch={epoch}&call_seq=1"
     )
-    answer = cluster.call("POST", f"127.0.0.1:{cluster.port}", path, b"")
+    answer = cluster.store(path, b"")
     assert answer.status == 200, answer
 
 
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -27,6 +27,7 @@
 from .jobcalls import NoSuchJob
 from .jobcalls import SubmitJob
 from .jobcalls import WaitingCount
+from .lastingwaits import LastingWaits
 from .outside import Advice
 from .outside import AdviceUnavailable
 from .outside import BoxNoAnswer
@@ -74,6 +75,7 @@
         self._fleet = Fleet(self._state, self._progress, now)
         self._dispatcher = Dispatcher(self._state, self._progress, packer, now)
         self._evacuation = Evacuation(self._state)
+        self._lasting_waits = LastingWaits(self._state)
         self._swept_at = now
         self._learnt_at = now
         self._doubtful: list[Workflow] = []
@@ -93,6 +95,11 @@
         """Operators' orders about data halls."""
         return self._evacuation
 
+    @property
+    def lasting_waits(self) -> LastingWaits:
+        """Why lasting work waits."""
+        return self._lasting_waits
+
     @property
     def dispatcher(self) -> Dispatcher:
         """What places tasks."""
@@ -202,9 +209,16 @@
         if now - self._swept_at > ENDED_SWEEP_S:
             self._swept_at = now
             self._sweep(now)
+            effects += self._fleet.forget_leases()
         if now - self._learnt_at > LEARNT_EVERY_S:
             self._learnt_at = now
             self._state.note_interference()
+        effects += self._lasting_waits.tell(
+            self._dispatcher.headroom,
+            most_starts,
+            self._fleet.inherited_ends_of,
+            now,
+        )
         effects += self._evacuation.held(now)
         if not self._evacuation.up_to_date(now):
             return effects
@@ -301,7 +315,7 @@
         if box is not None:
             unwell = outcome.reason == "unhealthy"
             pause = PAUSE_UNHEALTHY_S if unwell else PAUSE_AFTER_REFUSAL_S
-            box.closed_until = max(box.closed_until, now + pause)
+            box.refused(pause, now)
         return [Noted("start_rejected", task.name, inputs)]
 
     def stop_answered(
--- /dev/null
+++ b/src/granitetrestle/lastingwaits.py
@@ -0,0 +1,242 @@
+"""Says why lasting tasks wait for a box. Accounts are promised that such a task runs
+again within six seconds while there is room for it; one that does not has waited for one
+of many causes, which can't be told apart afterwards, so that each is named while it
+holds."""
+
+import collections
+import enum
+import typing as t
+
+from .boxes import BoxView
+from .boxsearch import suits
+from .decisions import Noted
+from .headroom import Headroom
+from .shardstate import ShardState
+from .shardstate import WaitingStep
+
+__all__ = ["LastingWaits", "WaitCause"]
+
+# Waits that are shorter are usual: a look, a write and an order take up to one second.
+TOLD_AFTER_S: t.Final = 3.0
+# How often waits are told, and how many at a time, the longest first.
+TELL_EVERY_S: t.Final = 2.0
+TOLD_AT_MOST: t.Final = 6
+# To tell why a step waits looks at all boxes, 3 to 6 us each. So many are looked at for
+# all steps together, but for one step in any case; and where there are more, more seldom.
+BOXES_AT_MOST: t.Final = 6000
+EVERY_S_PER_BOX: t.Final = 0.001
+# A step that no pass has looked at for so long is not reached by them.
+UNREACHED_S: t.Final = 0.5
+
+
+class WaitCause(enum.StrEnum):
+    """What a lasting task waits for."""
+
+    # Its box is silent, or not listed any more, and may run it until its lease is over.
+    LEASE = "lease"
+    # Operators' orders are not known of late, or no pass comes so far in the order.
+    UNREACHED = "unreached"
+    # No box of its service answers, is listed and stays.
+    NO_BOX = "no_box"
+    # The advice service has named none of the open boxes, or not answered yet.
+    ADVICE = "advice"
+    # No box may run it by its labels.
+    LABELS = "labels"
+    # No box has unreserved processor time, or memory, enough.
+    CPU = "cpu"
+    MEMORY = "memory"
+    # Boxes with room have as many tasks of its step as they may.
+    PER_BOX = "per_box"
+    # The only boxes with room fail what they start, or are in evacuated data halls.
+    PUT_ASIDE = "put_aside"
+    EVACUATED = "evacuated"
+    # Boxes with room are kept for short work.
+    KEPT = "kept"
+    # A box may take it: it starts with the next pass.
+    NONE = "none"
+
+
+# What rules boxes out, from what is seen first; the last of them that rules one out is
+# what a task waits for.
+RULED_OUT: t.Final = (
+    WaitCause.NO_BOX,
+    WaitCause.ADVICE,
+    WaitCause.LABELS,
+    WaitCause.CPU,
+    WaitCause.MEMORY,
+    WaitCause.PER_BOX,
+    WaitCause.EVACUATED,
+    WaitCause.PUT_ASIDE,
+    WaitCause.KEPT,
+    WaitCause.NONE,
+)
+
+
+class LastingWaits:
+    """Tells of lasting work that waits for long.
+
+    :ivar causes: cause -> how many tasks have waited for long, as last told.
+    """
+
+    def __init__(self, state: ShardState) -> None:
+        self._state = state
+        self._told_at = -1e9
+        self.causes: dict[WaitCause, int] = {}
+
+    def tell(
+        self,
+        headroom: Headroom,
+        most_starts: int,
+        inherited_ends: t.Callable[[str], float],
+        now: float,
+    ) -> t.Iterator[Noted]:
+        """Note why lasting work has waited for long, every few seconds.
+
+        :param most_starts: how many orders the pass may give.
+        :param inherited_ends: when no lease that a predecessor gave a box can run any
+            more, by its life.
+        """
+        boxes = max(1, len(self._state.boxes))
+        if now - self._told_at < max(TELL_EVERY_S, boxes * EVERY_S_PER_BOX):
+            return
+        self._told_at = now
+        causes: collections.Counter[WaitCause] = collections.Counter()
+        waits = [
+            entry
+            for entry in self._state.waiting.values()
+            if entry.spec.lasting and now - entry.waits_since > TOLD_AFTER_S
+        ]
+        waits.sort(key=lambda entry: entry.waits_since)
+        for entry in waits[: max(1, min(TOLD_AT_MOST, BOXES_AT_MOST // boxes))]:
+            cause, inputs = self._why(entry, headroom, now)
+            causes[cause] += len(entry.tasks)
+            inputs["most_starts"] = most_starts
+            yield Noted("lasting_waits", _name(entry), inputs)
+        lost = [*self._silent(now), *self._unlisted(inherited_ends, now)]
+        causes[WaitCause.LEASE] += sum(note.inputs["tasks"] for note in lost)
+        yield from lost[:TOLD_AT_MOST]
+        self.causes = causes
+
+    def _advised(self, entry: WaitingStep) -> bool:
+        queue = self._state.queues.get(entry.workflow.submission.queue)
+        return queue is not None and queue.advised
+
+    def _ruled_out(
+        self, entry: WaitingStep, headroom: Headroom, now: float
+    ) -> dict[WaitCause, int]:
+        """Return how many boxes each cause rules out, after those before it."""
+        counts = dict.fromkeys(RULED_OUT, 0)
+        service = self._state.service_of(entry.workflow)
+        tickets = entry.tickets if self._advised(entry) else None
+        for box in self._state.boxes.values():
+            if box.entry.service == service:
+                counts[_ruled_out_by(entry, box, tickets, headroom, now)] += 1
+        return counts
+
+    def _why(
+        self, entry: WaitingStep, headroom: Headroom, now: float
+    ) -> tuple[WaitCause, dict[str, t.Any]]:
+        step = entry.spec
+        counts = self._ruled_out(entry, headroom, now)
+        last = (cause for cause in reversed(RULED_OUT) if counts[cause])
+        cause = next(last, WaitCause.NO_BOX)
+        if cause is WaitCause.NONE and now - entry.reached_at > UNREACHED_S:
+            cause = WaitCause.UNREACHED
+        inputs = {
+            "cause": cause.value,
+            "waited_s": round(now - entry.waits_since, 2),
+            "tasks": len(entry.tasks),
+            "cpu": step.cpu,
+            "memory_mb": step.memory_mb,
+            "per_box": step.per_box,
+            "reached_s_ago": _ago(entry.reached_at, now),
+            "suspects": entry.suspects,
+            "boxes": {cause.value: count for cause, count in counts.items() if count},
+            "roomy_since_s_ago": _ago(entry.roomy_since, now),
+            "roomy_s_ago": _ago(entry.roomy_at, now),
+        }
+        if self._advised(entry):
+            inputs["asked_s_ago"] = _ago(entry.asked_at, now)
+            inputs["advice_left_s"] = round(entry.advice_until - now, 2)
+        return cause, inputs
+
+    def _silent(self, now: float) -> t.Iterator[Noted]:
+        for box in self._state.boxes.values():
+            since = box.silent_since
+            if since is None or now - since <= TOLD_AFTER_S:
+                continue
+            lasting = sum(task.spec.lasting for task in box.tasks.values())
+            if not lasting:
+                continue
+            inputs = {
+                "cause": WaitCause.LEASE.value,
+                "silent_s": round(now - since, 2),
+                "tasks": lasting,
+                "lease_left_s": round(box.lease_ends - now, 2),
+                "listed": box.listed,
+                "adopted": box.adopted,
+            }
+            yield Noted("lasting_waits", box.life, inputs)
+
+    def _unlisted(
+        self, inherited_ends: t.Callable[[str], float], now: float
+    ) -> t.Iterator[Noted]:
+        for life, tasks in self._state.inherited.items():
+            lasting = sum(task.spec.lasting for task in tasks if task.box == life)
+            if not lasting:
+                continue
+            inputs = {
+                "cause": WaitCause.LEASE.value,
+                "tasks": lasting,
+                "lease_left_s": round(inherited_ends(life) - now, 2),
+                "listed": False,
+            }
+            yield Noted("lasting_waits", life, inputs)
+
+
+def _ruled_out_by(
+    entry: WaitingStep,
+    box: BoxView,
+    tickets: t.Collection[str] | None,
+    headroom: Headroom,
+    now: float,
+) -> WaitCause:
+    """Return the first cause for which a box does not take a task of a step.
+
+    :param tickets: the boxes that advice names, if the step needs it.
+    """
+    step = entry.spec
+    if not box.reachable:
+        return WaitCause.NO_BOX
+    if tickets is not None and box.life not in tickets:
+        return WaitCause.ADVICE
+    if not box.entry.labels.issuperset(step.required_labels):
+        return WaitCause.LABELS
+    if step.cpu > box.cpu_free:
+        return WaitCause.CPU
+    if not box.fits(step):
+        return WaitCause.MEMORY
+    return _shut_by(entry, box, headroom, now)
+
+
+def _shut_by(
+    entry: WaitingStep, box: BoxView, headroom: Headroom, now: float
+) -> WaitCause:
+    """Return the first cause for which a box that has room does not take a task."""
+    task = next(iter(entry.tasks.values()), None)
+    if task is not None and not suits(entry.spec, task, box):
+        return WaitCause.PER_BOX
+    if box.evacuated:
+        return WaitCause.EVACUATED
+    if now < box.closed_until:
+        return WaitCause.PUT_ASIDE
+    return WaitCause.KEPT if headroom.keeps(box) else WaitCause.NONE
+
+
+def _ago(at: float, now: float) -> float | None:
+    """Return how long ago something was, or ``None`` if it never was."""
+    return round(now - at, 2) if at > 0.0 else None
+
+
+def _name(entry: WaitingStep) -> str:
+    return f"{entry.workflow.submission.job}.{entry.occurrence}.{entry.step}"
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -20,6 +20,7 @@
 from .decisions import AskAdvice
 from .decisions import Decision
 from .decisions import EndsKnown
+from .decisions import LeasesAgain
 from .decisions import LeaveBox
 from .decisions import Noted
 from .decisions import PaceTask
@@ -37,6 +38,7 @@
 from .journal import Journal
 from .journal import JournalRight
 from .journal import NotKept
+from .lastingwaits import WaitCause
 from .lookbudget import LookBudget
 from .looplag import LoopLag
 from .mechanisms import Mechanism
@@ -133,8 +135,13 @@
         """Return what waits, and how far behind this process is."""
         entries = self._decider.state.waiting.values()
         waiting = waiting_tasks(entries, now)
+        causes = self._decider.lasting_waits.causes
         return {
             **{f"tasks_waiting_{kind}": float(n) for kind, n in waiting.items()},
+            **{
+                f"tasks_waiting_long_{cause}": float(causes.get(cause, 0))
+                for cause in WaitCause
+            },
             "orders_waiting": float(self._window.waiting),
             "orders_at_once": float(self._window.size),
             "loop_lag_s": round(self._lag.lag_s, 3),
@@ -369,6 +376,8 @@
                 self._answer(decision)
             elif isinstance(decision, StartTask | StopTask):
                 self._order(decision)
+            elif isinstance(decision, LeasesAgain):
+                self._decider.fleet.leases_again(decision)
             elif isinstance(decision, EndsKnown):
                 keeper = self._keepers.get(decision.life)
                 if keeper is not None:
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -15,6 +15,7 @@
 from .jobrecords import JobRecords
 from .jobrecords import Restored
 from .jobrecords import restore_jobs
+from .leaserights import WithdrawnLeases
 from .mechanisms import Mechanism
 from .outside import Config
 from .outside import Queue
@@ -70,6 +71,7 @@
     :ivar roomy_since: since when there has been room for one of its tasks that last,
         but for short gaps; ``roomy_at``: when it was last seen.
     :ivar last_use: when it must have started for its job to be of any use.
+    :ivar reached_at: when a pass last came to it.
     :ivar since: when a pass first found it waiting, or last started one of its tasks.
     :ivar waits_since: since when it waits, or last started one of its tasks.
     :ivar suspects: whether one of its tasks may be suspected; see :mod:`.crashloops`.
@@ -84,6 +86,7 @@
         "latest_start",
         "occurrence",
         "priority",
+        "reached_at",
         "roomy_at",
         "roomy_since",
         "since",
@@ -119,6 +122,7 @@
         self.roomy_since = 0.0
         self.roomy_at = -1e9
         self.last_use = latest_start
+        self.reached_at = -1e9
         self.waits_since = 0.0
         self.spec = workflow.submission.steps[step]
         self.suspects = False
@@ -135,6 +139,7 @@
         self.index = BoxIndex()
         # Placed tasks that a predecessor wrote down, by boxes that are not known yet.
         self.inherited: dict[str, list[Task]] = {}
+        self.withdrawn_leases = WithdrawnLeases()
         self.config: Config | None = None
         # Data halls whose boxes get nothing new; see :mod:`.evacuation`.
         self.evacuated_halls: set[str] = set()
@@ -187,7 +192,8 @@
     @property
     def has_writes(self) -> bool:
         """Whether something must be written."""
-        return bool(self._records.waiting or self._learnt)
+        leases = self.withdrawn_leases
+        return bool(self._records.waiting or self._learnt or leases.waiting)
 
     def take_writes(self) -> list[Record]:
         """Return what changed since the last call, as records."""
@@ -195,6 +201,7 @@
         for image, value in self._learnt.items():
             records.append(Record(INTERFERENCE_KEY + image, value))
         self._learnt.clear()
+        records += self.withdrawn_leases.take()
         return records
 
     def restore(self, records: t.Iterable[Record], now: float) -> Steps[Restored]:
@@ -208,6 +215,7 @@
                 if task.run:
                     self.changed(task)
             self.ended(workflow)
+        self.withdrawn_leases.restore(restored.unleased)
         for image, value in restored.learnt.items():
             try:
                 self.interference.restore(image, value)
--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -249,11 +249,11 @@
         retry = dict(response.headers).get(b"retry-after", b"")
         return Answer(response.status, response.content, retry)
 
-    def store(self, call: str) -> Answer:
+    def store(self, call: str, body: t.Any = None) -> Answer:
         """Call the store, or one of its test hooks."""
-        method = "POST" if call.startswith("/test") else "GET"
+        method = "POST" if call.startswith(("/test", "append")) else "GET"
         path = call if call.startswith("/test") else f"/api/log-{call}"
-        return self.call(method, self._store_address, path)
+        return self.call(method, self._store_address, path, body)
 
     def order(self, key: str, value: str = "") -> float:
         """Let an operator write to the store; without a value the key is dropped.
--- a/src/granitetrestle_standins/shardprocess.py
+++ b/src/granitetrestle_standins/shardprocess.py
@@ -8,6 +8,7 @@
 from granitetrestle.decisions import AnswerCall
 from granitetrestle.decisions import Decision
 from granitetrestle.decisions import EndsKnown
+from granitetrestle.decisions import LeasesAgain
 from granitetrestle.decisions import Noted
 from granitetrestle.decisions import PaceTask
 from granitetrestle.decisions import StartTask
@@ -73,6 +74,9 @@
         # Whether it hears nothing of what operators ask.
         self.deaf = False
         self.over = False
+        # Whether it alone does not reach the store, and the boxes it does not reach.
+        self.without_store = False
+        self.cut_from: set[str] = set()
         # How long its machine was suspended, which its steady clock does not count.
         self._suspended_s = 0.0
         self._suspended_at: float | None = None
@@ -113,7 +117,7 @@
     def read_orders(self) -> None:
         """Take up what operators asked since the last time, or all there is."""
         store, evacuation = self.world.store, self.decider.evacuation
-        if self.world.store_down or self.deaf:
+        if self.world.store_down or self.without_store or self.deaf:
             return
         news = store.read(HALLS, max(0, self.halls_from))
         if self.halls_from >= 0 and isinstance(news, Records):
@@ -155,7 +159,7 @@
                 self._look(life)
 
     def _write(self) -> None:
-        if self.world.store_down:
+        if self.world.store_down or self.without_store:
             return
         records = self.marks.marked(self.decider.take_writes())
         writer = Writer(self.epoch, self.sequence + 1)
@@ -174,6 +178,8 @@
             self.world.send(self, decision)
         elif isinstance(decision, AnswerCall):
             self.world.answered(decision)
+        elif isinstance(decision, LeasesAgain):
+            self.decider.fleet.leases_again(decision)
         elif isinstance(decision, EndsKnown):
             box = self.decider.state.boxes.get(decision.life)
             if box is not None:
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -150,6 +150,12 @@
         if not self.store_down:
             self.processes.append(DeciderProcess(self, epoch))
 
+    def join(self) -> None:
+        """Let every decider reach the store and all boxes."""
+        for process in self.processes:
+            process.without_store = False
+            process.cut_from.clear()
+
     def kill(self) -> None:
         """Kill the decider, whatever it holds back."""
         self.leader.over = True
@@ -240,7 +246,7 @@
             at = self.now + self.random.uniform(0.2, 6.0)
             self._late.append(_Late(at, sender.epoch, until, order))
             outcome: OrderOutcome = BoxNoAnswer("late")
-        elif self._unreachable(order.life):
+        elif self._unreachable(sender, order.life):
             outcome = BoxNoAnswer("cut")
         else:
             outcome = self._carry_out(order, until, sender.epoch)
@@ -298,7 +304,7 @@
         self, sender: DeciderProcess, life: str, known: int, lease_ends_ms: int | None
     ) -> LookOutcome:
         """Look at a box."""
-        if self._unreachable(life):
+        if self._unreachable(sender, life):
             return BoxNoAnswer("cut")
         box = self.boxes[life]
         if not box.alive:
@@ -328,8 +334,8 @@
             return BoxNoAnswer("connection refused", sent=False)
         return BoxReplaced()
 
-    def _unreachable(self, life: str) -> bool:
-        return self.now < self.cut.get(life, 0.0)
+    def _unreachable(self, sender: DeciderProcess, life: str) -> bool:
+        return life in sender.cut_from or self.now < self.cut.get(life, 0.0)
 
     def advance(self, seconds: float) -> None:
         """Let time pass."""
@@ -457,6 +463,7 @@
         """
         self.late_share = self.lost_share = self.fail_share = 0.0
         self.cut.clear()
+        self.join()
         for hall in list(self.evacuated):
             self.restore(hall)
         self.store_down = False
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -427,7 +427,7 @@
     ),
     Mutant(
         "native: a request is kept until its deadline without a decider",
-        (("forwarding.py", "now - leaderless_since > WAIT_FOR_LEADER_S", "False"),),
+        (("forwarding.py", "now - unreached_since > WAIT_FOR_LEADER_S", "False"),),
         "native_parts",
     ),
     Mutant(
@@ -475,12 +475,18 @@
     ),
     Mutant(
         "native: starts that were held back are sent into an evacuated hall",
-        (("decider.py", "or box.evacuated):", "or False):"),),
+        (("decider.py", "or box.evacuated or", "or"),),
         "native_evacuation",
     ),
     Mutant(
         "native: a slowed task moves into an evacuated hall",
-        (("boxes.py", "            and not self.evacuated\n", ""),),
+        (
+            (
+                "boxes.py",
+                "self.reachable and not self.evacuated and now",
+                "self.reachable and now",
+            ),
+        ),
         "native_evacuation",
     ),
     Mutant(
@@ -493,12 +499,33 @@
             ),
             (
                 "decider.py",
-                "return task.state == STARTING and self._evacuation.up_to_date(now)",
-                "return task.state == STARTING",
+                "wanted = task.state == STARTING and self._evacuation.up_to_date(now)",
+                "wanted = task.state == STARTING",
             ),
         ),
         "native_evacuation",
     ),
+    Mutant(
+        "native: a lease is renewed that a successor does not count on",
+        (("fleet.py", "if box.life in self._state.withdrawn_leases or ", "if "),),
+        "native_decider",
+    ),
+    Mutant(
+        "native: failures together double the pause of a box",
+        (("boxes.py", "        if now < self.aside_until:\n", "        if False:\n"),),
+        "native_policy",
+    ),
+    Mutant(
+        "native: boxes that were put aside are closed to lasting work",
+        (
+            (
+                "dispatch.py",
+                "if box is None and step.lasting and pool.aside",
+                "if False",
+            ),
+        ),
+        "native_policy",
+    ),
     Mutant(
         "native: shifted: an answered stop is given again while a look waits",
         (("fleet.py", "if not answered:", "if not answered or sent <= answered:"),),
