--- /dev/null
+++ b/src/granitetrestle_standins/runtimeline.py
@@ -0,0 +1,127 @@
+"""All that was seen of one task, in the order of time: what its boxes did, what clients
+were told of its job, and what the program's own logs say. For tracing what was broken."""
+
+import datetime
+import pathlib
+import typing as t
+
+import msgspec
+
+from granitetrestle.errors import NotFound
+from granitetrestle.timeline import read_lines
+from granitetrestle.timeline import timeline
+from granitetrestle_standins.runfacts import Facts
+from granitetrestle_standins.runfacts import RunFact
+from granitetrestle_standins.runfacts import job_of
+from granitetrestle_standins.runjudge import Fault
+
+__all__ = ["Entry", "merged_timeline", "task_entries"]
+
+# Looks go on all the time; an epoch that a box met so long before the task's first
+# fact, or after its last, has no part in it. In seconds.
+AROUND_S: t.Final = 3.0
+
+
+class Entry(t.NamedTuple):
+    """One line of a timeline; ``at`` in seconds on the platform's clock."""
+
+    at: float
+    who: str
+    text: str
+
+
+def task_entries(
+    facts: Facts, subject: str, faults: t.Sequence[Fault] = ()
+) -> list[Entry]:
+    """Return what boxes and clients saw of a task, of all tasks of a job, or of all that
+    ran on a box.
+
+    :param faults: those that were found; the ones of this task are in the timeline.
+    """
+    job = job_of(subject)
+    runs = [
+        run for run in facts.runs if _is_of(run.task, subject) or run.box == subject
+    ]
+    entries = [entry for run in runs for entry in _of_run(run)]
+    boxes = {run.box for run in runs}
+    for refused in facts.refused:
+        if _is_of(refused.task, subject) or refused.box == subject:
+            boxes.add(refused.box)
+            there = "there" if refused.there else "not there"
+            text = (
+                f"{refused.task} run {refused.run} of epoch {refused.epoch} refused, "
+                f"{refused.highest} was seen; the run was {there}"
+            )
+            entries.append(Entry(refused.at, refused.box, text))
+    for fact in facts.clients:
+        if fact.job == job:
+            entries.append(Entry(fact.at, "client", f"{job} {fact.told.value}"))
+    for fault in faults:
+        if fault.subject and _is_of(fault.subject, subject):
+            text = f"FAULT {fault.kind.value}: {fault.text}"
+            entries.append(Entry(fault.at, "judge", text))
+    entries += _around(facts, boxes, entries)
+    return sorted(entries, key=lambda entry: entry.at)
+
+
+def _is_of(task: str, subject: str) -> bool:
+    return task == subject or task.startswith(f"{subject}.")
+
+
+def _of_run(run: RunFact) -> t.Iterator[Entry]:
+    name = f"{run.task} run {run.run}"
+    how = ", held up" if run.held_up else ""
+    yield Entry(run.arrived, run.box, f"{name} ordered by epoch {run.epoch}{how}")
+    yield Entry(run.began, run.box, f"{name} began")
+    if run.ended is not None:
+        yield Entry(run.ended, run.box, f"{name} ended, {run.how}")
+    if run.noted is not None:
+        yield Entry(run.noted, run.box, f"{name}: its end was noted")
+
+
+def _around(
+    facts: Facts, boxes: t.Collection[str], entries: t.Sequence[Entry]
+) -> t.Iterator[Entry]:
+    """Yield what befell the boxes of a task at that time."""
+    if not entries:
+        return
+    first = min(entry.at for entry in entries) - AROUND_S
+    last = max(entry.at for entry in entries) + AROUND_S
+    for lapse in facts.lapses:
+        if lapse.box in boxes and first <= lapse.at <= last:
+            yield Entry(lapse.at, lapse.box, "lease lapsed")
+    for change in facts.epochs:
+        if change.box in boxes and first <= change.at <= last:
+            text = f"carries out orders of epoch {change.epoch}"
+            yield Entry(change.at, change.box, text)
+
+
+def merged_timeline(
+    facts: Facts,
+    subject: str,
+    faults: t.Sequence[Fault],
+    logs: t.Iterable[pathlib.Path],
+    clock_offset_s: float,
+) -> list[str]:
+    """Return one line for each fact of a task and each line of logs on its job.
+
+    :param clock_offset_s: what is added to the platform's clock to get the time of day.
+    """
+    lines = [
+        (_time_of_day(entry.at + clock_offset_s), entry.who, entry.text)
+        for entry in task_entries(facts, subject, faults)
+    ]
+    try:
+        moments = timeline(job_of(subject), read_lines(str(log) for log in logs))
+    except NotFound:
+        moments = []
+    for moment in moments:
+        text = f"{moment.event} {msgspec.json.encode(moment.inputs).decode()}"
+        lines.append((moment.at, moment.node, text))
+    lines.sort(key=lambda line: line[0])
+    return [f"{at}  {who:12}  {text}" for at, who, text in lines]
+
+
+def _time_of_day(seconds: float) -> str:
+    at = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return at.strftime("%Y-%m-%dT%H:%M:%S.%fZ")
