--- a/features/run_judge.feature
+++ b/features/run_judge.feature
@@ -45,8 +45,8 @@
       | why                                                  | runs                          | beside                | found                                  |
       | A lower epoch after a higher one on a box            | done 2-3                      | epoch b1 5 1; epoch b1 7 2; epoch b1 5 3 | LOWER_EPOCH         |
       | A lower epoch on another box                         | done 2-3                      | epoch b1 7 2; epoch b2 5 3 |                                   |
-      | A start that only the box's fence turned away        | done 2-3                      | refused b1 absent 2   | unfenced                               |
-      | A repeated start that the box's fence turned away    | done 2-3                      | refused b1 there 2    |                                        |
+      | A start that only the box's fence turned away        | done 2-3                      | refused b1 taken 2    | unfenced                               |
+      | A start refused for its epoch and as old as well     | done 2-3                      | refused b1 old 2      |                                        |
 
     Examples: Accepted work
       | why                                                  | runs                          | beside                | found                                  |
@@ -67,7 +67,7 @@
 
   Scenario: The timeline of a task holds all that was seen of it, in order
     Given a task that ran "done 2-3 @4; b2: done 4.5-5"
-    And beside it "client accepted 1; lapse b1 8; epoch b1 7 1.5; refused b2 absent 3.5; lapse b3 4"
+    And beside it "client accepted 1; lapse b1 8; epoch b1 7 1.5; refused b2 taken 3.5; lapse b3 4"
     Then its timeline reads
       """
       1.0 client: accepted
@@ -75,7 +75,7 @@
       2.0 b1: run 1 ordered by epoch 7
       2.0 b1: run 1 began
       3.0 b1: run 1 ended, done
-      3.5 b2: run 1 of epoch 5 refused, 7 was seen; the run was not there
+      3.5 b2: run 1 of epoch 5 refused, 7 was seen; without fences: taken
       4.0 b1: run 1: its end was noted
       4.5 b2: run 2 ordered by epoch 7
       4.5 b2: run 2 began
--- a/features/steps/judge_steps.py
+++ b/features/steps/judge_steps.py
@@ -47,8 +47,8 @@
     )
 
 
-def refused_start(box, there, at):
-    return RefusedStart(box, float(at), TASK, 1, 5, EPOCH, there == "there")
+def refused_start(box, otherwise, at):
+    return RefusedStart(box, float(at), TASK, 1, 5, EPOCH, otherwise == "taken")
 
 
 def read_beside(facts, text):
--- /dev/null
+++ b/src/granitetrestle_standins/boxserver.py
@@ -0,0 +1,208 @@
+"""A stand-in box over HTTP, in the platform's own formats, with hooks for tests: it can
+fall silent, carry orders out late, crash, and tell all that it saw."""
+
+import asyncio
+import json
+import random
+import time
+import typing as t
+
+from granitetrestle.outside import Look
+from granitetrestle.outside import OrderAccepted
+from granitetrestle.outside import OrderRejected
+from granitetrestle_standins.boxprofiles import BoxProfile
+from granitetrestle_standins.boxprofiles import parse_spec
+from granitetrestle_standins.nativebox import BoxModel
+
+__all__ = ["BoxServer", "Reply", "json_reply"]
+
+TICK_S: t.Final = 0.02
+# An order that gets no answer is carried out so much later, in seconds; the page says
+# "seconds".
+LATE_S: t.Final = (0.2, 6.0)
+OTHER_LIFE: t.Final = 421
+
+
+class Reply(t.NamedTuple):
+    """An HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+def json_reply(status: int, body: t.Any) -> Reply:
+    """Return an answer with a body in JSON."""
+    return Reply(status, json.dumps(body).encode())
+
+
+class BoxServer:
+    """One box after another at an address. A task's ``spec`` is how many milliseconds it
+    runs, and what room it takes. Hooks:
+
+    ``POST /test/silent?s=S`` lets it run on without an answer to anybody for S seconds;
+    ``POST /test/late?share=P&s=S`` lets that share of calls go unanswered for S seconds,
+    each to be carried out some seconds later; ``POST /test/crash?s=S`` ends its life, and
+    another begins after S seconds; ``POST /test/facts`` tells all that its lives saw.
+
+    :param replaced: told of a life that ended, and of the one that begins in its place.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        hall: str,
+        profile: BoxProfile,
+        draw: random.Random,
+        replaced: t.Callable[[str, str], None],
+    ) -> None:
+        self._name = name
+        self._hall = hall
+        self._profile = profile
+        self._draw = draw
+        self._replaced = replaced
+        self._lives: list[BoxModel] = []
+        self._begin()
+        self._silent_until = 0.0
+        self._late_until = 0.0
+        self._late_share = 0.0
+        self._down_until: float | None = None
+        self._late_calls: set[asyncio.Task[None]] = set()
+
+    @property
+    def model(self) -> BoxModel:
+        """The life that answers now."""
+        return self._lives[-1]
+
+    def _begin(self) -> None:
+        life = f"{self._name}-{len(self._lives)}" if self._lives else self._name
+        model = BoxModel(
+            life, profile=self._profile, draw=self._draw, born=self._born()
+        )
+        self._lives.append(model)
+
+    def _born(self) -> float:
+        """Return when a life begins: the plain profile's clock is the platform's own."""
+        plain = self._profile.clock_rate == 1.0 and not self._profile.clock_origin_s
+        return 0.0 if plain else time.monotonic()
+
+    async def run(self) -> None:
+        """Let tasks end in time."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            if self._down_until is not None and now >= self._down_until:
+                self._down_until = None
+                before = self.model.life
+                self._begin()
+                self._replaced(before, self.model.life)
+            self.model.tick(now)
+            for run in list(self.model.running.values()):
+                lasts_s = parse_spec(run.spec).run_ms / 1000.0
+                if run.stop_ends is None and now - run.began > lasts_s:
+                    self.model.end(run.task, "done", now)
+
+    def hook(self, path: str, query: t.Mapping[str, str]) -> Reply:
+        """Answer a test's own call."""
+        now = time.monotonic()
+        if path == "/test/silent":
+            self._silent_until = now + float(query["s"])
+        elif path == "/test/late":
+            self._late_share = float(query["share"])
+            self._late_until = now + float(query["s"])
+        elif path == "/test/crash":
+            self.model.crash(now)
+            self._down_until = now + float(query["s"])
+        elif path == "/test/facts":
+            facts = [model.facts(self._hall)._asdict() for model in self._lives]
+            return json_reply(200, facts)
+        else:
+            history = [run for model in self._lives for run in model.history]
+            if path == "/test/runs":
+                rows = [[r.task, r.run, r.how, r.began, r.ended] for r in history]
+                return json_reply(200, rows)
+            return json_reply(200, [[r.task, r.run, r.how] for r in history])
+        return json_reply(200, {})
+
+    async def answer(self, path: str, meant: str, body: bytes) -> Reply | None:
+        """Answer a call, or ``None`` for no answer.
+
+        :param meant: the life that it is for; empty for any.
+        """
+        if meant not in ("", self.model.life):
+            return json_reply(OTHER_LIFE, {})
+        now = time.monotonic()
+        if now < self._silent_until or self._down_until is not None:
+            return None
+        order = json.loads(body or b"{}")
+        if now < self._late_until and self._draw.random() < self._late_share:
+            later = asyncio.create_task(self._carry_out_late(path, order, self.model))
+            self._late_calls.add(later)
+            later.add_done_callback(self._late_calls.discard)
+            return None
+        if path == "/api/hold":
+            return await self._hold(order)
+        return _order_reply(_carry_out(self.model, path, order, now, now, False))
+
+    async def _carry_out_late(
+        self, path: str, order: t.Mapping[str, t.Any], model: BoxModel
+    ) -> None:
+        arrived = time.monotonic()
+        await asyncio.sleep(self._draw.uniform(*LATE_S))
+        if not model.alive:
+            return
+        now = time.monotonic()
+        if path == "/api/hold":
+            _look(model, order, now)
+        else:
+            _carry_out(model, path, order, now, arrived, True)
+
+    async def _hold(self, body: t.Mapping[str, t.Any]) -> Reply:
+        model = self.model
+        until = time.monotonic() + body.get("wait_ms", 0) / 1000.0
+        look = _look(model, body, time.monotonic())
+        while isinstance(look, Look):
+            if look.ended or time.monotonic() >= until:
+                return _look_reply(look)
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            again = self._profile.looks_again
+            look = _look(model, body, now) if again else model.lists(now)
+        return _order_reply(look)
+
+
+def _look(
+    model: BoxModel, body: t.Mapping[str, t.Any], now: float
+) -> Look | OrderRejected:
+    token = body.get("fencing_token", 0)
+    return model.look(body.get("last_seen", 0), body.get("until_ms"), token, now)
+
+
+def _carry_out(
+    model: BoxModel,
+    path: str,
+    order: t.Mapping[str, t.Any],
+    now: float,
+    arrived: float,
+    held_up: bool,
+) -> OrderAccepted | OrderRejected:
+    task, run = order["task"], order["run"]
+    token = order.get("fencing_token", 0)
+    if path == "/api/run-start":
+        spec, until_ms = order["spec"], order["until_ms"]
+        return model.start(task, run, spec, until_ms, token, now, arrived, held_up)
+    if path == "/api/run-stop":
+        return model.stop(task, run, token, now)
+    return model.pace(task, run, order["percent"], token, now)
+
+
+def _look_reply(look: Look) -> Reply:
+    running = [[r.task, r.run, r.saved, r.percent] for r in look.running]
+    ended = [[r.number, r.task, r.run, r.how, r.saved] for r in look.ended]
+    answer = {"clock_ms": look.clock_ms, "running": running, "finished": ended}
+    return json_reply(200, answer)
+
+
+def _order_reply(outcome: OrderAccepted | OrderRejected) -> Reply:
+    if isinstance(outcome, OrderAccepted):
+        return json_reply(200, {"clock_ms": outcome.clock_ms})
+    return json_reply(409, {"clock_ms": outcome.clock_ms, "reason": outcome.reason})
--- a/src/granitetrestle_standins/nativebox.py
+++ b/src/granitetrestle_standins/nativebox.py
@@ -1,8 +1,9 @@
 """A box as the platform has one: it runs what it is told under leases, fences orders
 by epoch, and keeps each end until it is confirmed. It also notes every start and
-end, so that tests can judge what really happened."""
+end, and what it was told when, so that tests can judge what really happened."""
 
 import itertools
+import random
 import typing as t
 
 from granitetrestle.outside import EndedRun
@@ -10,19 +11,51 @@
 from granitetrestle.outside import OrderAccepted
 from granitetrestle.outside import OrderRejected
 from granitetrestle.outside import RunningTask
+from granitetrestle_standins.boxprofiles import PLAIN_BOX
+from granitetrestle_standins.boxprofiles import BoxProfile
+from granitetrestle_standins.boxprofiles import parse_spec
+from granitetrestle_standins.runfacts import BoxFacts
+from granitetrestle_standins.runfacts import EpochChange
+from granitetrestle_standins.runfacts import Lapse
+from granitetrestle_standins.runfacts import RefusedStart
+from granitetrestle_standins.runfacts import RunFact
 
 __all__ = ["BoxModel", "BoxRun"]
 
+# The page's bound; the lowest numbers come first.
+ENDS_AT_A_TIME: t.Final = 500
+
 
 class BoxRun:
-    """One run of a task on a box. Times in seconds."""
+    """One run of a task on a box. Times in seconds.
+
+    :param epoch: of the order to start it.
+    :param arrived: when that order came.
+    :param held_up: whether it was carried out late, unanswered.
+    :ivar stop_ends: when a stop that was ordered ends it.
+    :ivar noted: when its end was first confirmed.
+    """
 
-    def __init__(self, task: str, run: int, spec: str, began: float) -> None:
+    def __init__(
+        self,
+        task: str,
+        run: int,
+        spec: str,
+        began: float,
+        epoch: int = 0,
+        arrived: float | None = None,
+        held_up: bool = False,
+    ) -> None:
         self.task = task
         self.run = run
         self.spec = spec
         self.began = began
+        self.epoch = epoch
+        self.arrived = began if arrived is None else arrived
+        self.held_up = held_up
+        self.stop_ends: float | None = None
         self.ended: float | None = None
+        self.noted: float | None = None
         self.how = ""
         self.pace = 100
 
@@ -30,43 +63,69 @@
 class BoxModel:
     """One life of a box.
 
+    :param hold_max_s: longest lease; ``None`` for the profile's.
+    :param draw: decides how long stops last.
+    :param born: when this life began, in seconds.
     :ivar history: every run that ever began here.
     :ivar confirmed: numbers of ends that were confirmed.
     :ivar lapses: when its lease was over.
     """
 
-    def __init__(self, life: str, hold_max_s: float = 10.0) -> None:
+    def __init__(
+        self,
+        life: str,
+        hold_max_s: float | None = None,
+        profile: BoxProfile = PLAIN_BOX,
+        draw: random.Random | None = None,
+        born: float = 0.0,
+    ) -> None:
         self.life = life
         self.alive = True
         self.running: dict[str, BoxRun] = {}
         self.history: list[BoxRun] = []
         self.confirmed = 0
-        self._hold_max_s = hold_max_s
+        self.profile = profile
+        self._hold_max_s = profile.hold_max_s if hold_max_s is None else hold_max_s
+        self._draw = draw or random.Random(0)
+        self._born = born
         self._token = 0
+        # By its own clock.
         self._lease_ends = 0.0
         self._leased = False
         self._highest: dict[str, int] = {}
         self._ended: list[EndedRun] = []
+        self._by_number: dict[int, BoxRun] = {}
         self.lapses: list[float] = []
+        self._refused: list[RefusedStart] = []
+        self._epochs: list[EpochChange] = []
         self._numbers = itertools.count(1)
 
+    def _clock(self, now: float) -> float:
+        passed = now - self._born
+        return self.profile.clock_origin_s + self.profile.clock_rate * passed
+
     def _clock_ms(self, now: float) -> int:
-        return int(now * 1000)
+        return int(self._clock(now) * 1000)
 
-    def _fenced(self, token: int) -> bool:
+    def _fenced(self, token: int, now: float) -> bool:
         if token < self._token:
             return True
         self._token = token
+        if not self._epochs or self._epochs[-1].epoch != token:
+            self._epochs.append(EpochChange(self.life, now, token))
         return False
 
     def _renew(self, lease_ends_ms: int | None, now: float) -> None:
         if lease_ends_ms is not None:
-            latest = min(lease_ends_ms / 1000.0, now + self._hold_max_s)
+            latest = min(lease_ends_ms / 1000.0, self._clock(now) + self._hold_max_s)
             self._lease_ends = max(self._lease_ends, latest)
 
     def tick(self, now: float) -> None:
-        """End everything once its lease is over."""
-        if now <= self._lease_ends:
+        """End what was stopped, and everything once its lease is over."""
+        for run in list(self.running.values()):
+            if run.stop_ends is not None and now >= run.stop_ends:
+                self.end(run.task, "stopped", now)
+        if self._clock(now) <= self._lease_ends:
             self._leased = True
         elif self._leased:
             self._leased = False
@@ -75,36 +134,78 @@
                 self.end(task, "lapsed", now)
 
     def start(
-        self, task: str, run: int, spec: str, lease_ends_ms: int, token: int, now: float
+        self,
+        task: str,
+        run: int,
+        spec: str,
+        lease_ends_ms: int,
+        token: int,
+        now: float,
+        arrived: float | None = None,
+        held_up: bool = False,
     ) -> OrderAccepted | OrderRejected:
-        """Begin a run."""
+        """Begin a run.
+
+        :param arrived: when the order came, if that was before.
+        :param held_up: whether it is carried out late, unanswered.
+        """
+        self.tick(now)
         clock = self._clock_ms(now)
-        if self._fenced(token):
+        if self._fenced(token, now):
+            refused = self._refusal(task, run, spec, lease_ends_ms, now)
+            self._refused.append(
+                RefusedStart(
+                    self.life, now, task, run, token, self._token, refused is None
+                )
+            )
             return OrderRejected("fence", clock)
         self._renew(lease_ends_ms, now)
         current = self.running.get(task)
         if current is not None and current.run == run:
             return OrderAccepted(clock)
-        if current is not None or run <= self._highest.get(task, 0):
-            return OrderRejected("old", clock)
-        if lease_ends_ms <= clock:
-            return OrderRejected("late", clock)
-        began = BoxRun(task, run, spec, now)
+        reason = self._refusal(task, run, spec, lease_ends_ms, now)
+        if reason is not None:
+            return OrderRejected(reason, clock)
+        began = BoxRun(task, run, spec, now, token, arrived, held_up)
         self.running[task] = began
         self.history.append(began)
         return OrderAccepted(clock)
 
+    def _refusal(
+        self, task: str, run: int, spec: str, lease_ends_ms: int, now: float
+    ) -> str | None:
+        """Return why a start is refused, epochs apart; ``None`` if it is taken."""
+        if task in self.running or run <= self._highest.get(task, 0):
+            return "old"
+        if lease_ends_ms <= self._clock_ms(now):
+            return "late"
+        return None if self._fits(spec) else "room"
+
+    def _fits(self, spec: str) -> bool:
+        """Say whether there is room; what is being stopped still takes its own."""
+        room = self.profile.room
+        if room is None:
+            return True
+        needs = [parse_spec(run.spec).room for run in self.running.values()]
+        needs.append(parse_spec(spec).room)
+        cpu = sum(need.cpu for need in needs)
+        return cpu <= room.cpu and sum(need.mem_mb for need in needs) <= room.mem_mb
+
     def stop(
         self, task: str, run: int, token: int, now: float
     ) -> OrderAccepted | OrderRejected:
         """End a run, or see to it that it never begins."""
+        self.tick(now)
         clock = self._clock_ms(now)
-        if self._fenced(token):
+        if self._fenced(token, now):
             return OrderRejected("fence", clock)
         self._highest[task] = max(run, self._highest.get(task, 0))
         current = self.running.get(task)
-        if current is not None and current.run <= run:
-            self.end(task, "stopped", now)
+        if current is not None and current.run <= run and current.stop_ends is None:
+            current.stop_ends = now + self._draw.uniform(
+                0.0, self.profile.longest_stop_s
+            )
+            self.tick(now)
         return OrderAccepted(clock)
 
     def pace(
@@ -112,7 +213,7 @@
     ) -> OrderAccepted | OrderRejected:
         """Let a run work at a share of its speed."""
         clock = self._clock_ms(now)
-        if self._fenced(token):
+        if self._fenced(token, now):
             return OrderRejected("fence", clock)
         current = self.running.get(task)
         if current is not None and current.run == run:
@@ -123,16 +224,23 @@
         self, known: int, lease_ends_ms: int | None, token: int, now: float
     ) -> Look | OrderRejected:
         """Confirm ends, renew the lease, list what runs and what ended."""
-        clock = self._clock_ms(now)
-        if self._fenced(token):
-            return OrderRejected("fence", clock)
+        self.tick(now)
+        if self._fenced(token, now):
+            return OrderRejected("fence", self._clock_ms(now))
         self.confirmed = max(self.confirmed, known)
+        for row in self._ended:
+            if row.number <= known:
+                self._by_number.pop(row.number).noted = now
         self._ended = [row for row in self._ended if row.number > known]
         self._renew(lease_ends_ms, now)
+        return self.lists(now)
+
+    def lists(self, now: float) -> Look:
+        """Return what runs and what ended, as an answer to a look that waited has it."""
         running = tuple(
             RunningTask(run.task, run.run, "", 0, 0.0) for run in self.running.values()
         )
-        return Look(clock, running, tuple(self._ended))
+        return Look(self._clock_ms(now), running, tuple(self._ended[:ENDS_AT_A_TIME]))
 
     def end(self, task: str, how: str, now: float) -> None:
         """Let a run end."""
@@ -140,6 +248,7 @@
         run.ended, run.how = now, how
         self._highest[task] = max(run.run, self._highest.get(task, 0))
         number = next(self._numbers)
+        self._by_number[number] = run
         self._ended.append(EndedRun(number, task, run.run, how, ""))
 
     def crash(self, now: float) -> None:
@@ -152,3 +261,24 @@
     def unconfirmed(self) -> t.Sequence[EndedRun]:
         """Return ends that were not confirmed yet."""
         return tuple(self._ended)
+
+    def facts(self, hall: str) -> BoxFacts:
+        """Return all that this life saw."""
+        runs = [
+            RunFact(
+                box=self.life,
+                hall=hall,
+                task=run.task,
+                run=run.run,
+                epoch=run.epoch,
+                arrived=run.arrived,
+                held_up=run.held_up,
+                began=run.began,
+                ended=run.ended,
+                how=run.how,
+                noted=run.noted,
+            )
+            for run in self.history
+        ]
+        lapses = [Lapse(self.life, at) for at in self.lapses]
+        return BoxFacts(runs, lapses, list(self._refused), list(self._epochs))
--- a/src/granitetrestle_standins/runfacts.py
+++ b/src/granitetrestle_standins/runfacts.py
@@ -60,7 +60,8 @@
 class RefusedStart(t.NamedTuple):
     """A start that a box refused because a higher epoch had given orders there.
 
-    :param there: whether that run was there already.
+    :param acceptable: whether it would have been taken but for its epoch: that run is not
+        there and isn't older than another, its lease is not over, and there is room.
     """
 
     box: str
@@ -69,7 +70,7 @@
     run: int
     epoch: int
     highest: int
-    there: bool
+    acceptable: bool
 
 
 class EpochChange(t.NamedTuple):
--- a/src/granitetrestle_standins/runjudge.py
+++ b/src/granitetrestle_standins/runjudge.py
@@ -77,7 +77,7 @@
         *judged.unknown_jobs(),
         *judged.nobody_decides(),
     ]
-    unfenced = sum(not refused.there for refused in facts.refused)
+    unfenced = sum(refused.acceptable for refused in facts.refused)
     return Verdict(sorted(faults, key=lambda fault: fault.at), unfenced)
 
 
--- a/src/granitetrestle_standins/runtimeline.py
+++ b/src/granitetrestle_standins/runtimeline.py
@@ -47,10 +47,10 @@
     for refused in facts.refused:
         if _is_of(refused.task, subject) or refused.box == subject:
             boxes.add(refused.box)
-            there = "there" if refused.there else "not there"
+            otherwise = "taken" if refused.acceptable else "refused all the same"
             text = (
                 f"{refused.task} run {refused.run} of epoch {refused.epoch} refused, "
-                f"{refused.highest} was seen; the run was {there}"
+                f"{refused.highest} was seen; without fences: {otherwise}"
             )
             entries.append(Entry(refused.at, refused.box, text))
     for fact in facts.clients:
