--- /dev/null
+++ b/features/steps/box_standin_steps.py
@@ -0,0 +1,294 @@
+"""Steps of the scenarios over the stand-in box."""
+
+import asyncio
+import json
+import random
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.outside import OrderAccepted
+from granitetrestle.outside import OrderRejected
+from granitetrestle_standins import boxserver
+from granitetrestle_standins.boxprofiles import PLAIN_BOX
+from granitetrestle_standins.boxprofiles import BoxProfile
+from granitetrestle_standins.boxprofiles import Room
+from granitetrestle_standins.boxserver import BoxServer
+from granitetrestle_standins.nativebox import BoxModel
+
+PROFILE = BoxProfile(
+    hold_max_s=4.0,
+    clock_rate=0.98,
+    clock_origin_s=5000.0,
+    longest_stop_s=0.9,
+    room=Room(8000, 8000),
+    looks_again=False,
+)
+SPEC = "60000:1000:100"
+SMALL = "60000:10:10"
+WIDE = "60000:9000:100"
+TASK = "t.0.0.0"
+EPOCH = 7
+
+
+def new_box(born=100.0):
+    return BoxModel("b", profile=PROFILE, draw=random.Random(1), born=born)
+
+
+def until_ms(box, now, seconds):
+    """Return the end of a lease from now on, on the box's own clock."""
+    return box.lists(now).clock_ms + int(seconds * 1000)
+
+
+@given("box b after {count:d} runs that ended")
+def after_runs(context, count):
+    context.box = box = new_box()
+    for number in range(count):
+        task = f"t.0.0.{number}"
+        until = until_ms(box, 101.0, 4.0)
+        assert isinstance(box.start(task, 1, SPEC, until, EPOCH, 101.0), OrderAccepted)
+        box.end(task, "done", 101.0)
+
+
+@then("a look lists the ends {first:d} to {last:d}")
+def look_lists(context, first, last, known=0):
+    look = context.box.look(known, None, EPOCH, 101.0)
+    assert [row.number for row in look.ended] == list(range(first, last + 1))
+
+
+@then("a look that confirms {known:d} lists the ends {first:d} to {last:d}")
+def confirming_look_lists(context, known, first, last):
+    look_lists(context, first, last, known)
+
+
+@given(
+    "box b that runs task {task} run {run:d} since {at:g} with a lease of {lease:g} s"
+)
+def runs_task(context, task, run, at, lease):
+    context.box = box = new_box(at)
+    outcome = box.start(task, run, SPEC, until_ms(box, at, lease), EPOCH, at)
+    assert isinstance(outcome, OrderAccepted), outcome
+
+
+@when("at {at:g} a start that is {reason} comes with a lease of {lease:g} s")
+def start_comes(context, at, reason, lease):
+    box = context.box
+    until = until_ms(box, at, -0.001 if reason == "late" else lease)
+    task, run = (TASK, 1) if reason == "old" else ("t.0.0.1", 1)
+    spec = WIDE if reason == "room" else SPEC
+    epoch = EPOCH - 1 if reason == "fence" else EPOCH
+    context.outcome = box.start(task, run, spec, until, epoch, at)
+
+
+@then('it is refused as "{reason}"')
+def refused_as(context, reason):
+    assert isinstance(context.outcome, OrderRejected)
+    assert context.outcome.reason == reason, context.outcome
+
+
+@then("{task} runs at {at:g}")
+def runs_at(context, task, at):
+    context.box.tick(at)
+    assert task in context.box.running
+
+
+@then("{task} has ended at {at:g}")
+def ended_at(context, task, at):
+    context.box.tick(at)
+    assert task not in context.box.running
+
+
+@then('{task} has ended at {at:g}, as "{how}"')
+def ended_as(context, task, at, how):
+    ended_at(context, task, at)
+    assert context.box.history[-1].how == how
+
+
+@when("at {at:g} a look renews the lease for {lease:g} s")
+def look_renews(context, at, lease):
+    box = context.box
+    box.look(0, until_ms(box, at, lease), EPOCH, at)
+
+
+@given("box b that was just born at {at:g}")
+def just_born(context, at):
+    context.box = new_box(at)
+
+
+@then("its clock shows {first:d} ms at {at:g} and {second:d} ms at {later:g}")
+def clock_shows(context, first, at, second, later):
+    assert context.box.lists(at).clock_ms == first
+    assert context.box.lists(later).clock_ms == second
+
+
+@when("at {at:g} that run is stopped")
+def run_stopped(context, at):
+    context.at = at
+    assert isinstance(context.box.stop(TASK, 2, EPOCH, at), OrderAccepted)
+
+
+@then('it is still running right after, and has ended as "{how}" within {longest:g} s')
+def still_running(context, how, longest):
+    look = context.box.look(0, None, EPOCH, context.at)
+    assert [row.task for row in look.running] == [TASK]
+    assert not look.ended
+    # Beside what is being stopped there is room for seven of its kind, not for eight.
+    assert takes(context.box, "1:7500:100", context.at) == "room"
+    look = context.box.look(0, None, EPOCH, context.at + longest)
+    assert not look.running
+    assert [row.how for row in look.ended] == [how]
+    assert takes(context.box, "1:7500:100", context.at + longest) is None
+
+
+def takes(box, spec, now):
+    """Return why a start is refused, or ``None``."""
+    until = until_ms(box, now, 4.0)
+    outcome = box.start("t.0.0.9", 1, spec, until, EPOCH, now)
+    return outcome.reason if isinstance(outcome, OrderRejected) else None
+
+
+@then("no run up to {run:d} of {task} is taken any more")
+def none_taken(context, run, task):
+    box, now = context.box, context.at + 1.0
+    for number in range(1, run + 2):
+        until = until_ms(box, now, 4.0)
+        outcome = box.start(task, number, SMALL, until, EPOCH, now)
+        assert isinstance(outcome, OrderAccepted) == (number > run), outcome
+
+
+class Served:
+    """A box that is called as over HTTP, in this process."""
+
+    def __init__(self, profile=PLAIN_BOX):
+        self.replaced = []
+        self.server = BoxServer(
+            "b",
+            "h",
+            profile,
+            random.Random(3),
+            lambda *lives: self.replaced.append(lives),
+        )
+
+    async def call(self, path, **body):
+        """Return the status and the body of an answer, or ``None``."""
+        content = json.dumps({"fencing_token": EPOCH, **body}).encode()
+        reply = await self.server.answer(path, "b", content)
+        return reply and (reply.status, json.loads(reply.body))
+
+    async def start(self, epoch=EPOCH):
+        until = int((time.monotonic() + 5.0) * 1000)
+        order = {"task": TASK, "run": 1, "spec": SPEC, "until_ms": until}
+        return await self.call("/api/run-start", **order, fencing_token=epoch)
+
+    def runs(self):
+        facts = json.loads(self.server.hook("/test/facts", {}).body)
+        return [run for life in facts for run in life["runs"]]
+
+    def play(self, script):
+        """Run a script beside the box's own loop."""
+
+        async def both():
+            loop = asyncio.create_task(self.server.run())
+            try:
+                await script()
+            finally:
+                loop.cancel()
+
+        asyncio.run(both())
+
+
+@given("a served box that checks looks that wait {when}")
+def served(context, when):
+    again = when == "all the while"
+    context.served = Served(PLAIN_BOX._replace(looks_again=again))
+
+
+@when("a newer epoch looks while a look of an older one waits")
+def newer_looks(context):
+    served = context.served
+
+    async def script():
+        older = asyncio.create_task(served.call("/api/hold", wait_ms=300))
+        await asyncio.sleep(0.1)
+        await served.call("/api/hold", fencing_token=EPOCH + 1)
+        context.older = await older
+
+    served.play(script)
+
+
+@then("the older one is answered with {status:d}")
+def older_answered(context, status):
+    assert context.older[0] == status, context.older
+
+
+@given("a served box that answers no call for a moment")
+def answers_none(context):
+    context.served = Served()
+    context.served.server.hook("/test/late", {"share": "1", "s": "0.2"})
+
+
+@when("a start comes in that moment")
+def start_in_moment(context):
+    served, usual = context.served, boxserver.LATE_S
+
+    async def script():
+        context.answer = await served.start()
+        await asyncio.sleep(0.25)
+        context.newer = await served.call("/api/hold")
+        await asyncio.sleep(0.3)
+
+    boxserver.LATE_S = (0.4, 0.4)
+    try:
+        served.play(script)
+    finally:
+        boxserver.LATE_S = usual
+
+
+@then("it gets no answer, and is carried out later, marked as held up")
+def carried_out_later(context):
+    assert context.answer is None
+    assert context.newer[1]["running"] == []
+    (run,) = context.served.runs()
+    box, hall, task, number, epoch, arrived, held_up, began, *_ = run
+    assert (box, hall, task, number, epoch) == ("b", "h", TASK, 1, EPOCH)
+    assert held_up
+    assert 0.3 < began - arrived < 0.6
+
+
+@given("a served box that runs a task")
+def served_runs(context):
+    context.served = Served()
+
+
+@when("it crashes for a moment")
+def crashes(context):
+    served = context.served
+
+    async def script():
+        await served.start()
+        served.server.hook("/test/crash", {"s": "0.2"})
+        context.down = await served.call("/api/hold")
+        await asyncio.sleep(0.3)
+        context.other = await served.call("/api/hold")
+        reply = await served.server.answer("/api/hold", "b-1", b"{}")
+        context.lists = json.loads(reply.body)
+
+    served.play(script)
+
+
+@then("calls get no answer, then another life answers 421 and lists nothing")
+def another_life(context):
+    assert context.down is None
+    assert context.other[0] == 421
+    assert context.lists["running"] == context.lists["finished"] == []
+    assert context.served.replaced == [("b", "b-1")]
+
+
+@then("the facts tell of the run that crashed")
+def facts_tell(context):
+    ((*_, ended, how, noted),) = context.served.runs()
+    assert how == "crashed"
+    assert ended is not None
+    assert noted is None
--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -52,6 +52,7 @@
     """Nodes ``n1``, ``n2`` and so on, and boxes that take turns to lie in two halls.
 
     :param folder: for settings and logs.
+    :param platform: further arguments of the platform in small.
     """
 
     # A call that failed so may have been taken, and may be made again.
@@ -62,7 +63,13 @@
         OSError,
     )
 
-    def __init__(self, folder: pathlib.Path, nodes: int, boxes: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        nodes: int,
+        boxes: int,
+        platform: t.Sequence[str] = (),
+    ) -> None:
         self.folder = folder
         self.boxes = boxes
         self.port = free_port(run=boxes + 1)
@@ -75,6 +82,7 @@
             [
                 *("-m", "granitetrestle_standins.nativeplatform"),
                 *("--port", str(self.port), "--boxes", str(boxes)),
+                *platform,
             ],
             {},
         )
