--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,3 +31,7 @@
       | seed | nodes | times |
       | 5    | 3     | 30    |
       | 102  | 4     | 100   |
+
+  Scenario: Real processes on drawn boxes, and a store that does unanswered appends later
+    When 4 real processes on drawn boxes and a store with the reading "late" are disturbed 40 times from seed 700005
+    Then every promise that clients were given was kept
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,6 +3,8 @@
 from behave import then
 from behave import when
 
+from granitetrestle_standins.nativesoak import DRAWN
+from granitetrestle_standins.nativesoak import Surroundings
 from granitetrestle_standins.nativesoak import soak as soak_processes
 from granitetrestle_standins.soak import soak
 
@@ -30,6 +32,17 @@
     context.counts = played.counts
 
 
+@when(
+    '{nodes:d} real processes on drawn boxes and a store with the reading "{reading}" '
+    "are disturbed {times:d} times from seed {seed:d}"
+)
+def disturb_on_drawn(context, nodes, reading, times, seed):
+    context.times = times
+    context.counts = soak_processes(
+        seed, nodes, 4, times, Surroundings(DRAWN, reading)
+    ).counts
+
+
 @then("every promise that clients were given was kept")
 def promises_kept(context):
     assert context.counts["submit"] > 0, context.counts
--- a/src/granitetrestle_standins/nativesoak.py
+++ b/src/granitetrestle_standins/nativesoak.py
@@ -21,7 +21,16 @@
 from .soakwitness import SoakWitness
 from .storereadings import READINGS
 
-__all__ = ["PromiseBroken", "Soak", "main"]
+__all__ = [
+    "DRAWN",
+    "PLAIN",
+    "Played",
+    "PromiseBroken",
+    "Soak",
+    "Surroundings",
+    "main",
+    "soak",
+]
 
 FLAGS: t.Final = flags.FLAGS
 HALLS: t.Final = ("hall-1", "hall-2")
