--- a/features/steps/linked_cluster_steps.py
+++ b/features/steps/linked_cluster_steps.py
@@ -207,5 +207,5 @@
 def disturb_links(context, nodes, boxes, times, seed):
     # Raises with the seed and the logs when a promise was broken.
     context.times = times
-    context.counts = soak(seed, nodes, boxes, times, links=True)
+    context.counts = soak(seed, nodes, boxes, times, links=True).counts
     assert context.counts["link_fault"] > 0, context.counts
--- a/features/steps/page_steps.py
+++ b/features/steps/page_steps.py
@@ -3,6 +3,7 @@
 import collections
 import gc
 import json
+import random
 import time
 import urllib.parse
 import weakref
@@ -36,6 +37,7 @@
 from granitetrestle_bench.takeover import Filling
 from granitetrestle_standins.nativeplatform import StoreServer
 from granitetrestle_standins.nativestore import StoreModel
+from granitetrestle_standins.storereadings import PLAIN
 
 # What the store keeps of a job that completed, in MessagePack.
 ENDED = b"\x92\xa9completed\xa4work"
@@ -54,8 +56,8 @@
 
     def __init__(self, count, size):
         super().__init__()
-        self.model = StoreModel()
-        self.server = StoreServer(self.model, size)
+        self.model = StoreModel(PLAIN._replace(page_size=size))
+        self.server = StoreServer(self.model, random.Random(1))
         self.change = {}
         self.asked = collections.Counter()
         ended = [ended_record(n) for n in range(count)]
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,6 +3,8 @@
 from behave import then
 from behave import when
 
+from granitetrestle_standins.nativesoak import DRAWN
+from granitetrestle_standins.nativesoak import Surroundings
 from granitetrestle_standins.nativesoak import soak as soak_processes
 from granitetrestle_standins.soak import soak
 
@@ -26,7 +28,19 @@
 def disturb_processes(context, nodes, times, seed):
     # Raises with the seed and the logs when a promise was broken.
     context.times = times
-    context.counts = soak_processes(seed, nodes=nodes, boxes=4, operations=times)
+    played = soak_processes(seed, nodes=nodes, boxes=4, operations=times)
+    context.counts = played.counts
+
+
+@when(
+    '{nodes:d} real processes on drawn boxes and a store with the reading "{reading}" '
+    "are disturbed {times:d} times from seed {seed:d}"
+)
+def disturb_on_drawn(context, nodes, reading, times, seed):
+    context.times = times
+    context.counts = soak_processes(
+        seed, nodes, 4, times, Surroundings(DRAWN, reading)
+    ).counts
 
 
 @then("every promise that clients were given was kept")
--- a/src/granitetrestle_bench/takeover.py
+++ b/src/granitetrestle_bench/takeover.py
@@ -47,6 +47,7 @@
 from granitetrestle_standins.nativeplatform import PlatformApp
 from granitetrestle_standins.nativestore import StoreModel
 from granitetrestle_standins.serving import serve
+from granitetrestle_standins.storereadings import PLAIN
 
 from .deciding import KINDS
 from .deciding import QUEUES
@@ -202,7 +203,9 @@
 
 
 def _serve_store(port: int, share: float, ended: int, seed: int) -> None:
-    platform = PlatformApp("127.0.0.1", port, 0, PAGE)
+    platform = PlatformApp(
+        "127.0.0.1", port, PLAIN._replace(page_size=PAGE), [], random.Random(seed)
+    )
     model = platform.store.model
     Filling(model, share, seed).fill(ended)
     model.append(CONFIG_TOPIC, [Record("config", _config())], None)
--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -58,7 +58,7 @@
     """Nodes ``n1``, ``n2`` and so on, and boxes that take turns to lie in two halls.
 
     :param folder: for settings and logs.
-    :param page: records on a page of the store's newest ones.
+    :param platform: further arguments of the platform in small.
     :param links: faults from the start on links that go through a proxy; ``None`` for no
         proxy. With links, processes lie in the two halls by turns.
     :raises LinkFaultError: naming a fault that can't be, before anything starts.
@@ -78,12 +78,12 @@
         folder: pathlib.Path,
         nodes: int,
         boxes: int,
-        page: int = 2,
+        platform: t.Sequence[str] = (),
         links: t.Sequence[Fault] | None = None,
     ) -> None:
         self.folder = folder
         self.boxes = boxes
-        self._page = page
+        self._platform = platform
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.fronts: dict[str, str] = {}
         self.readies: dict[str, str] = {}
@@ -152,7 +152,7 @@
             [
                 *("-m", "granitetrestle_standins.nativeplatform"),
                 *("--ip", self._net.platform, "--port", str(FIRST_PORT)),
-                *("--boxes", str(self.boxes), "--page", str(self._page)),
+                *("--boxes", str(self.boxes), *self._platform),
             ],
             {},
         )
