A held-back start of a cancelled job has a scenario of its own

The mutant that sends held-back starts whatever became of their task survived: where its scenario's box had been silent, no lease is given any more until that is written, so that the start was refused as late. The new scenario has no silent box; it kills the mutant.

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -10,6 +10,11 @@
     And the box is back, and then the store
     Then no task ever ran on two boxes, and the job completes
 
+  Scenario: A start that was held back is withdrawn when its job was cancelled
+    Given a shard of 2 boxes among models
+    When the store is away, a job is handed in and cancelled, and the store is back
+    Then nothing of the job ever ran
+
   Scenario: A successor adopts what runs and starts nothing twice
     Given a shard of 2 boxes among models
     When a job runs and a successor takes over at once
--- a/features/steps/shard_steps.py
+++ b/features/steps/shard_steps.py
@@ -63,6 +63,24 @@
     world.advance(4.9)
 
 
+@when("the store is away, a job is handed in and cancelled, and the store is back")
+def cancelled_while_away(context):
+    world = context.world
+    world.store_down = True
+    context.job = world.submit(ONE)
+    world.advance(0.3)
+    world.cancel(context.job)
+    world.advance(0.3)
+    world.store_down = False
+    world.advance(1.0)
+
+
+@then("nothing of the job ever ran")
+def nothing_ran(context):
+    assert not runs(context), runs(context)
+    assert state(context, context.job) == "cancelled"
+
+
 @when("the box is back, and then the store")
 def store_and_box_back(context):
     context.world.cut.clear()
