--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -269,7 +269,7 @@
     ),
     Mutant(
         "native: failed runs are not counted",
-        (("progress.py", "task.failed_runs.add(row.run)", "pass"),),
+        (("progress.py", "task.failed_runs |= {row.run}", "pass"),),
         "native_decider",
     ),
     Mutant(
@@ -537,6 +537,71 @@
         ),
         "load_store_away",
     ),
+    Mutant(
+        "native: limits: at most 200 pages are read",
+        (
+            (
+                "newestread.py",
+                "            if page.more and self._repeats(page):",
+                "            if page.more and (self._pages > 200 or self._repeats(page)):",
+            ),
+        ),
+        "take_over_pages",
+    ),
+    Mutant(
+        "native: limits: a read begins at the first page again",
+        (
+            (
+                "newestread.py",
+                "        outcome = await reading.go_on(PAGE_TIMEOUT_S)",
+                "        reading = NewestRead(store, topic)\n"
+                "        outcome = await reading.go_on(PAGE_TIMEOUT_S)",
+            ),
+        ),
+        "take_over_pages",
+    ),
+    Mutant(
+        "native: limits: a take-over computes in one go",
+        (("slices.py", "SLICE_S: t.Final = 0.02", "SLICE_S: t.Final = 20.0"),),
+        "take_over_pages",
+    ),
+    Mutant(
+        "native: limits: what a deposed decider knew stays",
+        (("session.py", "            take_back()\n", ""),),
+        "take_over_pages",
+    ),
+    Mutant(
+        "native: limits: the first 500 ends count as all",
+        (("fleet.py", "        if look.more_ends:", "        if False:"),),
+        "many_ends",
+    ),
+    Mutant(
+        "native: limits: tries to take over begin below the epoch that was refused",
+        (
+            (
+                "node.py",
+                "self._leadership.epoch, self._refused_epoch)",
+                "self._leadership.epoch)",
+            ),
+        ),
+        "own_limits",
+    ),
+    Mutant(
+        "native: limits: advice is asked about the same boxes for ever",
+        (("dispatch.py", "if box.life not in entry.unfit]", "]"),),
+        "own_limits",
+    ),
+    Mutant(
+        "native: limits: a gang's room is free for what is placed after it",
+        (
+            (
+                "dispatch.py",
+                "        self._state.index.refresh(now)\n        return starts",
+                "        return starts",
+            ),
+        ),
+        "native_index",
+    ),
 )
 
 
