--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -198,6 +198,8 @@
                 box = search.best()
             if box is None and self._starved(entry, step, now):
                 box = least_filled(self._ticketed(entry, search.able()))
+                if box is not None:
+                    search.taken(box)
             if box is None and step.lasting and pool.aside and not search.able():
                 box = self._trial_box(entry, task, pool, now)
                 if box is not None:
@@ -361,7 +363,10 @@
         for task, box in chosen:
             task.run, task.checkpoint = run, checkpoint
             task.ticket = entry.tickets.get(box.life, "")
-        return [self._start(task, box, now) for task, box in chosen]
+        starts: list[Decision] = [self._start(task, box, now) for task, box in chosen]
+        # Without it the room of these boxes counted as free for what came next.
+        self._state.index.refresh(now)
+        return starts
 
     def _start(self, task: Task, box: BoxView, now: float) -> StartTask:
         task.run += 1
