--- /dev/null
+++ b/features/lasting_task.py
@@ -0,0 +1,13 @@
+"""A lasting task at work in a shard among models."""
+
+from granitetrestle.workflows import Step
+
+
+def lasting_task(context):
+    context.job = context.world.submit(
+        (Step(count=1, cpu=500, memory_mb=10, lasting=True),)
+    )
+    context.world.advance(4.0)
+    decider = context.world.leader.decider
+    (task,) = decider.state.workflows[context.job].tasks.values()
+    return task
--- /dev/null
+++ b/features/steps/lease_steps.py
@@ -0,0 +1,87 @@
+"""Steps of the scenarios over leases that a decider renews no more."""
+
+from behave import then
+from behave import when
+
+from lasting_task import lasting_task
+
+
+@when(
+    "a lasting task runs, its box goes dark for good, {listed},"
+    " and a successor takes over"
+)
+def dark_before_take_over(context, listed):
+    world = context.world
+    task = lasting_task(context)
+    world.cut[task.box] = world.now + 1000.0
+    context.dark, context.since = task.box, world.now
+    world.advance(2.0)
+    context.entry = world.entries[task.box]
+    if listed != "still listed":
+        del world.entries[task.box]
+    world.advance(0.5)
+    world.take_over()
+
+
+@then("it runs on another box within {seconds:g} seconds of when it went dark")
+def runs_on_another(context, seconds):
+    world = context.world
+    others = [box for life, box in world.boxes.items() if life != context.dark]
+    while not any(box.running for box in others) and world.now - context.since < 20.0:
+        world.advance(0.05)
+    took = world.now - context.since
+    assert took <= seconds, took
+
+
+@when("a lasting task runs, and its box is cut off and back while the store is away")
+def back_without_store(context):
+    world = context.world
+    context.task = lasting_task(context)
+    world.cut[context.task.box] = world.now + 2.0
+    world.advance(1.8)
+    context.older = world.leader
+    context.older.without_store = True
+    world.advance(0.5)
+
+
+@when(
+    "a successor takes over that does not reach the box, and the older one still does"
+)
+def parted(context):
+    world = context.world
+    world.take_over()
+    world.leader.cut_from.add(context.task.box)
+    # Any other box would tell it of the newer epoch.
+    context.older.cut_from.update(world.entries.keys() - {context.task.box})
+    world.advance(20.0)
+
+
+@then("no task ever ran on two boxes")
+def on_one_box(context):
+    # Judged at each step of the world.
+    runs_there = [run for box in context.world.boxes.values() for run in box.history]
+    assert len(runs_there) == 2, runs_there
+
+
+def lease_records(context):
+    records = context.world.store.newest("keyed.jobs").records
+    return [record.key for record in records if record.key.startswith("l/")]
+
+
+@when("nothing else happens")
+def nothing_else(context):
+    assert lease_records(context) == [f"l/{context.dark}"]
+
+
+@when("the box is back after all")
+def back_after_all(context):
+    assert lease_records(context) == [f"l/{context.dark}"]
+    context.world.entries[context.dark] = context.entry
+    del context.world.cut[context.dark]
+
+
+@then("{seconds:g} seconds later nothing is written of its leases")
+def no_lease_records(context, seconds):
+    context.world.advance(seconds)
+    assert lease_records(context) == []
+    assert context.dark not in context.world.leader.decider.state.withdrawn_leases
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -20,7 +20,6 @@
 from granitetrestle.comeback import SteadyReturns
 from granitetrestle.forwarding import ClientCall
 from granitetrestle.journal import Journal
-from granitetrestle.journal import JournalRight
 from granitetrestle.leadership import Leadership
 from granitetrestle.looplag import LoopLag
 from granitetrestle.messages import LeaderResigned
@@ -31,6 +30,7 @@
 from granitetrestle.peerlink import PeerLink
 from granitetrestle.platform.server import FrontResponder
 from granitetrestle.platform.store import PlatformStore
+from granitetrestle.right import JournalRight
 from granitetrestle.session import Session
 from granitetrestle.shardstate import DeciderTerms
 
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -3,12 +3,10 @@
 the store says how it went; only a newer epoch ends that. A repeat does not end the
 try before it: a store that is slow answers that one first."""
 
-import math
 import typing as t
 
 import anyio
 
-from .looplag import LoopLag
 from .outside import Appended
 from .outside import Fenced
 from .outside import NumberTaken
@@ -16,16 +14,15 @@
 from .outside import Store
 from .outside import StoreUnavailable
 from .outside import Writer
-from .right import Right
 from .statemark import MARK_BYTES
 from .statemark import Marks
 
-__all__ = ["Journal", "JournalRight", "JournalStatus", "NotKept"]
+__all__ = ["Journal", "JournalStatus", "NotKept"]
 
 # The store's calls are priced and limited; half of this is added to a decision at
 # the mean, out of some 500 ms that a short job leaves.
 BATCH_EVERY_S: t.Final = 0.015
-# With nothing to write, an empty append still proves that this epoch decides.
+# With nothing to write, an append of the mark alone proves that this epoch decides.
 CONFIRM_EVERY_S: t.Final = 0.4
 # After several times its usual time an append is repeated beside the try before, and
 # again after twice as long each; a try is given up after the longest time.
@@ -34,10 +31,6 @@
 TRY_S: t.Final = 1.2
 MOST_TRIES_AT_ONCE: t.Final = 3
 RETRY_EVERY_S: t.Final = 0.08
-# A right is fresh for so long; nobody takes over sooner after a decider's last sign of
-# life. After a longer stand-still all starts in hand left at once, up to three times the
-# order window's size, while another decided.
-FRESH_S: t.Final = 0.8
 RECORDS_BYTES: t.Final = 1_500_000
 USUAL_S: t.Final = 0.012
 LEARNING_RATE: t.Final = 0.1
@@ -256,52 +249,6 @@
         return settled[0]
 
 
-class JournalRight(Right):
-    """What the journal's appends prove.
-
-    :param orphan_s: how long leases are renewed without a new proof.
-    :param lag: tells whether this process has stood still since.
-    """
-
-    def __init__(self, journal: Journal, orphan_s: float, lag: LoopLag) -> None:
-        self._journal = journal
-        self._orphan_s = orphan_s
-        self._lag = lag
-        self._doubted_at = -math.inf
-
-    def doubt(self) -> None:
-        """Take nothing for confirmed until it is anew: others follow a newer epoch."""
-        self._doubted_at = self._journal.now()
-        self._journal.ask()
-
-    def fresh(self, within_s: float) -> bool:
-        """Say whether the right was confirmed within so many seconds."""
-        confirmed_at = self._journal.status.confirmed_at
-        return confirmed_at >= self._doubted_at and self.age_s() < within_s
-
-    def age_s(self) -> float:
-        """See :meth:`.right.Right.age_s`."""
-        return self._journal.confirmed_age_s
-
-    def may_renew(self) -> bool:
-        """See :meth:`.right.Right.may_renew`."""
-        return self.age_s() < self._orphan_s
-
-    def holds(self) -> bool:
-        """See :meth:`.right.Right.holds`. Proved by an append that was sent after this
-        process last stood still, and answered a moment ago: a store that takes longer
-        for an append than a right is fresh would hold back every start."""
-        status = self._journal.status
-        since = max(self._doubted_at, self._lag.stood_still_until)
-        answered_s_ago = self._journal.now() - status.answered_at
-        return status.confirmed_at >= since and answered_s_ago < FRESH_S
-
-    async def confirmed(self) -> None:
-        """See :meth:`.right.Right.confirmed`."""
-        while not self.holds():
-            await self._journal.confirm()
-
-
 class _Settled(t.NamedTuple):
     """How an append went.
 
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -27,6 +27,7 @@
 from .outside import NumberTaken
 from .outside import StoreUnavailable
 from .peerlink import PeerLink
+from .registry import BeatWatch
 from .registry import Known
 from .registry import NodeEntry
 from .registry import Registry
@@ -131,7 +132,7 @@
         self._ask_store_at = 0.0
         # Newest epoch that the store refused; without it each try began below it again.
         self._refused_epoch = 0
-        self._beat_seen: tuple[tuple[int, int], float] | None = None
+        self._beat = BeatWatch()
         # Whether the store is asked who decides, and whether the epoch is being raised.
         self._trying = False
         self._taking_over = False
@@ -216,7 +217,7 @@
                 await anyio.sleep(TICK_S * 2)
                 continue
             self._take_registry(known)
-            self._saw_beat(known)
+            self._beat.still_s(known)
             if known.nodes.get(self._terms.node) != entry:
                 written = await self._registry.enter(self._terms.node, entry)
                 if not written:
@@ -406,18 +407,10 @@
         if isinstance(known, StoreUnavailable):
             self._ask_store_at = now + ASK_STORE_S
             return True
-        left_s = BEAT_LOST_S + self._leadership.stagger(now) - self._saw_beat(known)
+        left_s = BEAT_LOST_S + self._leadership.stagger(now) - self._beat.still_s(known)
         self._ask_store_at = time.monotonic() + max(ASK_STORE_S, left_s)
         return left_s > 0.0
 
-    def _saw_beat(self, known: Known) -> float:
-        """Return for how long the decider's beat in the store has stood still."""
-        now = time.monotonic()
-        beat = (known.leader.epoch, known.leader.beat)
-        if self._beat_seen is None or self._beat_seen[0] != beat:
-            self._beat_seen = (beat, now)
-        return now - self._beat_seen[1]
-
     async def _try_to_lead(self, tasks: anyio.abc.TaskGroup) -> None:
         known = await self._registry.read()
         if isinstance(known, StoreUnavailable):
--- a/src/granitetrestle/registry.py
+++ b/src/granitetrestle/registry.py
@@ -1,6 +1,7 @@
 """Who the processes of the system are and who decides, as kept in the store: read at
 the start, and when a process hears nobody."""
 
+import time
 import typing as t
 
 import msgspec
@@ -13,7 +14,7 @@
 from .outside import Store
 from .outside import StoreUnavailable
 
-__all__ = ["Known", "LeaderEntry", "NodeEntry", "Registry"]
+__all__ = ["BeatWatch", "Known", "LeaderEntry", "NodeEntry", "Registry"]
 
 NODES_TOPIC: t.Final = "keyed.nodes"
 LEADER_KEY: t.Final = "leader"
@@ -49,6 +50,22 @@
     unreadable: tuple[str, ...] = ()
 
 
+class BeatWatch:
+    """Follows the decider's beat in the store."""
+
+    def __init__(self) -> None:
+        self._beat: tuple[int, int] | None = None
+        self._since = 0.0
+
+    def still_s(self, known: Known) -> float:
+        """Return for how long the beat has stood still, by what was read before."""
+        now = time.monotonic()
+        beat = (known.leader.epoch, known.leader.beat)
+        if beat != self._beat:
+            self._beat, self._since = beat, now
+        return now - self._since
+
+
 _encode = msgspec.msgpack.Encoder().encode
 _nodes = msgspec.msgpack.Decoder(NodeEntry)
 _leaders = msgspec.msgpack.Decoder(LeaderEntry)
--- a/src/granitetrestle/right.py
+++ b/src/granitetrestle/right.py
@@ -2,8 +2,18 @@
 wait, or its process stand still, between the decision and the moment it is sent."""
 
 import abc
+import math
+import typing as t
 
-__all__ = ["Right"]
+from .journal import Journal
+from .looplag import LoopLag
+
+__all__ = ["JournalRight", "Right"]
+
+# A right is fresh for so long; nobody takes over sooner after a decider's last sign of
+# life. After a longer stand-still all starts in hand left at once, up to three times the
+# order window's size, while another decided.
+FRESH_S: t.Final = 0.8
 
 
 class Right(abc.ABC):
@@ -26,3 +36,49 @@
     async def confirmed(self) -> None:
         """Return once a start may leave: at once, or when the right has been confirmed
         anew. Does not return if another process decides."""
+
+
+class JournalRight(Right):
+    """What the journal's appends prove.
+
+    :param orphan_s: how long leases are renewed without a new proof.
+    :param lag: tells whether this process has stood still since.
+    """
+
+    def __init__(self, journal: Journal, orphan_s: float, lag: LoopLag) -> None:
+        self._journal = journal
+        self._orphan_s = orphan_s
+        self._lag = lag
+        self._doubted_at = -math.inf
+
+    def doubt(self) -> None:
+        """Take nothing for confirmed until it is anew: others follow a newer epoch."""
+        self._doubted_at = self._journal.now()
+        self._journal.ask()
+
+    def fresh(self, within_s: float) -> bool:
+        """Say whether the right was confirmed within so many seconds."""
+        confirmed_at = self._journal.status.confirmed_at
+        return confirmed_at >= self._doubted_at and self.age_s() < within_s
+
+    def age_s(self) -> float:
+        """See :meth:`Right.age_s`."""
+        return self._journal.confirmed_age_s
+
+    def may_renew(self) -> bool:
+        """See :meth:`Right.may_renew`."""
+        return self.age_s() < self._orphan_s
+
+    def holds(self) -> bool:
+        """See :meth:`Right.holds`. Proved by an append that was sent after this
+        process last stood still, and answered a moment ago: a store that takes longer
+        for an append than a right is fresh would hold back every start."""
+        status = self._journal.status
+        since = max(self._doubted_at, self._lag.stood_still_until)
+        answered_s_ago = self._journal.now() - status.answered_at
+        return status.confirmed_at >= since and answered_s_ago < FRESH_S
+
+    async def confirmed(self) -> None:
+        """See :meth:`Right.confirmed`."""
+        while not self.holds():
+            await self._journal.confirm()
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -36,7 +36,6 @@
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
 from .journal import Journal
-from .journal import JournalRight
 from .journal import NotKept
 from .lastingwaits import WaitCause
 from .lookbudget import LookBudget
@@ -53,6 +52,7 @@
 from .outside import Newest
 from .outside import NewestUnavailable
 from .outside import Record
+from .right import JournalRight
 from .shardstate import DeciderTerms
 from .slices import in_slices
 from .statemark import Taken
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -1,4 +1,4 @@
-"""The real decider among model boxes and a model store, in virtual time. Deciders are
+"""The real decider among model boxes and a store, in virtual time. Deciders are
 killed, frozen and replaced; orders and answers are lost or come late; boxes crash, are
 cut off and come back. After each step it is checked what really ran."""
 
--- /dev/null
+++ b/tools/native_mutants.py
@@ -0,0 +1,210 @@
+"""Mutants of the path on the platform: deciding, leadership, requests, placement."""
+
+from mutant import Mutant
+
+__all__ = ["NATIVE_MUTANTS"]
+
+NATIVE_MUTANTS = (
+    Mutant(
+        "native: a start that was held back is sent whatever became of its task",
+        (
+            ("decider.py", "wanted = task.state == STARTING and", "wanted ="),
+            (
+                "decider.py",
+                "if task is None or task.run != order.run or task.box != order.life:",
+                "if False:",
+            ),
+        ),
+        "native_decider",
+    ),
+    Mutant(
+        "native: leases count as over too early",
+        (
+            (
+                "shardstate.py",
+                "return self.lease_s * (1.0 + self.clock_slack) + 0.3",
+                "return 0.2",
+            ),
+        ),
+        "native_decider",
+    ),
+    Mutant(
+        "native: a start in doubt is given up without a stop",
+        (
+            (
+                "decider.py",
+                "        return [noted, *self._progress.stop(task, now)]",
+                "        self._progress.requeue(task)\n        return [noted]",
+            ),
+        ),
+        "native_decider",
+    ),
+    Mutant(
+        "native: steps do not wait for those they depend on",
+        (
+            (
+                "workflows.py",
+                "return all(self.undone[(occurrence, number)] == 0 for number in needs)",
+                "return needs is not None",
+            ),
+        ),
+        "native_decider",
+    ),
+    Mutant(
+        "native: failed runs are not counted",
+        (("progress.py", "task.failed_runs |= {row.run}", "pass"),),
+        "native_decider",
+    ),
+    Mutant(
+        "native: a box may forget ends before they are durable",
+        (
+            (
+                "fleet.py",
+                "return LookPlan(box.entry.address, box.durable_known, until, wait)",
+                "return LookPlan(box.entry.address, box.known, until, wait)",
+            ),
+        ),
+        "native_decider",
+    ),
+    Mutant(
+        "native: an ended job takes another end",
+        (
+            (
+                "progress.py",
+                "        if workflow.terminal:\n            return effects\n",
+                "",
+            ),
+        ),
+        "native_decider",
+    ),
+    Mutant(
+        "native: every refusal is passed on",
+        (("forwarding.py", "answer.status in REFUSALS and len(asked) > 1", "False"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a restarted decider believes the store that it decides",
+        (
+            (
+                "leadership.py",
+                "        if node != self._node:\n            self._begins",
+                "        if True:\n            self._begins",
+            ),
+        ),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a restarted decider believes others that it decides",
+        (
+            (
+                "leadership.py",
+                "        if node != self._node:\n            self._begins",
+                "        if True:\n            self._begins",
+            ),
+        ),
+        "native_reports",
+    ),
+    Mutant(
+        "native: a lost box counts against nobody",
+        (
+            (
+                "fleet.py",
+                "blamed = blame(may_have_crashed(box), box.lost_at or box.clock_at)",
+                "pass",
+            ),
+        ),
+        "box_crashes",
+    ),
+    Mutant(
+        "native: points for lost boxes are not written",
+        (("jobrecords.py", "        task.suspicion,\n", "        0,\n"),),
+        "box_crashes",
+    ),
+    Mutant(
+        "native: what never left is blamed",
+        (
+            (
+                "crashloops.py",
+                "if task.sent and not _proved(box, task)",
+                "if not _proved(box, task)",
+            ),
+        ),
+        "box_crashes",
+    ),
+    Mutant(
+        "native: an older run is blamed as one that has just begun",
+        (("crashloops.py", "if lost_at - _began(task) <= JUST_BEGUN_S]", "]"),),
+        "box_crashes",
+    ),
+    Mutant(
+        "native: every suspect keeps a box for itself",
+        (("crashloops.py", "if len(self._kept) < self._most:", "if True:"),),
+        "box_crashes",
+    ),
+    Mutant(
+        "native: an ended life is entered again",
+        (("fleet.py", "if life not in self._ended:", "if True:"),),
+        "box_crashes",
+    ),
+    Mutant(
+        "native: a start goes to a box whose room shrank",
+        (("decider.py", " or box.over_room", ""),),
+        "native_decider",
+    ),
+    Mutant(
+        "native: leases after a take-over are not counted from the first look",
+        (("fleet.py", "box.lease_ends = min(box.lease_ends, lease_ends)", "pass"),),
+        "native_decider",
+    ),
+    Mutant(
+        "native: an entry with any address names a box",
+        (("platform/boxes.py", "if not is_address(raw.address):", "if False:"),),
+        "foreign_records",
+    ),
+    Mutant(
+        "native: numbers of any size are taken",
+        (("platform/front.py", "0 <= number <= MAX_NUMBER", "0 <= number"),),
+        "foreign_records",
+    ),
+    Mutant(
+        "native: nothing protects a task that stays over its target",
+        (("pacing.py", "now - since > OVER_TOO_LONG_S", "False"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: the smaller part of a cut takes over without asking",
+        (
+            (
+                "leadership.py",
+                "now - self._majority_since(now) < MAJORITY_SETTLED_S",
+                "False",
+            ),
+        ),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a successor does not wait for one that is taking over",
+        (("leadership.py", "or not self._another_tries(now)", "or True"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a new decider is blamed for its predecessor's store",
+        (("leadership.py", "            self._leader_store_lost = None\n\n", "\n"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: an append is begun anew, not repeated beside the first",
+        (("journal.py", "records, writer, TRY_S)", "records, writer, pause_s)"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a request is kept until its deadline without a decider",
+        (("forwarding.py", "now - unreached_since > WAIT_FOR_LEADER_S", "False"),),
+        "native_parts",
+    ),
+    Mutant(
+        "native: a box that left the list gets work",
+        (("boxes.py", "            and self.listed\n", ""),),
+        "native_decider",
+    ),
+)
--- /dev/null
+++ b/tools/recovery_mutants.py
@@ -0,0 +1,247 @@
+"""Mutants of the path on the platform: evacuations, crashes, load, what is kept."""
+
+from mutant import Mutant
+
+__all__ = ["RECOVERY_MUTANTS"]
+
+RECOVERY_MUTANTS = (
+    Mutant(
+        "native: fillers that wait on a box do not count there",
+        (
+            (
+                "overload.py",
+                "shares.get(step.image, 0.0) + step.cpu / box.entry.cpu",
+                "shares.get(step.image, 0.0)",
+            ),
+        ),
+        "native_parts",
+    ),
+    Mutant(
+        "native: the order to evacuate a hall is not read",
+        (("feeds.py", "halls.append(order)", "pass"),),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: a successor forgets evacuated halls",
+        (
+            (
+                "evacuation.py",
+                "return self.ordered([*restored, *orders], now)",
+                "return []",
+            ),
+        ),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: starts for an evacuated hall keep their place in the window",
+        (
+            (
+                "orderwindow.py",
+                "for entry in [e for e in waiting if e.kind != FIRST and e.life in lives]:",
+                "for entry in list[_Waiting]():",
+            ),
+        ),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: starts that were held back are sent into an evacuated hall",
+        (("decider.py", "or box.evacuated or", "or"),),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: a slowed task moves into an evacuated hall",
+        (
+            (
+                "boxes.py",
+                "self.reachable and not self.evacuated and now",
+                "self.reachable and now",
+            ),
+        ),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: starts go on without news of operators",
+        (
+            (
+                "decider.py",
+                "        if not self._evacuation.up_to_date(now):\n            return effects\n",
+                "",
+            ),
+            (
+                "decider.py",
+                "wanted = task.state == STARTING and self._evacuation.up_to_date(now)",
+                "wanted = task.state == STARTING",
+            ),
+        ),
+        "native_evacuation",
+    ),
+    Mutant(
+        "native: a lease is renewed that a successor does not count on",
+        (("fleet.py", "if box.life in self._state.withdrawn_leases or ", "if "),),
+        "native_decider",
+    ),
+    Mutant(
+        "native: failures together double the pause of a box",
+        (("boxes.py", "        if now < self.aside_until:\n", "        if False:\n"),),
+        "native_policy",
+    ),
+    Mutant(
+        "native: boxes that were put aside are closed to lasting work",
+        (
+            (
+                "dispatch.py",
+                "if box is None and step.lasting and pool.aside",
+                "if False",
+            ),
+        ),
+        "native_policy",
+    ),
+    Mutant(
+        "native: shifted: an answered stop is given again while a look waits",
+        (("fleet.py", "if not answered:", "if not answered or sent <= answered:"),),
+        "native_decider",
+    ),
+    Mutant(
+        "native: shifted: looks wait without regard to connections",
+        (
+            (
+                "lookbudget.py",
+                "if self._waiting < part * self._connections:",
+                "if part:",
+            ),
+        ),
+        "load_many_boxes",
+    ),
+    Mutant(
+        "native: shifted: sizes of jobs that were left behind wait on",
+        (
+            (
+                "waitingorder.py",
+                "kept_up = not self._sizes.behind(self._size(workflow))",
+                "kept_up = True",
+            ),
+        ),
+        "load_wide_jobs",
+    ),
+    Mutant(
+        "native: shifted: requests go on to a decider that answers nothing",
+        (
+            (
+                "answering.py",
+                "        return True\n\n    def come_back_s",
+                "        return False\n\n    def come_back_s",
+            ),
+        ),
+        "load_store_away",
+    ),
+    Mutant(
+        "native: kept: an append may be empty and share its number with the next",
+        (
+            (
+                "journal.py",
+                "records = self._marks.marked(part)\n        self._sequence += 1\n"
+                "        writer = Writer(self._epoch, self._sequence)",
+                "records = list(part)\n        number = self._sequence + 1\n"
+                "        self._sequence += bool(records)\n"
+                "        writer = Writer(self._epoch, number)",
+            ),
+        ),
+        "succession",
+    ),
+    Mutant(
+        "native: kept: an answer is believed though the log has not grown",
+        (
+            (
+                "journal.py",
+                "            return False\n        self._end = end",
+                "        self._end = end",
+            ),
+        ),
+        "native_parts",
+    ),
+    Mutant(
+        "native: kept: any reading counts as whole",
+        (("succession.py", "if wrong is None:", "if True:"),),
+        "succession",
+    ),
+    Mutant(
+        "native: kept: a new life decides in an epoch of the life before",
+        (("statemark.py", "NotWhole(Verdict.USED, reason)", "None"),),
+        "succession",
+    ),
+    Mutant(
+        "native: kept: starts leave however old the right is",
+        (("boxlife.py", "rests_on_right = kind != FIRST", "rests_on_right = False"),),
+        "leaving_orders",
+    ),
+    Mutant(
+        "native: kept: a newer epoch that others follow puts nothing in doubt",
+        (("session.py", "            self._right.doubt()", "            pass"),),
+        "leaving_orders",
+    ),
+    Mutant(
+        "native: limits: at most 200 pages are read",
+        (
+            (
+                "newestread.py",
+                "            if page.more and self._repeats(page):",
+                "            if page.more and (self._pages > 200 or self._repeats(page)):",
+            ),
+        ),
+        "take_over_pages",
+    ),
+    Mutant(
+        "native: limits: a read begins at the first page again",
+        (
+            (
+                "succession.py",
+                "            outcome = await reading.go_on(PAGE_TIMEOUT_S)",
+                "            reading = NewestRead(self._store, JOBS_TOPIC, 0)\n"
+                "            outcome = await reading.go_on(PAGE_TIMEOUT_S)",
+            ),
+        ),
+        "take_over_pages",
+    ),
+    Mutant(
+        "native: limits: a take-over computes in one go",
+        (("slices.py", "SLICE_S: t.Final = 0.02", "SLICE_S: t.Final = 20.0"),),
+        "take_over_pages",
+    ),
+    Mutant(
+        "native: limits: what a deposed decider knew stays",
+        (("session.py", "            take_back()\n", ""),),
+        "take_over_pages",
+    ),
+    Mutant(
+        "native: limits: the first 500 ends count as all",
+        (("fleet.py", "        if look.more_ends:", "        if False:"),),
+        "many_ends",
+    ),
+    Mutant(
+        "native: limits: tries to take over begin below the epoch that was refused",
+        (
+            (
+                "node.py",
+                "self._leadership.epoch, self._refused_epoch)",
+                "self._leadership.epoch)",
+            ),
+        ),
+        "own_limits",
+    ),
+    Mutant(
+        "native: limits: advice is asked about the same boxes for ever",
+        (("dispatch.py", "if box.life not in entry.unfit]", "]"),),
+        "own_limits",
+    ),
+    Mutant(
+        "native: limits: a gang's room is free for what is placed after it",
+        (
+            (
+                "dispatch.py",
+                "        self._state.index.refresh(now)\n        return starts",
+                "        return starts",
+            ),
+        ),
+        "native_index",
+    ),
+)
