--- a/features/native_whole_path.feature
+++ b/features/native_whole_path.feature
@@ -9,6 +9,11 @@
     And each task ran once, the second step after the first
     And the same id handed in again is the same job
 
+  Scenario: Each node's figures show how long ago it heard the decider
+    Given 2 nodes on the platform with 1 boxes
+    When the decider stands still for 3 seconds and goes on
+    Then it was heard over 0.5 seconds ago meanwhile, and each node hears a decider again
+
   Scenario: A cancelled job's tasks stop and never start again
     Given 2 nodes on the platform with 2 boxes
     When a job that runs for a minute is handed in and cancelled while it runs
--- /dev/null
+++ b/features/steps/heard_steps.py
@@ -0,0 +1,33 @@
+"""Steps of the scenario over how long ago a node heard the decider."""
+
+import signal
+import time
+
+from behave import then
+from behave import when
+
+FIGURE = "decider_heard_s_ago"
+
+
+@when("the decider stands still for {seconds:g} seconds and goes on")
+def decider_stands_still(context, seconds):
+    cluster = context.cluster
+    leader = cluster.leader()
+    (other,) = set(cluster.nodes()) - {leader}
+    cluster.kill(leader, signal.SIGSTOP)
+    context.longest, until = 0.0, time.monotonic() + seconds
+    while time.monotonic() < until:
+        context.longest = max(context.longest, cluster.figure(FIGURE, other))
+        time.sleep(0.05)
+    cluster.kill(leader, signal.SIGCONT)
+
+
+@then(
+    "it was heard over {seconds:g} seconds ago meanwhile, and each node hears a decider "
+    "again"
+)
+def heard_again(context, seconds):
+    cluster = context.cluster
+    assert context.longest > seconds, context.longest
+    for node in cluster.nodes():
+        cluster.wait(lambda n=node: cluster.figure(FIGURE, n) <= seconds, node)
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -3,6 +3,7 @@
 taking over, so that one process does so soon and the others stay still."""
 
 import collections
+import math
 import typing as t
 
 from .messages import NodeStatus
@@ -153,6 +154,11 @@
             return None
         return 0.0 if self._leader == self._node else now - self._leader_heard
 
+    def heard_s_ago(self, now: float) -> float:
+        """Return how long ago the decider spoke; infinite if none is known."""
+        age_s = self.leader_age_s(now)
+        return math.inf if age_s is None else age_s
+
     def took_over(self, epoch: int, now: float) -> None:
         """This process decides in an epoch, which it has raised itself."""
         self._took = epoch
