--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -168,3 +168,9 @@
       | 1    |
       | 2    |
       | 3    |
+
+  Scenario: A lasting task whose box is lost together with the decider runs elsewhere soon
+    A successor waits for what its predecessor may still have renewed: 8 s, and a lease of 6 s.
+    Given a shard of 3 boxes among models
+    When a lasting task runs, and its box and the decider are lost at once, where leases last 6 s
+    Then it runs on another box within 6 seconds of when it went dark
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -3,6 +3,7 @@
 from behave import then
 from behave import when
 
+from granitetrestle.shardstate import DeciderTerms
 from lasting_task import lasting_task
 
 
@@ -23,6 +24,22 @@
     world.take_over()
 
 
+@when(
+    "a lasting task runs, and its box and the decider are lost at once, where leases "
+    "last 6 s"
+)
+def lost_together(context):
+    world = context.world
+    task = lasting_task(context)
+    world.cut[task.box] = world.now + 1000.0
+    context.dark, context.since = task.box, world.now
+    del world.entries[task.box]
+    world.kill()
+    world.terms = DeciderTerms(lease_s=6.0, orphan_s=8.0, keep_s=600.0)
+    world.advance(0.9)
+    world.take_over()
+
+
 @then("it runs on another box within {seconds:g} seconds of when it went dark")
 def runs_on_another(context, seconds):
     world = context.world
