--- a/features/steps/hung_link_steps.py
+++ b/features/steps/hung_link_steps.py
@@ -30,7 +30,9 @@
     time.sleep(0.1)
 
 
-@when("it opens a connection there, and {seconds:g} seconds later the peer answers again")
+@when(
+    "it opens a connection there, and {seconds:g} seconds later the peer answers again"
+)
 def opens_and_heals(context, seconds):
     link = PeerLink("n1", "n1-1", "secret", "127.0.0.1:0")
     context.add_cleanup(link.close)
