--- a/src/granitetrestle_standins/linkpipes.py
+++ b/src/granitetrestle_standins/linkpipes.py
@@ -202,7 +202,9 @@
         self._writers = (near, far)
         for writer in self._writers:
             channel = writer.get_extra_info("socket")
-            channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # One side may have been reset while the other was opened.
+            with contextlib.suppress(OSError):
+                channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         asking, answering = self._rewriters
         self._flows = (
             _Flow(near_reader, far, self._there, asking, None),
