A box that does what one life never does is noted: its clock goes back, or known ends come again

Neither logs nor figures could tell whether an end was passed over, nor whether a box had started again under its id: only box_silent and box_answers stood there. No decision changes.

--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -60,6 +60,7 @@
     :ivar loads: serving task -> the load that it shares with its step.
     :ivar version: rises with each change of what is placed or seen here.
     :ivar load: what :mod:`.overload` computed for a version.
+    :ivar passed_over: ends that it listed although it had been told that they are known.
     """
 
     listed = _Watched[bool]()
@@ -102,6 +103,9 @@
         self.observed_at = 0.0
         self.known = 0
         self.durable_known = 0
+        # Up to which end a look was planned to tell the box that it may forget.
+        self.told_known = 0
+        self.passed_over = 0
         self.clock_ms = 0
         self.clock_at = 0.0
         self.lease_ends = lease_ends
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -213,6 +213,7 @@
         if undurable or not box.adopted:
             wait = 0
         until = self.lease_until(box, now) if may_renew else None
+        box.told_known = box.durable_known
         return LookPlan(box.entry.address, box.durable_known, until, wait)
 
     def lease_until(self, box: BoxView, now: float) -> int | None:
@@ -268,6 +269,7 @@
             effects.append(Noted("box_answers", box.life, {"silent_s": silent_s}))
             box.silent_since = None
             box.lost_at = 0.0
+        effects += _strange(box, look)
         box.clock_ms, box.clock_at = look.clock_ms, now
         for row in look.ended:
             if row.number > box.known:
@@ -427,6 +429,25 @@
     return box.silent_since is not None and now - box.silent_since > SILENT_S
 
 
+def _strange(box: BoxView, look: Look) -> list[Decision]:
+    """Note what one life of a box never does: its clock goes back, or it lists an end
+    that it was told is known. The first is noted each time, the second once."""
+    passed_over = sum(row.number <= box.told_known for row in look.ended)
+    first = passed_over and not box.passed_over
+    box.passed_over += passed_over
+    if look.clock_ms >= box.clock_ms and not first:
+        return []
+    inputs = {
+        "clock_ms": look.clock_ms,
+        "clock_before_ms": box.clock_ms,
+        "ends": passed_over,
+        "told_known": box.told_known,
+        "listed_born": box.entry.born,
+        "born": look.born,
+    }
+    return [Noted("box_contradicts_itself", box.life, inputs)]
+
+
 def _run_lost(box: BoxView, task: Task, suspected: bool, now: float) -> Noted:
     """Return the line about a run that was lost with its box; times are from its start
     to the box's last answer, and to when the box fell silent."""
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -44,7 +44,10 @@
 
 # No box has as much of anything; what says so was not written by one.
 MOST_ROOM: t.Final = 2**40
+# Milliseconds since 1970 are far below.
+LATEST_BORN: t.Final = 2**53
 _Amount = t.Annotated[int, msgspec.Meta(ge=0, le=MOST_ROOM)]
+_Born = t.Annotated[int, msgspec.Meta(ge=0, le=LATEST_BORN)]
 
 
 class _Capacity(msgspec.Struct):
@@ -65,10 +68,12 @@
     remaining_ms: t.Annotated[float, msgspec.Meta(ge=0, le=MOST_ROOM)] | None = None
     machine: str = ""
     cold_remaining_ms: float = 0.0
+    born: _Born | None = None
 
 
 class _LookAnswer(msgspec.Struct):
     clock_ms: int
+    born: _Born | None = None
     running: list[list[t.Any]] = []
     finished: list[list[t.Any]] = []
 
@@ -112,6 +117,7 @@
         leaving_in_s=None if leaving is None else leaving / 1000.0,
         box=raw.machine,
         cold=raw.cold_remaining_ms > 0.0,
+        born=raw.born,
     )
 
 
@@ -244,4 +250,5 @@
         for row in raw.running
     )
     ended = tuple(EndedRun(*row[:5]) for row in raw.finished)
-    return Look(raw.clock_ms, running, ended, len(ended) >= ENDS_AT_ONCE)
+    more = len(ended) >= ENDS_AT_ONCE
+    return Look(raw.clock_ms, running, ended, more, raw.born)
--- a/src/granitetrestle/timeline.py
+++ b/src/granitetrestle/timeline.py
@@ -39,6 +39,7 @@
         "box_silent",
         "box_answers",
         "box_draining",
+        "box_contradicts_itself",
         "box_over",
         "box_put_aside",
         "leases_lapsed",
