A call to a box leaves only over a connection to the life that it is meant for

Callers saw work that stood still: a box that had just started again was told, by a look that was meant for the life before, that its first ends are known, and forgot them. In the same way it took starts, stops and paces that were meant for its predecessor; a start ran there while its task counted as lost, and ran elsewhere. Cause: calls name an id, and the answer tells too late whose it was.

A process that ends takes its connections with it. So connections are kept for a life, and the first thing asked on a new one is a look that confirms nothing and renews nothing; its answer says when the box was born. A first look has no effect by itself and is not preceded by another. Why it holds: what is sent over a connection is read by the process that answered over it, or by nobody; nothing needs a clock or a time-out. It rests on there being nothing between that keeps connections over a restart, and on calls that are carried out late being carried out by the life that took them.

An answer that doesn't tell who gives it proves nobody else: what the life that was meant runs would be started elsewhere. A call that ends at the question has provably not been sent.

The other way weighed: ends are confirmed only while no start is unaccounted for at a life that was proved since. It needs no question, but lists that grow, and lets starts and stops reach the next life.

Cost: one look for a new connection that is not opened by a first look.

--- a/features/restarted_box.feature
+++ b/features/restarted_box.feature
@@ -15,6 +15,9 @@
   were "being stopped" for 8 to 35 s in steps of one. These scenarios settled it: 2, 2 and 24
   starts after a noted end, and none once a life was named by its id and when it was born.
 
+  Then a job still stood still for 5.9 s in one row: the look that was meant for the life before,
+  and named its ends as known, had reached the next one, which forgot its own.
+
   Scenario Outline: What a box has done since it started again is done once
     Given 1 process and 2 boxes, which take a number of known ends for "<told>"
     And each box has ended at least 10 runs
@@ -53,3 +56,39 @@
       | stop  |
       | pace  |
       | look  |
+
+  Scenario Outline: Who answers is told by when it was born, and by nothing else
+    Nobody is taken for another life on an answer that doesn't tell: what the one that was
+    meant runs would be started elsewhere. Boxes that don't say have a new id for each life.
+    Given a box that was listed as born <listed>, and answers as born <answers>
+    When a start and a look that confirms ends are sent to it
+    Then both are <come to>, and the start has <reached> it
+
+    Examples:
+      | listed | answers | come to                  | reached     |
+      | 5      | 5       | carried out              | reached     |
+      | 5      | 6       | answered by another life | not reached |
+      | 5      | nothing | not answered             | not reached |
+      | 5      | "5"     | not answered             | not reached |
+      | 5      | 5.5     | not answered             | not reached |
+      | nothing | 6      | carried out              | reached     |
+      | nothing | nothing | carried out             | reached     |
+
+  Scenario: Who answers is asked once for each connection, and not by what has no effect
+    Given a box that was listed as born 5, and answers as born 5
+    When a first look, three starts and a look that confirms ends are sent one after the other
+    Then one connection was opened, on which nothing but these was asked
+    And after it was closed a start asks once more
+
+  Scenario Outline: A box that was born <born> is <taken>
+    When a box's entry says that it was born <born>
+    Then the entry is <taken>
+
+    Examples:
+      | born    | taken                                |
+      | 17      | of the life b@17 of box b            |
+      | nothing | of the life b of box b               |
+      | 17.0    | refused, naming b                    |
+      | "17"    | refused, naming b                    |
+      | true    | refused, naming b                    |
+      | -1      | refused, naming b                    |
--- a/features/steps/ends_steps.py
+++ b/features/steps/ends_steps.py
@@ -64,7 +64,7 @@
         super().__init__()
         self.answer = json.dumps(answer).encode()
 
-    async def call(self, *args, **options):
+    async def call_party(self, *args, **options):
         return Reply(200, (), self.answer)
 
 
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -1,5 +1,6 @@
 """Steps of the scenarios over boxes that start again under their id."""
 
+import asyncio
 import base64
 import contextlib
 import json
@@ -11,6 +12,8 @@
 from behave import when
 
 from granitetrestle.calls import Caller
+from granitetrestle.errors import MalformedEntry
+from granitetrestle.outside import BoxNoAnswer
 from granitetrestle.outside import BoxReplaced
 from granitetrestle.outside import Look
 from granitetrestle.outside import OrderAccepted
@@ -204,3 +207,137 @@
     assert [row[:2] for row in then_.running] == [row[:2] for row in shown.running]
     assert then_.ended == shown.ended, (then_.ended, shown.ended)
     assert not any(row.task == named(4) for row in then_.running), then_
+
+
+class ToldBox:
+    """A box that answers every call well, and says that it was born as it is told to."""
+
+    def __init__(self, born):
+        self._born = {} if born == "nothing" else {"born": json.loads(born)}
+        self.paths = []
+        self.connections = []
+        self.address = ""
+
+    async def serve(self, reader, writer):
+        self.connections.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                length = int(head.lower().partition("content-length: ")[2].split()[0])
+                asked = json.loads(await reader.readexactly(length))
+                self.paths.append((head.split()[1], asked.get("last_seen")))
+                body = json.dumps({**self._born, "clock_ms": 100}).encode()
+                answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+                writer.write(answer + body)
+
+    def play(self, script):
+        """Run a script with the box at an address of its own."""
+
+        async def both():
+            server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            self.address = f"{host}:{port}"
+            async with server:
+                await script(PlatformBoxes(Caller()))
+                for connection in self.connections:
+                    connection.close()
+                await asyncio.sleep(0.05)
+
+        asyncio.run(both())
+
+
+def entry_of(born):
+    said = "" if born == "nothing" else f', "born": {born}'
+    text = f'{{"service": "pool", "address": "127.0.0.1:80"{said}}}'
+    return decode_entry(Record("b", text.encode()))
+
+
+@given("a box that was listed as born {listed}, and answers as born {answers}")
+def told_box(context, listed, answers):
+    context.life = entry_of(listed).life
+    context.told = ToldBox(answers)
+
+
+async def start(boxes, context):
+    order = TaskOrder(context.life, context.told.address, named(1), 1)
+    return await boxes.start(order, EPOCH, "10", 4000, "", "")
+
+
+async def look(boxes, context, known, until):
+    told = context.told
+    return await boxes.look(context.life, told.address, EPOCH, known, until, 0)
+
+
+@when("a start and a look that confirms ends are sent to it")
+def start_and_look(context):
+    async def script(boxes):
+        context.started = await start(boxes, context)
+        context.looked = await look(boxes, context, 3, 4000)
+
+    context.told.play(script)
+
+
+@then("both are {come_to}, and the start has {reached} it")
+def come_to(context, come_to, reached):
+    kinds = {
+        "carried out": (OrderAccepted, Look),
+        "answered by another life": (BoxReplaced, BoxReplaced),
+        "not answered": (BoxNoAnswer, BoxNoAnswer),
+    }
+    outcomes = (context.started, context.looked)
+    assert tuple(map(type, outcomes)) == kinds[come_to], outcomes
+    paths = [path for path, _ in context.told.paths]
+    assert ("/api/run-start" in paths) == (reached == "reached"), paths
+    if isinstance(context.started, BoxNoAnswer):
+        assert not context.started.sent
+    if reached == "not reached":
+        assert ("/api/hold", 3) not in context.told.paths, context.told.paths
+
+
+@when(
+    "a first look, three starts and a look that confirms ends are sent one after the other"
+)
+def one_after_the_other(context):
+    told = context.told
+
+    async def script(boxes):
+        await look(boxes, context, 0, None)
+        for _ in range(3):
+            await start(boxes, context)
+        await look(boxes, context, 3, 4000)
+        context.first = list(told.paths), len(told.connections)
+        told.connections[0].close()
+        await asyncio.sleep(0.05)
+        await start(boxes, context)
+        context.then = told.paths[len(context.first[0]) :], len(told.connections)
+
+    told.play(script)
+
+
+@then("one connection was opened, on which nothing but these was asked")
+def nothing_else(context):
+    asked = [("/api/hold", 0), *[("/api/run-start", None)] * 3, ("/api/hold", 3)]
+    assert context.first == (asked, 1), context.first
+
+
+@then("after it was closed a start asks once more")
+def asks_again(context):
+    asked = [("/api/hold", 0), ("/api/run-start", None)]
+    assert context.then == (asked, 2), context.then
+
+
+@when("a box's entry says that it was born {born}")
+def entry_says(context, born):
+    try:
+        context.entry = entry_of(born)
+    except MalformedEntry as error:
+        context.entry = error
+
+
+@then("the entry is {taken}")
+def entry_is(context, taken):
+    entry = context.entry
+    if isinstance(entry, MalformedEntry):
+        assert taken == f"refused, naming {entry.key}", entry
+    else:
+        assert taken == f"of the life {entry.life} of box {entry.box_id}", entry
--- a/src/granitetrestle/calls.py
+++ b/src/granitetrestle/calls.py
@@ -2,6 +2,7 @@
 directly, in a free list for each address, so that a slot is a connection and it is
 known exactly whether the first byte has left."""
 
+import abc
 import ipaddress
 import time
 import typing as t
@@ -14,7 +15,7 @@
 from .connection import connect
 from .events import Proof
 
-__all__ = ["CallFailure", "Caller", "Reply", "is_address"]
+__all__ = ["CallFailure", "Caller", "Party", "Reply", "Request", "is_address"]
 
 IDLE_S = 3.0
 FRESH_S = 0.5
@@ -56,10 +57,41 @@
     """No whole answer, and what that proves.
 
     :param timed_out: whether the time was over, with the connection still open.
+    :param stranger: what somebody else answered than the party that was to be called.
     """
 
     proof: Proof
     timed_out: bool = False
+    stranger: Reply | None = None
+
+
+class Request(t.NamedTuple):
+    """What is sent to an address."""
+
+    path: str
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+    method: str = "POST"
+
+
+class Party(abc.ABC):
+    """Who is to be called, where the address alone doesn't tell. A process takes its
+    connections with it when it ends, so that who has answered over one of them once is
+    who takes all that is sent there."""
+
+    @property
+    @abc.abstractmethod
+    def name(self) -> str:
+        """What its connections are kept under, beside the address."""
+
+    @abc.abstractmethod
+    def question(self) -> Request:
+        """Return what asks who answers, and does nothing to whoever that is."""
+
+    @abc.abstractmethod
+    def is_met(self, reply: Reply) -> bool | None:
+        """Say whether an answer to the question, or to a call whose answers tell who
+        gives them, is the party's; ``None`` if this one doesn't tell."""
 
 
 class _Idle(t.NamedTuple):
@@ -68,7 +100,8 @@
 
 
 class Caller:
-    """Keeps idle connections by address and makes calls on them.
+    """Keeps idle connections by address, and by party where one is called, and makes calls
+    on them.
 
     :param most_open: connections that may be open at once. Without a bound a process that
         calls thousands of boxes runs out of descriptors, and all it does fails.
@@ -106,31 +139,64 @@
         :param new: use a new connection: one that is open may have gone silent.
         :returns: the reply, or a failure with the proof that it gives.
         """
-        max_age = FRESH_S if fresh else IDLE_S
-        connection = None if new else self._take(address, max_age)
-        done = False
+        max_age_s = FRESH_S if fresh else IDLE_S
+        held = None if new else self._take(address, max_age_s)
+        request = Request(path, tuple(headers), body, method)
+        return await self._call(
+            _Exchange(address, address, request, limit), held, timeout_s
+        )
+
+    async def call_party(
+        self,
+        party: Party,
+        address: str,
+        request: Request,
+        timeout_s: float,
+        limit: int = MAX_BODY,
+        harmless: bool = False,
+        tells: bool = False,
+    ) -> Reply | CallFailure:
+        """Send one request to a party, and to nobody else who answers at its address.
+
+        :param harmless: whether the request does nothing to another that it reaches.
+        :param tells: whether its answer tells who gives it.
+        :returns: as :meth:`call`; a failure with what the stranger answered, if one did.
+        """
+        key = f"{address} {party.name}"
+        asks = not (harmless and tells)
+        exchange = _Exchange(key, address, request, limit, party, asks, tells)
+        return await self._call(exchange, self._take(key, IDLE_S), timeout_s)
+
+    async def _call(
+        self, exchange: "_Exchange", held: Connection | None, timeout_s: float
+    ) -> Reply | CallFailure:
+        connection = held
+        done = sent = False
         try:
             with anyio.move_on_after(timeout_s):
                 if connection is None:
                     if not self._make_room():
                         return CallFailure(Proof(False, "too many connections"))
-                    opened = await self._open(address, limit)
+                    opened = await self._open(exchange.address, exchange.limit)
                     if isinstance(opened, CallFailure):
                         return opened
                     connection = opened
-                request = _request(address, path, headers, body, method)
-                outcome = await _exchange(connection, request)
+                    failure = await exchange.introduce(connection)
+                    if failure is not None:
+                        return failure
+                sent = True
+                proved = connection is held or exchange.asks
+                outcome = await exchange.run(connection, proved)
                 done = isinstance(outcome, Reply)
                 return outcome
             # Open connections may all have gone silent, without a reset, while new ones
             # work: none is tried after the first, which saves a time-out for each.
-            self._drop(address)
-            proof = Proof(connection is not None, "no answer in time")
-            return CallFailure(proof, timed_out=True)
+            self._drop(exchange.key)
+            return CallFailure(Proof(sent, "no answer in time"), timed_out=True)
         finally:
             if connection is not None:
                 if done and connection.idle:
-                    self._keep(address, connection)
+                    self._keep(exchange.key, connection)
                 else:
                     connection.close()
 
@@ -139,8 +205,8 @@
         if self.open_connections < self._most_open:
             return True
         oldest = min(
-            (address for address, idle in self._idle.items() if idle),
-            key=lambda address: self._idle[address][0].since,
+            (key for key, idle in self._idle.items() if idle),
+            key=lambda key: self._idle[key][0].since,
             default=None,
         )
         if oldest is None:
@@ -158,32 +224,32 @@
     def _changed(self, by: int) -> None:
         self._made += by
 
-    def _take(self, address: str, max_age: float) -> Connection | None:
-        idle = self._idle.get(address, [])
-        while idle and time.monotonic() - idle[-1].since < max_age:
+    def _take(self, key: str, max_age_s: float) -> Connection | None:
+        idle = self._idle.get(key, [])
+        while idle and time.monotonic() - idle[-1].since < max_age_s:
             held = idle.pop()
             if held.connection.idle:
                 return held.connection
             held.connection.close()
         return None
 
-    def _keep(self, address: str, connection: Connection) -> None:
-        idle = self._idle.setdefault(address, [])
+    def _keep(self, key: str, connection: Connection) -> None:
+        idle = self._idle.setdefault(key, [])
         if len(idle) < MAX_IDLE:
             idle.append(_Idle(connection, time.monotonic()))
 
-    def _drop(self, address: str) -> None:
-        for held in self._idle.pop(address, []):
+    def _drop(self, key: str) -> None:
+        for held in self._idle.pop(key, []):
             held.connection.close()
 
     async def prune(self) -> None:
         """Close connections before the far side does."""
         limit = time.monotonic() - IDLE_S
-        for address, idle in list(self._idle.items()):
+        for key, idle in list(self._idle.items()):
             old = [held for held in idle if held.since < limit]
             idle[:] = [held for held in idle if held.since >= limit]
             if not idle:
-                del self._idle[address]
+                del self._idle[key]
             for held in old:
                 held.connection.close()
 
@@ -199,22 +265,63 @@
         return CallFailure(Proof(False, f"not connected: {error!r}"))
 
 
-def _request(
-    address: str,
-    path: str,
-    headers: t.Sequence[tuple[bytes, bytes]],
-    body: bytes,
-    method: str,
-) -> bytes:
+class _Exchange(t.NamedTuple):
+    """One request over one connection.
+
+    :param key: what the connection is kept under.
+    :param asks: whether a new connection needs the party's question first.
+    :param tells: whether the answer to the request tells who gives it.
+    """
+
+    key: str
+    address: str
+    request: Request
+    limit: int
+    party: Party | None = None
+    asks: bool = False
+    tells: bool = False
+
+    async def introduce(self, connection: Connection) -> CallFailure | None:
+        """Learn who is at the other end of a new connection, if that is asked for.
+
+        :returns: a failure, unless the request may be sent.
+        """
+        if self.party is None or not self.asks:
+            return None
+        question = _bytes(self.address, self.party.question())
+        reply = await _exchange(connection, question)
+        if isinstance(reply, CallFailure):
+            return CallFailure(
+                Proof(False, f"no answer who it is: {reply.proof.detail}")
+            )
+        if self.party.is_met(reply):
+            return None
+        return CallFailure(Proof(False, "somebody else answers"), stranger=reply)
+
+    async def run(self, connection: Connection, proved: bool) -> Reply | CallFailure:
+        """Send the request and return the whole answer.
+
+        :param proved: whether it is known who is at the other end.
+        """
+        reply = await _exchange(connection, _bytes(self.address, self.request))
+        if self.party is None or not self.tells or isinstance(reply, CallFailure):
+            return reply
+        met = self.party.is_met(reply)
+        if met or (met is None and proved):
+            return reply
+        return CallFailure(Proof(True, "somebody else answered"), stranger=reply)
+
+
+def _bytes(address: str, request: Request) -> bytes:
     lines = [
-        f"{method} {path} HTTP/1.1\r\nhost: {address}\r\n".encode(),
-        b"content-length: %d\r\n" % len(body),
+        f"{request.method} {request.path} HTTP/1.1\r\nhost: {address}\r\n".encode(),
+        b"content-length: %d\r\n" % len(request.body),
     ]
-    for name, value in headers:
+    for name, value in request.headers:
         if b"\n" in name + value or b"\r" in name + value:
             raise ValueError(f"a header may not hold a line end: {name!r}")
         lines.append(b"%s: %s\r\n" % (name, value))
-    return b"".join((*lines, b"\r\n", body))
+    return b"".join((*lines, b"\r\n", request.body))
 
 
 async def _exchange(connection: Connection, request: bytes) -> Reply | CallFailure:
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -6,7 +6,9 @@
 
 from ..calls import Caller
 from ..calls import CallFailure
+from ..calls import Party
 from ..calls import Reply
+from ..calls import Request
 from ..calls import is_address
 from ..errors import MalformedEntry
 from ..lives import box_id_of
@@ -35,9 +37,10 @@
 OK: t.Final = 200
 BAD_REQUEST: t.Final = 400
 CONFLICT: t.Final = 409
-OTHER_LIFE: t.Final = 421
+OTHER_ID: t.Final = 421
 UNWELL: t.Final = (429, 503)
 ID_HEADER: t.Final = b"expect-instance"
+LOOK_PATH: t.Final = "/api/hold"
 # Ends that one answer of a box lists.
 ENDS_AT_ONCE: t.Final = 500
 # Of an answer. The page bounds neither the tasks on a box nor their checkpoints: with 1 MB
@@ -74,9 +77,14 @@
     born: _Born | None = None
 
 
+class _Birth(msgspec.Struct):
+    """What tells who answers a look."""
+
+    born: _Born | None = None
+
+
 class _LookAnswer(msgspec.Struct):
     clock_ms: int
-    born: _Born | None = None
     running: list[list[t.Any]] = []
     finished: list[list[t.Any]] = []
 
@@ -87,6 +95,7 @@
 
 
 _entries = msgspec.json.Decoder(_Entry)
+_births = msgspec.json.Decoder(_Birth)
 _looks = msgspec.json.Decoder(_LookAnswer)
 _orders = msgspec.json.Decoder(_OrderAnswer)
 _encode = msgspec.json.Encoder().encode
@@ -124,6 +133,46 @@
     )
 
 
+class _Life(Party):
+    """One life of a box, as a caller of an epoch is to reach it. Ids don't tell lives apart,
+    so a call is made over a connection to a box that has told when it was born."""
+
+    def __init__(self, life: str, token: int) -> None:
+        self._life = life
+        self._token = token
+
+    @property
+    def name(self) -> str:
+        """See :attr:`.Party.name`."""
+        return self._life
+
+    @property
+    def headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """The headers of a call to it."""
+        return (
+            (b"content-type", b"application/json"),
+            (ID_HEADER, box_id_of(self._life).encode()),
+        )
+
+    def question(self) -> Request:
+        """See :meth:`.Party.question`: a look that confirms nothing and renews nothing."""
+        body = _encode({"fencing_token": self._token, "last_seen": 0})
+        return Request(LOOK_PATH, self.headers, body)
+
+    def is_met(self, reply: Reply) -> bool | None:
+        """See :meth:`.Party.is_met`."""
+        if reply.status != OK:
+            return None
+        try:
+            born = _births.decode(reply.body).born
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return None
+        box_id = box_id_of(self._life)
+        if born is None and self._life != life_name(box_id, None):
+            return None
+        return is_same_life(self._life, box_id, born)
+
+
 class PlatformBoxes(BoxCalls):
     """Boxes over HTTP."""
 
@@ -146,13 +195,23 @@
         if wait_ms:
             body["wait_ms"] = wait_ms
         timeout_s = LOOK_TIMEOUT_S + wait_ms / 1000.0
-        reply = await self._call(address, life, "/api/hold", body, timeout_s)
-        if not isinstance(reply, Reply):
-            return reply
+        party = _Life(life, token)
+        request = Request(LOOK_PATH, party.headers, _encode(body))
+        reply = await self._caller.call_party(
+            party,
+            address,
+            request,
+            timeout_s,
+            limit=ANSWER_BYTES,
+            harmless=not known and lease_ends_ms is None,
+            tells=True,
+        )
+        if isinstance(reply, CallFailure):
+            return _failed(reply)
         if reply.status != OK:
-            return _rejected(reply)
+            return _refused(reply)
         try:
-            return _decode_look(life, reply.body)
+            return _decode_look(reply.body)
         except (msgspec.DecodeError, IndexError, ValueError, TypeError) as error:
             return BoxNoAnswer(f"malformed answer: {error}")
 
@@ -173,24 +232,28 @@
             body["checkpoint"] = checkpoint
         if ticket:
             body["ticket"] = ticket
-        return await self._order("/api/run-start", order, body)
+        return await self._order("/api/run-start", order, token, body)
 
     async def stop(self, order: TaskOrder, token: int) -> OrderOutcome:
         """See :meth:`.outside.BoxCalls.stop`."""
-        return await self._order("/api/run-stop", order, _order(order, token))
+        return await self._order("/api/run-stop", order, token, _order(order, token))
 
     async def pace(self, order: TaskOrder, token: int, percent: int) -> OrderOutcome:
         """See :meth:`.outside.BoxCalls.pace`."""
         body = _order(order, token)
         body["percent"] = percent
-        return await self._order("/api/pace", order, body)
+        return await self._order("/api/pace", order, token, body)
 
     async def _order(
-        self, path: str, order: TaskOrder, body: dict[str, t.Any]
+        self, path: str, order: TaskOrder, token: int, body: dict[str, t.Any]
     ) -> OrderOutcome:
-        reply = await self._call(order.address, order.life, path, body, ORDER_TIMEOUT_S)
-        if not isinstance(reply, Reply):
-            return reply
+        party = _Life(order.life, token)
+        request = Request(path, party.headers, _encode(body))
+        reply = await self._caller.call_party(
+            party, order.address, request, ORDER_TIMEOUT_S, limit=ANSWER_BYTES
+        )
+        if isinstance(reply, CallFailure):
+            return _failed(reply)
         if reply.status != OK:
             return _refused(reply)
         try:
@@ -198,37 +261,39 @@
         except msgspec.DecodeError as error:
             return BoxNoAnswer(f"malformed answer: {error}")
 
-    async def _call(
-        self,
-        address: str,
-        life: str,
-        path: str,
-        body: dict[str, t.Any],
-        timeout_s: float,
-    ) -> Reply | BoxReplaced | BoxNoAnswer:
-        headers = (
-            (b"content-type", b"application/json"),
-            (ID_HEADER, box_id_of(life).encode()),
-        )
-        reply = await self._caller.call(
-            address, path, headers, _encode(body), timeout_s, limit=ANSWER_BYTES
-        )
-        if isinstance(reply, CallFailure):
-            return BoxNoAnswer(
-                reply.proof.detail, reply.proof.may_have_run, reply.timed_out
-            )
-        if reply.status == OTHER_LIFE:
-            return BoxReplaced()
-        return reply
+
+def _failed(failure: CallFailure) -> OrderRejected | BoxReplaced | BoxNoAnswer:
+    """Return what a call came to that the life it was for has not answered."""
+    may_have_run, met = failure.proof.may_have_run, failure.stranger
+    if met is None:
+        return BoxNoAnswer(failure.proof.detail, may_have_run, failure.timed_out)
+    outcome = _another(met) if met.status == OK else _refused(met)
+    if isinstance(outcome, BoxNoAnswer):
+        return outcome._replace(sent=may_have_run)
+    return outcome
+
+
+def _another(met: Reply) -> BoxReplaced | BoxNoAnswer:
+    """Return who answered in the place of a life; nobody is taken for another on an
+    answer that doesn't tell, since what that life runs would be started elsewhere."""
+    try:
+        born = _births.decode(met.body).born
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return BoxNoAnswer(f"malformed answer: {error}")
+    if born is None:
+        return BoxNoAnswer("the answer doesn't tell when the box was born")
+    return BoxReplaced()
 
 
 def _order(order: TaskOrder, token: int) -> dict[str, t.Any]:
     return {"task": order.task, "run": order.run, "fencing_token": token}
 
 
-def _refused(reply: Reply) -> OrderRejected | BoxNoAnswer:
+def _refused(reply: Reply) -> OrderRejected | BoxReplaced | BoxNoAnswer:
     """Return how an order was refused. Only these statuses say that nothing was done; an
     order that failed in another way may have been carried out."""
+    if reply.status == OTHER_ID:
+        return BoxReplaced()
     if reply.status in (BAD_REQUEST, CONFLICT, *UNWELL):
         return _rejected(reply)
     return BoxNoAnswer(f"status {reply.status}")
@@ -246,12 +311,8 @@
     return OrderRejected(answer.reason, answer.clock_ms)
 
 
-def _decode_look(life: str, body: bytes) -> Look | BoxReplaced:
+def _decode_look(body: bytes) -> Look:
     raw = _looks.decode(body)
-    if not is_same_life(life, box_id_of(life), raw.born):
-        # Its ends are numbered anew: those up to a number that was known before were
-        # passed over, and their tasks done again, or never.
-        return BoxReplaced()
     running = tuple(
         RunningTask(row[0], row[1], row[2], row[3], row[4] if len(row) > 4 else 0.0)
         for row in raw.running
