--- a/features/native_machines.py
+++ b/features/native_machines.py
@@ -38,7 +38,7 @@
 
     @initialize(seed=st.integers(0, 10**6), boxes=st.integers(1, 5))
     def begin(self, seed, boxes):
-        self.world = ShardWorld(seed, boxes, ("h1", "h2"))
+        self.world = ShardWorld(seed, boxes, ("h1", "h2"), keep_ids=bool(seed % 2))
         self.jobs = []
         self.world.advance(0.3)
 
--- a/features/random_shard.py
+++ b/features/random_shard.py
@@ -1,6 +1,6 @@
 """Seeded random work and faults over the real decider among model boxes, with tasks that
 crash each box that starts them. By hand: ``python features/random_shard.py FIRST LAST``
-plays seeds (after ``rooms``, ``suspended`` or ``parted`` boxes also shrink and grow, machines are suspended, or deciders go on without the store), ``python features/random_shard.py innocent FIRST LAST`` counts jobs that are
+plays seeds (after ``rooms``, ``suspended``, ``parted`` or ``restarts`` boxes also shrink and grow, machines are suspended, deciders go on without the store, or boxes that crash keep their ids and do so more often), ``python features/random_shard.py innocent FIRST LAST`` counts jobs that are
 given up though they did nothing wrong."""
 
 import random
@@ -18,11 +18,12 @@
     *("kill", "depose", "freeze", "thaw", "crash", "crash", "cut"),
     *("disturb", "hall", "forget", "store", "bad", "bad"),
 ]
-# Boxes that shrink and grow; machines of deciders that are suspended; deciders that go on
+# Boxes that shrink and grow; that start again under their ids; machines of deciders that are suspended; deciders that go on
 # without the store, each reaching some boxes.
 MORE = {
     "rooms": (*["room"] * 4, *["submit"] * 3),
     "suspended": (*["suspend"] * 4, *["wake"] * 3, *["submit"] * 3),
+    "restarts": (*["crash"] * 4, *["submit"] * 3),
     "parted": (*["part"] * 4, *["join"] * 2, *["submit"] * 3, *["cut"] * 3),
 }
 FULL_ROOM = 4000
@@ -33,14 +34,16 @@
 class RandomShard:
     """One seed: sixty things that happen, and then everything settles.
 
-    :param more: what else happens than the kinds above; each as often as it stands there.
+    :param more: what else happens than the kinds above, by its name in ``MORE``; each as
+        often as it stands there.
     """
 
-    def __init__(self, seed, more=()):
-        self._kinds = [*KINDS, *more]
+    def __init__(self, seed, more=""):
+        self._kinds = [*KINDS, *MORE.get(more, ())]
         self._draw = random.Random(seed)
         boxes = self._draw.randrange(10**6), self._draw.randint(1, 5)
-        self.world = ShardWorld(*boxes, ("h1", "h2"))
+        keep_ids = more == "restarts"
+        self.world = ShardWorld(*boxes, ("h1", "h2"), keep_ids=keep_ids)
         self._jobs = []
 
     def run(self):
@@ -156,9 +159,7 @@
 
 
 def main():
-    more = MORE.get(sys.argv[1], ())
-    if more:
-        del sys.argv[1]
+    more = sys.argv.pop(1) if sys.argv[1] in MORE else ""
     if sys.argv[1] == "innocent":
         rows = [crashes_among_others(s) for s in range(*map(int, sys.argv[2:4]))]
         crashes = [count for row in rows for count in row[0]]
--- a/features/restarted_box.feature
+++ b/features/restarted_box.feature
@@ -92,3 +92,40 @@
       | "17"    | refused, naming b                    |
       | true    | refused, naming b                    |
       | -1      | refused, naming b                    |
+
+  Scenario: A successor takes back at once what its predecessor placed on an earlier life
+    Waiting until no lease of a predecessor's can run took as long as for a box that is gone.
+    Given a decider that placed a task on the life b@1 of box b, alone in its list
+    When box b starts again as b@2, another decides, and b@2 answers its first look
+    Then at once the task is started on b@2, as run 2
+
+  Scenario: A life that only an older list shows takes nothing from the one that answers
+    Given a decider that placed a task on the life b@2 of box b, alone in its list
+    When another decides, whose list shows b@1 still, and another life answers there
+    Then the task waits
+    When b@2 is listed, answers, and runs it
+    Then the task runs on b@2, as run 1
+
+  Scenario Outline: Records that name a box by its id are about the life that is listed
+    A version before lives had names wrote them; its work was to go on.
+    Given a decider that placed a task on the life b of box b, alone in its list
+    When another decides, whose list shows b@2, and that one <shows> at its first look
+    Then the task <goes on> on b@2, as run <run>
+
+    Examples:
+      | shows                 | goes on    | run |
+      | runs it               | runs       | 1   |
+      | lists nothing         | is started | 2   |
+
+  Scenario Outline: Random work and faults on boxes that start again under their ids, seed <seed>
+    When boxes crash often and keep their ids on a shard from seed <seed>
+    Then no promise was broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -12,7 +12,6 @@
 from granitetrestle.workflows import Workflow
 from granitetrestle_standins.shardworld import PromiseBroken
 from granitetrestle_standins.shardworld import ShardWorld
-from random_shard import MORE
 from random_shard import RandomShard
 from random_shard import crashes_among_others
 
@@ -175,6 +174,13 @@
     context.shard.run()
 
 
+@when("boxes crash often and keep their ids on a shard from seed {seed:d}")
+def random_restarts(context, seed):
+    context.shard = RandomShard(seed, "restarts")
+    # Raises when a promise is broken.
+    context.shard.run()
+
+
 @then("no promise was broken")
 def no_promise_broken(context):
     context.shard.world.check()
@@ -257,7 +263,7 @@
     "random work and faults run on a shard whose boxes shrink and grow from seed {seed:d}"
 )
 def random_rooms(context, seed):
-    context.shard = RandomShard(seed, MORE["rooms"])
+    context.shard = RandomShard(seed, "rooms")
     context.shard.run()
 
 
@@ -288,7 +294,7 @@
     "random work and faults run on a shard whose deciders are suspended from seed {seed:d}"
 )
 def random_suspended(context, seed):
-    context.shard = RandomShard(seed, MORE["suspended"])
+    context.shard = RandomShard(seed, "suspended")
     context.shard.run()
 
 
@@ -296,5 +302,5 @@
     "random work and faults run on a shard whose deciders are parted from seed {seed:d}"
 )
 def random_parted(context, seed):
-    context.shard = RandomShard(seed, MORE["parted"])
+    context.shard = RandomShard(seed, "parted")
     context.shard.run()
--- /dev/null
+++ b/features/steps/life_steps.py
@@ -0,0 +1,129 @@
+"""Steps of the scenarios over what a successor makes of the lives of a box."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import StartTask
+from granitetrestle.decisions import StopTask
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.lives import box_id_of
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import BoxReplaced
+from granitetrestle.outside import Look
+from granitetrestle.outside import OrderAccepted
+from granitetrestle.outside import RunningTask
+from granitetrestle.workflows import RUNNING
+from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+from session_world import CONFIG
+from session_world import TERMS
+
+JOB = "1".rjust(16, "0")
+TASK = f"{JOB}.0.0.0"
+STEP = Step(count=1, cpu=500, memory_mb=1, estimate_ms=200)
+NOTHING = Look(100, (), ())
+
+
+def entry(life):
+    room = (8000, 8000, 0)
+    return BoxEntry(
+        life,
+        "b:1",
+        "pool",
+        "h",
+        "r",
+        frozenset(),
+        *room,
+        False,
+        None,
+        box_id=box_id_of(life),
+    )
+
+
+def new_decider(now):
+    decider = Decider(TERMS, now)
+    decider.configured(CONFIG)
+    return decider
+
+
+def listed(decider, life, now):
+    return decider.fleet.listed({life: entry(life)}, now)
+
+
+def decided(decider, now):
+    return decider.decide(now, int(now * 1000))
+
+
+@given("a decider that placed a task on the life {life} of box b, alone in its list")
+def placed(context, life):
+    decider = new_decider(0.0)
+    listed(decider, life, 0.0)
+    decider.fleet.looked(life, 0.1, 0.1, NOTHING)
+    job = Submission(JOB, "q", "pool", "s", (STEP,))
+    decider.called("r", SubmitJob(job), 0.2)
+    (start,) = [d for d in decided(decider, 0.2) if isinstance(d, StartTask)]
+    decider.start_answered(life, start.task, start.run, OrderAccepted(200), 0.3)
+    context.left = decider.take_writes()
+
+
+def takes_over(context, life):
+    context.decider = decider = new_decider(1.0)
+    decider.restore(context.left, 1.0)
+    context.effects = listed(decider, life, 1.0)
+
+
+def looked(context, life, outcome, now):
+    context.effects = context.decider.fleet.looked(life, now, now, outcome)
+    context.effects += decided(context.decider, now)
+
+
+RUNS_IT = Look(100, (RunningTask(TASK, 1, "", 10, 0.0),), ())
+
+
+@when("box b starts again as b@2, another decides, and b@2 answers its first look")
+def starts_again(context):
+    takes_over(context, "b@2")
+    looked(context, "b@2", NOTHING, 1.1)
+
+
+@when("another decides, whose list shows b@1 still, and another life answers there")
+def older_list(context):
+    takes_over(context, "b@1")
+    looked(context, "b@1", BoxReplaced(), 1.1)
+
+
+@when("b@2 is listed, answers, and runs it")
+def then_listed(context):
+    listed(context.decider, "b@2", 1.2)
+    looked(context, "b@2", RUNS_IT, 1.3)
+
+
+@when("another decides, whose list shows b@2, and that one {shows} at its first look")
+def shows(context, shows):
+    takes_over(context, "b@2")
+    looked(context, "b@2", RUNS_IT if shows == "runs it" else NOTHING, 1.1)
+
+
+def starts(context):
+    return [d for d in context.effects if isinstance(d, StartTask)]
+
+
+@then("at once the task is started on {life}, as run {run:d}")
+@then("the task is started on {life}, as run {run:d}")
+def started(context, life, run):
+    assert [(d.life, d.run) for d in starts(context)] == [(life, run)], context.effects
+
+
+@then("the task waits")
+def waits(context):
+    assert not starts(context), context.effects
+    assert context.decider.state.find_task(TASK).run == 1
+
+
+@then("the task runs on {life}, as run {run:d}")
+def runs(context, life, run):
+    task = context.decider.state.find_task(TASK)
+    assert not any(isinstance(d, StartTask | StopTask) for d in context.effects)
+    assert (task.state, task.box, task.run) == (RUNNING, life, run)
