--- a/features/steps/known_red_steps.py
+++ b/features/steps/known_red_steps.py
@@ -54,6 +54,11 @@
         text = report("", "passed", outline=True)
     elif what == "the report breaks off":
         text = report("passed", "passed")[:-20]
+    elif what == "one scenario fails and says why":
+        (feature,) = json.loads(report("failed", "passed"))
+        result = {"status": "failed", "error_message": ["ASSERT FAILED:", " 0.5"]}
+        feature["elements"][1]["steps"] = [{"result": result}]
+        text = json.dumps([feature])
     else:
         text = report(*RUNS[what])
     written = context.folder / "report.json"
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -17,6 +17,8 @@
 ROOT: t.Final = pathlib.Path(__file__).resolve().parent.parent
 PARTS: t.Final = ("scenario", "cause", "command and seed", "what was seen", "issue")
 PASSED: t.Final = "passed"
+# Of why a scenario failed so many characters are printed.
+REASON_LENGTH: t.Final = 400
 # Scenarios that behave leaves out by itself, as by a tag.
 LEFT_OUT: t.Final = frozenset({"skipped"})
 
@@ -59,8 +61,8 @@
 
 
 def read_report(text: str) -> dict[str, str]:
-    """Return the status of each scenario, by file and name; rows of an outline are
-    told apart by the values in their names."""
+    """Return the status of each scenario, by file and name, and the reason if it is
+    not a good one; rows of an outline are told apart by the values in their names."""
     results: dict[str, str] = {}
     for feature in json.loads(text):
         file = feature["location"].rpartition(":")[0]
@@ -72,10 +74,21 @@
             name = element["name"].partition(" -- @")[0].strip()
             key = f"{file}: {name}"
             if results.get(key, PASSED) == PASSED:
-                results[key] = element["status"]
+                results[key] = _with_reason(element)
     return results
 
 
+def _with_reason(element: t.Mapping[str, t.Any]) -> str:
+    status = str(element["status"])
+    for step in element.get("steps", ()):
+        message = step.get("result", {}).get("error_message")
+        if message:
+            lines = message if isinstance(message, list) else message.splitlines()
+            told = " ".join(line.strip() for line in lines if line.strip())
+            return f"{status}: {told[:REASON_LENGTH]}"
+    return status
+
+
 def judge(results: t.Mapping[str, str], known_text: str) -> Verdict:
     """Return what a run comes to."""
     known, complaints = read_list(known_text)
