--- a/features/restarted_box.feature
+++ b/features/restarted_box.feature
@@ -61,8 +61,8 @@
     Nobody is taken for another life on an answer that doesn't tell: what the one that was
     meant runs would be started elsewhere. Boxes that don't say have a new id for each life.
     Given a box that was listed as born <listed>, and answers as born <answers>
-    When a start and a look that confirms ends are sent to it
-    Then both are <come to>, and the start has <reached> it
+    When a first look, a start and a look that confirms ends each come as first to it
+    Then all are <come to>, and the start has <reached> it
 
     Examples:
       | listed | answers | come to                  | reached     |
@@ -80,6 +80,11 @@
     Then one connection was opened, on which nothing but these was asked
     And after it was closed a start asks once more
 
+  Scenario: An answer of another life on an open connection is believed, and nothing more is sent there
+    Given a box that was listed as born 5, and answers as born 5
+    When it has taken a start, answers as born 6, and a look and a start come
+    Then the look is answered by another life, and so is the start, over a new connection
+
   Scenario Outline: A box that was born <born> is <taken>
     When a box's entry says that it was born <born>
     Then the entry is <taken>
@@ -117,6 +122,16 @@
       | runs it               | runs       | 1   |
       | lists nothing         | is started | 2   |
 
+  Scenario: The next life of a box ends the one before, wherever it is listed
+    Given a decider that placed a task on the life b@1 of box b, alone in its list
+    When the list shows b@2 in its place, at another address
+    Then the life b@1 is over, and its task waits
+
+  Scenario: Advice is asked for by ids, and its tickets are those of lives
+    Given an advice service that names box b with the ticket "t", and box x
+    When it is asked about the lives b@1 and c@2
+    Then it was asked about b and c, and the life b@1 alone has a ticket, "t"
+
   Scenario Outline: Random work and faults on boxes that start again under their ids, seed <seed>
     When boxes crash often and keep their ids on a shard from seed <seed>
     Then no promise was broken
--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -1,9 +1,14 @@
-"""Steps of the scenarios over what a successor makes of the lives of a box."""
+"""Steps of the scenarios over what a decider makes of the lives of a box."""
 
+import json
+
+import anyio
 from behave import given
 from behave import then
 from behave import when
 
+from granitetrestle.calls import Caller
+from granitetrestle.calls import Reply
 from granitetrestle.decider import Decider
 from granitetrestle.decisions import StartTask
 from granitetrestle.decisions import StopTask
@@ -14,6 +19,7 @@
 from granitetrestle.outside import Look
 from granitetrestle.outside import OrderAccepted
 from granitetrestle.outside import RunningTask
+from granitetrestle.platform.advice import PlatformAdvisor
 from granitetrestle.workflows import RUNNING
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
@@ -66,6 +72,7 @@
     (start,) = [d for d in decided(decider, 0.2) if isinstance(d, StartTask)]
     decider.start_answered(life, start.task, start.run, OrderAccepted(200), 0.3)
     context.left = decider.take_writes()
+    context.decider = decider
 
 
 def takes_over(context, life):
@@ -127,3 +134,49 @@
     task = context.decider.state.find_task(TASK)
     assert not any(isinstance(d, StartTask | StopTask) for d in context.effects)
     assert (task.state, task.box, task.run) == (RUNNING, life, run)
+
+
+@when("the list shows b@2 in its place, at another address")
+def moved(context):
+    moved = entry("b@2")._replace(address="b:2")
+    context.effects = context.decider.fleet.listed({"b@2": moved}, 0.4)
+
+
+@then("the life b@1 is over, and its task waits")
+def over(context):
+    over = [d.subject for d in context.effects if getattr(d, "event", "") == "box_over"]
+    assert over == ["b@1"], context.effects
+    assert context.decider.state.find_task(TASK).box == ""
+
+
+class AdviceService(Caller):
+    """Answers each call with the same rows."""
+
+    def __init__(self, rows):
+        super().__init__()
+        self.answer = json.dumps({"good": rows, "valid_ms": 1000}).encode()
+        self.asked = []
+
+    async def call(self, address, path, headers=(), body=b"", *args, **options):
+        """See :class:`Caller`."""
+        self.asked += json.loads(body)["workers"]
+        return Reply(200, (), self.answer)
+
+
+@given(
+    'an advice service that names box {box} with the ticket "{ticket}", and box {other}'
+)
+def advice_service(context, box, ticket, other):
+    context.service = AdviceService([[box, ticket], [other, "y"]])
+
+
+@when("it is asked about the lives {first} and {second}")
+def asked_about(context, first, second):
+    advisor = PlatformAdvisor("address", context.service)
+    context.advice = anyio.run(advisor.advise, "job.0.0", (first, second))
+
+
+@then('it was asked about b and c, and the life {life} alone has a ticket, "{ticket}"')
+def has_ticket(context, life, ticket):
+    assert context.service.asked == ["b", "c"], context.service.asked
+    assert context.advice.tickets == {life: ticket}, context.advice
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -213,7 +213,7 @@
     """A box that answers every call well, and says that it was born as it is told to."""
 
     def __init__(self, born):
-        self._born = {} if born == "nothing" else {"born": json.loads(born)}
+        self.born = {} if born == "nothing" else {"born": json.loads(born)}
         self.paths = []
         self.connections = []
         self.address = ""
@@ -226,7 +226,7 @@
                 length = int(head.lower().partition("content-length: ")[2].split()[0])
                 asked = json.loads(await reader.readexactly(length))
                 self.paths.append((head.split()[1], asked.get("last_seen")))
-                body = json.dumps({**self._born, "clock_ms": 100}).encode()
+                body = json.dumps({**self.born, "clock_ms": 100}).encode()
                 answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
                 writer.write(answer + body)
 
@@ -268,23 +268,24 @@
     return await boxes.look(context.life, told.address, EPOCH, known, until, 0)
 
 
-@when("a start and a look that confirms ends are sent to it")
-def start_and_look(context):
-    async def script(boxes):
-        context.started = await start(boxes, context)
-        context.looked = await look(boxes, context, 3, 4000)
+@when("a first look, a start and a look that confirms ends each come as first to it")
+def each_as_first(context):
+    async def script(_):
+        context.first = await look(PlatformBoxes(Caller()), context, 0, None)
+        context.started = await start(PlatformBoxes(Caller()), context)
+        context.looked = await look(PlatformBoxes(Caller()), context, 3, 4000)
 
     context.told.play(script)
 
 
-@then("both are {come_to}, and the start has {reached} it")
+@then("all are {come_to}, and the start has {reached} it")
 def come_to(context, come_to, reached):
     kinds = {
-        "carried out": (OrderAccepted, Look),
-        "answered by another life": (BoxReplaced, BoxReplaced),
-        "not answered": (BoxNoAnswer, BoxNoAnswer),
+        "carried out": (Look, OrderAccepted, Look),
+        "answered by another life": (BoxReplaced,) * 3,
+        "not answered": (BoxNoAnswer,) * 3,
     }
-    outcomes = (context.started, context.looked)
+    outcomes = (context.first, context.started, context.looked)
     assert tuple(map(type, outcomes)) == kinds[come_to], outcomes
     paths = [path for path, _ in context.told.paths]
     assert ("/api/run-start" in paths) == (reached == "reached"), paths
@@ -326,6 +327,30 @@
     assert context.then == (asked, 2), context.then
 
 
+@when("it has taken a start, answers as born 6, and a look and a start come")
+def outlived(context):
+    told = context.told
+
+    async def script(boxes):
+        assert isinstance(await start(boxes, context), OrderAccepted)
+        told.born = {"born": 6}
+        context.looked = await look(boxes, context, 3, 4000)
+        context.started = await start(boxes, context)
+
+    told.play(script)
+
+
+@then(
+    "the look is answered by another life, and so is the start, over a new connection"
+)
+def outlived_answers(context):
+    assert isinstance(context.looked, BoxReplaced), context.looked
+    assert isinstance(context.started, BoxReplaced), context.started
+    told = context.told
+    assert len(told.connections) == 2
+    assert [path for path, _ in told.paths].count("/api/run-start") == 1, told.paths
+
+
 @when("a box's entry says that it was born {born}")
 def entry_says(context, born):
     try:
--- /dev/null
+++ b/tools/life_mutants.py
@@ -0,0 +1,95 @@
+"""Mutants of what tells the lives of a box apart."""
+
+from mutant import Mutant
+
+__all__ = ["LIFE_MUTANTS"]
+
+LIFE_MUTANTS = (
+    Mutant(
+        "life: whoever has the id is taken for the life",
+        (
+            (
+                "lives.py",
+                "return life in (life_name(box_id, born), life_name(box_id, None))",
+                "return box_id_of(life) == box_id",
+            ),
+        ),
+        "restarted_box",
+    ),
+    Mutant(
+        "life: a new connection is used without asking who answers",
+        (
+            (
+                "calls.py",
+                "if self.party is None or not self.asks:",
+                "if True:",
+            ),
+        ),
+        "restarted_box",
+    ),
+    Mutant(
+        "life: the answer to a first look counts whoever gave it",
+        (
+            (
+                "calls.py",
+                "if met or (met is None and proved):",
+                "if True:",
+            ),
+        ),
+        "restarted_box",
+    ),
+    Mutant(
+        "life: nobody who answers is taken for another life",
+        (
+            (
+                "platform/boxes.py",
+                "if born is None:\n        return BoxNoAnswer",
+                "if True:\n        return BoxNoAnswer",
+            ),
+        ),
+        "restarted_box",
+    ),
+    Mutant(
+        "life: a name is made of the id alone",
+        (
+            (
+                "lives.py",
+                "if born is None:",
+                "if True:",
+            ),
+        ),
+        "restarted_box",
+    ),
+    Mutant(
+        "life: a successor keeps what stood on earlier lives of a box that answers",
+        (("fleet.py", "effects += self._lives_before(box, now)\n", ""),),
+        "restarted_box",
+    ),
+    Mutant(
+        "life: records that name a box by its id are about no listed life",
+        (
+            (
+                "fleet.py",
+                "for name in {box.life, box.entry.box_id}:",
+                "for name in {box.life}:",
+            ),
+        ),
+        "restarted_box",
+    ),
+    Mutant(
+        "life: the next life of an id ends the one before only at the same address",
+        (("fleet.py", "by_id.get(box.entry.box_id) or ", ""),),
+        "restarted_box",
+    ),
+    Mutant(
+        "life: advice is asked for by the names of lives",
+        (
+            (
+                "platform/advice.py",
+                "by_id = {box_id_of(life): life for life in lives}",
+                "by_id = {life: life for life in lives}",
+            ),
+        ),
+        "restarted_box",
+    ),
+)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 
+from life_mutants import LIFE_MUTANTS
 from mutant import Mutant
 from native_mutants import NATIVE_MUTANTS
 from older_mutants import OLDER_MUTANTS
@@ -18,7 +19,7 @@
 TIMEOUT_S = 240
 
 
-MUTANTS = (*OLDER_MUTANTS, *NATIVE_MUTANTS, *RECOVERY_MUTANTS)
+MUTANTS = (*OLDER_MUTANTS, *NATIVE_MUTANTS, *RECOVERY_MUTANTS, *LIFE_MUTANTS)
 
 
 def survives(mutant: Mutant) -> bool:
