--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -236,8 +236,8 @@
             return False
         self._failed_at = now
         if now < self.aside_until:
-            # It says nothing new. Four that failed together closed a box for 16 s instead
-            # of 4, and lasting work that had room nowhere else was away for 24 s.
+            # It says nothing new: runs that fail together would lengthen the pause each,
+            # and keep lasting work away that has room nowhere else.
             return False
         self._failed_jobs.add(job)
         self._failed_runs += 1
--- a/src/granitetrestle/boxindex.py
+++ b/src/granitetrestle/boxindex.py
@@ -1,7 +1,6 @@
 """Which boxes are open for work, by the pool they belong to, and which of them changed
-since when: a pass of placement looks only at what changed since the last one. With a
-walk over all boxes for each waiting task, deciding for four times as many boxes and as
-much work cost eleven times as much."""
+since when: a pass of placement looks only at what changed since the last one. A walk over
+all boxes for each waiting task costs as boxes times work."""
 
 import collections
 import heapq
--- a/src/granitetrestle/connection.py
+++ b/src/granitetrestle/connection.py
@@ -1,7 +1,6 @@
 """One HTTP/1.1 connection of a client, over asyncio's transports and httptools, the
-parser that uvicorn uses. httpcore spends 0.84 ms of processor time on a call, this
-0.11 (3,000 calls of one process to itself); a decider makes some 200 calls a second
-on 0.43 of a core. Connections are pooled by :mod:`.calls`."""
+parser that uvicorn uses: a decider makes hundreds of calls a second on part of a core,
+which general clients take too long for. Connections are pooled by :mod:`.calls`."""
 
 import asyncio
 import socket
--- a/src/granitetrestle/decider.py
+++ b/src/granitetrestle/decider.py
@@ -329,7 +329,7 @@
         task = self._state.find_task(name)
         current = task is not None and task.run == run and task.box == life
         # A box that says it is unwell has done nothing: an order to start that got no answer
-        # was carried out 6 s later, after another run had been done.
+        # may be carried out still, after another run is done.
         refused = isinstance(outcome, OrderRejected) and outcome.reason != "unhealthy"
         answered = isinstance(outcome, OrderAccepted) or refused
         if task is not None and current and answered and task.state == STOPPING:
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -222,8 +222,8 @@
         self, entry: WaitingStep, task: Task, pool: Pool, now: float
     ) -> BoxView | None:
         """Return a box that is put aside, to be tried with a task that lasts and has
-        room nowhere else. Without that it ran 10 s after the box was well (model box
-        that failed all it started for 30 s), and soon after with it."""
+        room nowhere else: else nothing would tell that the box is well again, and what
+        lasts would wait for the end of the pause."""
         able = [
             box
             for box in self._ticketed(entry, pool.aside.values())
@@ -244,9 +244,8 @@
         self, entry: WaitingStep, suspects: list[Task], pool: Pool, now: float
     ) -> list[Decision]:
         """Start tasks under which boxes have crashed, each where a crash would tell most.
-        Placed as others are, 24 of 6,169 jobs that did nothing wrong were given up as
-        well, and one task that did wrong was started too often; so none was of 6,581 (20
-        seeds of 12 model boxes with six such tasks in 40 s)."""
+        Placed as others are, they take down boxes together, so that jobs that did nothing
+        wrong are given up with them."""
         if not suspects:
             return []
         effects: list[Decision] = []
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -38,8 +38,8 @@
 __all__ = ["Fleet", "LookPlan"]
 
 # A box that has not answered for so long gets no more lease, so that what it runs
-# has a known end. Two looks and their time-outs fit in. Without it, where leases last
-# 4 s, a box that was silent for 6 s lost what it had done meanwhile: it was done twice.
+# has a known end. Two looks and their time-outs fit in. Without it a box that is silent
+# for longer than a lease loses what it does meanwhile, and it is done twice.
 SILENT_S: t.Final = 1.2
 # A look waits so long for an end; shorter where the pace may have to change.
 LOOK_WAIT_MS: t.Final = 1500
@@ -83,8 +83,8 @@
 
     def inherited_ends_of(self, life: str) -> float:
         """Return when no lease that a predecessor gave a box can run any more. Where it
-        had ceased to renew them, tasks of lost boxes ran elsewhere 14.4 s after a
-        take-over without that record, and 6.4 s after it with it (leases of 6 s)."""
+        had ceased to renew them and written that down, tasks of lost boxes wait for one
+        lease, not for what it may have gone on for as well."""
         if life in self._state.withdrawn_leases:
             return self._withdrawn_ends
         return self._inherited_ends
@@ -107,15 +107,15 @@
                 continue
             successor = by_id.get(box.entry.box_id) or by_address.get(box.entry.address)
             # An entry that outlives its box is no successor of the life that came after
-            # it: what that one ran was taken for lost, and started a second time.
+            # it: what that one runs would be taken for lost, and run a second time.
             if successor is None or successor in self._ended:
                 continue
             if order.get(successor, len(order)) > order[life]:
                 effects += self.box_over(life, f"replaced by {successor}", now)
         self._ended &= entries.keys()
         for life, entry in entries.items():
-            # One that has ended was entered, looked at and ended anew with each list, up
-            # to four times, while its entry stayed.
+            # One that has ended would be entered, looked at and ended anew with each list
+            # while its entry stays.
             if life not in self._ended:
                 effects += self._entered(life, entry, now)
             yield
@@ -195,7 +195,7 @@
         blamed = NOBODY
         if not box.entry.draining and not box.left_answering:
             # A box that crashes lists no ends: without this count a task that crashes
-            # every box that starts it was started for ever.
+            # every box that starts it would be started for ever.
             blamed = blame(may_have_crashed(box), box.lost_at or box.clock_at)
         effects: list[Decision] = []
         for task in list(box.tasks.values()):
@@ -301,14 +301,14 @@
         placed = len(box.tasks)
         effects += self._compare(box, sent, now)
         if look.more_ends:
-            # What is in neither list may have ended: tasks that a successor took for
-            # never begun were started again, and done twice.
+            # What is in neither list may have ended: a successor would take it for never
+            # begun, and start it again.
             return effects + self._keep_targets(box, now)
         effects += self._compare_absent(box, sent, now)
         if not box.adopted:
             box.adopted = True
             # It refuses a predecessor's leases from here on, and none that it has is
-            # longer: tasks were away for up to the 8 s more that one may go on for.
+            # longer: its tasks need not wait for what that one may still have renewed.
             lease_ends = now + self._state.terms.lease_bound_s
             box.lease_ends = min(box.lease_ends, lease_ends)
             inputs = {
--- a/src/granitetrestle/headroom.py
+++ b/src/granitetrestle/headroom.py
@@ -86,8 +86,8 @@
 
 
 class KeptBoxes(Headroom):
-    """Keeps whole boxes, so that wide tasks find room in one piece. Without it worth
-    fell by 0.023 +- 0.009 where lasting work takes nearly all room (16 pairs of days)."""
+    """Keeps whole boxes, so that wide tasks find room in one piece where lasting work
+    takes nearly all of it."""
 
     def __init__(self) -> None:
         self._needs: dict[str, float] = {}
--- a/src/granitetrestle/idletails.py
+++ b/src/granitetrestle/idletails.py
@@ -20,8 +20,8 @@
 
 
 class IdleTails:
-    """Follows the shortest tails of each image. With the prior alone worth fell by
-    0.023 +- 0.011 where tails are a fifth longer than it says (16 pairs of days).
+    """Follows the shortest tails of each image, so that what fills is paced right also
+    where tails are longer than the prior says.
 
     :param learns: whether looks change what is believed.
     """
--- a/src/granitetrestle/interference.py
+++ b/src/granitetrestle/interference.py
@@ -14,9 +14,8 @@
 __all__ = ["Interference", "PairRow"]
 
 # Strength: by how much a pair stretches work when the filler takes the whole box.
-# Means and variances of weak and of strong pairs, and the share of strong ones:
-# fitted to the looks of one quiet day on each deployment (89 pairs; weak ones lie at
-# 0 to 1, strong ones at 2 to 9; 38 are strong).
+# Means and variances of weak and of strong pairs, and the share of strong ones. They
+# stand for a pair until looks tell.
 WEAK: t.Final = 0.4
 WEAK_VARIANCE: t.Final = 0.09
 STRONG: t.Final = 4.6
--- a/src/granitetrestle/jobsizes.py
+++ b/src/granitetrestle/jobsizes.py
@@ -30,7 +30,7 @@
 # Below this many jobs of a queue its largest tenth says nothing.
 JOBS_NEEDED: t.Final = 20
 # Jobs that came, and what they were given, are forgotten at this rate. The promise is kept
-# over minutes: with 20 s each short burst took room from what could still be in time.
+# over minutes, so that a short burst takes no room from what can still be in time.
 FORGET_S: t.Final = 150.0
 
 
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -20,7 +20,7 @@
 __all__ = ["Journal", "JournalStatus", "NotKept"]
 
 # The store's calls are priced and limited; half of this is added to a decision at
-# the mean, out of some 500 ms that a short job leaves.
+# the mean, little beside what a short job may take.
 BATCH_EVERY_S: t.Final = 0.015
 # With nothing to write, an append of the mark alone proves that this epoch decides.
 CONFIRM_EVERY_S: t.Final = 0.4
@@ -185,9 +185,9 @@
         return self._clock() - self._confirmed_at > CONFIRM_EVERY_S
 
     async def _append(self, part: t.Sequence[Record]) -> _Outcome:
-        # With its mark no append is empty. An empty one had its number in common with the
-        # next, which a store may answer as a repeat and not keep: of the tasks that were
-        # done, 263 in 50 s were started again after nine changes of decider.
+        # With its mark no append is empty. An empty one has its number in common with the
+        # next, which a store may answer as a repeat and not keep: a successor would start
+        # again what was done.
         records = self._marks.marked(part)
         self._sequence += 1
         writer = Writer(self._epoch, self._sequence)
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -21,9 +21,9 @@
 ISOLATED_S: t.Final = 1.0
 # A decider that the store refuses is given this long to find out for itself.
 STORE_LOST_S: t.Final = 0.4
-# A process that is taking over is left this long; with the store 90 times as slow as
-# usual it needs 1.6 s. Those after the next leave it so many times their patience longer:
-# when nobody reached the store, 11 tried again and again, and three took over in a row.
+# A process that is taking over is left this long, so that one on a slow store ends. Those
+# after the next leave it so many times their patience longer: where nobody reaches the
+# store, all would try again and again, and depose each other once it is back.
 MOST_LEFT_S: t.Final = 4.0
 LEFT_LONGER: t.Final = 4.0
 # Pause between two tries of one process; it counts as trying through the pause.
@@ -172,8 +172,8 @@
         if node != self._node:
             self._begins(epoch, node, now)
         elif epoch != self._took:
-            # A process that believed others that it decides waited for itself, and its
-            # reports kept their belief: nobody decided for 75 s, until the end.
+            # A process that believed others that it decides would wait for itself, and its
+            # reports would keep their belief: nobody would decide any more.
             if epoch > self._epoch:
                 self._begins(epoch, "", now)
             self._leader_heard = now - SILENT_S
@@ -374,8 +374,8 @@
             if self._peers[name].status.ready
         ]
         able.sort(key=lambda status: (-status.cores, status.node))
-        # A data hall may be cut off with all its processes: the next is in another one.
-        # With both in one hall a cut was noticed and answered 0.7 s later.
+        # A data hall may be cut off with all its processes: the next is in another one,
+        # so that a cut costs one wait and not two.
         turns: collections.Counter[str] = collections.Counter({self._hall: 1})
         order: list[tuple[float, int, str]] = []
         for status in able:
--- a/src/granitetrestle/lookbudget.py
+++ b/src/granitetrestle/lookbudget.py
@@ -24,15 +24,14 @@
 BUSY_PART: t.Final = 0.4
 # Without a look that waits, the end of a task is seen this much later at most.
 BUSY_PAUSE_S: t.Final = 0.8
-# Looks a second at boxes that run nothing, all together: a tenth of what a process on 0.43
-# of a core can make. The store's list says sooner which of them are gone.
+# Looks a second at boxes that run nothing, all together: a small part of what the smallest
+# process can make. The store's list says sooner which of them are gone.
 IDLE_LOOKS_PER_S: t.Final = 60.0
 IDLE_PAUSE_S: t.Final = 2.0
 
 
-# First looks are given up after 0.7 s; answers within half of that show no overload, also
-# where a process gets its processor in steps of a tenth of a second. No gain was measured:
-# 104 and 101 new connections a second at the busiest with 0.08 and 0.35 s (one play each).
+# Answers within half of the time after which first looks are given up show no overload,
+# also where a process gets its processor in steps of a tenth of a second.
 OPENING_SLOW_S: t.Final = 0.35
 OPENING_AT_LEAST: t.Final = 16
 
--- a/src/granitetrestle/orderwindow.py
+++ b/src/granitetrestle/orderwindow.py
@@ -39,8 +39,8 @@
 # decider's order of urgency, and the boxes chosen for them their room.
 AHEAD: t.Final = 2
 # An order waits about so often for this process's own event loop. Without it a decider
-# that was busy with 1,500 boxes took its own delay for the link's, and tasks waited for
-# over twenty seconds beside free room.
+# that is busy with many boxes takes its own delay for the link's, and tasks wait beside
+# free room.
 OWN_TURNS: t.Final = 4.0
 # The window shrinks to this share, at most so often: once for each queue it caused.
 SHRINK: t.Final = 0.7
--- a/src/granitetrestle/overload.py
+++ b/src/granitetrestle/overload.py
@@ -12,8 +12,7 @@
 
 __all__ = ["BoxLoad", "bearable_pace", "bearable_stretch", "box_load"]
 
-# Share of busy time to aim at, or less where the tail is at its target before. On
-# days full of work that lasts 0.84 and 0.88 lost 0.012 and 0.035 of worth (16 pairs each).
+# Share of busy time to aim at, or less where the tail is at its target before.
 AIM_BUSY: t.Final = 0.8
 # A tail over the target stops what may cause it for so long.
 BACKLOG_S: t.Final = 0.6
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -29,8 +29,7 @@
 # How much pace a task gives up to leave a box to others that have fewer boxes.
 OPENNESS_WEIGHT: t.Final = 0.3
 # A task that would have to run slower than this waits for a better box: one that runs
-# slowly beside serving tasks is soon moved, and disturbs them meanwhile. 0.3 is worth
-# 0.016 +- 0.003 less (72 pairs of days of three deployments).
+# slowly beside serving tasks is soon moved, and disturbs them meanwhile.
 WAIT_PACE: t.Final = 0.6
 # A slowed task moves only to where it will hardly be.
 MOVE_PACE: t.Final = 0.9
@@ -135,9 +134,8 @@
 class _Serving(Ranking):
     """Each image that fills disturbs only some of the serving images, so a box that
     serves one image alone is open to most of what fills: a task goes to its own image,
-    else to an empty box, else to where it closes the box to least. With that, serving
-    tasks were over their target for 117 s of a quiet day instead of 170 s (one play
-    each), and worth rose by 0.032 +- 0.011 (16 pairs of days)."""
+    else to an empty box, else to where it closes the box to least, so that serving tasks
+    are over their targets for less time."""
 
     def __init__(self, task: Task, interference: Interference) -> None:
         self._task = task
--- a/src/granitetrestle/peerlink.py
+++ b/src/granitetrestle/peerlink.py
@@ -127,8 +127,8 @@
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
-        # The system asks a path that is back ever more rarely: without it a process could
-        # not reach the decider, and refused its clients, for over 6 s after a cut of 7 s.
+        # The system asks a path that is back ever more rarely: without it a process can't
+        # reach the decider, and refuses its clients, for about as long again as a cut.
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         # A peer that lost power says nothing: give the connection up, so that what
         # is sent after its return goes over a new one.
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -43,8 +43,8 @@
 LOOK_PATH: t.Final = "/api/hold"
 # Ends that one answer of a box lists.
 ENDS_AT_ONCE: t.Final = 500
-# Of an answer. The page bounds neither the tasks on a box nor their checkpoints: with 1 MB
-# a box that lists more was never seen again, and all its tasks were taken for lost.
+# Of an answer. The page bounds neither the tasks on a box nor their checkpoints; a box
+# that lists more is never seen again, and all its tasks are taken for lost.
 ANSWER_BYTES: t.Final = 32 * 1024 * 1024
 
 
--- a/src/granitetrestle/serviceload.py
+++ b/src/granitetrestle/serviceload.py
@@ -7,8 +7,7 @@
 
 __all__ = ["MEAN_BUSY", "StepLoad"]
 
-# Share of busy time when nothing disturbs: least, mean, most; from the looks of quiet
-# days of three deployments (4,389 of two, 1,434 of the third).
+# Share of busy time when nothing disturbs: least, mean, most.
 LEAST_BUSY: t.Final = 0.15
 MEAN_BUSY: t.Final = 0.5
 MOST_BUSY: t.Final = 0.8
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -144,7 +144,7 @@
         self.state = PENDING
         self.box = ""
         # Shared by all tasks as long as it is empty, as it is for most: a set of its own
-        # for each took 0.2 kB.
+        # for each would be a good part of what a task takes.
         self.failed_runs: frozenset[int] = frozenset()
         self.sent = True
         self.running_since = 0.0
