At the end of some soaks everything but the store loses power at the same moment

All processes are killed at once and started again, in half of these runs all boxes crash with them.

--- a/src/granitetrestle_standins/nativesoak.py
+++ b/src/granitetrestle_standins/nativesoak.py
@@ -205,6 +205,9 @@
             if self._links is not None:
                 self._links.end()
             self._judge(self._runs())
+        if self._crashes.power_off(self._cluster):
+            self._frozen.clear()
+            self._witness.disturbed()
         self._settle()
         self._witness.stop()
         self._judge_facts()
--- a/src/granitetrestle_standins/soakcrashes.py
+++ b/src/granitetrestle_standins/soakcrashes.py
@@ -1,7 +1,9 @@
 """Crashes of boxes in a soak of real processes: one or many at once, which start again soon,
-most of them under the id that they had, and are in the list some time later."""
+most of them under the id that they had, and are in the list some time later. At the end of a
+run all processes may lose power at the same moment, and all boxes with them."""
 
 import random
+import signal
 import typing as t
 
 from .nativecluster import NativeCluster
@@ -16,12 +18,17 @@
 DOWN_S: t.Final = (0.05, 0.3, 1.0, 3.0)
 LISTED_AFTER_S: t.Final = (0.0, 0.0, 0.5, 1.5)
 KEEPS_ID: t.Final = 0.75
+# Shares of the runs at whose end all processes lose power, and of these in which all boxes
+# do as well.
+POWER_OFF: t.Final = 0.4
+BOXES_TOO: t.Final = 0.5
 
 
 class SoakCrashes:
     """Draws crashes, apart from what else a seed draws: that stays as it was.
 
-    :ivar counts: how many boxes crashed, by under which id they started again.
+    :ivar counts: how many boxes crashed, by under which id they started again; "power off"
+        is 1 if all processes lost power at the end, 2 if all boxes did too.
     """
 
     def __init__(self, seed: int) -> None:
@@ -37,9 +44,36 @@
         for box in draw.sample(range(cluster.boxes), count):
             self._crash(cluster, box)
 
+    def power_off(self, cluster: NativeCluster) -> bool:
+        """Let everything but the store lose power and start again, or not.
+
+        :returns: whether it did; all processes have started then.
+        """
+        if self._draw.random() >= POWER_OFF:
+            return False
+        boxes = range(cluster.boxes) if self._draw.random() < BOXES_TOO else range(0)
+        for name in cluster.nodes():
+            cluster.kill(name, signal.SIGCONT)
+            cluster.kill(name)
+        for box in boxes:
+            self._crash(cluster, box)
+        started = {name: _starts(cluster, name) for name in cluster.nodes()}
+        for name in cluster.nodes():
+            cluster.restart(name)
+        cluster.wait(
+            lambda: all(_starts(cluster, n) > count for n, count in started.items()),
+            "all processes have started again",
+        )
+        self.counts["power off"] = 1 + bool(boxes)
+        return True
+
     def _crash(self, cluster: NativeCluster, box: int) -> None:
         down_s, listed_s = self._draw.choice(DOWN_S), self._draw.choice(LISTED_AFTER_S)
         keeps = self._draw.random() < KEEPS_ID
         cluster.box(box, f"/test/crash?s={down_s}&keep={int(keeps)}&list={listed_s}")
         name = "their id" if keeps else "another id"
         self.counts[name] = self.counts.get(name, 0) + 1
+
+
+def _starts(cluster: NativeCluster, name: str) -> int:
+    return sum(line["event"] == "started" for line in cluster.log(name))
