A step that fits nowhere keeps no other from its turn; more of those that waited long have one

Where orders are what is short, one start in each pass goes to the step that has waited longest. If that one had room nowhere, it was tried again in each pass, and no other ever had its turn. And one start a pass is too few where some hundred jobs wait, as after a change of decider.

Now the steps that have waited longest are tried in turn, four in a pass, and get up to a quarter of the pass's starts; one that found no box goes to the end of the line.

--- a/features/load_late_work.feature
+++ b/features/load_late_work.feature
@@ -20,3 +20,17 @@
     Given a shard of 30 boxes that may send 8 orders in a pass, and a job of 20 tasks from long ago
     When jobs in time come for 12 seconds, more than can be ordered
     Then the old job never had nothing started for longer than 3 seconds
+
+  Scenario: A step that fits nowhere keeps no other from its turn
+    The step that had waited longest got one start ahead of all others, and if it had room
+    nowhere, nothing that waited behind it ever had a turn: a job of 23 tasks began 24.6 s after it
+    had been accepted, on a shard of 3,000 boxes with most of their room free.
+    Given 20 boxes with room, and 8 orders in each pass for more urgent work
+    When a job that fits nowhere waits for 3 seconds, and 10 others after it
+    Then each of the others has begun
+
+  Scenario: Where orders are short, what has waited long begins within three seconds
+    Given 20 boxes with room, and 16 orders in each pass for more urgent work
+    When 60 jobs wait for 3 seconds
+    Then each of them has begun
+    And 0.7 of the orders went to what is more urgent
--- /dev/null
+++ b/features/steps/aged_steps.py
@@ -0,0 +1,112 @@
+"""Steps of the scenarios over steps that have waited for long."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.decider import Decider
+from granitetrestle.decisions import StartTask
+from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.outside import BoxEntry
+from granitetrestle.outside import Look
+from granitetrestle.outside import OrderAccepted
+from granitetrestle.workflows import Step
+from granitetrestle.workflows import Submission
+from session_world import CONFIG
+from session_world import TERMS
+
+PASS_S = 0.05
+WIDE = Step(count=20, cpu=500, memory_mb=1, estimate_ms=60_000)
+# Fits on no box.
+HUGE = Step(count=1, cpu=500, memory_mb=90_000, estimate_ms=200)
+# What comes all the time, and goes first.
+URGENT = Step(count=1, cpu=10, memory_mb=1, estimate_ms=100)
+
+
+class Orders:
+    """A decider that may give few orders in each pass, while urgent work keeps coming."""
+
+    def __init__(self, boxes, most_starts):
+        self.now = 0.0
+        self.most = most_starts
+        self.jobs = 0
+        self.begun = {}
+        self.decider = Decider(TERMS, 0.0)
+        self.decider.configured(CONFIG)
+        self.decider.evacuation.heard(0.0)
+        entries = {f"b{n}": entry(n) for n in range(boxes)}
+        self.decider.fleet.listed(entries, 0.0)
+        for life in entries:
+            self.decider.fleet.looked(life, 0.0, 0.0, Look(100, (), ()))
+
+    def submit(self, step):
+        self.jobs += 1
+        job = f"{self.jobs:016x}"
+        submission = Submission(job, "q", "pool", "s", (step,))
+        self.decider.called(f"r{job}", SubmitJob(submission), self.now)
+        return job
+
+    def go_on(self, passes):
+        for _ in range(passes):
+            self.now += PASS_S
+            self.decider.evacuation.heard(self.now)
+            for _ in range(2 * self.most):
+                self.submit(URGENT)
+            wall_ms = int(self.now * 1000)
+            for order in self.decider.decide(self.now, wall_ms, self.most):
+                if isinstance(order, StartTask):
+                    self.start(order)
+
+    def start(self, order):
+        self.begun.setdefault(order.task.split(".")[0], self.now)
+        taken = OrderAccepted(100)
+        self.decider.start_answered(order.life, order.task, order.run, taken, self.now)
+
+
+def entry(number):
+    room = (2**30, 80_000, 0)
+    life = f"b{number}"
+    return BoxEntry(
+        life, f"{life}:1", "pool", "h", "r", frozenset(), *room, False, None
+    )
+
+
+@given(
+    "{boxes:d} boxes with room, and {most:d} orders in each pass for more urgent work"
+)
+def orders(context, boxes, most):
+    context.orders = Orders(boxes, most)
+
+
+@when(
+    "a job that fits nowhere waits for {seconds:g} seconds, and {count:d} others after it"
+)
+def fits_nowhere(context, seconds, count):
+    work = context.orders
+    work.submit(HUGE)
+    work.go_on(1)
+    context.waiting = [work.submit(WIDE) for _ in range(count)]
+    work.go_on(round(seconds / PASS_S))
+
+
+@when("{count:d} jobs wait for {seconds:g} seconds")
+def jobs_wait(context, count, seconds):
+    work = context.orders
+    context.waiting = [work.submit(WIDE) for _ in range(count)]
+    work.go_on(round(seconds / PASS_S))
+
+
+@then("each of the others has begun")
+@then("each of them has begun")
+def each_has_begun(context):
+    begun = context.orders.begun
+    missing = [job for job in context.waiting if job not in begun]
+    assert not missing, (len(missing), len(context.waiting))
+
+
+@then("{part:g} of the orders went to what is more urgent")
+def rest_is_urgent(context, part):
+    work = context.orders
+    starts = sum(job not in context.waiting for job in work.begun)
+    passes = round(work.now / PASS_S)
+    assert starts >= part * passes * work.most, (starts, passes * work.most)
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -1,6 +1,7 @@
 """Passes over the tasks that wait: which goes to a box now, and which, and which task
 is moved because it is kept slow where it is."""
 
+import heapq
 import typing as t
 
 from .boxes import BoxView
@@ -61,6 +62,10 @@
 # A step that has waited for so long, or has not started a task for so long, gets one start
 # ahead of all others: what has room begins within three seconds, looks and orders included.
 AGED_S: t.Final = 2.0
+# Such starts take at most this part of a pass, and at least one; so many steps are tried,
+# since each search looks at all boxes.
+AGED_PART: t.Final = 0.25
+AGED_TRIES: t.Final = 4
 # One task at a time is moved, so that the next choice sees where it went.
 MOVE_EVERY_S: t.Final = 0.05
 # When no better box was found for a slowed task, boxes are sought for tasks of its image
@@ -125,7 +130,7 @@
         self._no_box.clear()
         self._order.begin(now)
         order = sorted(waiting.items(), key=lambda item: self._order.key(item[1], now))
-        effects = self._place_aged(now, wall_ms)
+        effects = self._place_aged(now, wall_ms, most_starts)
         for key, entry in order:
             left = most_starts - len(effects)
             if left <= 0:
@@ -142,23 +147,27 @@
                 del waiting[key]
         return effects
 
-    def _place_aged(self, now: float, wall_ms: int) -> list[Decision]:
-        """Start one task of the step that has waited longest, whatever comes before it:
-        where orders are what is short, work in time would keep it waiting for ever."""
-        aged = [
+    def _place_aged(self, now: float, wall_ms: int, most_starts: int) -> list[Decision]:
+        """Start one task each of the steps that have waited longest, whatever comes before
+        them: where orders are what is short, work in time would keep them waiting for ever."""
+        aged = (
             entry
             for entry in self._state.waiting.values()
             if entry.tasks
             and now - entry.waits_since > AGED_S
             and entry.workflow.due_at_ms(entry.occurrence) <= wall_ms
-        ]
-        if not aged:
-            return []
-        oldest = min(aged, key=lambda entry: (entry.waits_since, entry.priority))
-        pool = self._state.index.pool(self._state.service_of(oldest.workflow))
-        if not _has_boxes(pool, oldest.spec):
-            return []
-        return self._place_step(oldest, pool, now, 1)
+        )
+        effects: list[Decision] = []
+        most = max(1, int(AGED_PART * most_starts))
+        for entry in heapq.nsmallest(AGED_TRIES, aged, key=_aged_rank):
+            if len(effects) >= most:
+                break
+            # One that has room nowhere keeps no other from its turn.
+            entry.tried_at = now
+            pool = self._state.index.pool(self._state.service_of(entry.workflow))
+            if _has_boxes(pool, entry.spec):
+                effects += self._place_step(entry, pool, now, 1)
+        return effects
 
     def _short_waiting(self) -> dict[str, int]:
         """Return service -> thousandths of a core that waiting short work reserves."""
@@ -432,6 +441,10 @@
         return better_box(task, able, self._state.interference, now)
 
 
+def _aged_rank(entry: WaitingStep) -> tuple[float, int]:
+    return (max(entry.waits_since, entry.tried_at), entry.priority)
+
+
 def _has_boxes(pool: Pool, step: Step) -> bool:
     return bool(pool.boxes or (step.lasting and pool.aside))
 
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -75,6 +75,7 @@
     :ivar reached_at: when a pass last came to it.
     :ivar since: when a pass first found it waiting, or last started one of its tasks.
     :ivar waits_since: since when it waits, or last started one of its tasks.
+    :ivar tried_at: when a start ahead of all others was last sought for it.
     :ivar suspects: whether one of its tasks may be suspected; see :mod:`.crashloops`.
     :ivar able: boxes where its tasks had room; see :mod:`.boxsearch`.
     """
@@ -96,6 +97,7 @@
         "suspects",
         "tasks",
         "tickets",
+        "tried_at",
         "unfit",
         "waits_since",
         "workflow",
@@ -125,6 +127,7 @@
         self.last_use = latest_start
         self.reached_at = -1e9
         self.waits_since = 0.0
+        self.tried_at = -1e9
         self.spec = workflow.submission.steps[step]
         self.suspects = False
         self.able: AbleBoxes | None = None
