Several aged steps have a turn only where a pass ends for want of orders

Now several have a turn only if the last pass ended before it had come to all; else one, as before. Ruled out: the rotation among the aged steps, which is kept.

--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -96,6 +96,8 @@
         # Image -> the least processor time for which no better box was found, and when.
         self._no_better: dict[str, tuple[int, float]] = {}
         self._filled_at = 0.0
+        # Whether the last pass ended before it had come to all that waits.
+        self._cut_short = False
         # Kinds of task that found no box in the pass under way.
         self._no_box: set[Kind] = set()
 
@@ -131,9 +133,11 @@
         self._order.begin(now)
         order = sorted(waiting.items(), key=lambda item: self._order.key(item[1], now))
         effects = self._place_aged(now, wall_ms, most_starts)
+        self._cut_short = False
         for key, entry in order:
             left = most_starts - len(effects)
             if left <= 0:
+                self._cut_short = True
                 break
             if not fill and entry.spec.fills:
                 continue
@@ -158,8 +162,10 @@
             and entry.workflow.due_at_ms(entry.occurrence) <= wall_ms
         )
         effects: list[Decision] = []
+        # Where a pass comes to all, room is what is short, and the order shares it out.
+        tries = AGED_TRIES if self._cut_short else 1
         most = max(1, int(AGED_PART * most_starts))
-        for entry in heapq.nsmallest(AGED_TRIES, aged, key=_aged_rank):
+        for entry in heapq.nsmallest(tries, aged, key=_aged_rank):
             if len(effects) >= most:
                 break
             # One that has room nowhere keeps no other from its turn.
