A process to which others forward requests as it starts ends: a scenario that fails

Found by a long run of real processes: after all had lost power, the one that had decided before ended as it started, with an AttributeError, and the next decision came 1.58 s after the last start in place of 1.5 s at most.

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -148,3 +148,13 @@
     Given a decider whose answers take 0.5 seconds
     When a request with 0.05 seconds left is forwarded to it, and then one with 2 seconds
     Then the second is answered, and nothing was said of the first
+
+  Scenario: A process to which others forward requests as it starts goes to work
+    After all had lost power, the one that had decided before ended as it started, since the
+    others, who took it for the decider, had sent it clients' requests already. Its last lines:
+
+      File "node.py", line 262, in _peer_loop
+        self._tasks.start_soon(self._forwarded, sender, message)
+      AttributeError: 'Node' object has no attribute '_tasks'
+    When a process starts to which others forward requests already
+    Then it is at work, and answers each of them
--- a/features/steps/forwarded_steps.py
+++ b/features/steps/forwarded_steps.py
@@ -57,6 +57,21 @@
         return ClientAnswer(200, call.path.encode())
 
 
+def forwarded(number, left_s):
+    """What a process hears of another that forwards a request."""
+    call = CallForwarded(number, "GET", "h", f"/{number}", b"", left_s, "a:1")
+    return Envelope("n2", "n2-1", call)
+
+
+def process_that_hears(context, heard):
+    store = MemoryStore(StoreModel())
+    sources = Sources(store, None, "c", "b", lambda r: None, lambda r: None)
+    terms = NodeTerms("n1", "n1-1", "h", "10.0.0.1", "a:0", 1.0, DeciderTerms())
+    peers = context.peers = PlayedPeers(heard)
+    log = NodeLog(descriptor=2)
+    return Node(terms, sources, context.responder, peers, log, NodeMetrics())
+
+
 @given("a decider whose answers take {seconds:g} seconds")
 def slow_decider(context, seconds):
     context.responder = SlowResponder(seconds)
@@ -67,16 +82,8 @@
     "and then one with {second:g} seconds"
 )
 def two_forwarded(context, first, second):
-    heard = [
-        Envelope("n2", "n2-1", CallForwarded(n, "GET", "h", f"/{n}", b"", left, "a:1"))
-        for n, left in ((1, first), (2, second))
-    ]
-    store = MemoryStore(StoreModel())
-    sources = Sources(store, None, "c", "b", lambda r: None, lambda r: None)
-    terms = NodeTerms("n1", "n1-1", "h", "10.0.0.1", "a:0", 1.0, DeciderTerms())
-    peers = context.peers = PlayedPeers(heard)
-    log = NodeLog(descriptor=2)
-    node = Node(terms, sources, context.responder, peers, log, NodeMetrics())
+    requests = ((1, first), (2, second))
+    node = process_that_hears(context, [forwarded(*request) for request in requests])
 
     async def script():
         # A decider, as far as requests are concerned.
@@ -94,3 +101,22 @@
 def second_answered(context):
     answers = [(node, message.number) for node, message in context.peers.said]
     assert answers == [("n2", 2)], answers
+
+
+@when("a process starts to which others forward requests already")
+def starts_while_asked(context):
+    # It does not decide, and answers so.
+    context.responder = SlowResponder(0.0)
+    node = process_that_hears(context, [forwarded(1, 2.0), forwarded(2, 2.0)])
+
+    async def script():
+        with anyio.move_on_after(0.3):
+            await node.run()
+
+    anyio.run(script)
+
+
+@then("it is at work, and answers each of them")
+def answers_each(context):
+    answers = sorted(message.number for _, message in context.peers.said)
+    assert answers == [1, 2], answers
