A process to which others forward requests as it starts goes to work

Callers saw no decider for longer than 1.5 s after all had lost power, and the process that had decided was gone until somebody started it again: the others took it for the decider and sent it clients' requests as soon as it listened, and it ended with an AttributeError. Such a request was read by a loop that needs the process's group of tasks, which another loop, started after it, put into an attribute.

Now the loop is handed the group when it starts, and there is no such attribute: no order of starting matters. Ruled out: the wait for a majority, which the others kept to (1.5 s); the process that had decided needs none.

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -157,4 +157,4 @@
         self._tasks.start_soon(self._forwarded, sender, message)
       AttributeError: 'Node' object has no attribute '_tasks'
     When a process starts to which others forward requests already
-    Then it is at work, and answers each of them
+    Then it is at work, and leaves it to the others whom they ask next
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -179,7 +179,7 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._peer_loop)
+            tasks.start_soon(self._peer_loop, tasks)
             tasks.start_soon(self._register)
             tasks.start_soon(self._tick_loop, tasks)
 
@@ -253,13 +253,14 @@
             member = Member(node, other.address, other.hall, other.cores)
             self._membership.learn(member)
 
-    async def _peer_loop(self) -> None:
+    async def _peer_loop(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Take up what others send; it may lie there already when this process starts."""
         async for envelope in self._peers.receive():
             message, sender = envelope.message, envelope.sender
             if isinstance(message, NodeStatus):
                 self._heard(message)
             elif isinstance(message, CallForwarded):
-                self._tasks.start_soon(self._forwarded, sender, message)
+                tasks.start_soon(self._forwarded, sender, message)
             elif isinstance(message, CallAnswered):
                 self._forwarding.answered(message)
             elif isinstance(message, LeaderResigned):
@@ -316,7 +317,6 @@
                 await anyio.sleep(ANSWER_RETRY_S)
 
     async def _tick_loop(self, tasks: anyio.abc.TaskGroup) -> None:
-        self._tasks = tasks
         suspended = steadyclock.suspended_s()
         last = time.monotonic()
         while True:
