The soak counts no end that was noted only after the lease of its box had lapsed

The older check stands, for ends that no lapse comes between, noted or not yet; a stand-in box says which those are, and a scenario shows both.

--- a/features/box_standin.feature
+++ b/features/box_standin.feature
@@ -37,6 +37,18 @@
     Then it is still running right after, and has ended as "stopped" within 0.9 s
     And no run up to 2 of t.0.0.0 is taken any more
 
+  Scenario Outline: An end that was noted <counts> after a lapse of the lease at <lapse>
+    Nobody knows what a box did before its lease lapsed: its task may run again, whatever end
+    is told and noted later.
+    Given box b that runs task t.0.0.0 run 1 since 100.0 with a lease of <lease> s
+    When at 101.0 it ends as done, and at 103.0 its end is noted
+    Then its end <counts>
+
+    Examples:
+      | lease | lapse | counts        |
+      | 4     | 104.1 | counts        |
+      | 1.5   | 101.6 | doesn't count |
+
   Scenario Outline: A look that waits is checked <when>
     Given a served box that checks looks that wait <when>
     When a newer epoch looks while a look of an older one waits
--- a/features/steps/box_standin_steps.py
+++ b/features/steps/box_standin_steps.py
@@ -113,6 +113,29 @@
     box.look(0, until_ms(box, at, lease), EPOCH, at)
 
 
+@when("at {ended:g} it ends as done, and at {noted:g} its end is noted")
+def ends_and_noted(context, ended, noted):
+    box = context.box
+    box.tick(ended)
+    box.end(TASK, "done", ended)
+    assert box.end_counts(box.history[-1])
+    box.tick(noted)
+    (row,) = box.lists(noted).ended
+    box.look(row.number, None, EPOCH, noted)
+
+
+@then("its end counts")
+def end_counts(context):
+    (run,) = context.box.history
+    assert run.noted is not None and context.box.end_counts(run), run
+
+
+@then("its end doesn't count")
+def end_does_not_count(context):
+    (run,) = context.box.history
+    assert run.noted is not None and not context.box.end_counts(run), run
+
+
 @given("box b that was just born at {at:g}")
 def just_born(context, at):
     context.box = new_box(at)
--- a/src/granitetrestle_standins/nativebox.py
+++ b/src/granitetrestle_standins/nativebox.py
@@ -3,6 +3,7 @@
 end, and what it was told when, so that tests can judge what really happened."""
 
 import itertools
+import math
 import random
 import typing as t
 
@@ -281,6 +282,15 @@
         """Return ends that were not confirmed yet."""
         return tuple(self._ended)
 
+    def end_counts(self, run: BoxRun) -> bool:
+        """Say whether nothing may run after a run that ended as done: its end was noted,
+        or may still be. After a lapse of the lease nobody can be sure of what the box
+        did, and an end that is noted only then doesn't count."""
+        if run.ended is None or (run.noted is None and not self.alive):
+            return False
+        until = math.inf if run.noted is None else run.noted
+        return not any(run.ended <= at <= until for at in self.lapses)
+
     def facts(self, hall: str) -> BoxFacts:
         """Return all that this life saw."""
         runs = [
