The soak says when a process ends by itself

Now each judging looks whether a process is over that got no signal. A mutant that ends where it takes over (nodes end with code 1) is named within 10 s: "ended by themselves: n1"; without the check it was called unknown work, after 58 s.

--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -85,6 +85,8 @@
         self.boxes = boxes
         self._platform = platform
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Nodes that had ended by themselves when they were started again.
+        self._failed: list[str] = []
         self.fronts: dict[str, str] = {}
         self.readies: dict[str, str] = {}
         self.http = httpcore.ConnectionPool(max_connections=50)
@@ -211,13 +213,23 @@
     def restart(self, name: str) -> None:
         """Start a node again that has ended."""
         self.processes[name].wait(10)
+        if self._has_failed(name):
+            self._failed.append(name)
         self._run_node(name)
 
+    def _has_failed(self, name: str) -> bool:
+        # Below zero is a signal; one that was asked to stop says 0.
+        return (self.processes[name].poll() or 0) > 0
+
     def _run_node(self, name: str) -> None:
         boot = str(self.folder / f"{name}.json")
         env = {"GRANITETRESTLE_BOOT": boot}
         self._spawn(name, ["-m", "granitetrestle.platform"], env)
 
+    def failed_nodes(self) -> list[str]:
+        """Return the nodes that ended by themselves, each as often as it did."""
+        return self._failed + [name for name in self.nodes() if self._has_failed(name)]
+
     def nodes(self) -> list[str]:
         """Return the names of all nodes."""
         return sorted(self._ips)
--- a/src/granitetrestle_standins/nativesoak.py
+++ b/src/granitetrestle_standins/nativesoak.py
@@ -367,6 +367,9 @@
         return rows
 
     def _judge(self, runs: list[Run]) -> None:
+        failed = self._cluster.failed_nodes()
+        if failed:
+            raise PromiseBroken(f"ended by themselves: {', '.join(failed)}")
         by_task: dict[str, list[Run]] = {}
         for run in runs:
             by_task.setdefault(run.task, []).append(run)
