Logs say how long inherited leases are waited for, and which long-running tasks a box holds

Long-running tasks of a lost box ran again 12.6 s after the loss, though there was room. The logs could not tell apart whether the wait for leases began anew with a new leader, whether the tasks had stayed on a leaving box, or whether they waited for room afterwards.

--- a/src/granitetrestle/boxlogevents.py
+++ b/src/granitetrestle/boxlogevents.py
@@ -1,12 +1,50 @@
 """Log events about polls of boxes and lost runs."""
 
+import typing as t
+
 from .boxes import BoxView
 from .decisions import LogEvent
 from .interfaces import PollResult
+from .workflows import RUNNING
 from .workflows import STATE_NAMES
 from .workflows import Task
 
-__all__ = ["contradiction_events", "run_lost_event"]
+__all__ = [
+    "contradiction_events",
+    "count_long_running",
+    "run_lost_event",
+    "silence_inputs",
+    "task_counts",
+]
+
+
+def count_long_running(tasks: t.Iterable[Task]) -> int:
+    """Return how many of ``tasks`` run until their job is cancelled."""
+    return sum(task.spec.long_running for task in tasks)
+
+
+def task_counts(tasks: t.Collection[Task]) -> dict[str, int]:
+    """Return the log inputs that count the tasks on a box: all, the long-running ones,
+    and those of them that were not running yet or not any more."""
+    long_running = [task for task in tasks if task.spec.long_running]
+    return {
+        "tasks": len(tasks),
+        "long_running": len(long_running),
+        "not_running": sum(task.state != RUNNING for task in long_running),
+    }
+
+
+def silence_inputs(box: BoxView, now: float) -> dict[str, t.Any]:
+    """Return the log inputs about a box that does not answer: for how long, when its
+    last lease ends, and whether it is listed, draining and adopted."""
+    silent_s = None if box.silent_since is None else round(now - box.silent_since, 2)
+    return {
+        "silent_s": silent_s,
+        "lease_left_s": round(box.lease_ends - now, 2),
+        "listed": box.listed,
+        "draining": box.entry.draining,
+        "adopted": box.adopted,
+    }
 
 
 def contradiction_events(box: BoxView, poll: PollResult) -> list[LogEvent]:
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -5,7 +5,10 @@
 
 from .boxes import BoxView
 from .boxlogevents import contradiction_events
+from .boxlogevents import count_long_running
 from .boxlogevents import run_lost_event
+from .boxlogevents import silence_inputs
+from .boxlogevents import task_counts
 from .crashloops import NO_BLAME
 from .crashloops import BlamedTasks
 from .crashloops import BoxLosses
@@ -76,6 +79,7 @@
         self._state = state
         self._progress = progress
         parameters = state.parameters
+        self._took_over_at = now
         # Until a box is polled, a predecessor may have renewed its leases.
         self._inherited_end = now + parameters.orphan_s + parameters.lease_bound_s
         # A predecessor may have stopped renewing them, and recorded that.
@@ -97,6 +101,21 @@
             return self._withdrawn_end
         return self._inherited_end
 
+    def inherited_event(self, now: float) -> LogEvent:
+        """Return the event that says how long this leader has to wait for the leases of
+        boxes that it does not reach."""
+        placed = [task for tasks in self._state.inherited.values() for task in tasks]
+        recorded = self._state.withdrawn_leases.incarnations
+        inputs = {
+            "boxes": len(self._state.inherited),
+            "tasks": len(placed),
+            "long_running": count_long_running(placed),
+            "wait_s": round(self._inherited_end - now, 2),
+            "recorded": len(recorded),
+            "recorded_wait_s": round(self._withdrawn_end - now, 2),
+        }
+        return LogEvent("leases_inherited", "leases", inputs)
+
     def update_boxes(
         self, entries: t.Mapping[str, BoxEntry], now: float
     ) -> list[Decision]:
@@ -151,7 +170,10 @@
         box.evacuated = entry.hall in self._state.evacuated_halls
         if entry.draining and not box.entry.draining:
             box.update_entry(entry)
-            inputs = {"leaving_in_s": entry.leaving_in_s, "tasks": len(box.tasks)}
+            inputs = {
+                "leaving_in_s": entry.leaving_in_s,
+                **task_counts(box.tasks.values()),
+            }
             return [
                 LogEvent("box_draining", incarnation, inputs),
                 *self._drain(box, now),
@@ -207,7 +229,11 @@
         if box is None:
             return []
         self._state.index.remove(box)
-        inputs = {"why": reason, "tasks_lost": len(box.tasks)}
+        inputs = {
+            "why": reason,
+            "tasks_lost": len(box.tasks),
+            **silence_inputs(box, now),
+        }
         event = LogEvent("box_over", incarnation, inputs)
         return [StopPolling(incarnation), event, *self._lose_tasks(box, now)]
 
@@ -315,7 +341,11 @@
             return []
         box.silent_since = now
         self._losses.record_silence(now)
-        inputs = {"reason": reason, "tasks": len(box.tasks)}
+        inputs = {
+            "reason": reason,
+            **task_counts(box.tasks.values()),
+            **silence_inputs(box, now),
+        }
         return [LogEvent("box_silent", box.incarnation, inputs)]
 
     def _apply_poll(
@@ -469,7 +499,8 @@
         return effects
 
     def _lose_expired_tasks(self, box: BoxView, now: float) -> list[Decision]:
-        event = LogEvent("leases_lapsed", box.incarnation, {"tasks": len(box.tasks)})
+        inputs = {**task_counts(box.tasks.values()), **silence_inputs(box, now)}
+        event = LogEvent("leases_lapsed", box.incarnation, inputs)
         return [event, *self._lose_tasks(box, now)]
 
     def reclaim_orphaned_tasks(self, now: float) -> list[Decision]:
@@ -485,9 +516,12 @@
         """Requeue the tasks of a box that only a predecessor knew, and that has ended."""
         tasks = self._state.inherited.pop(incarnation)
         there = [task for task in tasks if task.placed and task.box == incarnation]
-        effects: list[Decision] = [
-            LogEvent("box_never_listed", incarnation, {"tasks_lost": len(there)})
-        ]
+        inputs = {
+            "tasks_lost": len(there),
+            "long_running": count_long_running(there),
+            "since_take_over_s": round(now - self._took_over_at, 2),
+        }
+        effects: list[Decision] = [LogEvent("box_never_listed", incarnation, inputs)]
         blame(there)
         for task in there:
             given_up = is_given_up(task, alone=False)
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -348,12 +348,19 @@
         if session is None or scope is None:
             return
         self._session_scope = None
-        with anyio.move_on_after(drain_s):
+        started = time.monotonic()
+        with anyio.move_on_after(drain_s) as draining:
             await session.drain()
         scope.cancel()
         if successor:
             self._peers.send(successor, LeaderResigned(session.epoch))
-        self._log.event("handed_over", epoch=session.epoch, to=successor)
+        self._log.event(
+            "handed_over",
+            epoch=session.epoch,
+            to=successor,
+            took_s=round(time.monotonic() - started, 3),
+            drained=not draining.cancelled_caught,
+        )
 
     def _report_now(self) -> None:
         self._send_reports(self._reports.to_all(self._own_state(), time.monotonic()))
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -226,6 +226,7 @@
             restoring = self._scheduler.restore_in_slices(state.records, now)
             del state
             self._apply(await in_slices(restoring))
+            self._apply([self._scheduler.fleet.inherited_event(now)])
             self._operator_feed.load(read[self._sources.config_topic])
             await in_slices(self._box_feed.loading(read[self._sources.box_topic]))
         self._log.event(
