The registration of a process has a module of its own

Reading the other processes from the store, registering and reading them again make one concept that needs nothing else of a node.

No behaviour changes; native_parts and native_whole_path passed with it.

--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -25,10 +25,9 @@
 from .nodelog import NodeLog
 from .nodemetrics import NodeMetrics
 from .peerlink import PeerLink
+from .registration import Registration
 from .registry import HeartbeatWatch
-from .registry import NodeEntry
 from .registry import Registry
-from .registry import RegistryEntries
 from .reports import OwnState
 from .reports import Report
 from .reports import Reports
@@ -52,8 +51,6 @@
 # A process without a known leader for this long is not ready for new connections.
 LEADERLESS_TIMEOUT_S: t.Final = 1.5
 MAX_CLAIM_ATTEMPTS: t.Final = 5
-# Rereads find processes that registered during the first read or since the others left.
-REGISTRY_REREAD_INTERVAL_S: t.Final = 2.0
 # Minimum; a process without a majority checks when the last heartbeat read times out.
 LEADER_CHECK_INTERVAL_S: t.Final = 0.2
 # The connection to the sender of a request opens only with the first answer to it.
@@ -120,15 +117,20 @@
         self._session_scope: anyio.CancelScope | None = None
         self._serving = False
         self._stopping = False
-        self._registered = False
         self._known_leader = ""
-        # Keys of unreadable entries, as of the last read: each is logged once.
-        self._unreadable: frozenset[str] = frozenset()
         self._leaderless_since = time.monotonic()
         self._leader_check_at = 0.0
         # Newest epoch the store refused; without it, attempts would start below it again.
         self._refused_epoch = 0
         self._heartbeat_watch = HeartbeatWatch()
+        self._registration = Registration(
+            self._registry,
+            me,
+            self._membership,
+            self._leadership,
+            self._heartbeat_watch,
+            log,
+        )
         # Whether the store is asked for the leader, and whether an epoch is being claimed.
         self._attempting = False
         self._taking_over = False
@@ -151,7 +153,7 @@
     def ready(self) -> bool:
         """Whether clients' connections should be directed to this process."""
         known = bool(self._leader()) or self._leaderless_s() < LEADERLESS_TIMEOUT_S
-        return self._registered and known and not self._stopping
+        return self._registration.done and known and not self._stopping
 
     @property
     def idle(self) -> bool:
@@ -178,7 +180,7 @@
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._peer_loop, tasks)
-            tasks.start_soon(self._register)
+            tasks.start_soon(self._registration.run)
             tasks.start_soon(self._tick_loop, tasks)
 
     async def serve(self, call: ClientCall, left_s: float) -> ClientAnswer:
@@ -204,54 +206,6 @@
         if address:
             self._peers.connect(self._leadership.leader, address)
 
-    async def _register(self) -> None:
-        """Read the other processes from the store and register this one."""
-        entry = NodeEntry(
-            self._parameters.address, self._parameters.hall, self._parameters.cores
-        )
-        while not self._registered:
-            known = await self._registry.read()
-            if isinstance(known, StoreUnavailable):
-                await anyio.sleep(TICK_INTERVAL_S * 2)
-                continue
-            self._apply_registry(known)
-            self._heartbeat_watch.age_s(known)
-            if known.nodes.get(self._parameters.node) != entry:
-                written = await self._registry.register(self._parameters.node, entry)
-                if not written:
-                    await anyio.sleep(TICK_INTERVAL_S * 2)
-                    continue
-            self._registered = True
-            self._log.event("registered", peers=len(self._membership) - 1)
-        await self._reread_registry()
-
-    async def _reread_registry(self) -> None:
-        """Read the registry once more, and repeatedly while no other process reports."""
-        first = True
-        while True:
-            await anyio.sleep(REGISTRY_REREAD_INTERVAL_S)
-            if not first and not self._leadership.is_isolated(time.monotonic()):
-                continue
-            known = await self._registry.read()
-            if not isinstance(known, StoreUnavailable):
-                first = False
-                self._apply_members(known)
-
-    def _apply_registry(self, known: RegistryEntries) -> None:
-        self._apply_members(known)
-        if known.leader.epoch:
-            now = time.monotonic()
-            self._leadership.record_leader(known.leader.epoch, known.leader.node, now)
-
-    def _apply_members(self, known: RegistryEntries) -> None:
-        for key in known.unreadable:
-            if key not in self._unreadable:
-                self._log.event("entry_unreadable", key=key)
-        self._unreadable = frozenset(known.unreadable)
-        for node, other in known.nodes.items():
-            member = Member(node, other.address, other.hall, other.cores)
-            self._membership.add_registered(member)
-
     async def _peer_loop(self, tasks: anyio.abc.TaskGroup) -> None:
         """Handle messages of other processes; some may have arrived before the start."""
         async for envelope in self._peers.receive():
@@ -329,7 +283,7 @@
             self._leader_changed()
             self._send_reports(self._reports.due(self._own_state(), now))
             self._peers.close_unused({*self._membership.targets, self._known_leader})
-            if self._registered and not self._stopping:
+            if self._registration.done and not self._stopping:
                 if self._session is None:
                     self._consider_take_over(now, tasks)
                 elif self._serving:
@@ -371,7 +325,7 @@
         return OwnState(
             leading=leading,
             store_ok=session is None or not session.store_unavailable,
-            ready=self._registered and not self._stopping,
+            ready=self._registration.done and not self._stopping,
             taking_over=self._taking_over or (session is not None and not leading),
         )
 
@@ -423,7 +377,7 @@
             self._log.event("take_over_failed", reason=known.reason)
             return
         epoch_before = self._leadership.epoch
-        self._apply_registry(known)
+        self._registration.apply(known)
         if self._leadership.epoch > epoch_before:
             # Another process has taken over first and will report, now that it is known.
             return
