A successor waits only for what its predecessors' leases may still run

Callers saw long-running tasks of a lost box run again 12.6 s after the loss while the processes were restarted one after the other, though there was room.

Cause: a wait that began when a process took over, whatever its predecessor had proved. Each new leader counted a lease, and 8 s more for a predecessor that may go on renewing without the store, from its own take-over. A leader that hands over in order recorded nothing about leases; one that never reached a box itself recorded nothing about that box.

Change: the digest that ends each append also carries a mark of the leader: epoch, end offset, whether it has resigned, and how long leases of still earlier leaders may run. It counts only if the successor's claim is the very next record, so that no other leader can have been in between, an older version included. The record of a box whose leases are withdrawn says how long the last one may run, is written again each half second, and is also written for boxes that this leader has never reached, once no more than one lease is left, which is what older versions take a record to mean. Older versions ignore the mark and the value of the records. Safety needs no clock of another process: every remaining time counts from when the successor took over, which is later than when it was written.

--- /dev/null
+++ b/features/inherited_leases.feature
@@ -0,0 +1,50 @@
+Feature: A leader waits for leases of its predecessors no longer than it can prove they run
+
+  Scenario Outline: A statement about leases does not count once another leader may have followed
+    Given a leader that has stated that it has resigned
+    When <since>, and a successor reads the records
+    Then it <takes> the statement
+
+    Examples:
+      | since                                    | takes         |
+      | nothing else was written                 | relies on     |
+      | another process has claimed an epoch     | does not take |
+      | a leader of an older version has written | does not take |
+
+  Scenario: An older version reads the digest beside a statement about leases
+    Given a leader that has stated that it has resigned
+    Then a digest of two numbers is read from its records
+
+  Scenario: A leader that has resigned gives no lease
+    Given a shard of 2 boxes among models
+    When a long-running task runs, and the leader resigns
+    Then its polls renew no lease, and a start that waits is not sent
+
+  Scenario Outline: Hand-overs do not prolong the wait after a leader that was killed
+    A successor waits for the time for which the killed leader may renew leases, 2 s, and
+    for a lease of 3 s. The leaders after it do not wait again.
+    Given a shard of 6 boxes among models
+    When a long-running task runs, its box is lost, <listed>, the leader is killed, and successors hand over <count> times
+    Then it runs on another box within 7.2 seconds of when its box became silent
+
+    Examples:
+      | listed               | count |
+      | still listed         | 0     |
+      | still listed         | 5     |
+      | and no longer listed | 5     |
+
+  Scenario: A hand-over does not hide a leader that is cut off and renews leases
+    Given a shard of 6 boxes among models
+    When a long-running task runs on a box that only a leader without the store reaches, and its successor hands over at once
+    Then no task ever ran on two boxes
+
+  Scenario: Killed leaders that follow each other do not prolong the wait for a silent box
+    Each costs no more than the half second after which its record is written again.
+    Given a shard of 6 boxes among models
+    When a long-running task runs, its box is lost, still listed, and 4 leaders are killed, each a second after it took over
+    Then it runs on another box within 6.9 seconds of when its box became silent
+
+  Scenario: A successor learns from the store that its predecessor has resigned
+    Given a store that counts only appends with records, and 2 boxes
+    When a leader runs a job, resigns, and another process takes over
+    Then the predecessor has renewed no lease since, and its successor goes on with its wait
--- a/features/session_world.py
+++ b/features/session_world.py
@@ -119,6 +119,8 @@
         }
         # Boxes that a leader's epoch can't reach any more.
         self.unreachable = set()
+        # How many polls have renewed a lease.
+        self.renewals = 0
 
     def tick(self):
         """End the tasks that have run long enough."""
@@ -142,6 +144,7 @@
     ):
         """See :class:`BoxCalls`."""
         model = self.models[incarnation]
+        self.renewals += lease_ends_ms is not None
         until = time.monotonic() + wait_ms / 1000.0
         while True:
             self.tick()
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -96,7 +96,11 @@
             box.silent_since = now
         return []
 
-    def renewed_lease_end_ms(self, box, now):
+    @property
+    def leases(self):
+        return self
+
+    def renewed_end_ms(self, box, now):
         return 1
 
     def confirm_start(self, command, now):
--- /dev/null
+++ b/features/steps/inherited_lease_steps.py
@@ -0,0 +1,188 @@
+"""Steps of the scenarios about leases that earlier leaders granted."""
+
+import anyio
+import msgspec
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.interfaces import Record
+from granitetrestle.statedigest import DIGEST_KEY
+from granitetrestle.statedigest import DigestTracker
+from granitetrestle.statedigest import EpochClaim
+from granitetrestle.statedigest import LeaderMark
+from granitetrestle.statedigest import read_leader_mark
+from granitetrestle.workflows import Step
+from granitetrestle_standins.nativestore import StoreModel
+from lasting_task import lasting_task
+
+TOPIC = "keyed.jobs"
+# How long a leader goes on after it has resigned, so that renewals would be seen.
+IDLE_S = 0.5
+
+
+class OldDigest(msgspec.Struct, frozen=True, array_like=True):
+    """The digest as older versions read and write it."""
+
+    keys: int
+    total: int
+
+
+def claim_epoch(store, epoch):
+    appended = store.append(TOPIC, [EpochClaim.record(epoch, f"life-{epoch}")], None)
+    return EpochClaim(epoch, f"life-{epoch}", appended.end)
+
+
+@given("a leader that has stated that it has resigned")
+def resigned_leader(context):
+    context.store = StoreModel()
+    claim = claim_epoch(context.store, 1)
+    mark = LeaderMark(1, claim.end + 2, True, 0.0)
+    records = DigestTracker().with_digest([Record("k", b"v")], mark)
+    context.store.append(TOPIC, records, None)
+
+
+@when("nothing else was written, and a successor reads the records")
+def read_at_once(context):
+    read_records(context)
+
+
+@when("another process has claimed an epoch, and a successor reads the records")
+def read_after_claim(context):
+    claim_epoch(context.store, 2)
+    read_records(context)
+
+
+@when("a leader of an older version has written, and a successor reads the records")
+def read_after_older_version(context):
+    claim_epoch(context.store, 2)
+    digest = DigestTracker([Record("k", b"v")]).digest
+    value = msgspec.msgpack.encode(OldDigest(digest.keys, digest.total))
+    context.store.append(TOPIC, [Record(DIGEST_KEY, value)], None)
+    read_records(context)
+
+
+def read_records(context):
+    claim = claim_epoch(context.store, 3)
+    context.mark = read_leader_mark(context.store.newest(TOPIC).records, claim)
+
+
+@then("it relies on the statement")
+def mark_counts(context):
+    assert context.mark is not None and context.mark.resigned, context.mark
+
+
+@then("it does not take the statement")
+def mark_does_not_count(context):
+    assert context.mark is None, context.mark
+
+
+@then("a digest of two numbers is read from its records")
+def old_digest_read(context):
+    newest = context.store.newest(TOPIC).records
+    (value,) = (record.value for record in newest if record.key == DIGEST_KEY)
+    digest = msgspec.msgpack.decode(value, type=OldDigest)
+    expected = DigestTracker([Record("k", b"v")]).digest
+    assert (digest.keys, digest.total) == (expected.keys, expected.total), digest
+
+
+@when("a long-running task runs, and the leader resigns")
+def resign_with_start_waiting(context):
+    world = context.world
+    context.task = lasting_task(context)
+    world.store_down = True
+    context.waiting_job = world.submit((Step(count=1, cpu=100, memory_mb=10),))
+    world.advance(0.2)
+    world.leader.scheduler.resign(world.now)
+
+
+@then("its polls renew no lease, and a start that waits is not sent")
+def no_lease(context):
+    world = context.world
+    fleet = world.leader.scheduler.fleet
+    for incarnation in world.entries:
+        assert fleet.plan_poll(incarnation, world.now, True).lease_ends_ms is None
+        box = world.leader.scheduler.state.boxes[incarnation]
+        assert fleet.leases.renewed_end_ms(box, world.now) is None
+
+
+@when(
+    "a long-running task runs, its box is lost, {listed}, the leader is killed, and "
+    "successors hand over {count:d} times"
+)
+def killed_and_handed_over(context, listed, count):
+    world = context.world
+    lose_box(context, listed)
+    world.kill()
+    world.advance(0.5)
+    world.take_over()
+    for _ in range(count):
+        world.advance(0.8)
+        world.hand_over()
+
+
+@when(
+    "a long-running task runs, its box is lost, {listed}, and {count:d} leaders are "
+    "killed, each a second after it took over"
+)
+def killed_in_series(context, listed, count):
+    world = context.world
+    lose_box(context, listed)
+    world.advance(1.6)
+    for _ in range(count):
+        world.kill()
+        world.take_over()
+        world.advance(1.0)
+
+
+def lose_box(context, listed):
+    world = context.world
+    task = lasting_task(context)
+    world.cut_until[task.box] = world.now + 1000.0
+    context.silent_box, context.since = task.box, world.now
+    if listed != "still listed":
+        del world.entries[task.box]
+
+
+@when(
+    "a long-running task runs on a box that only a leader without the store reaches, "
+    "and its successor hands over at once"
+)
+def cut_off_leader_renews(context):
+    world = context.world
+    context.task = lasting_task(context)
+    old = world.leader
+    old.without_store = True
+    old.cut_from.update(world.entries.keys() - {context.task.box})
+    world.take_over()
+    world.leader.cut_from.add(context.task.box)
+    world.advance(0.3)
+    world.hand_over()
+    world.leader.cut_from.add(context.task.box)
+    world.advance(20.0)
+
+
+@when("a leader runs a job, resigns, and another process takes over")
+def resign_and_take_over(context):
+    async def run():
+        world = context.world
+        async with world.session(1) as session:
+            await world.run_job(session, 2)
+            await session.resign()
+            context.renewals = world.boxes.renewals
+            await anyio.sleep(IDLE_S)
+            assert world.boxes.renewals == context.renewals
+        async with world.session(2):
+            pass
+
+    anyio.run(run)
+
+
+@then(
+    "the predecessor has renewed no lease since, and its successor goes on with its wait"
+)
+def resignation_in_log(context):
+    first, second = context.world.lines("leases_inherited")
+    assert first["proof"] == "none", first
+    assert second["proof"] == "resigned", second
+    assert second["wait_s"] <= first["wait_s"] - IDLE_S, (first, second)
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -55,9 +55,10 @@
     """The part of a scheduler that a poller uses."""
 
     class fleet:
-        @staticmethod
-        def renewed_lease_end_ms(box, now):
-            return 1
+        class leases:
+            @staticmethod
+            def renewed_end_ms(box, now):
+                return 1
 
     class state:
         boxes = {}
--- /dev/null
+++ b/src/granitetrestle/boxleases.py
@@ -0,0 +1,150 @@
+"""Leases of boxes: grants and renews them, stops renewing those of boxes that are silent,
+and records for a successor how long leases may still run."""
+
+import typing as t
+
+from .boxes import BoxView
+from .boxlogevents import count_long_running
+from .decisions import Decision
+from .decisions import LogEvent
+from .decisions import ResumeLeases
+from .inheritedleases import InheritedLeases
+from .shardstate import ShardState
+from .statedigest import LeaderMark
+
+__all__ = ["BoxLeases"]
+
+# Leases of a box that is silent for longer are not renewed, so that the end of its runs
+# is known. Two polls and their timeouts fit in. Without this limit, the work of a box
+# that is silent for longer than a lease is lost, and done twice.
+SILENCE_LIMIT_S: t.Final = 1.2
+
+
+class BoxLeases:
+    """The leases that this leader and earlier ones granted to the boxes of a shard."""
+
+    def __init__(self, state: ShardState, now: float) -> None:
+        self._state = state
+        self._inherited = InheritedLeases(state.parameters, now)
+        # Whether this leader has resigned, and grants and renews no lease any more.
+        self._resigned = False
+
+    @property
+    def inherited(self) -> InheritedLeases:
+        """Bounds on the leases that earlier leaders granted."""
+        return self._inherited
+
+    def restore(
+        self, mark: LeaderMark | None, leases_left: t.Mapping[str, float | None]
+    ) -> None:
+        """Restore what predecessors recorded.
+
+        :param mark: the predecessor's last statement, if it is proved.
+        :param leases_left: as :attr:`.jobrecords.Restored.leases_left`.
+        """
+        self._inherited.record_predecessor(mark)
+        for incarnation, left_s in leases_left.items():
+            self._inherited.record_box(incarnation, left_s)
+
+    def record_process_end(self, epoch: int, now: float) -> list[Decision]:
+        """Apply the proof that the process which led in ``epoch`` has ended."""
+        if not self._inherited.record_process_end(epoch, now):
+            return []
+        for box in self._state.boxes.values():
+            if not box.clock_at:
+                # This leader has granted it no lease.
+                inherited_end = self._inherited.end(box.incarnation)
+                box.lease_ends = min(box.lease_ends, inherited_end)
+        return [self.inherited_event(now)]
+
+    def inherited_event(self, now: float) -> LogEvent:
+        """Return the event that says how long this leader has to wait for the leases of
+        boxes that it does not reach."""
+        placed = [task for tasks in self._state.inherited.values() for task in tasks]
+        recorded = self._state.withdrawn_leases.incarnations
+        inputs = {
+            "boxes": len(self._state.inherited),
+            "tasks": len(placed),
+            "long_running": count_long_running(placed),
+            "wait_s": round(self._inherited.latest_end - now, 2),
+            "proof": self._inherited.proof,
+            "recorded": len(recorded),
+            "recorded_wait_s": round(self._inherited.latest_recorded_end - now, 2),
+        }
+        return LogEvent("leases_inherited", "leases", inputs)
+
+    def mark(self, epoch: int, end: int, now: float) -> LeaderMark:
+        """Return what this leader states about leases with an append.
+
+        :param end: end offset of the topic after the append.
+        """
+        inherited_s = max(0.0, self._inherited.latest_end - now)
+        return LeaderMark(epoch, end, self._resigned, inherited_s)
+
+    def resign(self, now: float) -> None:
+        """Grant and renew no lease any more, and record how long the last lease of each
+        box may run that does not answer."""
+        self._resigned = True
+        for box in self._state.boxes.values():
+            if box.tasks and box.silent_since is not None:
+                self._withdraw(box.incarnation, box.lease_ends, now, rewrite=True)
+        for incarnation in self._state.inherited:
+            end = self._inherited.end(incarnation)
+            self._withdraw(incarnation, end, now, rewrite=True)
+
+    def renewed_end_ms(self, box: BoxView, now: float) -> int | None:
+        """Return when a lease renewed now ends, in ms on the box's clock.
+
+        :return: ``None`` if the lease must not be renewed.
+        """
+        if self._resigned or not box.clock_at:
+            return None
+        if box.incarnation in self._state.withdrawn_leases or _long_silent(box, now):
+            return None
+        parameters = self._state.parameters
+        box.lease_ends = max(box.lease_ends, now + parameters.lease_bound_s)
+        elapsed = now - box.clock_at
+        return box.clock_ms + int((elapsed + parameters.lease_s) * 1000)
+
+    def record_silence(self, box: BoxView, now: float) -> None:
+        """Stop renewing leases of a box with tasks that has been silent for long, or
+        that no earlier leader renewed them for."""
+        withdrawn = box.incarnation in self._state.withdrawn_leases
+        if box.tasks and (_long_silent(box, now) or (withdrawn and not box.clock_at)):
+            self._withdraw(box.incarnation, box.lease_ends, now)
+
+    def record_unlisted(self, incarnation: str, now: float) -> None:
+        """Record how long leases may run of a box that only a predecessor knew."""
+        self._withdraw(incarnation, self._inherited.end(incarnation), now)
+
+    def _withdraw(
+        self, incarnation: str, lease_ends: float, now: float, rewrite: bool = False
+    ) -> None:
+        """Record that the leases of a box are not renewed, unless an earlier leader may
+        still renew them: older versions of this program take a record to mean that no
+        lease runs for longer than one that is granted now."""
+        left_s = lease_ends - now
+        if left_s <= self._state.parameters.lease_bound_s:
+            leases = self._state.withdrawn_leases
+            leases.withdraw(incarnation, left_s, now, rewrite)
+
+    def resume(self, again: ResumeLeases) -> None:
+        """Renew leases of a box again, since a successor would know of it."""
+        self._state.withdrawn_leases.confirm_resumed(again)
+
+    def discard_records(self) -> list[Decision]:
+        """Delete the withdrawal records of boxes that have ended along with their tasks;
+        otherwise one record would remain for every box that was ever lost."""
+        leases = self._state.withdrawn_leases
+        effects: list[Decision] = []
+        for incarnation in list(leases.incarnations):
+            if (
+                incarnation not in self._state.boxes
+                and incarnation not in self._state.inherited
+            ):
+                effects += leases.resume(incarnation)
+        return effects
+
+
+def _long_silent(box: BoxView, now: float) -> bool:
+    return box.silent_since is not None and now - box.silent_since > SILENCE_LIMIT_S
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -4,23 +4,14 @@
 import typing as t
 
 from .boxes import BoxView
+from .boxleases import BoxLeases
 from .boxlogevents import contradiction_events
-from .boxlogevents import count_long_running
-from .boxlogevents import run_lost_event
 from .boxlogevents import silence_inputs
 from .boxlogevents import task_counts
-from .crashloops import NO_BLAME
-from .crashloops import BlamedTasks
-from .crashloops import BoxLosses
-from .crashloops import blame
-from .crashloops import has_just_started
-from .crashloops import is_given_up
-from .crashloops import may_have_crashed
 from .decisions import AcknowledgeEnds
 from .decisions import Decision
 from .decisions import LogEvent
 from .decisions import PaceTask
-from .decisions import ResumeLeases
 from .decisions import StartPolling
 from .decisions import StepDown
 from .decisions import StopPolling
@@ -30,6 +21,7 @@
 from .interfaces import CommandRejected
 from .interfaces import PollOutcome
 from .interfaces import PollResult
+from .losttasks import LostTasks
 from .mechanisms import Mechanism
 from .pacing import observe
 from .pacing import pace_changes
@@ -45,10 +37,6 @@
 
 __all__ = ["Fleet", "PollPlan"]
 
-# Leases of a box that is silent for longer are not renewed, so that the end of its runs
-# is known. Two polls and their timeouts fit in. Without this limit, the work of a box
-# that is silent for longer than a lease is lost, and done twice.
-SILENCE_LIMIT_S: t.Final = 1.2
 # How long a poll waits for a run to end; shorter where paces may have to change.
 POLL_WAIT_MS: t.Final = 1500
 PACED_POLL_WAIT_MS: t.Final = 500
@@ -78,43 +66,15 @@
     def __init__(self, state: ShardState, progress: Progress, now: float) -> None:
         self._state = state
         self._progress = progress
-        parameters = state.parameters
-        self._took_over_at = now
-        # Until a box is polled, a predecessor may have renewed its leases.
-        self._inherited_end = now + parameters.orphan_s + parameters.lease_bound_s
-        # A predecessor may have stopped renewing them, and recorded that.
-        self._withdrawn_end = now + parameters.lease_bound_s
+        self._leases = BoxLeases(state, now)
+        self._lost = LostTasks(state, progress)
         # Incarnations that have ended for certain but are still listed.
         self._ended: set[str] = set()
-        self._losses = BoxLosses()
 
     @property
-    def inherited_leases_end(self) -> float:
-        """When the last lease that a predecessor may have granted has expired."""
-        return self._inherited_end
-
-    def inherited_lease_end(self, incarnation: str) -> float:
-        """Return when the last lease of a box that a predecessor may have granted has
-        expired. If the predecessor recorded that it renews none, this is one lease after
-        the take-over; otherwise it may have gone on renewing for a while."""
-        if incarnation in self._state.withdrawn_leases:
-            return self._withdrawn_end
-        return self._inherited_end
-
-    def inherited_event(self, now: float) -> LogEvent:
-        """Return the event that says how long this leader has to wait for the leases of
-        boxes that it does not reach."""
-        placed = [task for tasks in self._state.inherited.values() for task in tasks]
-        recorded = self._state.withdrawn_leases.incarnations
-        inputs = {
-            "boxes": len(self._state.inherited),
-            "tasks": len(placed),
-            "long_running": count_long_running(placed),
-            "wait_s": round(self._inherited_end - now, 2),
-            "recorded": len(recorded),
-            "recorded_wait_s": round(self._withdrawn_end - now, 2),
-        }
-        return LogEvent("leases_inherited", "leases", inputs)
+    def leases(self) -> BoxLeases:
+        """Leases that this leader and earlier ones granted."""
+        return self._leases
 
     def update_boxes(
         self, entries: t.Mapping[str, BoxEntry], now: float
@@ -161,7 +121,7 @@
     def _update(self, incarnation: str, entry: BoxEntry, now: float) -> list[Decision]:
         box = self._state.boxes.get(incarnation)
         if box is None:
-            ends = self.inherited_lease_end(incarnation)
+            ends = self._leases.inherited.end(incarnation)
             box = BoxView(entry, ends, self._state.index.mark_changed)
             box.evacuated = entry.hall in self._state.evacuated_halls
             self._state.boxes[incarnation] = box
@@ -235,47 +195,7 @@
             **silence_inputs(box, now),
         }
         event = LogEvent("box_over", incarnation, inputs)
-        return [StopPolling(incarnation), event, *self._lose_tasks(box, now)]
-
-    def _lose_tasks(self, box: BoxView, now: float) -> list[Decision]:
-        """Requeue the tasks of a lost box, and give up those that crash boxes."""
-        blamed = NO_BLAME
-        if not box.entry.draining and not box.answered_unlisted:
-            # A crashed box lists no ends. Without this count a task that crashes every
-            # box it starts on would be started again without end.
-            blamed = self._blame(box, now)
-        effects: list[Decision] = []
-        for task in list(box.tasks.values()):
-            suspected = task in blamed.tasks
-            effects.append(run_lost_event(box, task, suspected, now))
-            given_up = is_given_up(task, suspected and blamed.alone)
-            effects += self._progress.requeue_lost(task, given_up, now)
-        return effects
-
-    def _blame(self, box: BoxView, now: float) -> BlamedTasks:
-        """Count the loss of a box against the tasks that may have crashed it."""
-        candidates, lost_at = may_have_crashed(box), box.lost_at or box.clock_at
-        if not any(has_just_started(task, lost_at) for task in candidates):
-            self._losses.record_unexplained(now)
-        maybe_unrelated = self._losses.may_be_unrelated(box.silent_since, now)
-        return blame(candidates, lost_at, maybe_unrelated)
-
-    def resume_leases(self, again: ResumeLeases) -> None:
-        """Renew leases of a box again, since a successor would know of it."""
-        self._state.withdrawn_leases.confirm_resumed(again)
-
-    def discard_lease_records(self) -> list[Decision]:
-        """Delete the withdrawal records of boxes that have ended along with their tasks;
-        otherwise one record would remain for every box that was ever lost."""
-        leases = self._state.withdrawn_leases
-        effects: list[Decision] = []
-        for incarnation in list(leases.incarnations):
-            if (
-                incarnation not in self._state.boxes
-                and incarnation not in self._state.inherited
-            ):
-                effects += leases.resume(incarnation)
-        return effects
+        return [StopPolling(incarnation), event, *self._lost.requeue(box, now)]
 
     def plan_poll(
         self, incarnation: str, now: float, may_renew: bool
@@ -293,24 +213,10 @@
         )
         if undurable or not box.adopted:
             wait = 0
-        until = self.renewed_lease_end_ms(box, now) if may_renew else None
+        until = self._leases.renewed_end_ms(box, now) if may_renew else None
         box.acknowledged_end = box.durable_end
         return PollPlan(box.entry.address, box.durable_end, until, wait)
 
-    def renewed_lease_end_ms(self, box: BoxView, now: float) -> int | None:
-        """Return when a lease renewed now ends, in ms on the box's clock.
-
-        :return: ``None`` if the lease must not be renewed.
-        """
-        if not box.clock_at:
-            return None
-        if box.incarnation in self._state.withdrawn_leases or _long_silent(box, now):
-            return None
-        parameters = self._state.parameters
-        box.lease_ends = max(box.lease_ends, now + parameters.lease_bound_s)
-        elapsed = now - box.clock_at
-        return box.clock_ms + int((elapsed + parameters.lease_s) * 1000)
-
     def handle_poll_outcome(
         self, incarnation: str, sent: float, now: float, outcome: PollOutcome
     ) -> list[Decision]:
@@ -340,7 +246,7 @@
         if box.silent_since is not None:
             return []
         box.silent_since = now
-        self._losses.record_silence(now)
+        self._lost.record_silence(now)
         inputs = {
             "reason": reason,
             **task_counts(box.tasks.values()),
@@ -489,8 +395,7 @@
         for box in list(self._state.boxes.values()):
             if box.silent_since is None and box.adopted:
                 continue
-            if box.tasks and box.adopted and _long_silent(box, now):
-                self._state.withdrawn_leases.withdraw(box.incarnation)
+            self._leases.record_silence(box, now)
             if now > box.lease_ends:
                 if not box.listed:
                     effects += self._remove_box(box.incarnation, "lease expired", now)
@@ -501,33 +406,20 @@
     def _lose_expired_tasks(self, box: BoxView, now: float) -> list[Decision]:
         inputs = {**task_counts(box.tasks.values()), **silence_inputs(box, now)}
         event = LogEvent("leases_lapsed", box.incarnation, inputs)
-        return [event, *self._lose_tasks(box, now)]
+        return [event, *self._lost.requeue(box, now)]
 
     def reclaim_orphaned_tasks(self, now: float) -> list[Decision]:
         """Requeue tasks of boxes that were never listed, once their leases have expired.
         Such a box may have crashed while there was no leader."""
         effects: list[Decision] = []
         for incarnation in list(self._state.inherited):
-            if now > self.inherited_lease_end(incarnation):
+            if now > self._leases.inherited.end(incarnation):
                 effects += self._reclaim_unlisted(incarnation, now)
+            else:
+                self._leases.record_unlisted(incarnation, now)
         return effects
 
     def _reclaim_unlisted(self, incarnation: str, now: float) -> list[Decision]:
         """Requeue the tasks of a box that only a predecessor knew, and that has ended."""
-        tasks = self._state.inherited.pop(incarnation)
-        there = [task for task in tasks if task.placed and task.box == incarnation]
-        inputs = {
-            "tasks_lost": len(there),
-            "long_running": count_long_running(there),
-            "since_take_over_s": round(now - self._took_over_at, 2),
-        }
-        effects: list[Decision] = [LogEvent("box_never_listed", incarnation, inputs)]
-        blame(there)
-        for task in there:
-            given_up = is_given_up(task, alone=False)
-            effects += self._progress.requeue_lost(task, given_up, now)
-        return effects
-
-
-def _long_silent(box: BoxView, now: float) -> bool:
-    return box.silent_since is not None and now - box.silent_since > SILENCE_LIMIT_S
+        since_s = now - self._leases.inherited.took_over_at
+        return self._lost.requeue_unlisted(incarnation, since_s, now)
--- /dev/null
+++ b/src/granitetrestle/inheritedleases.py
@@ -0,0 +1,93 @@
+"""How long the leases may run that earlier leaders granted.
+
+A task on a box that does not answer this leader may run until the last lease of that box
+has ended. Every bound here rests on something that this leader can prove, and none of
+them begins anew with a take-over: otherwise a task of a lost box would wait for as long
+as leaders follow each other."""
+
+from .shardstate import SchedulerParameters
+from .statedigest import LeaderMark
+
+__all__ = ["InheritedLeases"]
+
+
+class InheritedLeases:
+    """Bounds on the ends of the leases that earlier leaders granted to boxes that this
+    one has not reached. Times are in seconds on the process's steady clock.
+
+    :param now: a time after the claim of this leader's epoch, from which on no earlier
+        leader is confirmed any more.
+    """
+
+    def __init__(self, parameters: SchedulerParameters, now: float) -> None:
+        self._parameters = parameters
+        self._took_over_at = now
+        self._predecessor: LeaderMark | None = None
+        # The predecessor may be alive, without the store, and renew leases.
+        self._end = now + parameters.orphan_s + parameters.lease_bound_s
+        self._proof = "none"
+        # Incarnation of a box -> bound by a record about it.
+        self._recorded_ends: dict[str, float] = {}
+
+    @property
+    def took_over_at(self) -> float:
+        """When this leader took over."""
+        return self._took_over_at
+
+    @property
+    def latest_end(self) -> float:
+        """When the last of these leases has ended on any box."""
+        return self._end
+
+    @property
+    def latest_recorded_end(self) -> float:
+        """When the last lease has ended on the boxes with a record of their own."""
+        ends = self._recorded_ends.values()
+        return min(self._end, max(ends, default=self._took_over_at))
+
+    @property
+    def proof(self) -> str:
+        """What the bound rests on, for the log: ``resigned``, ``process ended`` or
+        ``none``."""
+        return self._proof
+
+    def end(self, incarnation: str) -> float:
+        """Return when the last of these leases has ended on a box."""
+        return min(self._end, self._recorded_ends.get(incarnation, self._end))
+
+    def record_box(self, incarnation: str, left_s: float | None) -> None:
+        """Apply a predecessor's record that it renews the leases of a box no more.
+
+        :param left_s: how long the last one may have run from when the record was
+            written; ``None`` in a record of an older version.
+        """
+        if left_s is None:
+            left_s = self._parameters.lease_bound_s
+        self._recorded_ends[incarnation] = self._took_over_at + left_s
+
+    def record_predecessor(self, mark: LeaderMark | None) -> None:
+        """Apply the mark of the leader before this one, if that is proved."""
+        self._predecessor = mark
+        if mark is not None and mark.resigned:
+            self._shorten(mark, self._took_over_at, "resigned")
+
+    def record_process_end(self, epoch: int, now: float) -> bool:
+        """Apply the proof that the process which led in ``epoch`` has ended by ``now``.
+
+        :returns: whether that shortens the bound.
+        """
+        mark = self._predecessor
+        if mark is None or mark.epoch != epoch:
+            return False
+        return self._shorten(mark, now, "process ended")
+
+    def _shorten(self, mark: LeaderMark, ended_at: float, proof: str) -> bool:
+        """Apply that the predecessor has granted and renewed no lease since
+        ``ended_at``; leaders before it may have, for as long as it says."""
+        own_end = ended_at + self._parameters.lease_bound_s
+        end = max(own_end, self._took_over_at + mark.inherited_s)
+        if end >= self._end:
+            return False
+        self._end = end
+        self._proof = proof
+        return True
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -14,6 +14,7 @@
 from .interfaces import Record
 from .slices import SlicedWork
 from .withdrawnleases import LEASE_KEY
+from .withdrawnleases import decode_lease_left
 from .workflows import DONE
 from .workflows import STOPPING
 from .workflows import Submission
@@ -211,7 +212,8 @@
     """The state that a predecessor wrote.
 
     :param interference: image -> encoded interference model of it.
-    :param without_lease: incarnations of boxes whose leases it no longer renewed.
+    :param leases_left: incarnations of boxes whose leases it no longer renewed -> how
+        long the last one may run, or ``None`` if the record does not say it.
     :param groups: the groups in the store.
     :param in_old_format: jobs stored in the format of an older version.
     :param with_unreadable_progress: jobs with a progress record that can't be read.
@@ -219,7 +221,7 @@
 
     workflows: dict[str, Workflow]
     interference: dict[str, bytes]
-    without_lease: t.Collection[str]
+    leases_left: dict[str, float | None]
     groups: list[GroupId]
     in_old_format: list[Workflow]
     with_unreadable_progress: list[Workflow]
@@ -233,8 +235,11 @@
     for record in records:
         if record.value is not None:
             by_kind[record.key[:2]][record.key[2:]] = record.value
-    interference, without_lease = by_kind[INTERFERENCE_KEY], by_kind[LEASE_KEY]
-    restored = Restored({}, interference, without_lease, [], [], [], [])
+    leases_left = {
+        incarnation: decode_lease_left(value)
+        for incarnation, value in by_kind[LEASE_KEY].items()
+    }
+    restored = Restored({}, by_kind[INTERFERENCE_KEY], leases_left, [], [], [], [])
     for job, value in by_kind[SUBMISSION_KEY].items():
         submission = _read(_submissions, SUBMISSION_KEY + job, value, restored)
         if submission is not None:
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -18,6 +18,7 @@
 from .interfaces import Writer
 from .statedigest import DIGEST_BYTES
 from .statedigest import DigestTracker
+from .statedigest import LeaderMark
 
 __all__ = ["Journal", "JournalStatus", "NotKept"]
 
@@ -80,6 +81,8 @@
     :param end: end offset of the topic when this epoch was claimed, if that is known.
     :param call_bytes: size limit of the store for one call. A larger batch would be
         refused and repeated forever.
+    :param leader_mark: returns what the leader states about leases with an append, from
+        the end offset of the topic after it.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         on_not_kept: t.Callable[["NotKept"], None] = lambda _: None,
         end: int | None = None,
         call_bytes: int = MAX_BATCH_BYTES,
+        leader_mark: t.Callable[[int], LeaderMark] | None = None,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -106,6 +110,8 @@
         self._on_not_kept = on_not_kept
         # End offset of the topic by the newest answer; nobody else writes to it.
         self._end = end
+        self._leader_mark = leader_mark
+        self._resignation_kept = False
         self._digest_tracker = DigestTracker()
         self._batch_bytes = min(MAX_BATCH_BYTES, call_bytes) - DIGEST_BYTES
         self._held: list[t.Any] = []
@@ -139,6 +145,12 @@
         """Whether no effect is held back and no append is pending."""
         return not self._held and self._waiting_since is None
 
+    @property
+    def resignation_kept(self) -> bool:
+        """Whether an append has succeeded with which the leader states that it has
+        resigned."""
+        return self._resignation_kept
+
     def start_from(self, records: t.Iterable[Record]) -> None:
         """Set the records of the topic before the first append."""
         self._digest_tracker = DigestTracker(records)
@@ -193,7 +205,8 @@
         # The state digest keeps every append from being empty. An empty append may
         # share its number with the next one, which a store may take for a repeat and
         # not keep: a successor would then start completed tasks again.
-        records = self._digest_tracker.with_digest(batch)
+        mark = self._next_mark(len(batch))
+        records = self._digest_tracker.with_digest(batch, mark)
         self._sequence += 1
         writer = Writer(self._epoch, self._sequence)
         started_at = self._waiting_since = self._clock()
@@ -208,9 +221,17 @@
             self._confirmed_at, self._answered_at = settled.sent_at, self._clock()
             self._success.set()
             self._success = anyio.Event()
+            if mark is not None and mark.resigned:
+                self._resignation_kept = True
         self._waiting_since = None
         return settled.outcome
 
+    def _next_mark(self, records: int) -> LeaderMark | None:
+        """Return the mark of an append of some records and the digest."""
+        if self._leader_mark is None or self._end is None:
+            return None
+        return self._leader_mark(self._end + records + 1)
+
     def _is_kept(self, writer: Writer, records: int, end: int) -> bool:
         """Return whether the topic has grown by at least the records of the append."""
         if self._end is not None and end < self._end + records:
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -303,8 +303,8 @@
             return
         self._session_scope = None
         started = time.monotonic()
-        with anyio.move_on_after(drain_s) as draining:
-            await session.drain()
+        with anyio.move_on_after(drain_s) as resigning:
+            await session.resign()
         scope.cancel()
         if successor:
             self._peers.send(successor, LeaderResigned(session.epoch))
@@ -313,7 +313,7 @@
             epoch=session.epoch,
             to=successor,
             took_s=round(time.monotonic() - started, 3),
-            drained=not draining.cancelled_caught,
+            kept=not resigning.cancelled_caught,
         )
 
     def _report_now(self) -> None:
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -45,6 +45,7 @@
 from .shardstate import ShardState
 from .slices import SlicedWork
 from .slices import run_to_completion
+from .statedigest import LeaderMark
 from .workflows import RUNNING
 from .workflows import STARTING
 from .workflows import STOPPING
@@ -82,6 +83,7 @@
         self._interference_written_at = now
         # Jobs whose progress could not be read at the take-over.
         self._doubtful: list[Workflow] = []
+        self._stopped_starting = False
 
     @property
     def state(self) -> ShardState:
@@ -117,15 +119,21 @@
         """Return the records of what was decided since the last call."""
         return self._state.take_writes()
 
-    def restore(self, records: t.Iterable[Record], now: float) -> list[Decision]:
+    def restore(
+        self, records: t.Iterable[Record], now: float, mark: LeaderMark | None = None
+    ) -> list[Decision]:
         """Restore the state from a predecessor's records."""
-        return run_to_completion(self.restore_in_slices(records, now))
+        return run_to_completion(self.restore_in_slices(records, now, mark))
 
     def restore_in_slices(
-        self, records: t.Iterable[Record], now: float
+        self, records: t.Iterable[Record], now: float, mark: LeaderMark | None = None
     ) -> SlicedWork[list[Decision]]:
-        """Restore the state from a predecessor's records, a part at each step."""
+        """Restore the state from a predecessor's records, a part at each step.
+
+        :param mark: the predecessor's last statement about leases, if it is proved.
+        """
         restored = yield from self._state.restore(records, now)
+        self._fleet.leases.restore(mark, restored.leases_left)
         self._doubtful = restored.with_unreadable_progress
         for workflow in self._state.workflows.values():
             self._dispatcher.record_submission(workflow)
@@ -137,10 +145,19 @@
             for error in restored.unreadable
         ]
 
+    def stop_starting(self) -> None:
+        """Start and move no more tasks, since this leader is about to resign."""
+        self._stopped_starting = True
+
+    def resign(self, now: float) -> None:
+        """Grant and renew no lease any more; a successor may start what waits."""
+        self.stop_starting()
+        self._fleet.leases.resign(now)
+
     def _enqueue_doubtful(self, now: float) -> None:
         """Enqueue jobs whose progress could not be read, once every lease of a
         predecessor has expired: an earlier start might be a second run of a task."""
-        if self._doubtful and now > self._fleet.inherited_leases_end:
+        if self._doubtful and now > self._fleet.leases.inherited.latest_end:
             for workflow in self._doubtful:
                 if not workflow.terminal:
                     self._state.enqueue_ready_steps(workflow, now)
@@ -212,18 +229,18 @@
         if now - self._swept_at > RETENTION_SWEEP_INTERVAL_S:
             self._swept_at = now
             self._sweep(now)
-            effects += self._fleet.discard_lease_records()
+            effects += self._fleet.leases.discard_records()
         if now - self._interference_written_at > INTERFERENCE_WRITE_INTERVAL_S:
             self._interference_written_at = now
             self._state.record_interference()
         effects += self._long_running_waits.report(
             self._dispatcher.headroom,
             max_starts,
-            self._fleet.inherited_lease_end,
+            self._fleet.leases.inherited.end,
             now,
         )
         effects += self._evacuation.report_held_starts(now)
-        if not self._evacuation.up_to_date(now):
+        if self._stopped_starting or not self._evacuation.up_to_date(now):
             return effects
         effects += self._dispatcher.move_slowed(now)
         return effects + self._dispatcher.place(now, wall_ms, max_starts)
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -57,6 +57,8 @@
 from .shardstate import SchedulerParameters
 from .slices import in_slices
 from .statedigest import EpochClaim
+from .statedigest import LeaderMark
+from .statedigest import read_leader_mark
 from .succession import JOBS_TOPIC
 from .succession import StateReader
 from .succession import StateUnavailable
@@ -106,6 +108,7 @@
             self._append_not_kept,
             claim.end,
             parameters.call_bytes,
+            self._leader_mark,
         )
         self._lag = LoopLag(steadyclock.now)
         self._leader_lease = JournalLeaderLease(
@@ -223,10 +226,11 @@
         records, end = len(state.records), state.end
         with freeze_allocations():
             self._journal.start_from(state.records)
-            restoring = self._scheduler.restore_in_slices(state.records, now)
+            mark = read_leader_mark(state.records, self._claim)
+            restoring = self._scheduler.restore_in_slices(state.records, now, mark)
             del state
             self._apply(await in_slices(restoring))
-            self._apply([self._scheduler.fleet.inherited_event(now)])
+            self._apply([self._scheduler.fleet.leases.inherited_event(now)])
             self._operator_feed.load(read[self._sources.config_topic])
             await in_slices(self._box_feed.loading(read[self._sources.box_topic]))
         self._log.event(
@@ -384,7 +388,7 @@
             elif isinstance(decision, StartTask | StopTask):
                 self._send_command(decision)
             elif isinstance(decision, ResumeLeases):
-                self._scheduler.fleet.resume_leases(decision)
+                self._scheduler.fleet.leases.resume(decision)
             elif isinstance(decision, AcknowledgeEnds):
                 poller = self._pollers.get(decision.incarnation)
                 if poller is not None:
@@ -446,6 +450,24 @@
             await anyio.sleep(RETRY_INTERVAL_S)
         return True
 
+    async def resign(self) -> None:
+        """Stop leading: carry out what was decided, grant no further lease, and return
+        once the store knows that."""
+        self._scheduler.stop_starting()
+        await self.drain()
+        self._scheduler.resign(time.monotonic())
+        self._journal.request_append()
+        while not self._journal.resignation_kept and not self._over:
+            await anyio.sleep(RETRY_INTERVAL_S / 10)
+
+    def record_process_end(self, epoch: int) -> None:
+        """Apply the proof that the process which led in ``epoch`` has ended."""
+        leases = self._scheduler.fleet.leases
+        self._apply(leases.record_process_end(epoch, time.monotonic()))
+
+    def _leader_mark(self, end: int) -> LeaderMark:
+        return self._scheduler.fleet.leases.mark(self._epoch, end, time.monotonic())
+
     async def drain(self) -> None:
         """Return once all decisions are durable and carried out."""
         while not self._journal.idle and not self._over:
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -224,7 +224,7 @@
                 if task.run:
                     self.mark_task_changed(task)
             self.mark_job_ended(workflow)
-        self.withdrawn_leases.restore(restored.without_lease)
+        self.withdrawn_leases.restore(restored.leases_left, now)
         for image, value in restored.interference.items():
             try:
                 self.interference.restore(image, value)
--- a/src/granitetrestle/statedigest.py
+++ b/src/granitetrestle/statedigest.py
@@ -1,13 +1,18 @@
 """State digest: lets a successor verify that it has read all records that its
-predecessor took for kept.
+predecessor took for kept, and tells it what that one said of its leases.
 
 Each append ends with a digest: a checksum over the keys and values that the topic holds
 from then on. So no append is empty, and no two appends share a sequence number. A read
 that lacks records or shows older ones does not match its digest. A read that lacks the
 successor's own first record, its epoch claim, is older than its epoch, or another
-process or incarnation has claimed the epoch."""
+process or incarnation has claimed the epoch.
+
+The digest also carries a :class:`LeaderMark`. It speaks for the time up to the claim only
+if the claim is the next record after the append: otherwise another process has claimed
+an epoch in between, and may have renewed leases without writing anything."""
 
 import enum
+import math
 import typing as t
 import zlib
 
@@ -23,7 +28,9 @@
     "DigestTracker",
     "IncompleteRead",
     "EpochClaim",
+    "LeaderMark",
     "Verdict",
+    "read_leader_mark",
     "verify_read",
 ]
 
@@ -49,6 +56,33 @@
     total: int
 
 
+class _StoredDigest(msgspec.Struct, frozen=True, array_like=True):
+    """Stored form of a digest and a mark; older versions write the digest alone, and
+    ignore the mark."""
+
+    keys: int
+    total: int
+    epoch: int = 0
+    end: int = 0
+    resigned: bool = False
+    inherited_ms: int = 0
+
+
+class LeaderMark(t.NamedTuple):
+    """What a leader states with an append about the leases of boxes.
+
+    :param end: end offset of the topic after the append.
+    :param resigned: whether it grants and renews no lease any more.
+    :param inherited_s: how long a lease may still run that an earlier leader granted
+        to a box which this one has not reached.
+    """
+
+    epoch: int
+    end: int
+    resigned: bool
+    inherited_s: float
+
+
 class _EpochClaimant(msgspec.Struct, frozen=True, array_like=True):
     """Stored form of an epoch claim.
 
@@ -77,7 +111,7 @@
 
 
 _encode = msgspec.msgpack.Encoder().encode
-_digest_decoder = msgspec.msgpack.Decoder(StateDigest)
+_digest_decoder = msgspec.msgpack.Decoder(_StoredDigest)
 _claimant_decoder = msgspec.msgpack.Decoder(_EpochClaimant)
 
 
@@ -108,11 +142,23 @@
         """The digest of the topic's current records."""
         return StateDigest(len(self._checksums), self._combined)
 
-    def with_digest(self, records: t.Sequence[Record]) -> list[Record]:
-        """Return the records of an append followed by the digest after it."""
+    def with_digest(
+        self, records: t.Sequence[Record], mark: LeaderMark | None = None
+    ) -> list[Record]:
+        """Return the records of an append followed by the digest after it.
+
+        :param mark: what the leader states with this append, if it knows the offset.
+        """
         for record in records:
             self._apply(record)
-        return [*records, Record(DIGEST_KEY, _encode(self.digest))]
+        keys, total = self.digest.keys, self.digest.total
+        stored = _StoredDigest(keys, total)
+        if mark is not None:
+            inherited_ms = math.ceil(mark.inherited_s * 1000.0)
+            stored = _StoredDigest(
+                keys, total, mark.epoch, mark.end, mark.resigned, inherited_ms
+            )
+        return [*records, Record(DIGEST_KEY, _encode(stored))]
 
 
 class Verdict(enum.Enum):
@@ -156,14 +202,34 @@
             return None
         return IncompleteRead(Verdict.NO_DIGEST, f"no digest with {actual.keys} keys")
     try:
-        expected = _digest_decoder.decode(values[DIGEST_KEY] or b"")
+        stored = _digest_decoder.decode(values[DIGEST_KEY] or b"")
     except msgspec.DecodeError as error:
         return IncompleteRead(Verdict.NO_DIGEST, f"unreadable digest: {error}")
+    expected = StateDigest(stored.keys, stored.total)
     if actual == expected:
         return None
     return IncompleteRead(Verdict.DIGEST_MISMATCH, f"{actual}, not {expected}")
 
 
+def read_leader_mark(
+    records: t.Iterable[Record], claim: EpochClaim
+) -> LeaderMark | None:
+    """Return the mark of the leader before this process, or ``None`` if there is no
+    proof that it was the last one to lead.
+
+    :param claim: the claim of this process's epoch, made before the read.
+    """
+    value = next((r.value for r in records if r.key == DIGEST_KEY), None)
+    try:
+        stored = _digest_decoder.decode(value or b"")
+    except msgspec.DecodeError:
+        return None
+    if not stored.epoch or stored.end + 1 != claim.end:
+        return None
+    inherited_s = stored.inherited_ms / 1000.0
+    return LeaderMark(stored.epoch, stored.end, stored.resigned, inherited_s)
+
+
 def _decode_claimant(value: bytes | None) -> _EpochClaimant | None:
     try:
         return _claimant_decoder.decode(value) if value else None
--- a/src/granitetrestle_standins/shardprocess.py
+++ b/src/granitetrestle_standins/shardprocess.py
@@ -24,6 +24,7 @@
 from granitetrestle.shardstate import SchedulerParameters
 from granitetrestle.statedigest import DigestTracker
 from granitetrestle.statedigest import EpochClaim
+from granitetrestle.statedigest import read_leader_mark
 from granitetrestle_standins.nativestore import StoreModel
 
 __all__ = [
@@ -104,11 +105,15 @@
         self.log_events: list[LogEvent] = []
         self.polled_at: dict[str, float] = {}
         self.apply(self.scheduler.apply_config(world.config))
-        claim = EpochClaim.record(epoch, f"life-{epoch}")
-        world.store.append(JOBS_TOPIC, (claim,), Writer(epoch, 1))
+        by = f"life-{epoch}"
+        records = (EpochClaim.record(epoch, by),)
+        appended = world.store.append(JOBS_TOPIC, records, Writer(epoch, 1))
+        assert isinstance(appended, Appended), appended
+        self._end = appended.end
         newest_records = world.store.newest(JOBS_TOPIC).records
         self.digests = DigestTracker(newest_records)
-        self.scheduler.restore(newest_records, world.now)
+        mark = read_leader_mark(newest_records, EpochClaim(epoch, by, self._end))
+        self.scheduler.restore(newest_records, world.now, mark)
         self.directives_offset = -1
         self.read_directives()
         self.list_boxes()
@@ -132,10 +137,18 @@
             self._suspended_at = None
 
     def resign(self) -> None:
-        """Stop leading in an orderly way: write what was decided, then end."""
+        """Stop leading in an orderly way: send what was decided, then state that no
+        lease is renewed any more, and end."""
+        self.scheduler.stop_starting()
+        self._write()
+        self.scheduler.resign(self.now)
         self._write()
         self.stopped = True
 
+    def predecessor_ended(self, epoch: int) -> None:
+        """Hear that the process which led in ``epoch`` has ended."""
+        self.apply(self.scheduler.fleet.leases.record_process_end(epoch, self.now))
+
     def read_directives(self) -> None:
         """Apply the directives since the last read, or all when the history is gone."""
         store, evacuation = self.world.store, self.scheduler.evacuation
@@ -185,13 +198,17 @@
     def _write(self) -> None:
         if self.world.store_down or self.without_store:
             return
-        records = self.digests.with_digest(self.scheduler.take_writes())
+        changes = self.scheduler.take_writes()
+        end = self._end + len(changes) + 1
+        mark = self.scheduler.fleet.leases.mark(self.epoch, end, self.now)
+        records = self.digests.with_digest(changes, mark)
         writer = Writer(self.epoch, self.sequence + 1)
         outcome = self.world.store.append(JOBS_TOPIC, records, writer)
         if not isinstance(outcome, Appended):
             self.stopped = True
             return
         self.sequence += 1
+        self._end = outcome.end
         self.confirmed_at = self.now
         gated, self.gated = self.gated, []
         for decision in gated:
@@ -203,7 +220,7 @@
         elif isinstance(decision, AnswerCall):
             self.world.record_answer(decision)
         elif isinstance(decision, ResumeLeases):
-            self.scheduler.fleet.resume_leases(decision)
+            self.scheduler.fleet.leases.resume(decision)
         elif isinstance(decision, AcknowledgeEnds):
             box = self.scheduler.state.boxes.get(decision.incarnation)
             if box is not None:
