A successor waits for a killed leader no longer than one lease after its process has ended

A successor of a leader that was killed waits for a lease and for the 8 s for which a leader may go on renewing leases without the store, since it can't tell a dead process from one that is cut off. After a kill the process starts again within seconds, at the same address.

Change: processes remember which incarnation has led in which epoch. A report of another incarnation of the same name, from the same address, that knows this epoch or a newer one proves that the leader's process has ended, since two processes can't listen at one address; a report of an earlier incarnation that arrives late names an older epoch. The successor then counts one lease from when it hears that, but not less than leaders before the killed one may have left.

--- a/features/inherited_leases.feature
+++ b/features/inherited_leases.feature
@@ -48,3 +48,37 @@
     Given a store that counts only appends with records, and 2 boxes
     When a leader runs a job, resigns, and another process takes over
     Then the predecessor has renewed no lease since, and its successor goes on with its wait
+
+  Scenario Outline: Only a process that has started after a leader proves that the leader's has ended
+    Given a process that has reported as the leader of epoch 7
+    When a report arrives of <what>
+    Then the leader's process <counts>
+
+    Examples:
+      | what                                                 | counts              |
+      | its next incarnation at its address                  | counts as ended     |
+      | the process itself                                   | may still run       |
+      | an earlier incarnation whose report arrives late     | may still run       |
+      | another incarnation of its name at another address   | may still run       |
+      | another process                                      | may still run       |
+
+  Scenario Outline: The wait for a killed leader ends one lease after its process has ended
+    With leases of 3 s; a leader that may be alive would renew them for 2 s more.
+    Given a shard of 6 boxes among models
+    When a long-running task runs, its box is lost, <listed>, the leader is killed, and its process is known to have ended 1 s later
+    Then it runs on another box within 4.9 seconds of when its box became silent
+
+    Examples:
+      | listed               |
+      | still listed         |
+      | and no longer listed |
+
+  Scenario: The end of one leader's process does not hide an earlier leader that renews leases
+    Given a shard of 6 boxes among models
+    When a long-running task runs on a box that only a leader without the store reaches, and the process of its successor ends
+    Then no task ever ran on two boxes
+
+  Scenario: A successor among real processes learns that a killed leader has ended
+    Given 3 real processes and 2 boxes
+    When the leader is killed and started again
+    Then its successor no longer waits for leases that it may renew
--- a/features/steps/inherited_lease_steps.py
+++ b/features/steps/inherited_lease_steps.py
@@ -7,12 +7,15 @@
 from behave import when
 
 from granitetrestle.interfaces import Record
+from granitetrestle.leaderprocesses import LeaderProcesses
+from granitetrestle.messages import NodeStatus
 from granitetrestle.statedigest import DIGEST_KEY
 from granitetrestle.statedigest import DigestTracker
 from granitetrestle.statedigest import EpochClaim
 from granitetrestle.statedigest import LeaderMark
 from granitetrestle.statedigest import read_leader_mark
 from granitetrestle.workflows import Step
+from granitetrestle_standins.nativecluster import NativeCluster
 from granitetrestle_standins.nativestore import StoreModel
 from lasting_task import lasting_task
 
@@ -186,3 +189,102 @@
     assert first["proof"] == "none", first
     assert second["proof"] == "resigned", second
     assert second["wait_s"] <= first["wait_s"] - IDLE_S, (first, second)
+
+
+def status(node="n1", address="10.0.0.1:1", epoch=7, leader="n1"):
+    return NodeStatus(node, address, "h", epoch, leader, True, True, 1.0)
+
+
+@given("a process that has reported as the leader of epoch 7")
+def leader_reported(context):
+    context.processes = LeaderProcesses()
+    assert context.processes.record_report(status(), "second") == []
+
+
+REPORTS = {
+    "its next incarnation at its address": (status(leader=""), "third"),
+    "the process itself": (status(leader=""), "second"),
+    "an earlier incarnation whose report arrives late": (status(epoch=6), "first"),
+    "another incarnation of its name at another address": (
+        status(address="10.0.0.2:1", leader=""),
+        "third",
+    ),
+    "another process": (status(node="n2"), "third"),
+}
+
+
+@when("a report arrives of {what}")
+def process_reports(context, what):
+    context.processes.record_report(*REPORTS[what])
+
+
+@then("the leader's process counts as ended")
+def process_ended(context):
+    assert list(context.processes.ended_epochs) == [7]
+
+
+@then("the leader's process may still run")
+def process_may_run(context):
+    assert not context.processes.ended_epochs
+
+
+@when(
+    "a long-running task runs, its box is lost, {listed}, the leader is killed, and its "
+    "process is known to have ended 1 s later"
+)
+def killed_leader_ended(context, listed):
+    world = context.world
+    lose_box(context, listed)
+    killed = world.leader.epoch
+    world.kill()
+    world.advance(0.5)
+    world.take_over()
+    world.advance(0.5)
+    world.leader.predecessor_ended(killed)
+
+
+@when(
+    "a long-running task runs on a box that only a leader without the store reaches, "
+    "and the process of its successor ends"
+)
+def successor_of_cut_off_leader_ends(context):
+    world = context.world
+    context.task = lasting_task(context)
+    old = world.leader
+    old.without_store = True
+    old.cut_from.update(world.entries.keys() - {context.task.box})
+    world.take_over()
+    world.leader.cut_from.add(context.task.box)
+    world.advance(0.3)
+    ended = world.leader.epoch
+    world.kill()
+    world.take_over()
+    world.leader.cut_from.add(context.task.box)
+    world.leader.predecessor_ended(ended)
+    world.advance(20.0)
+
+
+@given("{nodes:d} real processes and {boxes:d} boxes")
+def real_processes(context, nodes, boxes):
+    context.cluster = NativeCluster(context.folder, nodes, boxes)
+    context.cluster.ready()
+
+
+@when("the leader is killed and started again")
+def kill_leader(context):
+    cluster = context.cluster
+    context.killed = cluster.leader()
+    cluster.kill(context.killed)
+    cluster.wait(lambda: cluster.leader() != context.killed, "another leader")
+    cluster.restart(context.killed)
+
+
+@then("its successor no longer waits for leases that it may renew")
+def process_end_heard(context):
+    cluster = context.cluster
+
+    def proofs():
+        lines = cluster.log(cluster.leader())
+        return [line["proof"] for line in lines if line["event"] == "leases_inherited"]
+
+    cluster.wait(lambda: proofs()[-1:] == ["process ended"], "proof of the end")
--- /dev/null
+++ b/src/granitetrestle/leaderprocesses.py
@@ -0,0 +1,74 @@
+"""Which processes have led, and which of them have ended.
+
+A leader that is gone may just as well be cut off and still renew leases of boxes. Only
+when another process answers at its address, it has ended for certain: two processes
+can't listen at one address."""
+
+import typing as t
+
+from .messages import NodeStatus
+
+__all__ = ["LeaderProcesses"]
+
+# Of leaders before these no lease runs any more.
+MAX_REMEMBERED_EPOCHS: t.Final = 16
+
+
+class _Process(t.NamedTuple):
+    """A process that has reported as the leader of an epoch."""
+
+    node: str
+    incarnation: str
+    address: str
+
+
+class LeaderProcesses:
+    """Learns from status reports which leaders' processes have ended."""
+
+    def __init__(self) -> None:
+        self._by_epoch: dict[int, _Process] = {}
+        self._ended: set[int] = set()
+
+    @property
+    def ended_epochs(self) -> t.Collection[int]:
+        """Epochs whose leader's process has ended."""
+        return self._ended
+
+    def record_report(self, status: NodeStatus, incarnation: str) -> list[int]:
+        """Record a report of another process.
+
+        :param incarnation: the sender's, which differs from that of each process that
+            ran under its name before.
+        :returns: epochs whose leader's process is now known to have ended.
+        """
+        sender = _Process(status.node, incarnation, status.address)
+        ended = [
+            epoch
+            for epoch, leader in self._by_epoch.items()
+            if epoch not in self._ended and _has_replaced(sender, status, leader, epoch)
+        ]
+        self._ended.update(ended)
+        if status.leader == status.node and status.epoch:
+            self._by_epoch.setdefault(status.epoch, sender)
+            self._forget_old_epochs()
+        return ended
+
+    def _forget_old_epochs(self) -> None:
+        for epoch in sorted(self._by_epoch)[:-MAX_REMEMBERED_EPOCHS]:
+            del self._by_epoch[epoch]
+            self._ended.discard(epoch)
+
+
+def _has_replaced(
+    sender: _Process, status: NodeStatus, leader: _Process, epoch: int
+) -> bool:
+    """Return whether the sender of a report has started after a leader's process.
+
+    A report of a process that ran before the leader may arrive late. It names an older
+    epoch, since that process ended before the leader's began."""
+    return (
+        sender.node == leader.node
+        and sender.address == leader.address
+        and sender.incarnation != leader.incarnation
+        and status.epoch >= epoch
+    )
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -15,6 +15,7 @@
 from .forwarding import Forwarding
 from .forwarding import Target
 from .interfaces import StoreUnavailable
+from .leaderprocesses import LeaderProcesses
 from .leadership import next_epoch
 from .messages import CallAnswered
 from .messages import CallForwarded
@@ -131,6 +132,7 @@
             self._heartbeat_watch,
             log,
         )
+        self._leader_processes = LeaderProcesses()
         # Whether the store is asked for the leader, and whether an epoch is being claimed.
         self._attempting = False
         self._taking_over = False
@@ -211,6 +213,7 @@
         async for envelope in self._peers.receive():
             message, sender = envelope.message, envelope.sender
             if isinstance(message, NodeStatus):
+                self._record_ended_leaders(message, envelope.incarnation)
                 self._handle_status(message)
             elif isinstance(message, CallForwarded):
                 tasks.start_soon(self._answer_forwarded, sender, message)
@@ -220,6 +223,13 @@
                 self._leadership.record_handover_request(message.epoch)
                 self._log.event("asked_to_take_over", by=sender, epoch=message.epoch)
 
+    def _record_ended_leaders(self, status: NodeStatus, incarnation: str) -> None:
+        ended = self._leader_processes.record_report(status, incarnation)
+        for epoch in ended:
+            self._log.event("leader_process_ended", node=status.node, epoch=epoch)
+            if self._session is not None and self._serving:
+                self._session.record_process_end(epoch)
+
     def _handle_status(self, status: NodeStatus) -> None:
         now = time.monotonic()
         self._send_reports(self._reports.record_report(status, self._own_state(), now))
@@ -416,6 +426,9 @@
 
     def _begin_serving(self) -> None:
         self._serving = True
+        assert self._session is not None
+        for epoch in self._leader_processes.ended_epochs:
+            self._session.record_process_end(epoch)
         self._report_now()
         self._leader_changed()
 
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -126,6 +126,8 @@
         self._load_logged_at = time.monotonic()
         self._callers: dict[str, _Caller] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
+        # Whether the predecessor's state is restored, so that this session decides.
+        self._deciding = False
         self._over = False
         # Newest epoch that other processes are known to follow.
         self._newest_epoch = claim.epoch
@@ -204,6 +206,7 @@
                 self._tasks = tasks
                 if not await self._take_over():
                     return
+                self._deciding = True
                 tasks.start_soon(self._run_journal, tasks)
                 tasks.start_soon(self._operator_feed.follow)
                 tasks.start_soon(self._box_feed.follow)
@@ -453,6 +456,8 @@
     async def resign(self) -> None:
         """Stop leading: carry out what was decided, grant no further lease, and return
         once the store knows that."""
+        if not self._deciding:
+            return
         self._scheduler.stop_starting()
         await self.drain()
         self._scheduler.resign(time.monotonic())
--- a/src/granitetrestle/timeline.py
+++ b/src/granitetrestle/timeline.py
@@ -24,6 +24,8 @@
         "take_over_failed",
         "stepped_down",
         "handed_over",
+        "leader_process_ended",
+        "leases_inherited",
         "store_lost",
         "store_back",
         "stood_still",
