A poll that never left does not prolong the wait for a lost box

A box that refuses connections was polled for 1.2 s more, and each of these polls counted as a renewal of its lease although none was sent. Its tasks started elsewhere up to 1.2 s later than the last lease that it can hold.

A poll that provably never left undoes its renewal, unless a start has renewed the lease since.

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -194,3 +194,14 @@
       | 3     | 0.3   | 1.0 | and no longer listed   |
       | 6     | 0.3   | 0.6 | still listed           |
       | 6     | 0.3   | 0.6 | and no longer listed   |
+
+  Scenario Outline: Polls that never left do not prolong the wait for the lease of a lost box
+    Given four boxes of 64 cores, with a long-running task on one of them
+    When polls of its box fail for 1 s, <how>
+    Then its last lease counts as one that was renewed <when>
+
+    Examples:
+      | how                                | when               |
+      | for lack of a connection           | before the failure |
+      | without an answer                  | after the failure  |
+      | unsent, and a start to it was sent | after the failure  |
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -1,9 +1,13 @@
 """Steps of the scenarios about leases that a leader no longer renews."""
 
+from behave import given
 from behave import then
 from behave import when
+from room_steps import SchedulerHarness
 
+from granitetrestle.interfaces import BoxNoAnswer
 from granitetrestle.shardstate import SchedulerParameters
+from granitetrestle.workflows import Step
 from lasting_task import lasting_task
 
 
@@ -127,3 +131,36 @@
     assert (
         context.silent_box not in context.world.leader.scheduler.state.withdrawn_leases
     )
+
+
+@given("four boxes of 64 cores, with a long-running task on one of them")
+def task_on_one_of_four(context):
+    context.harness = harness = SchedulerHarness(4)
+    workflow = harness.submit("job", Step(count=1, cpu=500, long_running=True))
+    (task,) = workflow.tasks.values()
+    context.box = harness.scheduler.state.boxes[task.box]
+    harness.scheduler.fleet.plan_poll(task.box, harness.now, True)
+    harness.poll(task.box)
+    context.renewed_at = harness.now
+
+
+@when("polls of its box fail for 1 s, {how}")
+def polls_fail(context, how):
+    harness, box = context.harness, context.box
+    fleet = harness.scheduler.fleet
+    sent = how == "without an answer"
+    for _ in range(10):
+        harness.now += 0.1
+        fleet.plan_poll(box.incarnation, harness.now, True)
+        if "a start" in how:
+            fleet.leases.renewed_end_ms(box, harness.now)
+        outcome = BoxNoAnswer("lost", sent=sent)
+        fleet.handle_poll_outcome(box.incarnation, harness.now, harness.now, outcome)
+
+
+@then("its last lease counts as one that was renewed {when}")
+def lease_counted_from(context, when):
+    renewed_at = context.renewed_at if when == "before the failure" else None
+    bound_s = SchedulerParameters().lease_bound_s
+    expected = (renewed_at or context.harness.now) + bound_s
+    assert abs(context.box.lease_ends - expected) < 0.01, context.box.lease_ends
--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -70,6 +70,7 @@
     :ivar applied_end: highest number of an end that was applied.
     :ivar durable_end: highest number of an end that is durable.
     :ivar acknowledged_end: highest number that a planned poll acknowledges.
+    :ivar renewals: how often its lease was granted or renewed.
     :ivar relisted_ends: how many ends it listed after they had been acknowledged.
     """
 
@@ -118,6 +119,7 @@
         self.clock_ms = 0
         self.clock_at = 0.0
         self.lease_ends = lease_ends
+        self.renewals = 0
         self.silent_since = None
         self.closed_until = 0.0
         self.quarantined_until = 0.0
--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -20,6 +20,17 @@
 SILENCE_LIMIT_S: t.Final = 1.2
 
 
+class _PollRenewal(t.NamedTuple):
+    """The state of a box's lease before and after a poll.
+
+    :param lease_ends: when the last lease ended without the poll.
+    :param renewals: number of renewals with the poll.
+    """
+
+    lease_ends: float
+    renewals: int
+
+
 class BoxLeases:
     """The leases that this leader and earlier ones granted to the boxes of a shard."""
 
@@ -28,6 +39,8 @@
         self._inherited = InheritedLeases(state.parameters, now)
         # Whether this leader has resigned, and grants and renews no lease any more.
         self._resigned = False
+        # Incarnation of a box -> what its last poll renewed.
+        self._poll_renewals: dict[str, _PollRenewal] = {}
 
     @property
     def inherited(self) -> InheritedLeases:
@@ -103,9 +116,24 @@
             return None
         parameters = self._state.parameters
         box.lease_ends = max(box.lease_ends, now + parameters.lease_bound_s)
+        box.renewals += 1
         elapsed = now - box.clock_at
         return box.clock_ms + int((elapsed + parameters.lease_s) * 1000)
 
+    def renew_by_poll(self, box: BoxView, now: float) -> int | None:
+        """Return the lease to renew with a poll, as :meth:`renewed_end_ms`."""
+        lease_ends = box.lease_ends
+        end_ms = self.renewed_end_ms(box, now)
+        self._poll_renewals[box.incarnation] = _PollRenewal(lease_ends, box.renewals)
+        return end_ms
+
+    def undo_poll(self, box: BoxView) -> None:
+        """Undo the renewal by the last poll of a box, which provably never left. Else a
+        box that refuses connections would be waited for as if it had taken them all."""
+        renewal = self._poll_renewals.pop(box.incarnation, None)
+        if renewal is not None and renewal.renewals == box.renewals:
+            box.lease_ends = renewal.lease_ends
+
     def record_silence(self, box: BoxView, now: float) -> None:
         """Stop renewing leases of a box with tasks that has been silent for long, or
         that no earlier leader renewed them for."""
@@ -132,6 +160,10 @@
         """Renew leases of a box again, since a successor would know of it."""
         self._state.withdrawn_leases.confirm_resumed(again)
 
+    def forget(self, incarnation: str) -> None:
+        """Forget the polls of a box that has ended."""
+        self._poll_renewals.pop(incarnation, None)
+
     def discard_records(self) -> list[Decision]:
         """Delete the withdrawal records of boxes that have ended along with their tasks;
         otherwise one record would remain for every box that was ever lost."""
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -189,6 +189,7 @@
         if box is None:
             return []
         self._state.index.remove(box)
+        self._leases.forget(incarnation)
         inputs = {
             "why": reason,
             "tasks_lost": len(box.tasks),
@@ -213,7 +214,7 @@
         )
         if undurable or not box.adopted:
             wait = 0
-        until = self._leases.renewed_end_ms(box, now) if may_renew else None
+        until = self._leases.renew_by_poll(box, now) if may_renew else None
         box.acknowledged_end = box.durable_end
         return PollPlan(box.entry.address, box.durable_end, until, wait)
 
@@ -230,6 +231,8 @@
             return self._apply_poll(box, outcome, sent, now)
         if isinstance(outcome, CommandRejected):
             return self._handle_rejected_poll(box, outcome, now)
+        if not outcome.sent:
+            self._leases.undo_poll(box)
         if box.silent_since is None:
             # After a timeout it may have been lost at any time since its last answer.
             box.lost_at = box.clock_at if outcome.timed_out else now
