An unsent poll undoes only its own renewal

A poll that renews nothing, since the leader is not confirmed, and provably never leaves undid the renewal of the poll before it, which the box had taken: the leader then counted the lease as over up to a poll interval too early, and a task ran on two boxes once the store was back (model world: counted until 109.29, held by the box until 110.05, second run at 109.30).

Each poll's renewal is forgotten when that poll ends; the log field that names the process of an ended leader no longer replaces the name of the process that logs.

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -205,3 +205,4 @@
       | for lack of a connection           | before the failure |
       | without an answer                  | after the failure  |
       | unsent, and a start to it was sent | after the failure  |
+      | unsent, without a renewal          | before the failure |
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -139,6 +139,7 @@
     workflow = harness.submit("job", Step(count=1, cpu=500, long_running=True))
     (task,) = workflow.tasks.values()
     context.box = harness.scheduler.state.boxes[task.box]
+    harness.now += 1.5
     harness.scheduler.fleet.plan_poll(task.box, harness.now, True)
     harness.poll(task.box)
     context.renewed_at = harness.now
@@ -151,7 +152,9 @@
     sent = how == "without an answer"
     for _ in range(10):
         harness.now += 0.1
-        fleet.plan_poll(box.incarnation, harness.now, True)
+        fleet.plan_poll(
+            box.incarnation, harness.now, how != "unsent, without a renewal"
+        )
         if "a start" in how:
             fleet.leases.renewed_end_ms(box, harness.now)
         outcome = BoxNoAnswer("lost", sent=sent)
--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -124,14 +124,19 @@
         """Return the lease to renew with a poll, as :meth:`renewed_end_ms`."""
         lease_ends = box.lease_ends
         end_ms = self.renewed_end_ms(box, now)
-        self._poll_renewals[box.incarnation] = _PollRenewal(lease_ends, box.renewals)
+        if end_ms is not None:
+            renewal = _PollRenewal(lease_ends, box.renewals)
+            self._poll_renewals[box.incarnation] = renewal
         return end_ms
 
-    def undo_poll(self, box: BoxView) -> None:
-        """Undo the renewal by the last poll of a box, which provably never left. Else a
-        box that refuses connections would be waited for as if it had taken them all."""
+    def end_poll(self, box: BoxView, left: bool) -> None:
+        """Record the end of a poll, and undo its renewal if it provably never left. Else
+        a box that refuses connections would be waited for as if it had taken all polls.
+
+        :param left: whether the poll may have left this process.
+        """
         renewal = self._poll_renewals.pop(box.incarnation, None)
-        if renewal is not None and renewal.renewals == box.renewals:
+        if renewal is not None and not left and renewal.renewals == box.renewals:
             box.lease_ends = renewal.lease_ends
 
     def record_silence(self, box: BoxView, now: float) -> None:
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -17,6 +17,7 @@
 from .decisions import StopPolling
 from .decisions import StopTask
 from .interfaces import BoxEntry
+from .interfaces import BoxNoAnswer
 from .interfaces import BoxReplaced
 from .interfaces import CommandRejected
 from .interfaces import PollOutcome
@@ -225,14 +226,14 @@
         box = self._state.boxes.get(incarnation)
         if box is None:
             return []
+        left = not isinstance(outcome, BoxNoAnswer) or outcome.sent
+        self._leases.end_poll(box, left)
         if isinstance(outcome, BoxReplaced):
             return self.mark_ended(incarnation, "another incarnation answered", now)
         if isinstance(outcome, PollResult):
             return self._apply_poll(box, outcome, sent, now)
         if isinstance(outcome, CommandRejected):
             return self._handle_rejected_poll(box, outcome, now)
-        if not outcome.sent:
-            self._leases.undo_poll(box)
         if box.silent_since is None:
             # After a timeout it may have been lost at any time since its last answer.
             box.lost_at = box.clock_at if outcome.timed_out else now
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -226,7 +226,7 @@
     def _record_ended_leaders(self, status: NodeStatus, incarnation: str) -> None:
         ended = self._leader_processes.record_report(status, incarnation)
         for epoch in ended:
-            self._log.event("leader_process_ended", node=status.node, epoch=epoch)
+            self._log.event("leader_process_ended", process=status.node, epoch=epoch)
             if self._session is not None and self._serving:
                 self._session.record_process_end(epoch)
 
