A leader hands down a wait only for boxes that it has neither reached nor recorded

What leaders before it may have left was stated for all boxes. So after a cold start or a killed leader, each leader of a chain of orderly hand-overs handed 12.4 s, 11.9 s, 11.2 s and so on down to boxes that it had reached itself, and a box lost within a poll of a hand-over was waited for that long. A box that a leader has reached rejects the leaders before it; one without tasks in the records runs nothing.

The mark now covers the boxes with tasks that this leader has not reached and that have no record in the store; records about leases are written before all others, so that the mark never relies on one that is not there yet, and a record alone bounds its box. A job whose progress can't be read may run anywhere, and then the mark covers all boxes. A box that does not answer a new leader's first poll is recorded at once, and a difference of a rounding step no longer prevents a record.

--- a/features/inherited_leases.feature
+++ b/features/inherited_leases.feature
@@ -33,6 +33,16 @@
       | still listed         | 5     |
       | and no longer listed | 5     |
 
+  Scenario Outline: A leader hands down no wait for boxes that it has reached
+    Given a shard of 6 boxes among models
+    When a long-running task runs, the leader is killed, and its box is lost just as the successor hands over to one that <fate>
+    Then it runs on another box within <bound> seconds of when its box became silent
+
+    Examples:
+      | fate                 | bound |
+      | goes on              | 4.9   |
+      | is killed 0.3 s later | 5.4   |
+
   Scenario: A hand-over does not hide a leader that is cut off and renews leases
     Given a shard of 6 boxes among models
     When a long-running task runs on a box that only a leader without the store reaches, and its successor hands over at once
--- a/features/steps/inherited_lease_steps.py
+++ b/features/steps/inherited_lease_steps.py
@@ -124,6 +124,25 @@
         world.hand_over()
 
 
+@when(
+    "a long-running task runs, the leader is killed, and its box is lost just as the "
+    "successor hands over to one that {fate}"
+)
+def lost_at_hand_over(context, fate):
+    world = context.world
+    task = lasting_task(context)
+    world.kill()
+    world.take_over()
+    world.advance(0.3)
+    world.cut_until[task.box] = world.now + 1000.0
+    context.silent_box, context.since = task.box, world.now
+    world.hand_over()
+    if fate != "goes on":
+        world.advance(0.3)
+        world.kill()
+        world.take_over()
+
+
 @when(
     "a long-running task runs, its box is lost, {listed}, and {count:d} leaders are "
     "killed, each a second after it took over"
--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -18,6 +18,8 @@
 # is known. Two polls and their timeouts fit in. Without this limit, the work of a box
 # that is silent for longer than a lease is lost, and done twice.
 SILENCE_LIMIT_S: t.Final = 1.2
+# Sums of times differ by less than this; records are rounded up to it.
+ROUNDING_S: t.Final = 0.001
 
 
 class _PollRenewal(t.NamedTuple):
@@ -86,13 +88,29 @@
         }
         return LogEvent("leases_inherited", "leases", inputs)
 
-    def mark(self, epoch: int, end: int, now: float) -> LeaderMark:
+    def mark(self, epoch: int, end: int, now: float, anywhere: bool) -> LeaderMark:
         """Return what this leader states about leases with an append.
 
         :param end: end offset of the topic after the append.
+        :param anywhere: whether a task may run on any box, since its record can't be
+            read.
         """
-        inherited_s = max(0.0, self._inherited.latest_end - now)
-        return LeaderMark(epoch, end, self._resigned, inherited_s)
+        inherited_end = self._inherited.latest_end
+        if inherited_end > now and not anywhere:
+            inherited_end = max(self._unreached_ends(), default=now)
+        return LeaderMark(epoch, end, self._resigned, max(0.0, inherited_end - now))
+
+    def _unreached_ends(self) -> t.Iterator[float]:
+        """Yield the ends of leases that earlier leaders granted, of the boxes with tasks
+        that this leader has not reached and that have no record in the store. Any other
+        box rejects the earlier leaders, or runs nothing."""
+        leases = self._state.withdrawn_leases
+        for incarnation, box in self._state.boxes.items():
+            if box.tasks and not box.clock_at and not leases.is_written(incarnation):
+                yield box.lease_ends
+        for incarnation in self._state.inherited:
+            if not leases.is_written(incarnation):
+                yield self._inherited.end(incarnation)
 
     def resign(self, now: float) -> None:
         """Grant and renew no lease any more, and record how long the last lease of each
@@ -141,9 +159,10 @@
 
     def record_silence(self, box: BoxView, now: float) -> None:
         """Stop renewing leases of a box with tasks that has been silent for long, or
-        that no earlier leader renewed them for."""
+        that has not answered this leader at all."""
         withdrawn = box.incarnation in self._state.withdrawn_leases
-        if box.tasks and (_long_silent(box, now) or (withdrawn and not box.clock_at)):
+        unreached = not box.clock_at and (withdrawn or box.silent_since is not None)
+        if box.tasks and (unreached or _long_silent(box, now)):
             self._withdraw(box.incarnation, box.lease_ends, now)
 
     def record_unlisted(self, incarnation: str, now: float) -> None:
@@ -157,7 +176,7 @@
         still renew them: older versions of this program take a record to mean that no
         lease runs for longer than one that is granted now."""
         left_s = lease_ends - now
-        if left_s <= self._state.parameters.lease_bound_s:
+        if left_s <= self._state.parameters.lease_bound_s + ROUNDING_S:
             leases = self._state.withdrawn_leases
             leases.withdraw(incarnation, left_s, now, rewrite)
 
--- a/src/granitetrestle/inheritedleases.py
+++ b/src/granitetrestle/inheritedleases.py
@@ -36,14 +36,13 @@
 
     @property
     def latest_end(self) -> float:
-        """When the last of these leases has ended on any box."""
+        """When the last of these leases has ended on any box without a record."""
         return self._end
 
     @property
     def latest_recorded_end(self) -> float:
         """When the last lease has ended on the boxes with a record of their own."""
-        ends = self._recorded_ends.values()
-        return min(self._end, max(ends, default=self._took_over_at))
+        return max(self._recorded_ends.values(), default=self._took_over_at)
 
     @property
     def proof(self) -> str:
@@ -53,7 +52,7 @@
 
     def end(self, incarnation: str) -> float:
         """Return when the last of these leases has ended on a box."""
-        return min(self._end, self._recorded_ends.get(incarnation, self._end))
+        return self._recorded_ends.get(incarnation, self._end)
 
     def record_box(self, incarnation: str, left_s: float | None) -> None:
         """Apply a predecessor's record that it renews the leases of a box no more.
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -154,6 +154,11 @@
         self.stop_starting()
         self._fleet.leases.resign(now)
 
+    def leader_mark(self, epoch: int, end: int, now: float) -> LeaderMark:
+        """Return what this leader states about leases with an append; see
+        :meth:`.BoxLeases.mark`."""
+        return self._fleet.leases.mark(epoch, end, now, anywhere=bool(self._doubtful))
+
     def _enqueue_doubtful(self, now: float) -> None:
         """Enqueue jobs whose progress could not be read, once every lease of a
         predecessor has expired: an earlier start might be a second run of a task."""
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -471,7 +471,7 @@
         self._apply(leases.record_process_end(epoch, time.monotonic()))
 
     def _leader_mark(self, end: int) -> LeaderMark:
-        return self._scheduler.fleet.leases.mark(self._epoch, end, time.monotonic())
+        return self._scheduler.leader_mark(self._epoch, end, time.monotonic())
 
     async def drain(self) -> None:
         """Return once all decisions are durable and carried out."""
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -205,12 +205,13 @@
         return bool(self._records.waiting or self._interference_rows or leases.waiting)
 
     def take_writes(self) -> list[Record]:
-        """Return what changed since the last call, as records."""
-        records = self._records.pop_records()
+        """Return what changed since the last call, as records. Those about leases come
+        first: what the leader states with the first append rests on them."""
+        records = self.withdrawn_leases.pop_records()
+        records += self._records.pop_records()
         for image, value in self._interference_rows.items():
             records.append(Record(INTERFERENCE_KEY + image, value))
         self._interference_rows.clear()
-        records += self.withdrawn_leases.pop_records()
         return records
 
     def restore(self, records: t.Iterable[Record], now: float) -> SlicedWork[Restored]:
--- a/src/granitetrestle/withdrawnleases.py
+++ b/src/granitetrestle/withdrawnleases.py
@@ -100,6 +100,12 @@
         left_ms = math.ceil(max(0.0, left_s) * 1000.0)
         self._unwritten_rows[incarnation] = _encode(_LeaseRow(left_ms))
 
+    def is_written(self, incarnation: str) -> bool:
+        """Return whether the record of an incarnation is among those that the records
+        returned so far leave in the store."""
+        written = incarnation in self._written_at
+        return written and incarnation not in self._unwritten_rows
+
     def resume(self, incarnation: str) -> list[ResumeLeases]:
         """Remove the record of an incarnation; returns the effect that lets leases be
         renewed once the removal is durable."""
--- a/src/granitetrestle_standins/shardprocess.py
+++ b/src/granitetrestle_standins/shardprocess.py
@@ -200,7 +200,7 @@
             return
         changes = self.scheduler.take_writes()
         end = self._end + len(changes) + 1
-        mark = self.scheduler.fleet.leases.mark(self.epoch, end, self.now)
+        mark = self.scheduler.leader_mark(self.epoch, end, self.now)
         records = self.digests.with_digest(changes, mark)
         writer = Writer(self.epoch, self.sequence + 1)
         outcome = self.world.store.append(JOBS_TOPIC, records, writer)
