A leader that resigns asks another process if it can't reach the first

A request to take over was sent once, and dropped if the connection to the chosen process was not open: one that has restarted half a second ago is ready, but its connections from others are still being opened again. Nobody led for 1.9 s then (0.8 s of silence, and the time for which a majority must be heard), and each wait of the successor began that much later.

The leader asks the first candidate, in order, to which the request can be sent, and tries again for 0.6 s while there is none. handed_over tells how long that took.

--- a/features/steps/leadership_steps.py
+++ b/features/steps/leadership_steps.py
@@ -172,9 +172,11 @@
 
 @then("it still names one of them as its successor")
 def names_successor(context):
-    assert context.leadership.best_successor(1.2) == "n1"
+    assert context.leadership.successor_candidates(1.2)[0] == "n1"
     context.leadership.record_report(status("n2", 5, "n0"), 1.3)
-    assert context.leadership.best_successor(1.4) == "n2", (
+    assert context.leadership.successor_candidates(1.4)[0] == "n2", (
         "the one that is ready goes first"
     )
-    assert context.leadership.best_successor(9.0) == "", "no peer reports any more"
+    assert context.leadership.successor_candidates(9.0) == (), (
+        "no peer reports any more"
+    )
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -431,7 +431,7 @@
 
 @then("it names the first of them as its successor")
 def names_first(context):
-    assert context.leadership.best_successor(10.2) == "n1"
+    assert context.leadership.successor_candidates(10.2)[0] == "n1"
 
 
 @given("a leader that was confirmed a moment ago")
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -416,14 +416,13 @@
             rank_in_hall[status.hall] += 1
         return tuple(node for _, _, node in sorted(interleaved)[:MAX_SUCCESSORS])
 
-    def best_successor(self, now: float) -> str:
-        """Return the process that is asked to take over when this one stops, or an
-        empty string. A process that is not ready yet, or was never heard, is better
-        than none: without a successor requests wait 0.8 s longer, and are then
-        refused."""
-        ranked = self.rank_successors(now)
+    def successor_candidates(self, now: float) -> tuple[str, ...]:
+        """Return the processes that may be asked to take over when this one stops, best
+        first. A process that is not ready yet, or was never heard, is better than none:
+        without a successor requests wait 0.8 s longer, and are then refused."""
         unreported = self._known_nodes.difference(self._peers)
-        candidates = (
-            ranked or tuple(sorted(self._live_peers(now))) or tuple(sorted(unreported))
+        return (
+            self.rank_successors(now)
+            or tuple(sorted(self._live_peers(now)))
+            or tuple(sorted(unreported))
         )
-        return candidates[0] if candidates else ""
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -14,6 +14,7 @@
 from .forwarding import Deposed
 from .forwarding import Forwarding
 from .forwarding import Target
+from .handover import ask_to_take_over
 from .interfaces import StoreUnavailable
 from .leaderprocesses import LeaderProcesses
 from .leadership import next_epoch
@@ -304,10 +305,11 @@
         """Hand over to a process on a much larger box, if there is one."""
         target = self._leadership.handover_target(now, self._parameters.cores)
         if target and self._session is not None and not self._session.store_unavailable:
-            tasks.start_soon(self._hand_over, target, DRAIN_TIMEOUT_S)
+            others = self._leadership.successor_candidates(now)
+            tasks.start_soon(self._hand_over, (target, *others), DRAIN_TIMEOUT_S)
 
-    async def _hand_over(self, successor: str, drain_s: float) -> None:
-        """Stop leading; ``successor`` is asked to take over, unless it is empty."""
+    async def _hand_over(self, candidates: t.Sequence[str], drain_s: float) -> None:
+        """Stop leading; the first of ``candidates`` that can be is asked to take over."""
         session, scope = self._session, self._session_scope
         if session is None or scope is None:
             return
@@ -316,16 +318,23 @@
         with anyio.move_on_after(drain_s) as resigning:
             await session.resign()
         scope.cancel()
-        if successor:
-            self._peers.send(successor, LeaderResigned(session.epoch))
+        resigned_at = time.monotonic()
+        successor = await ask_to_take_over(self._ask, candidates, session.epoch)
         self._log.event(
             "handed_over",
             epoch=session.epoch,
             to=successor,
-            took_s=round(time.monotonic() - started, 3),
+            took_s=round(resigned_at - started, 3),
             kept=not resigning.cancelled_caught,
+            asked_s=round(time.monotonic() - resigned_at, 3),
         )
 
+    def _ask(self, node: str, message: LeaderResigned) -> bool:
+        member = self._membership.find(node)
+        if member is not None:
+            self._peers.connect(node, member.address)
+        return self._peers.send(node, message)
+
     def _report_now(self) -> None:
         self._send_reports(self._reports.to_all(self._own_state(), time.monotonic()))
 
@@ -443,7 +452,8 @@
         self._stopping = True
         started = time.monotonic()
         if self._session is not None:
-            await self._hand_over(self._leadership.best_successor(started), grace_s / 4)
+            candidates = self._leadership.successor_candidates(started)
+            await self._hand_over(candidates, grace_s / 4)
         while time.monotonic() - started < grace_s and not self.idle:
             await anyio.sleep(TICK_INTERVAL_S / 2)
 
