The registry names the incarnation and the address of the leader's process

A successor that had never heard a report of the killed leader itself, for instance since that was killed within a tenth of a second of taking over, could not tell that a process which answers at its address is another one, and waited 8 s longer than needed.

The leader's entry in the registry, which each successor reads before it claims an epoch, names the incarnation and the address of the process. Older versions ignore both; an entry of theirs proves nothing, nor does one whose address is not the one that answers.

Three rows are new, and scenarios for requests to take over.

--- a/features/inherited_leases.feature
+++ b/features/inherited_leases.feature
@@ -60,17 +60,20 @@
     Then the predecessor has renewed no lease since, and its successor goes on with its wait
 
   Scenario Outline: Only a process that has started after a leader proves that the leader's has ended
-    Given a process that has reported as the leader of epoch 7
+    Given a process that <is known> as the leader of epoch 7
     When a report arrives of <what>
     Then the leader's process <counts>
 
     Examples:
-      | what                                                 | counts              |
-      | its next incarnation at its address                  | counts as ended     |
-      | the process itself                                   | may still run       |
-      | an earlier incarnation whose report arrives late     | may still run       |
-      | another incarnation of its name at another address   | may still run       |
-      | another process                                      | may still run       |
+      | is known                     | what                                               | counts          |
+      | has reported                 | its next incarnation at its address                | counts as ended |
+      | has reported                 | the process itself                                 | may still run   |
+      | has reported                 | an earlier incarnation whose report arrives late   | may still run   |
+      | has reported                 | another incarnation of its name at another address | may still run   |
+      | has reported                 | another process                                    | may still run   |
+      | is registered                | its next incarnation at its address                | counts as ended |
+      | is registered                | another incarnation of its name at another address | may still run   |
+      | an older version registered  | its next incarnation at its address                | may still run   |
 
   Scenario Outline: The wait for a killed leader ends one lease after its process has ended
     With leases of 3 s; a leader that may be alive would renew them for 2 s more.
@@ -92,3 +95,18 @@
     Given 3 real processes and 2 boxes
     When the leader is killed and started again
     Then its successor no longer waits for leases that it may renew
+
+  Scenario Outline: A leader that has resigned asks a process that it can reach
+    Given three processes that may take over, of which the first <can> for <seconds> s
+    When a leader that has resigned asks one of them
+    Then <whom> is asked within <bound> s
+
+    Examples:
+      | can              | seconds | whom       | bound |
+      | can be reached   | 9       | the first  | 0.1   |
+      | can't be reached | 9       | the second | 0.1   |
+
+  Scenario: A leader that has resigned waits for a connection to its only successor
+    Given one process that may take over, and can't be reached for 0.2 s
+    When a leader that has resigned asks one of them
+    Then the first is asked within 0.4 s
--- a/features/steps/inherited_lease_steps.py
+++ b/features/steps/inherited_lease_steps.py
@@ -1,14 +1,19 @@
 """Steps of the scenarios about leases that earlier leaders granted."""
 
+import time
+
 import anyio
 import msgspec
 from behave import given
 from behave import then
 from behave import when
 
+from granitetrestle.handover import ask_to_take_over
 from granitetrestle.interfaces import Record
 from granitetrestle.leaderprocesses import LeaderProcesses
+from granitetrestle.messages import LeaderResigned
 from granitetrestle.messages import NodeStatus
+from granitetrestle.registry import LeaderEntry
 from granitetrestle.statedigest import DIGEST_KEY
 from granitetrestle.statedigest import DigestTracker
 from granitetrestle.statedigest import EpochClaim
@@ -220,6 +225,19 @@
     assert context.processes.record_report(status(), "second") == []
 
 
+@given("a process that is registered as the leader of epoch 7")
+def leader_registered(context):
+    context.processes = LeaderProcesses()
+    entry = LeaderEntry(7, "n1", 1, "second", "10.0.0.1:1")
+    context.processes.record_registry(entry)
+
+
+@given("a process that an older version registered as the leader of epoch 7")
+def leader_registered_by_older_version(context):
+    context.processes = LeaderProcesses()
+    context.processes.record_registry(LeaderEntry(7, "n1", 1))
+
+
 REPORTS = {
     "its next incarnation at its address": (status(leader=""), "third"),
     "the process itself": (status(leader=""), "second"),
@@ -307,3 +325,45 @@
         return [line["proof"] for line in lines if line["event"] == "leases_inherited"]
 
     cluster.wait(lambda: proofs()[-1:] == ["process ended"], "proof of the end")
+
+
+class Reachable:
+    """Accepts requests to all processes, to the first one only from some time on."""
+
+    def __init__(self, names, first_from_s):
+        self.names = names
+        self._first_from = time.monotonic() + first_from_s
+        self.asked = []
+
+    def send(self, node, message):
+        assert message == LeaderResigned(7)
+        if node == self.names[0] and time.monotonic() < self._first_from:
+            return False
+        self.asked.append(node)
+        return True
+
+
+@given("three processes that may take over, of which the first {can} for {seconds:g} s")
+def three_candidates(context, can, seconds):
+    first_from_s = 0.0 if can == "can be reached" else seconds
+    context.reachable = Reachable(["first", "second", "third"], first_from_s)
+
+
+@given("one process that may take over, and can't be reached for {seconds:g} s")
+def one_candidate(context, seconds):
+    context.reachable = Reachable(["first"], seconds)
+
+
+@when("a leader that has resigned asks one of them")
+def ask_candidates(context):
+    reachable = context.reachable
+    started = time.monotonic()
+    context.asked = anyio.run(ask_to_take_over, reachable.send, reachable.names, 7)
+    context.took_s = time.monotonic() - started
+
+
+@then("the {name} is asked within {bound:g} s")
+def asked_in_time(context, name, bound):
+    assert context.asked == name, context.asked
+    assert context.reachable.asked == [name], context.reachable.asked
+    assert context.took_s <= bound, context.took_s
--- a/src/granitetrestle/leaderprocesses.py
+++ b/src/granitetrestle/leaderprocesses.py
@@ -7,6 +7,7 @@
 import typing as t
 
 from .messages import NodeStatus
+from .registry import LeaderEntry
 
 __all__ = ["LeaderProcesses"]
 
@@ -53,6 +54,14 @@
             self._forget_old_epochs()
         return ended
 
+    def record_registry(self, leader: LeaderEntry) -> None:
+        """Record the leader that the registry names. A process that has never heard the
+        leader itself learns only there which incarnation led."""
+        if leader.incarnation:
+            process = _Process(leader.node, leader.incarnation, leader.address)
+            self._by_epoch.setdefault(leader.epoch, process)
+            self._forget_old_epochs()
+
     def _forget_old_epochs(self) -> None:
         for epoch in sorted(self._by_epoch)[:-MAX_REMEMBERED_EPOCHS]:
             del self._by_epoch[epoch]
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -29,6 +29,7 @@
 from .peerlink import PeerLink
 from .registration import Registration
 from .registry import HeartbeatWatch
+from .registry import LeaderEntry
 from .registry import Registry
 from .reports import OwnState
 from .reports import Report
@@ -397,6 +398,7 @@
             return
         epoch_before = self._leadership.epoch
         self._registration.apply(known)
+        self._leader_processes.record_registry(known.leader)
         if self._leadership.epoch > epoch_before:
             # Another process has taken over first and will report, now that it is known.
             return
@@ -444,7 +446,9 @@
     async def _heartbeat_loop(self, epoch: int) -> None:
         """Write heartbeats of this epoch's leader to the store."""
         for beat in itertools.count(1):
-            await self._registry.beat(epoch, self._parameters.node, beat)
+            me = self._parameters
+            entry = LeaderEntry(epoch, me.node, beat, me.incarnation, me.address)
+            await self._registry.beat(entry)
             await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def stop(self, grace_s: float) -> None:
--- a/src/granitetrestle/registry.py
+++ b/src/granitetrestle/registry.py
@@ -36,11 +36,15 @@
     """The leader of an epoch.
 
     :param beat: heartbeat, which increases while it leads.
+    :param incarnation: of its process; empty if an older version wrote the entry.
+    :param address: where that process listens for its peers.
     """
 
     epoch: int = 0
     node: str = ""
     beat: int = 0
+    incarnation: str = ""
+    address: str = ""
 
 
 class RegistryEntries(t.NamedTuple):
@@ -113,10 +117,9 @@
         """Write the entry of a process; returns whether the store accepted it."""
         return await self._write(NODE_KEY + node, _encode(entry))
 
-    async def beat(self, epoch: int, node: str, beat: int) -> bool:
-        """Write a heartbeat of the leader of ``epoch``; returns whether the store
-        accepted it."""
-        return await self._write(LEADER_KEY, _encode(LeaderEntry(epoch, node, beat)))
+    async def beat(self, entry: LeaderEntry) -> bool:
+        """Write a heartbeat of a leader; returns whether the store accepted it."""
+        return await self._write(LEADER_KEY, _encode(entry))
 
     async def _write(self, key: str, value: bytes) -> bool:
         records = (Record(key, value),)
