A leader that resigns does not ask a process that is stopping

In a rolling restart the only other process that reports may be stopping too. It was asked to take over as one that is not ready yet, never did, and nobody led for 1.65 s, while another process became ready 0.07 s later.

The leader looks at who is ready anew each time it tries, and asks one that is not ready only after 0.4 s.

--- a/features/inherited_leases.feature
+++ b/features/inherited_leases.feature
@@ -96,17 +96,16 @@
     When the leader is killed and started again
     Then its successor no longer waits for leases that it may renew
 
-  Scenario Outline: A leader that has resigned asks a process that it can reach
-    Given three processes that may take over, of which the first <can> for <seconds> s
+  Scenario Outline: A leader that has resigned asks a process that can take over
+    Given processes that <can> take over
     When a leader that has resigned asks one of them
     Then <whom> is asked within <bound> s
 
     Examples:
-      | can              | seconds | whom       | bound |
-      | can be reached   | 9       | the first  | 0.1   |
-      | can't be reached | 9       | the second | 0.1   |
-
-  Scenario: A leader that has resigned waits for a connection to its only successor
-    Given one process that may take over, and can't be reached for 0.2 s
-    When a leader that has resigned asks one of them
-    Then the first is asked within 0.4 s
+      | can                                             | whom       | bound |
+      | are ready to                                    | the first  | 0.1   |
+      | are ready to, of which one can't be reached, to | the second | 0.1   |
+      | can be reached 0.2 s later, to                  | the first  | 0.35  |
+      | stop, but for one that is ready 0.2 s later, to | the second | 0.35  |
+      | are not ready to                                | the first  | 0.6   |
+      | can never be reached, to                        | nobody     | 1.0   |
--- a/features/steps/inherited_lease_steps.py
+++ b/features/steps/inherited_lease_steps.py
@@ -327,43 +327,62 @@
     cluster.wait(lambda: proofs()[-1:] == ["process ended"], "proof of the end")
 
 
-class Reachable:
-    """Accepts requests to all processes, to the first one only from some time on."""
+class Candidates:
+    """Two processes; each is ready, and can be reached, from some time on."""
 
-    def __init__(self, names, first_from_s):
-        self.names = names
-        self._first_from = time.monotonic() + first_from_s
+    def __init__(self, ready_s, reached_s):
+        self._ready_s = dict(zip(("the first", "the second"), ready_s, strict=True))
+        self._reached_s = dict(zip(self._ready_s, reached_s, strict=True))
+        self._began = time.monotonic()
         self.asked = []
 
+    def _after(self, times):
+        passed_s = time.monotonic() - self._began
+        return [name for name, from_s in times.items() if from_s <= passed_s]
+
+    def ready(self):
+        return self._after(self._ready_s)
+
+    def others(self):
+        return list(self._ready_s)
+
     def send(self, node, message):
         assert message == LeaderResigned(7)
-        if node == self.names[0] and time.monotonic() < self._first_from:
+        if node not in self._after(self._reached_s):
             return False
         self.asked.append(node)
         return True
 
 
-@given("three processes that may take over, of which the first {can} for {seconds:g} s")
-def three_candidates(context, can, seconds):
-    first_from_s = 0.0 if can == "can be reached" else seconds
-    context.reachable = Reachable(["first", "second", "third"], first_from_s)
+NEVER_S = 60.0
+CANDIDATES = {
+    "are ready to": ((0.0, 0.0), (0.0, 0.0)),
+    "are ready to, of which one can't be reached, to": ((0.0, 0.0), (NEVER_S, 0.0)),
+    "can be reached 0.2 s later, to": ((0.0, 0.0), (0.2, NEVER_S)),
+    "stop, but for one that is ready 0.2 s later, to": ((NEVER_S, 0.2), (0.0, 0.0)),
+    "are not ready to": ((NEVER_S, NEVER_S), (0.0, 0.0)),
+    "can never be reached, to": ((0.0, 0.0), (NEVER_S, NEVER_S)),
+}
 
 
-@given("one process that may take over, and can't be reached for {seconds:g} s")
-def one_candidate(context, seconds):
-    context.reachable = Reachable(["first"], seconds)
+@given("processes that {can} take over")
+def candidates(context, can):
+    context.candidates = Candidates(*CANDIDATES[can])
 
 
 @when("a leader that has resigned asks one of them")
 def ask_candidates(context):
-    reachable = context.reachable
+    given_ones = context.candidates
     started = time.monotonic()
-    context.asked = anyio.run(ask_to_take_over, reachable.send, reachable.names, 7)
+    context.asked = anyio.run(
+        ask_to_take_over, given_ones.send, given_ones.ready, given_ones.others, 7
+    )
     context.took_s = time.monotonic() - started
 
 
-@then("the {name} is asked within {bound:g} s")
-def asked_in_time(context, name, bound):
-    assert context.asked == name, context.asked
-    assert context.reachable.asked == [name], context.reachable.asked
+@then("{whom} is asked within {bound:g} s")
+def asked_in_time(context, whom, bound):
+    expected = [] if whom == "nobody" else [whom]
+    assert context.candidates.asked == expected, context.candidates.asked
+    assert context.asked == "".join(expected), context.asked
     assert context.took_s <= bound, context.took_s
--- a/features/steps/leadership_steps.py
+++ b/features/steps/leadership_steps.py
@@ -172,11 +172,10 @@
 
 @then("it still names one of them as its successor")
 def names_successor(context):
-    assert context.leadership.successor_candidates(1.2)[0] == "n1"
-    context.leadership.record_report(status("n2", 5, "n0"), 1.3)
-    assert context.leadership.successor_candidates(1.4)[0] == "n2", (
-        "the one that is ready goes first"
-    )
-    assert context.leadership.successor_candidates(9.0) == (), (
-        "no peer reports any more"
-    )
+    leadership = context.leadership
+    assert leadership.rank_successors(1.2) == ()
+    assert leadership.unready_successors(1.2)[0] == "n1"
+    leadership.record_report(status("n2", 5, "n0"), 1.3)
+    assert leadership.rank_successors(1.4) == ("n2",), "the ready one goes first"
+    assert leadership.rank_successors(9.0) == (), "no peer reports any more"
+    assert leadership.unready_successors(9.0) == (), "no peer reports any more"
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -431,7 +431,8 @@
 
 @then("it names the first of them as its successor")
 def names_first(context):
-    assert context.leadership.successor_candidates(10.2)[0] == "n1"
+    assert context.leadership.rank_successors(10.2) == ()
+    assert context.leadership.unready_successors(10.2)[0] == "n1"
 
 
 @given("a leader that was confirmed a moment ago")
--- a/src/granitetrestle/handover.py
+++ b/src/granitetrestle/handover.py
@@ -11,26 +11,35 @@
 
 # A connection to a process that has just restarted opens within a second, and nobody
 # leads meanwhile. Without a request, the silence of the leader is noticed after as long.
-ASK_TIMEOUT_S: t.Final = 0.6
+ASK_TIMEOUT_S: t.Final = 0.8
 ASK_INTERVAL_S: t.Final = 0.02
+# Processes that are not ready start, or stop and never take over, so they are asked only
+# if none becomes ready within this time.
+READY_TIMEOUT_S: t.Final = 0.4
 
 
 async def ask_to_take_over(
     send: t.Callable[[str, LeaderResigned], bool],
-    candidates: t.Sequence[str],
+    ready: t.Callable[[], t.Sequence[str]],
+    others: t.Callable[[], t.Sequence[str]],
     epoch: int,
 ) -> str:
-    """Ask the first of ``candidates`` to which the request can be sent.
+    """Ask the first process to which the request can be sent.
 
     :param send: returns whether the message is on its way to a process.
+    :param ready: returns the processes that are ready, best first.
+    :param others: returns those that may become ready, best first.
     :returns: the process that was asked, or an empty string.
     """
-    until = time.monotonic() + ASK_TIMEOUT_S
-    while candidates:
+    began = time.monotonic()
+    while True:
+        waited_s = time.monotonic() - began
+        candidates = [*ready()]
+        if waited_s >= READY_TIMEOUT_S:
+            candidates += others()
         for node in candidates:
             if send(node, LeaderResigned(epoch)):
                 return node
-        if time.monotonic() >= until:
-            break
+        if waited_s >= ASK_TIMEOUT_S:
+            return ""
         await anyio.sleep(ASK_INTERVAL_S)
-    return ""
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -416,13 +416,8 @@
             rank_in_hall[status.hall] += 1
         return tuple(node for _, _, node in sorted(interleaved)[:MAX_SUCCESSORS])
 
-    def successor_candidates(self, now: float) -> tuple[str, ...]:
-        """Return the processes that may be asked to take over when this one stops, best
-        first. A process that is not ready yet, or was never heard, is better than none:
-        without a successor requests wait 0.8 s longer, and are then refused."""
+    def unready_successors(self, now: float) -> tuple[str, ...]:
+        """Return the processes that may become ready to take over, best first: those
+        that report, and if there are none those that were never heard."""
         unreported = self._known_nodes.difference(self._peers)
-        return (
-            self.rank_successors(now)
-            or tuple(sorted(self._live_peers(now)))
-            or tuple(sorted(unreported))
-        )
+        return tuple(sorted(self._live_peers(now))) or tuple(sorted(unreported))
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -306,11 +306,10 @@
         """Hand over to a process on a much larger box, if there is one."""
         target = self._leadership.handover_target(now, self._parameters.cores)
         if target and self._session is not None and not self._session.store_unavailable:
-            others = self._leadership.successor_candidates(now)
-            tasks.start_soon(self._hand_over, (target, *others), DRAIN_TIMEOUT_S)
+            tasks.start_soon(self._hand_over, DRAIN_TIMEOUT_S)
 
-    async def _hand_over(self, candidates: t.Sequence[str], drain_s: float) -> None:
-        """Stop leading; the first of ``candidates`` that can be is asked to take over."""
+    async def _hand_over(self, drain_s: float) -> None:
+        """Stop leading, and ask the best process that can be asked to take over."""
         session, scope = self._session, self._session_scope
         if session is None or scope is None:
             return
@@ -320,7 +319,12 @@
             await session.resign()
         scope.cancel()
         resigned_at = time.monotonic()
-        successor = await ask_to_take_over(self._ask, candidates, session.epoch)
+        successor = await ask_to_take_over(
+            self._ask,
+            lambda: self._leadership.rank_successors(time.monotonic()),
+            lambda: self._leadership.unready_successors(time.monotonic()),
+            session.epoch,
+        )
         self._log.event(
             "handed_over",
             epoch=session.epoch,
@@ -456,8 +460,7 @@
         self._stopping = True
         started = time.monotonic()
         if self._session is not None:
-            candidates = self._leadership.successor_candidates(started)
-            await self._hand_over(candidates, grace_s / 4)
+            await self._hand_over(grace_s / 4)
         while time.monotonic() - started < grace_s and not self.idle:
             await anyio.sleep(TICK_INTERVAL_S / 2)
 
