Records about leases count for nothing beside records that are missing

Where records count as lost, a leader that wrote the missing ones may have renewed a lease since the record about it: a successor waited 0.0 s for such a box.

It then takes neither that leader's mark nor records about leases, and waits for the longest.

--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -126,14 +126,21 @@
         return run_to_completion(self.restore_in_slices(records, now, mark))
 
     def restore_in_slices(
-        self, records: t.Iterable[Record], now: float, mark: LeaderMark | None = None
+        self,
+        records: t.Iterable[Record],
+        now: float,
+        mark: LeaderMark | None = None,
+        records_lost: bool = False,
     ) -> SlicedWork[list[Decision]]:
         """Restore the state from a predecessor's records, a part at each step.
 
         :param mark: the predecessor's last statement about leases, if it is proved.
+        :param records_lost: whether some records are missing.
         """
         restored = yield from self._state.restore(records, now)
-        self._fleet.leases.restore(mark, restored.leases_left)
+        if not records_lost:
+            # Otherwise the records that are missing may be of later renewals.
+            self._fleet.leases.restore(mark, restored.leases_left)
         self._doubtful = restored.with_unreadable_progress
         for workflow in self._state.workflows.values():
             self._dispatcher.record_submission(workflow)
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -114,6 +114,7 @@
         self._lag = LoopLag(steadyclock.now)
         self._leader_lease = JournalLeaderLease(
             self._journal, parameters.orphan_s, self._lag
+        self._state_reader = StateReader(sources.store, claim, log)
         )
         parts = (sources, self._scheduler, self._apply, log)
         self._operator_feed = OperatorFeed(*parts)
@@ -231,7 +232,9 @@
         with freeze_allocations():
             self._journal.start_from(state.records)
             mark = read_leader_mark(state.records, self._claim)
-            restoring = self._scheduler.restore_in_slices(state.records, now, mark)
+            restoring = self._scheduler.restore_in_slices(
+                state.records, now, mark, self._state_reader.records_lost
+            )
             del state
             self._apply(await in_slices(restoring))
             self._apply([self._scheduler.fleet.leases.inherited_event(now)])
@@ -254,12 +257,11 @@
         """Return the newest records of each topic, or ``None`` if unreadable."""
         read: dict[str, NewestRecords] = {}
         store = self._sources.store
-        state = StateReader(store, self._claim, self._log)
 
         async def fetch(topic: str) -> None:
             outcome: NewestRecords | NewestUnavailable | StateUnavailable
             if topic == JOBS_TOPIC:
-                outcome = await state.run()
+                outcome = await self._state_reader.run()
             else:
                 outcome = await read_newest(store, topic)
             if not isinstance(outcome, NewestRecords):
--- a/src/granitetrestle/succession.py
+++ b/src/granitetrestle/succession.py
@@ -82,6 +82,12 @@
         # The fault that all latest reads had in common, and since when.
         self._fault: IncompleteRead | None = None
         self._fault_since = 0.0
+        self._records_lost = False
+
+    @property
+    def records_lost(self) -> bool:
+        """Whether records are missing from what :meth:`run` returned."""
+        return self._records_lost
 
     async def run(self) -> NewestRecords | StateUnavailable:
         """Return the records once they are proved to be complete, or what they lack
@@ -99,6 +105,7 @@
                 return StateUnavailable(fault.reason)
             if self._is_lost(fault, time.monotonic()):
                 self._log.event("records_lost", epoch=self._claim.epoch, **inputs)
+                self._records_lost = True
                 return read
             await anyio.sleep(READ_RETRY_INTERVAL_S)
 
