--- a/features/inherited_leases.feature
+++ b/features/inherited_leases.feature
@@ -109,3 +109,9 @@
       | stop, but for one that is ready 0.2 s later, to | the second | 0.35  |
       | are not ready to                                | the first  | 0.6   |
       | can never be reached, to                        | nobody     | 1.0   |
+
+  Scenario: A job that can't be read keeps the wait for all boxes
+    Its tasks may run on any box, whose other tasks say nothing about that.
+    Given a shard of 3 boxes among models
+    When the progress of a job can't be read by a leader, which has reached all boxes and resigns
+    Then its successor waits for as long as the leaders before it may have left
--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -229,3 +229,8 @@
       | 6       | 9     |
       | 10      | 9     |
       | 60      | 9     |
+
+  Scenario: Tasks of a step do not all leave at once when the entries of their boxes are gone
+    Given a shard of 4 boxes among models
+    When a step of 4 long-running tasks runs on as many boxes, and all their entries but one are removed, though the boxes keep answering
+    Then at least 3 of the tasks run at any time in the next 10 seconds, and all leave these boxes that have room elsewhere
--- a/features/steps/budget_steps.py
+++ b/features/steps/budget_steps.py
@@ -100,7 +100,7 @@
     def leases(self):
         return self
 
-    def renewed_end_ms(self, box, now):
+    def renew(self, box, now):
         return 1
 
     def confirm_start(self, command, now):
--- a/features/steps/inherited_lease_steps.py
+++ b/features/steps/inherited_lease_steps.py
@@ -12,6 +12,7 @@
 from granitetrestle.interfaces import Record
 from granitetrestle.leaderprocesses import LeaderProcesses
 from granitetrestle.messages import LeaderResigned
+from granitetrestle.messages import Member
 from granitetrestle.messages import NodeStatus
 from granitetrestle.registry import LeaderEntry
 from granitetrestle.statedigest import DIGEST_KEY
@@ -45,7 +46,7 @@
 def resigned_leader(context):
     context.store = StoreModel()
     claim = claim_epoch(context.store, 1)
-    mark = LeaderMark(1, claim.end + 2, True, 0.0)
+    mark = LeaderMark(1, claim.end + 2, True, 0.0, 1.0)
     records = DigestTracker().with_digest([Record("k", b"v")], mark)
     context.store.append(TOPIC, records, None)
 
@@ -111,7 +112,7 @@
     for incarnation in world.entries:
         assert fleet.plan_poll(incarnation, world.now, True).lease_ends_ms is None
         box = world.leader.scheduler.state.boxes[incarnation]
-        assert fleet.leases.renewed_end_ms(box, world.now) is None
+        assert fleet.leases.renew(box, world.now) is None
 
 
 @when(
@@ -221,20 +222,20 @@
 
 @given("a process that has reported as the leader of epoch 7")
 def leader_reported(context):
-    context.processes = LeaderProcesses()
+    context.processes = LeaderProcesses(Member("n9", "10.0.0.9:1", "h"), "only")
     assert context.processes.record_report(status(), "second") == []
 
 
 @given("a process that is registered as the leader of epoch 7")
 def leader_registered(context):
-    context.processes = LeaderProcesses()
+    context.processes = LeaderProcesses(Member("n9", "10.0.0.9:1", "h"), "only")
     entry = LeaderEntry(7, "n1", 1, "second", "10.0.0.1:1")
     context.processes.record_registry(entry)
 
 
 @given("a process that an older version registered as the leader of epoch 7")
 def leader_registered_by_older_version(context):
-    context.processes = LeaderProcesses()
+    context.processes = LeaderProcesses(Member("n9", "10.0.0.9:1", "h"), "only")
     context.processes.record_registry(LeaderEntry(7, "n1", 1))
 
 
@@ -386,3 +387,28 @@
     assert context.candidates.asked == expected, context.candidates.asked
     assert context.asked == "".join(expected), context.asked
     assert context.took_s <= bound, context.took_s
+
+
+@when(
+    "the progress of a job can't be read by a leader, which has reached all boxes and "
+    "resigns"
+)
+def unreadable_job(context):
+    world = context.world
+    lasting_task(context)
+    keys = [record.key for record in world.store.newest(TOPIC).records]
+    (key,) = (key for key in keys if key.startswith(f"t/{context.job}/"))
+    world.leader.stopped = True
+    digest = DigestTracker(world.store.newest(TOPIC).records)
+    world.store.append(TOPIC, digest.with_digest([Record(key, b"?")]), None)
+    world.take_over()
+    world.advance(0.5)
+    context.wait_ends = world.leader.scheduler.fleet.leases.inherited.latest_end
+    world.hand_over()
+
+
+@then("its successor waits for as long as the leaders before it may have left")
+def waits_as_long(context):
+    inherited = context.world.leader.scheduler.fleet.leases.inherited
+    assert inherited.proof == "resigned"
+    assert inherited.latest_end >= context.wait_ends, inherited.latest_end
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -159,7 +159,7 @@
             box.incarnation, harness.now, how != "unsent, without a renewal"
         )
         if "a start" in how:
-            fleet.leases.renewed_end_ms(box, harness.now)
+            fleet.leases.renew(box, harness.now)
         outcome = BoxNoAnswer("lost", sent=sent)
         fleet.handle_poll_outcome(box.incarnation, harness.now, harness.now, outcome)
 
@@ -215,3 +215,33 @@
     world.cut_until[task.box] = world.now + 1000.0
     context.silent_box, context.since = task.box, world.now
     runs_on_another(context, bound)
+
+
+@when(
+    "a step of 4 long-running tasks runs on as many boxes, and all their entries but one "
+    "are removed, though the boxes keep answering"
+)
+def entries_removed(context):
+    world = context.world
+    step = Step(count=4, cpu=900, memory_mb=10, long_running=True, per_box=1)
+    context.job = world.submit((step,))
+    world.advance(4.0)
+    context.boxes = [name for name, box in world.boxes.items() if box.running]
+    assert len(context.boxes) == 4, context.boxes
+    for name in context.boxes[1:]:
+        del world.entries[name]
+    for _ in range(3):
+        world.add_box()
+
+
+@then(
+    "at least {least:d} of the tasks run at any time in the next {seconds:g} seconds, and "
+    "all leave these boxes that have room elsewhere"
+)
+def tasks_leave_in_turn(context, least, seconds):
+    world = context.world
+    for _ in range(round(seconds / 0.05)):
+        world.advance(0.05)
+        running = sum(len(box.running) for box in world.boxes.values())
+        assert running >= least, running
+    assert not any(world.boxes[name].running for name in context.boxes[1:])
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -57,7 +57,7 @@
     class fleet:
         class leases:
             @staticmethod
-            def renewed_end_ms(box, now):
+            def renew(box, now):
                 return 1
 
     class state:
--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -36,7 +36,7 @@
 class _PollRenewal(t.NamedTuple):
     """The state of a box's lease before and after a poll.
 
-    :param lease_ends: when the last lease ended without the poll.
+    :param lease_ends: when the last lease would end without the poll.
     :param renewals: number of renewals with the poll.
     """
 
@@ -108,16 +108,22 @@
         """
         inherited_end = self._inherited.latest_end
         if inherited_end > now and not anywhere:
-            inherited_end = max(self._unreached_ends(), default=now)
-        return LeaderMark(epoch, end, self._resigned, max(0.0, inherited_end - now))
+            inherited_end = max(self._inherited_ends(now), default=now)
+        inherited_s = max(0.0, inherited_end - now)
+        lease_bound_s = self._state.parameters.lease_bound_s
+        return LeaderMark(epoch, end, self._resigned, inherited_s, lease_bound_s)
 
-    def _unreached_ends(self) -> t.Iterator[float]:
+    def _inherited_ends(self, now: float) -> t.Iterator[float]:
         """Yield the ends of leases that earlier leaders granted, of the boxes with tasks
-        that this leader has not reached and that have no record in the store. Any other
-        box rejects the earlier leaders, or runs nothing."""
+        whose last lease has no record in the store: those that this leader has not
+        reached, and those with longer leases than it grants. Any other box rejects the
+        earlier leaders, or runs nothing."""
         leases = self._state.withdrawn_leases
+        own_end = now + self._state.parameters.lease_bound_s + ROUNDING_S
         for incarnation, box in self._state.boxes.items():
-            if box.tasks and not box.clock_at and not leases.is_written(incarnation):
+            if not box.tasks or leases.is_written(incarnation):
+                continue
+            if not box.clock_at or box.lease_ends > own_end:
                 yield box.lease_ends
         for incarnation in self._state.inherited:
             if not leases.is_written(incarnation):
@@ -125,17 +131,17 @@
 
     def resign(self, now: float) -> None:
         """Grant and renew no lease any more, and record how long the last lease of each
-        box may run that does not answer."""
+        box may run that does not answer, or has not answered this leader yet."""
         self._resigned = True
         for box in self._state.boxes.values():
-            if box.tasks and box.silent_since is not None:
+            if box.tasks and (box.silent_since is not None or not box.clock_at):
                 self._withdraw(box.incarnation, box.lease_ends, now, rewrite=True)
         for incarnation in self._state.inherited:
             end = self._inherited.end(incarnation)
             self._withdraw(incarnation, end, now, rewrite=True)
 
-    def renewed_end_ms(self, box: BoxView, now: float) -> int | None:
-        """Return when a lease renewed now ends, in ms on the box's clock.
+    def renew(self, box: BoxView, now: float) -> int | None:
+        """Grant or renew the lease of a box; return when it ends, in ms on its clock.
 
         :return: ``None`` if the lease must not be renewed.
         """
@@ -150,9 +156,9 @@
         return box.clock_ms + int((elapsed + parameters.lease_s) * 1000)
 
     def renew_by_poll(self, box: BoxView, now: float) -> int | None:
-        """Return the lease to renew with a poll, as :meth:`renewed_end_ms`."""
+        """Renew the lease of a box by a poll, as :meth:`renew`."""
         lease_ends = box.lease_ends
-        end_ms = self.renewed_end_ms(box, now)
+        end_ms = self.renew(box, now)
         if end_ms is not None:
             renewal = _PollRenewal(lease_ends, box.renewals)
             self._poll_renewals[box.incarnation] = renewal
@@ -169,8 +175,8 @@
             box.lease_ends = renewal.lease_ends
 
     def record_silence(self, box: BoxView, now: float) -> None:
-        """Stop renewing leases of a box with tasks that has been silent for long, or
-        that has not answered this leader at all."""
+        """Stop renewing the lease of a box that runs tasks and has been silent for long,
+        or has not answered this leader at all."""
         withdrawn = box.incarnation in self._state.withdrawn_leases
         unreached = not box.clock_at and (withdrawn or box.silent_since is not None)
         if box.tasks and (unreached or _long_silent(box, now)):
--- a/src/granitetrestle/boxpoller.py
+++ b/src/granitetrestle/boxpoller.py
@@ -216,7 +216,7 @@
             if not self._scheduler.confirm_start(command, time.monotonic()):
                 return CommandNotSent("withdrawn")
             if box is not None:
-                lease_ends_ms = self._scheduler.fleet.leases.renewed_end_ms(
+                lease_ends_ms = self._scheduler.fleet.leases.renew(
                     box, time.monotonic()
                 )
             if lease_ends_ms is None:
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -168,7 +168,9 @@
             if since is None or now - since <= UNLISTED_GRACE_S or not box.tasks:
                 continue
             if box.adopted and box.silent_since is None:
-                effects += self._drain(box, now)
+                for task in list(box.tasks.values()):
+                    if task.state == RUNNING and _may_leave(task):
+                        effects += self._progress.stop(task, now)
         return effects
 
     def _place_inherited(self, box: BoxView) -> None:
@@ -322,7 +324,7 @@
             box.adopted = True
             # From now on the box rejects a predecessor's renewals, and no lease that it
             # holds is longer. Its tasks need not wait for further renewals of that one.
-            lease_ends = now + self._state.parameters.lease_bound_s
+            lease_ends = self._leases.inherited.end_at_adoption(now)
             box.lease_ends = min(box.lease_ends, lease_ends)
             inputs = {
                 "running": len(poll.running),
@@ -456,3 +458,13 @@
         """Requeue the tasks of a box that only a predecessor knew, and that has ended."""
         since_s = now - self._leases.inherited.took_over_at
         return self._lost.requeue_unlisted(incarnation, since_s, now)
+
+
+def _may_leave(task: Task) -> bool:
+    """Return whether a long-running task may be stopped to start elsewhere, although its
+    box still runs it: one of a step at a time, or as many as the step can do without."""
+    if not task.spec.long_running:
+        return False
+    members = task.workflow.step_tasks(task.occurrence, task.step)
+    away = sum(member.state != RUNNING for member in members)
+    return away < max(1, task.spec.max_unavailable)
--- a/src/granitetrestle/inheritedleases.py
+++ b/src/granitetrestle/inheritedleases.py
@@ -24,7 +24,7 @@
         self._took_over_at = now
         self._predecessor: LeaderMark | None = None
         # The predecessor may be alive, without the store, and renew leases.
-        self._end = now + parameters.orphan_s + parameters.lease_bound_s
+        self._end = now + parameters.orphan_s + parameters.max_lease_bound_s
         self._proof = "none"
         # Incarnation of a box -> bound by a record about it.
         self._recorded_ends: dict[str, float] = {}
@@ -54,6 +54,15 @@
         """Return when the last of these leases has ended on a box."""
         return self._recorded_ends.get(incarnation, self._end)
 
+    def end_at_adoption(self, now: float) -> float:
+        """Return when the last of these leases has ended on a box that has answered by
+        ``now``, and rejects earlier leaders from then on."""
+        mark = self._predecessor
+        if mark is None:
+            return now + self._parameters.max_lease_bound_s
+        inherited_end = self._took_over_at + mark.inherited_s
+        return max(now + mark.lease_bound_s, inherited_end)
+
     def record_box(self, incarnation: str, left_s: float | None) -> None:
         """Apply a predecessor's record that it renews the leases of a box no more.
 
@@ -61,14 +70,20 @@
             written; ``None`` in a record of an older version.
         """
         if left_s is None:
-            left_s = self._parameters.lease_bound_s
+            left_s = self._parameters.max_lease_bound_s
         self._recorded_ends[incarnation] = self._took_over_at + left_s
 
     def record_predecessor(self, mark: LeaderMark | None) -> None:
         """Apply the mark of the leader before this one, if that is proved."""
         self._predecessor = mark
-        if mark is not None and mark.resigned:
+        if mark is None:
+            return
+        if mark.resigned:
             self._shorten(mark, self._took_over_at, "resigned")
+        else:
+            # It may be alive, but its leases are known to be as short as it says.
+            renews_until = self._took_over_at + self._parameters.orphan_s
+            self._shorten(mark, renews_until, self._proof)
 
     def record_process_end(self, epoch: int, now: float) -> bool:
         """Apply the proof that the process which led in ``epoch`` has ended by ``now``.
@@ -81,9 +96,9 @@
         return self._shorten(mark, now, "process ended")
 
     def _shorten(self, mark: LeaderMark, ended_at: float, proof: str) -> bool:
-        """Apply that the predecessor has granted and renewed no lease since
-        ``ended_at``; leaders before it may have, for as long as it says."""
-        own_end = ended_at + self._parameters.lease_bound_s
+        """Apply that the predecessor grants and renews no lease from ``ended_at`` on;
+        leases of leaders before it may run for as long as it says."""
+        own_end = ended_at + mark.lease_bound_s
         end = max(own_end, self._took_over_at + mark.inherited_s)
         if end >= self._end:
             return False
--- a/src/granitetrestle/leaderprocesses.py
+++ b/src/granitetrestle/leaderprocesses.py
@@ -6,12 +6,13 @@
 
 import typing as t
 
+from .messages import Member
 from .messages import NodeStatus
 from .registry import LeaderEntry
 
 __all__ = ["LeaderProcesses"]
 
-# Of leaders before these no lease runs any more.
+# A successor asks only about the leader before it.
 MAX_REMEMBERED_EPOCHS: t.Final = 16
 
 
@@ -24,9 +25,14 @@
 
 
 class LeaderProcesses:
-    """Learns from status reports which leaders' processes have ended."""
+    """Learns from status reports which leaders' processes have ended.
 
-    def __init__(self) -> None:
+    :param me: this process.
+    :param incarnation: its incarnation.
+    """
+
+    def __init__(self, me: Member, incarnation: str) -> None:
+        self._me = _Process(me.node, incarnation, me.address)
         self._by_epoch: dict[int, _Process] = {}
         self._ended: set[int] = set()
 
@@ -60,6 +66,8 @@
         if leader.incarnation:
             process = _Process(leader.node, leader.incarnation, leader.address)
             self._by_epoch.setdefault(leader.epoch, process)
+            if _is_later_incarnation(self._me, process):
+                self._ended.add(leader.epoch)
             self._forget_old_epochs()
 
     def _forget_old_epochs(self) -> None:
@@ -75,9 +83,14 @@
 
     A report of a process that ran before the leader may arrive late. It names an older
     epoch, since that process ended before the leader's began."""
+    return _is_later_incarnation(sender, leader) and status.epoch >= epoch
+
+
+def _is_later_incarnation(process: _Process, leader: _Process) -> bool:
+    """Return whether a process that runs after a leader was known has its name and its
+    address, but is another one."""
     return (
-        sender.node == leader.node
-        and sender.address == leader.address
-        and sender.incarnation != leader.incarnation
-        and status.epoch >= epoch
+        process.node == leader.node
+        and process.address == leader.address
+        and process.incarnation != leader.incarnation
     )
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -134,7 +134,7 @@
             self._heartbeat_watch,
             log,
         )
-        self._leader_processes = LeaderProcesses()
+        self._leader_processes = LeaderProcesses(me, parameters.incarnation)
         # Whether the store is asked for the leader, and whether an epoch is being claimed.
         self._attempting = False
         self._taking_over = False
@@ -229,7 +229,7 @@
         ended = self._leader_processes.record_report(status, incarnation)
         for epoch in ended:
             self._log.event("leader_process_ended", process=status.node, epoch=epoch)
-            if self._session is not None and self._serving:
+            if self._session is not None:
                 self._session.record_process_end(epoch)
 
     def _handle_status(self, status: NodeStatus) -> None:
@@ -315,7 +315,7 @@
             return
         self._session_scope = None
         started = time.monotonic()
-        with anyio.move_on_after(drain_s) as resigning:
+        with anyio.move_on_after(drain_s):
             await session.resign()
         scope.cancel()
         resigned_at = time.monotonic()
@@ -330,7 +330,7 @@
             epoch=session.epoch,
             to=successor,
             took_s=round(resigned_at - started, 3),
-            kept=not resigning.cancelled_caught,
+            kept=session.resignation_kept,
             asked_s=round(time.monotonic() - resigned_at, 3),
         )
 
@@ -406,9 +406,11 @@
         if self._leadership.epoch > epoch_before:
             # Another process has taken over first and will report, now that it is known.
             return
-        epochs = (known.leader.epoch, self._leadership.epoch, self._refused_epoch)
-        previous = max(epochs)
+        newest_known = max(known.leader.epoch, self._leadership.epoch)
+        previous = max(newest_known, self._refused_epoch)
         for _ in range(MAX_CLAIM_ATTEMPTS):
+            if self._stopping:
+                return
             epoch = next_epoch(previous, self._parameters.ip)
             incarnation = self._parameters.incarnation
             outcome = await take_over(self._sources.store, epoch, incarnation)
@@ -417,20 +419,24 @@
                 return
             if isinstance(outcome, EpochClaim):
                 self._leadership.record_take_over(epoch, time.monotonic())
-                tasks.start_soon(self._lead, outcome)
+                self._session = Session(
+                    self._sources,
+                    outcome._replace(newest_known=newest_known),
+                    self._parameters.scheduler,
+                    self._log,
+                    self._metrics,
+                    self._leader_processes.ended_epochs,
+                )
+                tasks.start_soon(self._lead, self._session)
                 return
             previous = self._refused_epoch = epoch
         self._log.event("take_over_failed", reason="fenced", epoch=previous)
 
-    async def _lead(self, claim: EpochClaim) -> None:
-        session = Session(
-            self._sources, claim, self._parameters.scheduler, self._log, self._metrics
-        )
-        self._session = session
+    async def _lead(self, session: Session) -> None:
         with anyio.CancelScope() as scope:
             self._session_scope = scope
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._heartbeat_loop, claim.epoch)
+                tasks.start_soon(self._heartbeat_loop, session.epoch)
                 await session.run(self._begin_serving)
                 tasks.cancel_scope.cancel()
         self._session = None
@@ -441,9 +447,6 @@
 
     def _begin_serving(self) -> None:
         self._serving = True
-        assert self._session is not None
-        for epoch in self._leader_processes.ended_epochs:
-            self._session.record_process_end(epoch)
         self._report_now()
         self._leader_changed()
 
@@ -459,6 +462,11 @@
         """Hand over leadership and finish open requests within ``grace_s`` seconds."""
         self._stopping = True
         started = time.monotonic()
+        # A process that ended while it takes over would leave a claim behind, after which
+        # nothing proves to its successor what the leader before it has stated.
+        with anyio.move_on_after(grace_s / 4):
+            while self._attempting or (self._session is not None and not self._serving):
+                await anyio.sleep(TICK_INTERVAL_S / 10)
         if self._session is not None:
             await self._hand_over(grace_s / 4)
         while time.monotonic() - started < grace_s and not self.idle:
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -90,6 +90,7 @@
         cores=settings.cores,
         scheduler=SchedulerParameters(
             lease_s=granted_lease_s(settings.max_lease_s),
+            max_lease_s=settings.max_lease_s,
             keep_s=settings.job_status_s * 1.25,
             connections=settings.max_files - RESERVED_FILES,
             call_bytes=settings.call_bytes,
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -79,6 +79,7 @@
     """Decides for a shard in one epoch.
 
     :param claim: claim of the epoch that this session leads in.
+    :param ended_epochs: epochs whose leader's process has ended; may grow meanwhile.
     """
 
     def __init__(
@@ -88,8 +89,10 @@
         parameters: SchedulerParameters,
         log: NodeLog,
         metrics: NodeMetrics,
+        ended_epochs: t.Collection[int] = (),
     ) -> None:
         self._sources = sources
+        self._ended_epochs = ended_epochs
         self._claim = claim
         self._epoch = claim.epoch
         self._parameters = parameters
@@ -111,10 +114,10 @@
             parameters.call_bytes,
             self._leader_mark,
         )
+        self._state_reader = StateReader(sources.store, claim, log)
         self._lag = LoopLag(steadyclock.now)
         self._leader_lease = JournalLeaderLease(
             self._journal, parameters.orphan_s, self._lag
-        self._state_reader = StateReader(sources.store, claim, log)
         )
         parts = (sources, self._scheduler, self._apply, log)
         self._operator_feed = OperatorFeed(*parts)
@@ -177,6 +180,11 @@
         """Whether this session has ended: requests belong to the successor."""
         return self._over
 
+    @property
+    def resignation_kept(self) -> bool:
+        """Whether the store knows that this leader has resigned."""
+        return self._journal.resignation_kept
+
     @property
     def store_unavailable(self) -> bool:
         """Whether an append has waited too long for the store."""
@@ -237,7 +245,10 @@
             )
             del state
             self._apply(await in_slices(restoring))
-            self._apply([self._scheduler.fleet.leases.inherited_event(now)])
+            leases = self._scheduler.fleet.leases
+            for epoch in self._ended_epochs:
+                leases.record_process_end(epoch, now)
+            self._apply([leases.inherited_event(now)])
             self._operator_feed.load(read[self._sources.config_topic])
             await in_slices(self._box_feed.loading(read[self._sources.box_topic]))
         self._log.event(
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -40,7 +40,9 @@
 class SchedulerParameters(t.NamedTuple):
     """Durations in seconds.
 
-    :param lease_s: maximum duration of a lease of a box.
+    :param lease_s: duration of the leases that this leader grants.
+    :param max_lease_s: longest lease that another leader may have granted, as one of an
+        older version; never less than ``lease_s``.
     :param orphan_s: how long a leader that is not confirmed goes on renewing leases; its
         successor relies on this limit.
     :param clock_slack: how much slower than ours a box's clock may run, as a share.
@@ -51,6 +53,7 @@
     """
 
     lease_s: float = 10.0
+    max_lease_s: float = 0.0
     orphan_s: float = 8.0
     clock_slack: float = 0.03
     keep_s: float = 120.0
@@ -60,8 +63,16 @@
 
     @property
     def lease_bound_s(self) -> float:
-        """How long a lease that is renewed now may last by this process's clock."""
-        return self.lease_s * (1.0 + self.clock_slack) + 0.3
+        """How long a lease that this leader renews now may last by its clock."""
+        return self._bound_s(self.lease_s)
+
+    @property
+    def max_lease_bound_s(self) -> float:
+        """How long a lease that any leader renews now may last by this one's clock."""
+        return self._bound_s(max(self.lease_s, self.max_lease_s))
+
+    def _bound_s(self, lease_s: float) -> float:
+        return lease_s * (1.0 + self.clock_slack) + 0.3
 
 
 class WaitingStep:
--- a/src/granitetrestle/statedigest.py
+++ b/src/granitetrestle/statedigest.py
@@ -66,6 +66,7 @@
     end: int = 0
     resigned: bool = False
     inherited_ms: int = 0
+    lease_ms: int = 0
 
 
 class LeaderMark(t.NamedTuple):
@@ -73,14 +74,15 @@
 
     :param end: end offset of the topic after the append.
     :param resigned: whether it grants and renews no lease any more.
-    :param inherited_s: how long a lease may still run that an earlier leader granted
-        to a box which this one has not reached.
+    :param inherited_s: how long a lease may still run that an earlier leader granted.
+    :param lease_bound_s: how long a lease may run that this leader grants.
     """
 
     epoch: int
     end: int
     resigned: bool
     inherited_s: float
+    lease_bound_s: float
 
 
 class _EpochClaimant(msgspec.Struct, frozen=True, array_like=True):
@@ -98,11 +100,13 @@
 
     :param by: the incarnation of the process that claimed it.
     :param end: end offset of the topic after the claim.
+    :param newest_known: newest epoch in which a process is known to have led before.
     """
 
     epoch: int
     by: str
     end: int
+    newest_known: int = 0
 
     @staticmethod
     def record(epoch: int, by: str) -> Record:
@@ -154,9 +158,12 @@
         keys, total = self.digest.keys, self.digest.total
         stored = _StoredDigest(keys, total)
         if mark is not None:
-            inherited_ms = math.ceil(mark.inherited_s * 1000.0)
+            durations_ms = (
+                math.ceil(mark.inherited_s * 1000.0),
+                math.ceil(mark.lease_bound_s * 1000.0),
+            )
             stored = _StoredDigest(
-                keys, total, mark.epoch, mark.end, mark.resigned, inherited_ms
+                keys, total, mark.epoch, mark.end, mark.resigned, *durations_ms
             )
         return [*records, Record(DIGEST_KEY, _encode(stored))]
 
@@ -226,8 +233,16 @@
         return None
     if not stored.epoch or stored.end + 1 != claim.end:
         return None
-    inherited_s = stored.inherited_ms / 1000.0
-    return LeaderMark(stored.epoch, stored.end, stored.resigned, inherited_s)
+    if stored.epoch < claim.newest_known:
+        # A leader of a version that claims its epoch without a record came after it.
+        return None
+    return LeaderMark(
+        stored.epoch,
+        stored.end,
+        stored.resigned,
+        stored.inherited_ms / 1000.0,
+        stored.lease_ms / 1000.0,
+    )
 
 
 def _decode_claimant(value: bytes | None) -> _EpochClaimant | None:
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -246,7 +246,7 @@
                 self._report_not_sent(sender, command)
                 return
             self._check_hall(command)
-            until = sender.scheduler.fleet.leases.renewed_end_ms(box, sender.now) or 0
+            until = sender.scheduler.fleet.leases.renew(box, sender.now) or 0
         if draw < self.delayed_share:
             at = self.now + self.random.uniform(0.2, 6.0)
             self._delayed.append(DelayedCommand(at, sender.epoch, until, command))
