Tests: crashes that no leader lives to see still count against their task

A task that crashes its box may do so together with the leader that gave the start. The scenarios killed leaders only after they had seen the crash.

Run: behave features/box_crashes.feature -n "no leader that starts it lives", 6 of 6 pass. With tasks taken as never sent after a take-over, 4 of 6 fail.

--- a/features/box_crashes.feature
+++ b/features/box_crashes.feature
@@ -21,6 +21,23 @@
       | its starts are never answered              |
       | all lose power after each crash            |
 
+  Scenario Outline: A task is given up though no leader that starts it lives to see the crash
+    The leader is killed after its order and before it learns of the crash, so only
+    successors can count it, from the orders in the store.
+    Given a shard of 6 boxes among models, with jobs of several accounts
+    When a task that crashes its box is submitted, and each leader that gave its start is killed, <known>, with a successor <gap> seconds later
+    Then the task has crashed at most 5 boxes, and its job is shown as failed
+    And every other job completes or still runs, and none counts as failed
+
+    Examples:
+      | known                      | gap |
+      | once the start is answered | 0.1 |
+      | once the start is answered | 0.5 |
+      | once the start is answered | 2.0 |
+      | without an answer          | 0.1 |
+      | without an answer          | 0.5 |
+      | without an answer          | 2.0 |
+
   Scenario: A task that crashes boxes beside one that is suspected more is given up in time
     If a crash counts only against the most suspected task, the other one is started a sixth
     time if there is only one box.
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -10,6 +10,7 @@
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle.workflows import Workflow
+from granitetrestle_standins.shardprocess import TICK_INTERVAL_S
 from granitetrestle_standins.shardworld import PromiseBroken
 from granitetrestle_standins.shardworld import ShardWorld
 from random_shard import RandomShard
@@ -109,6 +110,37 @@
         context.broken = error
 
 
+@when(
+    "a task that crashes its box is submitted, and each leader that gave its start is "
+    "killed, {known}, with a successor {gap:g} seconds later"
+)
+def leader_dies_with_box(context, known, gap):
+    world = context.world
+    world.box_crashes.crash_before_answer = known == "without an answer"
+    context.culprit = world.submit((Step(count=1, cpu=500, memory_mb=10),))
+    context.task = f"{context.culprit}.0.0.0"
+    world.box_crashes.crashing.add(context.task)
+    ends, starts = world.now + 40.0, 0
+    context.broken = None
+    try:
+        while world.now < ends:
+            world.advance(TICK_INTERVAL_S)
+            if int(world.now * 10) % 5 == 0:
+                context.others.append(world.submit((SHORT,)))
+            given = sum(
+                run.task == context.task
+                for box in world.boxes.values()
+                for run in box.history
+            )
+            if given > starts:
+                starts = given
+                world.kill()
+                world.advance(gap)
+                world.take_over()
+    except PromiseBroken as error:
+        context.broken = error
+
+
 @then("the task has crashed at most {most:d} boxes, and its job is shown as failed")
 def given_up(context, most):
     world = context.world
