--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -205,3 +205,27 @@
       | for lack of a connection           | before the failure |
       | without an answer                  | after the failure  |
       | unsent, and a start to it was sent | after the failure  |
+      | unsent, without a renewal          | before the failure |
+
+  Scenario Outline: Long-running tasks do not stay on a box that leaves without saying so
+    Given a shard of 6 boxes among models
+    When a long-running task runs, and the entry of its box is <state>, though it keeps answering
+    Then 4 seconds later the task runs on <where>
+
+    Examples:
+      | state                            | where       |
+      | removed                          | another box |
+      | removed and back after 2 seconds | the box     |
+      | there, but can't be read         | the box     |
+
+  Scenario Outline: Long leases do not keep the tasks of a lost box waiting
+    A long-running task is due 6 s after its last run, and missed 3 s later.
+    When boxes grant leases of up to <longest> s
+    Then a task of a lost box runs again within <bound> s
+
+    Examples:
+      | longest | bound |
+      | 4       | 9     |
+      | 6       | 9     |
+      | 10      | 9     |
+      | 60      | 9     |
--- a/features/steps/inherited_lease_steps.py
+++ b/features/steps/inherited_lease_steps.py
@@ -1,14 +1,19 @@
 """Steps of the scenarios about leases that earlier leaders granted."""
 
+import time
+
 import anyio
 import msgspec
 from behave import given
 from behave import then
 from behave import when
 
+from granitetrestle.handover import ask_to_take_over
 from granitetrestle.interfaces import Record
 from granitetrestle.leaderprocesses import LeaderProcesses
+from granitetrestle.messages import LeaderResigned
 from granitetrestle.messages import NodeStatus
+from granitetrestle.registry import LeaderEntry
 from granitetrestle.statedigest import DIGEST_KEY
 from granitetrestle.statedigest import DigestTracker
 from granitetrestle.statedigest import EpochClaim
@@ -124,6 +129,25 @@
         world.hand_over()
 
 
+@when(
+    "a long-running task runs, the leader is killed, and its box is lost just as the "
+    "successor hands over to one that {fate}"
+)
+def lost_at_hand_over(context, fate):
+    world = context.world
+    task = lasting_task(context)
+    world.kill()
+    world.take_over()
+    world.advance(0.3)
+    world.cut_until[task.box] = world.now + 1000.0
+    context.silent_box, context.since = task.box, world.now
+    world.hand_over()
+    if fate != "goes on":
+        world.advance(0.3)
+        world.kill()
+        world.take_over()
+
+
 @when(
     "a long-running task runs, its box is lost, {listed}, and {count:d} leaders are "
     "killed, each a second after it took over"
@@ -201,6 +225,19 @@
     assert context.processes.record_report(status(), "second") == []
 
 
+@given("a process that is registered as the leader of epoch 7")
+def leader_registered(context):
+    context.processes = LeaderProcesses()
+    entry = LeaderEntry(7, "n1", 1, "second", "10.0.0.1:1")
+    context.processes.record_registry(entry)
+
+
+@given("a process that an older version registered as the leader of epoch 7")
+def leader_registered_by_older_version(context):
+    context.processes = LeaderProcesses()
+    context.processes.record_registry(LeaderEntry(7, "n1", 1))
+
+
 REPORTS = {
     "its next incarnation at its address": (status(leader=""), "third"),
     "the process itself": (status(leader=""), "second"),
@@ -288,3 +325,64 @@
         return [line["proof"] for line in lines if line["event"] == "leases_inherited"]
 
     cluster.wait(lambda: proofs()[-1:] == ["process ended"], "proof of the end")
+
+
+class Candidates:
+    """Two processes; each is ready, and can be reached, from some time on."""
+
+    def __init__(self, ready_s, reached_s):
+        self._ready_s = dict(zip(("the first", "the second"), ready_s, strict=True))
+        self._reached_s = dict(zip(self._ready_s, reached_s, strict=True))
+        self._began = time.monotonic()
+        self.asked = []
+
+    def _after(self, times):
+        passed_s = time.monotonic() - self._began
+        return [name for name, from_s in times.items() if from_s <= passed_s]
+
+    def ready(self):
+        return self._after(self._ready_s)
+
+    def others(self):
+        return list(self._ready_s)
+
+    def send(self, node, message):
+        assert message == LeaderResigned(7)
+        if node not in self._after(self._reached_s):
+            return False
+        self.asked.append(node)
+        return True
+
+
+NEVER_S = 60.0
+CANDIDATES = {
+    "are ready to": ((0.0, 0.0), (0.0, 0.0)),
+    "are ready to, of which one can't be reached, to": ((0.0, 0.0), (NEVER_S, 0.0)),
+    "can be reached 0.2 s later, to": ((0.0, 0.0), (0.2, NEVER_S)),
+    "stop, but for one that is ready 0.2 s later, to": ((NEVER_S, 0.2), (0.0, 0.0)),
+    "are not ready to": ((NEVER_S, NEVER_S), (0.0, 0.0)),
+    "can never be reached, to": ((0.0, 0.0), (NEVER_S, NEVER_S)),
+}
+
+
+@given("processes that {can} take over")
+def candidates(context, can):
+    context.candidates = Candidates(*CANDIDATES[can])
+
+
+@when("a leader that has resigned asks one of them")
+def ask_candidates(context):
+    given_ones = context.candidates
+    started = time.monotonic()
+    context.asked = anyio.run(
+        ask_to_take_over, given_ones.send, given_ones.ready, given_ones.others, 7
+    )
+    context.took_s = time.monotonic() - started
+
+
+@then("{whom} is asked within {bound:g} s")
+def asked_in_time(context, whom, bound):
+    expected = [] if whom == "nobody" else [whom]
+    assert context.candidates.asked == expected, context.candidates.asked
+    assert context.asked == "".join(expected), context.asked
+    assert context.took_s <= bound, context.took_s
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -5,9 +5,12 @@
 from behave import when
 from room_steps import SchedulerHarness
 
+from granitetrestle.boxleases import granted_lease_s
 from granitetrestle.interfaces import BoxNoAnswer
 from granitetrestle.shardstate import SchedulerParameters
 from granitetrestle.workflows import Step
+from granitetrestle_standins.nativebox import BoxModel
+from granitetrestle_standins.shardworld import ShardWorld
 from lasting_task import lasting_task
 
 
@@ -139,6 +142,7 @@
     workflow = harness.submit("job", Step(count=1, cpu=500, long_running=True))
     (task,) = workflow.tasks.values()
     context.box = harness.scheduler.state.boxes[task.box]
+    harness.now += 1.5
     harness.scheduler.fleet.plan_poll(task.box, harness.now, True)
     harness.poll(task.box)
     context.renewed_at = harness.now
@@ -151,7 +155,9 @@
     sent = how == "without an answer"
     for _ in range(10):
         harness.now += 0.1
-        fleet.plan_poll(box.incarnation, harness.now, True)
+        fleet.plan_poll(
+            box.incarnation, harness.now, how != "unsent, without a renewal"
+        )
         if "a start" in how:
             fleet.leases.renewed_end_ms(box, harness.now)
         outcome = BoxNoAnswer("lost", sent=sent)
@@ -164,3 +170,48 @@
     bound_s = SchedulerParameters().lease_bound_s
     expected = (renewed_at or context.harness.now) + bound_s
     assert abs(context.box.lease_ends - expected) < 0.01, context.box.lease_ends
+
+
+@when(
+    "a long-running task runs, and the entry of its box is {state}, though it keeps "
+    "answering"
+)
+def entry_removed(context, state):
+    world = context.world
+    task = lasting_task(context)
+    context.first_box = task.box
+    entry = world.entries.pop(task.box)
+    if state == "there, but can't be read":
+        world.unreadable.add(entry.box_id)
+    elif state == "removed and back after 2 seconds":
+        world.advance(2.0)
+        world.entries[task.box] = entry
+
+
+@then("{seconds:g} seconds later the task runs on {where}")
+def runs_on(context, seconds, where):
+    world = context.world
+    world.advance(seconds)
+    (there,) = (name for name, box in world.boxes.items() if box.running)
+    assert (there == context.first_box) == (where == "the box"), there
+
+
+@when("boxes grant leases of up to {longest:g} s")
+def leases_granted(context, longest):
+    context.lease_s = granted_lease_s(longest)
+    assert context.lease_s <= longest
+
+
+@then("a task of a lost box runs again within {bound:g} s")
+def runs_again_in_time(context, bound):
+    context.world = world = ShardWorld(7, 6)
+    # The first leader, and all that take over from it.
+    world.parameters = SchedulerParameters(lease_s=context.lease_s, keep_s=600.0)
+    for entry in list(world.entries):
+        world.boxes[entry] = BoxModel(entry, context.lease_s)
+    world.hand_over()
+    world.advance(0.5)
+    task = lasting_task(context)
+    world.cut_until[task.box] = world.now + 1000.0
+    context.silent_box, context.since = task.box, world.now
+    runs_on_another(context, bound)
--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -12,12 +12,25 @@
 from .shardstate import ShardState
 from .statedigest import LeaderMark
 
-__all__ = ["BoxLeases"]
+__all__ = ["BoxLeases", "granted_lease_s"]
 
 # Leases of a box that is silent for longer are not renewed, so that the end of its runs
 # is known. Two polls and their timeouts fit in. Without this limit, the work of a box
 # that is silent for longer than a lease is lost, and done twice.
 SILENCE_LIMIT_S: t.Final = 1.2
+# Sums of times differ by less than this; records are rounded up to it.
+ROUNDING_S: t.Final = 0.001
+
+
+# Accounts are promised that a long-running task runs again soon after its box is lost,
+# and that takes a lease. Shorter ones lose the work of boxes that are cut off for some
+# seconds, or that a successor reaches late.
+MAX_GRANTED_LEASE_S: t.Final = 6.0
+
+
+def granted_lease_s(max_lease_s: float) -> float:
+    """Return the duration of leases on boxes that grant up to ``max_lease_s`` seconds."""
+    return min(max_lease_s, MAX_GRANTED_LEASE_S)
 
 
 class _PollRenewal(t.NamedTuple):
@@ -86,13 +99,29 @@
         }
         return LogEvent("leases_inherited", "leases", inputs)
 
-    def mark(self, epoch: int, end: int, now: float) -> LeaderMark:
+    def mark(self, epoch: int, end: int, now: float, anywhere: bool) -> LeaderMark:
         """Return what this leader states about leases with an append.
 
         :param end: end offset of the topic after the append.
+        :param anywhere: whether a task may run on any box, since its record can't be
+            read.
         """
-        inherited_s = max(0.0, self._inherited.latest_end - now)
-        return LeaderMark(epoch, end, self._resigned, inherited_s)
+        inherited_end = self._inherited.latest_end
+        if inherited_end > now and not anywhere:
+            inherited_end = max(self._unreached_ends(), default=now)
+        return LeaderMark(epoch, end, self._resigned, max(0.0, inherited_end - now))
+
+    def _unreached_ends(self) -> t.Iterator[float]:
+        """Yield the ends of leases that earlier leaders granted, of the boxes with tasks
+        that this leader has not reached and that have no record in the store. Any other
+        box rejects the earlier leaders, or runs nothing."""
+        leases = self._state.withdrawn_leases
+        for incarnation, box in self._state.boxes.items():
+            if box.tasks and not box.clock_at and not leases.is_written(incarnation):
+                yield box.lease_ends
+        for incarnation in self._state.inherited:
+            if not leases.is_written(incarnation):
+                yield self._inherited.end(incarnation)
 
     def resign(self, now: float) -> None:
         """Grant and renew no lease any more, and record how long the last lease of each
@@ -124,21 +153,27 @@
         """Return the lease to renew with a poll, as :meth:`renewed_end_ms`."""
         lease_ends = box.lease_ends
         end_ms = self.renewed_end_ms(box, now)
-        self._poll_renewals[box.incarnation] = _PollRenewal(lease_ends, box.renewals)
+        if end_ms is not None:
+            renewal = _PollRenewal(lease_ends, box.renewals)
+            self._poll_renewals[box.incarnation] = renewal
         return end_ms
 
-    def undo_poll(self, box: BoxView) -> None:
-        """Undo the renewal by the last poll of a box, which provably never left. Else a
-        box that refuses connections would be waited for as if it had taken them all."""
+    def end_poll(self, box: BoxView, left: bool) -> None:
+        """Record the end of a poll, and undo its renewal if it provably never left. Else
+        a box that refuses connections would be waited for as if it had taken all polls.
+
+        :param left: whether the poll may have left this process.
+        """
         renewal = self._poll_renewals.pop(box.incarnation, None)
-        if renewal is not None and renewal.renewals == box.renewals:
+        if renewal is not None and not left and renewal.renewals == box.renewals:
             box.lease_ends = renewal.lease_ends
 
     def record_silence(self, box: BoxView, now: float) -> None:
         """Stop renewing leases of a box with tasks that has been silent for long, or
-        that no earlier leader renewed them for."""
+        that has not answered this leader at all."""
         withdrawn = box.incarnation in self._state.withdrawn_leases
-        if box.tasks and (_long_silent(box, now) or (withdrawn and not box.clock_at)):
+        unreached = not box.clock_at and (withdrawn or box.silent_since is not None)
+        if box.tasks and (unreached or _long_silent(box, now)):
             self._withdraw(box.incarnation, box.lease_ends, now)
 
     def record_unlisted(self, incarnation: str, now: float) -> None:
@@ -152,7 +187,7 @@
         still renew them: older versions of this program take a record to mean that no
         lease runs for longer than one that is granted now."""
         left_s = lease_ends - now
-        if left_s <= self._state.parameters.lease_bound_s:
+        if left_s <= self._state.parameters.lease_bound_s + ROUNDING_S:
             leases = self._state.withdrawn_leases
             leases.withdraw(incarnation, left_s, now, rewrite)
 
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -416,14 +416,8 @@
             rank_in_hall[status.hall] += 1
         return tuple(node for _, _, node in sorted(interleaved)[:MAX_SUCCESSORS])
 
-    def best_successor(self, now: float) -> str:
-        """Return the process that is asked to take over when this one stops, or an
-        empty string. A process that is not ready yet, or was never heard, is better
-        than none: without a successor requests wait 0.8 s longer, and are then
-        refused."""
-        ranked = self.rank_successors(now)
+    def unready_successors(self, now: float) -> tuple[str, ...]:
+        """Return the processes that may become ready to take over, best first: those
+        that report, and if there are none those that were never heard."""
         unreported = self._known_nodes.difference(self._peers)
-        candidates = (
-            ranked or tuple(sorted(self._live_peers(now))) or tuple(sorted(unreported))
-        )
-        return candidates[0] if candidates else ""
+        return tuple(sorted(self._live_peers(now))) or tuple(sorted(unreported))
--- a/src/granitetrestle_standins/shardprocess.py
+++ b/src/granitetrestle_standins/shardprocess.py
@@ -61,6 +61,7 @@
     config: Config
     store: StoreModel
     entries: dict[str, BoxEntry]
+    unreadable: set[str]
 
     @property
     def store_down(self) -> bool:
@@ -170,7 +171,8 @@
     def list_boxes(self) -> None:
         """Apply the newest list of boxes."""
         entries = dict(self.world.entries)
-        self.apply(self.scheduler.fleet.update_boxes(entries, self.now))
+        fleet, unreadable = self.scheduler.fleet, self.world.unreadable
+        self.apply(fleet.update_boxes(entries, self.now, unreadable))
 
     def apply(self, decisions: t.Sequence[Decision]) -> None:
         """Execute decisions; hold those that wait for their write."""
@@ -200,7 +202,7 @@
             return
         changes = self.scheduler.take_writes()
         end = self._end + len(changes) + 1
-        mark = self.scheduler.fleet.leases.mark(self.epoch, end, self.now)
+        mark = self.scheduler.leader_mark(self.epoch, end, self.now)
         records = self.digests.with_digest(changes, mark)
         writer = Writer(self.epoch, self.sequence + 1)
         outcome = self.world.store.append(JOBS_TOPIC, records, writer)
