Stand-in boxes leave for good, lose their entry or join

Tests of what happens to the tasks of a box that never comes back could only crash one that restarts. A box now leaves on request, with or without its entry, and spare boxes that are not listed at first may join.

--- a/src/granitetrestle_standins/boxserver.py
+++ b/src/granitetrestle_standins/boxserver.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import math
 import random
 import time
 import typing as t
@@ -16,7 +17,9 @@
 from granitetrestle_standins.nativebox import BoxRun
 from granitetrestle_standins.serving import Gate
 
-__all__ = ["BoxServer", "Reply", "json_reply"]
+__all__ = ["NOT_LISTED", "BoxServer", "Reply", "json_reply"]
+
+NOT_LISTED: t.Final = "none"
 
 TICK_INTERVAL_S: t.Final = 0.02
 # Range of the delay of an unanswered call; the specification says only "seconds".
@@ -45,12 +48,16 @@
     and executes each some seconds later; ``POST /test/crash?s=S`` ends the incarnation
     and starts another after S seconds, under another id or, with ``keep=1``, under the
     same one; with ``list=S`` it is listed S seconds after its start; ``POST
-    /test/runs`` returns each run, with :meth:`.BoxModel.end_counts` as the last column;
-    ``POST /test/facts`` returns everything that its incarnations recorded.
+    /test/entry?state=STATE`` changes its list entry; ``POST /test/leave?how=HOW`` lets
+    it leave for good, ``gone`` (connections are refused) or ``dark`` (calls remain
+    unanswered), and returns when, and which incarnation did; ``POST /test/runs`` returns
+    each run, with :meth:`.BoxModel.end_counts` as the last column; ``POST /test/facts``
+    returns everything that its incarnations recorded.
 
     :param update_entry: called with the box to list, and with its previous id if that
         is to be removed, otherwise an empty string.
     :param gate: gate of its address, shut while no incarnation answers.
+    :ivar entry_state: state in its list entry; :data:`NOT_LISTED` if it has none.
     """
 
     def __init__(
@@ -64,6 +71,7 @@
     ) -> None:
         self.box_id = name
         self.gate = gate or Gate()
+        self.entry_state = "ready"
         self._name = name
         self._hall = hall
         self._profile = profile
@@ -79,6 +87,7 @@
         self._list_after_s = 0.0
         self._previous_id = ""
         self._list_at: float | None = None
+        self._has_left = False
         self._delayed_calls: set[asyncio.Task[None]] = set()
 
     @property
@@ -127,7 +136,14 @@
     def hook(self, path: str, query: t.Mapping[str, str]) -> Reply:
         """Handle a call to a test hook."""
         now = time.monotonic()
-        if path == "/test/silent":
+        if path == "/test/entry":
+            self.entry_state = query["state"]
+            self._update_entry(self, "")
+        elif path == "/test/leave":
+            return self._leave(query["how"], now)
+        elif self._has_left and path in ("/test/silent", "/test/crash"):
+            pass
+        elif path == "/test/silent":
             self._silent_until = now + float(query["s"])
         elif path == "/test/late":
             self._delayed_share = float(query["share"])
@@ -152,6 +168,18 @@
             return json_reply(200, [[r.task, r.run, r.how] for r in history])
         return json_reply(200, {})
 
+    def _leave(self, how: str, now: float) -> Reply:
+        self._has_left = True
+        self._list_at = None
+        if how == "dark":
+            self._silent_until = math.inf
+        else:
+            if self._down_until is None:
+                self.model.crash(now)
+                self.gate.shut()
+            self._down_until = math.inf
+        return json_reply(200, {"at": now, "incarnation": self.model.incarnation})
+
     async def answer(self, path: str, expected_id: str, body: bytes) -> Reply | None:
         """Return the answer to a call, or ``None`` for no answer.
 
--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -61,6 +61,7 @@
     :param platform: further arguments of the platform in small.
     :param links: faults from the start on links that go through a proxy; ``None`` for no
         proxy. With links, processes lie in the two halls by turns.
+    :param spares: number of further boxes that are not listed at first.
     :raises LinkFaultError: naming a fault that can't be, before anything starts.
     :raises RigFault: if the proxy does not start.
     """
@@ -80,9 +81,11 @@
         boxes: int,
         platform: t.Sequence[str] = (),
         links: t.Sequence[Fault] | None = None,
+        spares: int = 0,
     ) -> None:
         self.folder = folder
         self.boxes = boxes
+        self.spares = spares
         self._platform = platform
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         # Nodes that had ended by themselves when they were started again.
@@ -124,6 +127,11 @@
         if self._links is not None:
             self._links.check()
 
+    @property
+    def all_boxes(self) -> range:
+        """The numbers of all boxes, spare ones included."""
+        return range(self.boxes + self.spares)
+
     def _topology(self) -> Topology:
         places = {
             name: Place(
@@ -133,7 +141,7 @@
             )
             for number, (name, ip) in enumerate(self._ips.items())
         }
-        for box in range(self.boxes):
+        for box in self.all_boxes:
             hall = HALLS[(1 + box) % 2]
             place = Place(PlaceKind.BOX, hall, (self._box_address(box),))
             places[f"b{box}"] = place
@@ -154,7 +162,8 @@
             [
                 *("-m", "granitetrestle_standins.nativeplatform"),
                 *("--ip", self._net.platform, "--port", str(FIRST_PORT)),
-                *("--boxes", str(self.boxes), *self._platform),
+                *("--boxes", str(self.boxes), "--spares", str(self.spares)),
+                *self._platform,
             ],
             {},
         )
--- a/src/granitetrestle_standins/nativeplatform.py
+++ b/src/granitetrestle_standins/nativeplatform.py
@@ -23,6 +23,7 @@
 from granitetrestle_standins.boxprofiles import EndsTold
 from granitetrestle_standins.boxprofiles import Resources
 from granitetrestle_standins.boxprofiles import draw_profile
+from granitetrestle_standins.boxserver import NOT_LISTED
 from granitetrestle_standins.boxserver import BoxServer
 from granitetrestle_standins.boxserver import Reply
 from granitetrestle_standins.boxserver import json_reply
@@ -213,6 +214,7 @@
 
     :param reading: the store's interpretation of its specification.
     :param profiles: profile of each box.
+    :param spares: number of last boxes that are not listed at first.
     """
 
     def __init__(
@@ -222,6 +224,7 @@
         reading: StoreReading,
         profiles: t.Sequence[BoxProfile],
         draw: random.Random,
+        spares: int = 0,
     ) -> None:
         self._ip = ip
         self.store = StoreServer(StoreModel(reading, draw), draw)
@@ -235,7 +238,10 @@
             update_entry = functools.partial(self._update_entry, box_port, hall)
             box = BoxServer(f"b{number}", hall, profile, draw, update_entry)
             self.boxes[box_port] = box
-            self._update_entry(box_port, hall, box, "")
+            if number >= len(profiles) - spares:
+                box.entry_state = NOT_LISTED
+            else:
+                self._update_entry(box_port, hall, box, "")
 
     def _update_entry(
         self, port: int, hall: str, box: BoxServer, previous_id: str
@@ -246,7 +252,7 @@
             "service": "pool",
             "address": f"{self._ip}:{port}",
             "zone": hall,
-            "state": "ready",
+            "state": box.entry_state,
             "capacity": {
                 "cpu": BOX_CAPACITY.cpu,
                 "mem_mb": BOX_CAPACITY.mem_mb,
@@ -254,7 +260,9 @@
             },
             "labels": ["a", "r1"],
         }
-        records = [Record(box.box_id, json.dumps(entry).encode())]
+        listed = box.entry_state != NOT_LISTED
+        value = json.dumps(entry).encode() if listed else None
+        records = [Record(box.box_id, value)]
         if previous_id:
             records.append(Record(previous_id, None))
         self.store.model.append("keyed.servers", records, None)
@@ -315,6 +323,7 @@
     parser.add_argument("--ip", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--boxes", type=int, default=3)
+    parser.add_argument("--spares", type=int, default=0, help="further, unlisted boxes")
     parser.add_argument("--reading", choices=[*READINGS, DRAWN], default="plain")
     parser.add_argument("--profiles", choices=["plain", DRAWN], default="plain")
     parser.add_argument(
@@ -333,8 +342,12 @@
     )
     ends_told = arguments.ends_told
     profiles = _profiles(arguments.profiles, ends_told, arguments.boxes, draw)
+    # The number of spare boxes must not change what else is drawn.
+    draw_spares = random.Random(f"spares {arguments.seed}")
+    profiles += _profiles(arguments.profiles, ends_told, arguments.spares, draw_spares)
     print(f"reading: {reading.name}; boxes: {arguments.profiles}", flush=True)
-    app = PlatformApp(arguments.ip, arguments.port, reading, profiles, draw)
+    address = (arguments.ip, arguments.port)
+    app = PlatformApp(*address, reading, profiles, draw, arguments.spares)
     asyncio.run(_run(app, arguments.ip, arguments.port))
 
 
