The judge bounds how late a long-running task runs again after its box left

A long-running task of a lost box stayed down for as long as leaders followed each other, and no check of a run saw it. The bound is one lease, the limit on the silence of a box and 1.5 s for what real processes add; 8 s more with a disorder, however many there are.

--- a/features/run_judge.feature
+++ b/features/run_judge.feature
@@ -67,6 +67,26 @@
       | An answer comes in time                              | done 2-3 | fault over 10; call 10.1 none; call 11 11.4  |             |
       | No call was made in that time                        | done 2-3 | fault over 10; call 12 12.1                  | incomplete  |
 
+    Examples: A long-running task whose box left for good
+      | why                                               | runs                        | beside                                                          | found        |
+      | It runs again in time                             | crashed 2-3; b2: runs 9.6   | lasting; lost b1 3                                              |              |
+      | It runs again late                                | crashed 2-3; b2: runs 9.8   | lasting; lost b1 3                                              | LATE_RESTART |
+      | It runs again late, after it lapsed on a dark box | lapsed 2-7; b2: runs 9.8    | lasting; lost b1 3                                              | LATE_RESTART |
+      | It never runs again                               | crashed 2-3                 | lasting; lost b1 3                                              | LATE_RESTART |
+      | It is cancelled in time                           | crashed 2-3                 | lasting; lost b1 3; client cancel sent 9                        |              |
+      | It is cancelled late                              | crashed 2-3                 | lasting; lost b1 3; client cancel sent 10                       | LATE_RESTART |
+      | It was stopped before its box left                | stopped 2-2.5; b2: runs 9.8 | lasting; lost b1 3                                              |              |
+      | Another box left                                  | crashed 2-3; b2: runs 9.8   | lasting; lost b2 3                                              |              |
+      | A task that is not long-running                   | crashed 2-3; b2: runs 9.8   | lost b1 3                                                       |              |
+      | A disorder, and it runs again in time for that    | crashed 2-3; b2: runs 17.6  | lasting; lost b1 3; disorder 4 6                                |              |
+      | A disorder, and it runs again late                | crashed 2-3; b2: runs 17.8  | lasting; lost b1 3; disorder 4 6                                | LATE_RESTART |
+      | Several disorders, and it runs again late         | crashed 2-3; b2: runs 17.8  | lasting; lost b1 3; disorder 4 6; disorder 9 11; disorder 14 16 | LATE_RESTART |
+      | A disorder lasts beyond the longer bound          | crashed 2-3; b2: runs 18.9  | lasting; lost b1 3; disorder 4 6; disorder 17 19                |              |
+      | A disorder was over when its box left             | crashed 2-3; b2: runs 9.8   | lasting; lost b1 3; disorder 1 2                                | LATE_RESTART |
+      | A disorder was over when its box lost its entry   | crashed 2-5; b2: runs 11.8  | lasting; lost b1 5 3; disorder 1 2                              | LATE_RESTART |
+      | A disorder while its box served without an entry  | crashed 2-5; b2: runs 11.8  | lasting; lost b1 5 3; disorder 3 4                              |              |
+      | A disorder begins when it is late already         | crashed 2-3; b2: runs 9.8   | lasting; lost b1 3; disorder 9.75 11                            | LATE_RESTART |
+
   Scenario: The timeline of a task has all facts about it, in order of time
     Given a task that ran "done 2-3 @4; b2: done 4.5-5"
     And the further facts "client accepted 1; lapse b1 8; epoch b1 7 1.5; refused b2 taken 3.5; lapse b3 4"
--- a/features/steps/judge_steps.py
+++ b/features/steps/judge_steps.py
@@ -3,8 +3,10 @@
 from behave import given
 from behave import then
 
+from granitetrestle_standins.runfacts import BoxLoss
 from granitetrestle_standins.runfacts import ClientEvent
 from granitetrestle_standins.runfacts import ClientFact
+from granitetrestle_standins.runfacts import Disorder
 from granitetrestle_standins.runfacts import EpochChange
 from granitetrestle_standins.runfacts import Facts
 from granitetrestle_standins.runfacts import Lapse
@@ -52,7 +54,8 @@
 
 
 def add_fact(facts, text):
-    """Add a fact other than a run, such as "lapse b1 8" or "client accepted 1"."""
+    """Add a fact other than a run, such as "lapse b1 8", "client accepted 1", or "lost b1
+    8 5", a box that was not listed from 5 and left at 8."""
     what, *words = text.split()
     if what in ("lasting", "speculative"):
         return facts._replace(**{what: frozenset({STEP})})
@@ -69,6 +72,14 @@
             "clients",
             ClientFact(JOB, float(row[-1]), ClientEvent(" ".join(row[:-1]))),
         ),
+        "lost": lambda box, at, unlisted=None: (
+            "losses",
+            BoxLoss(box, float(at), float(unlisted or at)),
+        ),
+        "disorder": lambda since, until: (
+            "disorders",
+            Disorder(float(since), float(until)),
+        ),
         "call": lambda sent, answered: (
             "probes",
             Probe(float(sent), None if answered == "none" else float(answered)),
--- a/src/granitetrestle_standins/runfacts.py
+++ b/src/granitetrestle_standins/runfacts.py
@@ -9,7 +9,9 @@
 
 __all__ = [
     "BoxFacts",
+    "BoxLoss",
     "ClientFact",
+    "Disorder",
     "EpochChange",
     "Facts",
     "Lapse",
@@ -83,6 +85,26 @@
     epoch: int
 
 
+class BoxLoss(t.NamedTuple):
+    """A box left for good.
+
+    :param unlisted: when its list entry was removed, if the box served on without it;
+        otherwise equal to ``at``. A leader that takes over from then on can't reach it.
+    """
+
+    box: str
+    at: float
+    unlisted: float
+
+
+class Disorder(t.NamedTuple):
+    """A time in which the leader may have changed without an orderly hand-over, or the
+    store was not well."""
+
+    since: float
+    until: float
+
+
 class BoxFacts(t.NamedTuple):
     """What one incarnation of a box recorded."""
 
@@ -135,6 +157,7 @@
     :param lasting: long-running steps (ID.K.STEP): their tasks run until their job is
         cancelled.
     :param speculative: steps with speculative copies, which may run at the same time.
+    :param losses: boxes that left for good while there was room elsewhere.
     """
 
     runs: t.Sequence[RunFact] = ()
@@ -147,6 +170,8 @@
     keep_s: float = 120.0
     lasting: frozenset[str] = frozenset()
     speculative: frozenset[str] = frozenset()
+    losses: t.Sequence[BoxLoss] = ()
+    disorders: t.Sequence[Disorder] = ()
 
 
 def job_of(task: str) -> str:
@@ -188,4 +213,6 @@
         keep_s=plain["keep_s"],
         lasting=frozenset(plain["lasting"]),
         speculative=frozenset(plain["speculative"]),
+        losses=[BoxLoss(*row) for row in plain.get("losses", ())],
+        disorders=[Disorder(*row) for row in plain.get("disorders", ())],
     )
--- a/src/granitetrestle_standins/runjudge.py
+++ b/src/granitetrestle_standins/runjudge.py
@@ -1,15 +1,17 @@
 """Checks a run against the platform's guarantees, from what boxes and clients observed:
 a task that has ended as done isn't started again, no task runs twice at a time, epochs
-on a box only rise, accepted jobs stay known, and there is a leader soon after the last
-disturbance. The checks are deterministic and make no calls, so that a saved run can be
+on a box only rise, accepted jobs stay known, there is a leader soon after the last
+disturbance, and a long-running task runs again soon after its box left. The checks are deterministic and make no calls, so that a saved run can be
 judged again."""
 
 import bisect
 import collections
 import enum
+import math
 import typing as t
 
 from granitetrestle_standins.runfacts import DONE
+from granitetrestle_standins.runfacts import BoxLoss
 from granitetrestle_standins.runfacts import ClientEvent
 from granitetrestle_standins.runfacts import Facts
 from granitetrestle_standins.runfacts import RunFact
@@ -23,6 +25,15 @@
 MAX_START_AFTER_END_S: t.Final = 1.0
 # The program's own target for the next decision after a disturbance.
 DECISION_TIMEOUT_S: t.Final = 1.5
+# Longest lease of a box in the cluster of real processes.
+LEASE_S: t.Final = 4.0
+# The program's own limit on the silence of a box, after which it renews no lease.
+SILENCE_LIMIT_S: t.Final = 1.2
+# What real processes add: the start of one, a poll and a write.
+PROCESS_SLACK_S: t.Final = 1.5
+# How much longer a leader may wait if its predecessor did not hand over in order or the
+# store was not well.
+DISORDER_S: t.Final = 8.0
 
 
 class FactsIncomplete(Exception):
@@ -40,6 +51,7 @@
     LOWER_EPOCH = "a command of a lower epoch was executed after one of a higher epoch"
     UNKNOWN_JOB = "an accepted job was not known later"
     NO_DECISION = "no leader answered soon after the last disturbance"
+    LATE_RESTART = "a long-running task ran again too late after its box left"
 
 
 class Violation(t.NamedTuple):
@@ -77,6 +89,7 @@
         *checks.find_lower_epochs(),
         *checks.find_unknown_jobs(),
         *checks.check_decision(),
+        *checks.find_late_restarts(),
     ]
     unfenced = sum(refused.acceptable for refused in facts.refused)
     return Verdict(sorted(violations, key=lambda violation: violation.at), unfenced)
@@ -203,6 +216,43 @@
             text = f"time to the first answer: {after}, limit {DECISION_TIMEOUT_S} s"
             yield Violation(ViolationKind.NO_DECISION, "", until, text)
 
+    def find_late_restarts(self) -> t.Iterator[Violation]:
+        """Find long-running tasks that ran again too late after their box left. Without
+        a disorder the bound does not depend on how often leaders handed over, and with
+        one not on how often they changed."""
+        cancels = {
+            fact.job: fact.at
+            for fact in self._facts.clients
+            if fact.told is ClientEvent.CANCEL_SENT
+        }
+        for loss in self._facts.losses:
+            due = self._restart_due(loss)
+            for task, runs in self._by_task.items():
+                there = [run for run in runs if _is_lost_with(run, loss)]
+                if not there or step_of(task) not in self._facts.lasting:
+                    continue
+                later = [run.began for run in runs if run.began > loss.at]
+                again = min([*later, cancels.get(job_of(task), math.inf)])
+                if again > due:
+                    text = (
+                        f"{_describe(there[-1])}, which left {loss.at:.3f}: "
+                        f"{again - loss.at:.3f} s, limit {due - loss.at:.3f} s"
+                    )
+                    yield Violation(ViolationKind.LATE_RESTART, task, due, text)
+
+    def _restart_due(self, loss: BoxLoss) -> float:
+        due = loss.at + LEASE_S + SILENCE_LIMIT_S + PROCESS_SLACK_S
+        disorders = self._facts.disorders
+        if not any(d.since <= due and d.until >= loss.unlisted for d in disorders):
+            return due
+        due += DISORDER_S
+        # Without a leader or the store nothing can start.
+        return max([due, *(d.until for d in disorders if d.since <= due)])
+
+
+def _is_lost_with(run: RunFact, loss: BoxLoss) -> bool:
+    return run.box == loss.box and run.began <= loss.at <= _end_time(run)
+
 
 def _end_time(run: RunFact) -> float:
     return float("inf") if run.ended is None else run.ended
