The soak restarts processes in series while boxes leave for good

Rolling restarts together with boxes that leave kept long-running tasks down, and no soak had both. Maintenance phases now take the place of the other disturbances at drawn times, with a random sequence of their own; their boxes drain first, lose their entry and serve on, refuse connections or go dark, and spare ones join.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 soak: setup
 	$(BIN)/python -m granitetrestle_standins.soak
 	$(BIN)/python -m granitetrestle_standins.nativesoak
+	$(BIN)/python -m granitetrestle_standins.nativesoak --boxes 8 --operations 60
 
 slopes: setup
 	$(BIN)/python -m granitetrestle_bench.slopes
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -36,3 +36,8 @@
   Scenario: Real processes on drawn boxes, and a store that does unanswered appends later
     When 4 real processes on drawn boxes and a store with the reading "late" are disturbed 40 times from seed 700005
     Then every promise that clients were given was kept
+
+  Scenario: Processes are restarted one after the other while boxes leave for good
+    When 4 real processes and 8 boxes are disturbed 20 times from seed 6, and maintained meanwhile
+    Then every promise that clients were given was kept
+    And the leader handed over and a box left
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,6 +8,8 @@
 from granitetrestle_standins.nativesoak import soak as soak_processes
 from granitetrestle_standins.soak import soak
 
+DEPARTURES = ("draining", "unlisted", "gone", "dark")
+
 
 @when("random work and faults run from seed {seed:d} over the schedulers")
 def run_soak(context, seed):
@@ -43,7 +45,24 @@
     ).counts
 
 
+@when(
+    "{nodes:d} real processes and {boxes:d} boxes are disturbed {times:d} times "
+    "from seed {seed:d}, and maintained meanwhile"
+)
+def disturb_and_maintain(context, nodes, boxes, times, seed):
+    context.times = times
+    result = soak_processes(seed, nodes, boxes, times)
+    context.counts, context.maintained = result.counts, result.maintained
+
+
 @then("every promise that clients were given was kept")
 def promises_kept(context):
     assert context.counts["submit"] > 0, context.counts
     assert sum(context.counts.values()) == context.times, context.counts
+
+
+@then("the leader handed over and a box left")
+def maintained(context):
+    counts = context.maintained
+    assert counts["end the leader"] > 0, counts
+    assert any(f"{how} boxes" in counts for how in DEPARTURES), counts
--- a/src/granitetrestle_standins/nativesoak.py
+++ b/src/granitetrestle_standins/nativesoak.py
@@ -3,7 +3,8 @@
 of them under the id that they had, the store is slow, busy or
 silent or forgets, halls are evacuated and taken back, and clients submit, ask and cancel
 all the while; with links, these are cut, slow, reset and late as well, and the decider is
-stopped for longer. Promises are judged by what clients were told and what boxes saw."""
+stopped for longer. Now and then a maintenance phase takes their place, see
+:mod:`.soakmaintenance`. Promises are judged by what clients were told and what boxes saw."""
 
 import itertools
 import json
@@ -23,8 +24,16 @@
 from .nativecluster import NativeCluster
 from .runfacts import ClientEvent
 from .soakcrashes import SoakCrashes
+from .soaklinks import HOLD_TIMES_S
 from .soaklinks import LinkFaults
+from .soakmaintenance import SoakMaintenance
 from .soakobserver import SoakObserver
+from .soakresults import DRAWN
+from .soakresults import PLAIN
+from .soakresults import Played
+from .soakresults import PromiseBroken
+from .soakresults import Run
+from .soakresults import Surroundings
 from .storereadings import READINGS
 
 __all__ = [
@@ -59,67 +68,9 @@
 LATE_SHARES: t.Final = (0.0, 0.01, 0.05)
 # Outlasts any run; lateness is ended when everything is to recover.
 ALWAYS_S: t.Final = 3600
-PLAIN: t.Final = "plain"
-DRAWN: t.Final = "drawn"
-
-
-class PromiseBroken(AssertionError):
-    """What clients were told, or what boxes ran, is not what was promised.
-
-    :param subject: the task, job or box that shows it; empty for the whole run.
-    """
-
-    def __init__(self, text: str, subject: str = "") -> None:
-        super().__init__(text)
-        self.subject = subject
-
-
-class Surroundings(t.NamedTuple):
-    """What the processes run on.
-
-    :param boxes: ``plain``, or ``drawn`` within what the platform's page allows.
-    :param reading: of the page on the store, by name, or ``drawn``.
-    """
-
-    boxes: str = PLAIN
-    reading: str = PLAIN
-
-
 PLAIN_SURROUNDINGS: t.Final = Surroundings()
 
 
-class Played(t.NamedTuple):
-    """What a run that kept its promises came to.
-
-    :param counts: how often what happened.
-    :param unfenced_starts: starts that only a box's memory of epochs turned away.
-    :param crashed: how many boxes crashed and started again, by under which id.
-    """
-
-    counts: dict[str, int]
-    unfenced_starts: int
-    crashed: dict[str, int]
-
-
-class Run(t.NamedTuple):
-    """One run of a task on a box; times in seconds on the platform's clock.
-
-    :param held_up: whether the box carried its start out late; no bound in time holds
-        for such a start.
-    :param end_counts: whether nothing may run after it if it was done: its end was noted,
-        or may still be, and its box's lease did not lapse before.
-    """
-
-    hall: str
-    task: str
-    run: int
-    how: str
-    began: float
-    ended: float | None
-    held_up: bool
-    end_counts: bool
-
-
 class Soak:
     """One seeded run.
 
@@ -149,13 +100,17 @@
             *("--seed", str(seed)),
         )
         faults = () if links else None
-        self._cluster = NativeCluster(folder, nodes, boxes, arguments, faults)
+        self._cluster = NativeCluster(
+            folder, nodes, boxes, arguments, faults, spares=boxes // 3
+        )
         self._observer = SoakObserver(self._cluster)
+        parts = (self._cluster, self._observer, self._send_job)
+        self._maintenance = SoakMaintenance(seed, operations, *parts)
         self._links: LinkFaults | None = None
         if links:
             names = [f"b{box}" for box in range(boxes)]
-            parts = (self._cluster.links, self._cluster.nodes(), names, HALLS)
-            self._links = LinkFaults(self._draw, *parts)
+            places = (self._cluster.links, self._cluster.nodes(), names, HALLS)
+            self._links = LinkFaults(self._draw, *places)
         self._frozen: dict[str, float] = {}
         self._accepted: set[str] = set()
         self._refused: set[str] = set()
@@ -171,6 +126,11 @@
         """How many boxes crashed and started again, by under which id."""
         return self._crashes.counts
 
+    @property
+    def maintained(self) -> dict[str, int]:
+        """How often what happened in maintenance phases."""
+        return self._maintenance.counts
+
     def run(self) -> None:
         """Play, let everything recover, and judge.
 
@@ -196,8 +156,12 @@
     def _play(self) -> None:
         self._cluster.ready()
         self._observer.start()
-        self._let_orders_be_late()
-        for _ in range(self._operations):
+        late_shares = self._draw_late_shares()
+        self._let_orders_be_late(late_shares)
+        for operation in range(self._operations):
+            if self._maintenance.is_due(operation):
+                self._maintain(operation)
+                self._let_orders_be_late(late_shares)
             self._happen()
             self._crashes.crash_boxes(self._cluster)
             time.sleep(self._draw.uniform(0.05, 0.35))
@@ -213,11 +177,15 @@
         self._judge_facts()
         self._cluster.check_rig()
 
-    def _let_orders_be_late(self) -> None:
+    def _draw_late_shares(self) -> list[float]:
         if self._surroundings.boxes != DRAWN:
-            return
-        for box in range(self._cluster.boxes):
-            share = self._draw_boxes.choice(LATE_SHARES)
+            return []
+        return [
+            self._draw_boxes.choice(LATE_SHARES) for _ in range(self._cluster.boxes)
+        ]
+
+    def _let_orders_be_late(self, shares: t.Sequence[float]) -> None:
+        for box, share in enumerate(shares):
             self._cluster.box(box, f"/test/late?share={share}&s={ALWAYS_S}")
 
     def _judge_facts(self) -> None:
@@ -255,9 +223,9 @@
     def _any_node(self) -> str:
         return self._draw.choice(self._cluster.nodes())
 
-    def _ask(self, method: str, job: str, body: t.Any = None) -> int:
+    def _ask(self, method: str, job: str, node: str, body: t.Any = None) -> int:
         """Return a status, or 0 where a client knows nothing."""
-        address = self._cluster.fronts[self._any_node()]
+        address = self._cluster.fronts[node]
         left_ms = int(CLIENT_S * 1000)
         try:
             return self._cluster.call(
@@ -278,20 +246,26 @@
         steps = [first, {**first, "depends_on": [0]}][: self._draw.randint(1, 2)]
         run_ms = self._draw.choice((100, 400, 1500))
         body = {"spec": f"{run_ms}:{first['cpu']}:{first['mem_mb']}", "steps": steps}
-        status = self._ask("POST", job, body)
-        if status == 200:
+        if self._send_job(job, self._any_node(), body):
             self._accepted.add(job)
+
+    def _send_job(self, job: str, node: str, body: t.Mapping[str, t.Any]) -> bool:
+        """Submit a job, perhaps again; returns whether it was accepted."""
+        status = self._ask("POST", job, node, body)
+        if status == 200:
+            self._refused.discard(job)
             self._observer.record_event(job, ClientEvent.ACCEPTED)
         elif status == REFUSED:
             self._refused.add(job)
             self._observer.record_event(job, ClientEvent.REFUSED)
+        return status == 200
 
     def _cancel(self) -> None:
         if self._accepted:
             job = self._draw.choice(sorted(self._accepted))
             self._cancelled.add(job)
             self._observer.record_event(job, ClientEvent.CANCEL_SENT)
-            self._ask("DELETE", job)
+            self._ask("DELETE", job, self._any_node())
 
     def _kill(self) -> None:
         name = self._any_node()
@@ -360,7 +334,7 @@
 
     def _runs(self) -> list[Run]:
         rows = []
-        for box in range(self._cluster.boxes):
+        for box in self._cluster.all_boxes:
             hall = HALLS[(1 + box) % 2]
             for row in json.loads(self._cluster.box(box, "/test/runs").content):
                 rows.append(Run(hall, *row))
@@ -394,8 +368,8 @@
             if first.ended is None or second.began < first.ended:
                 raise PromiseBroken(f"two runs at a time: {first}, {second}", task)
 
-    def _settle(self) -> None:
-        """Take every hall back, let all be well, and wait for all work to end."""
+    def _calm(self) -> None:
+        """Take every hall back, let all be well, and wait until a leader decides."""
         self._thaw(everything=True)
         if self._links is not None:
             self._links.end_expired(everything=True)
@@ -403,17 +377,32 @@
             self._cluster.box(box, "/test/late?share=0&s=0")
         for hall, spans in self._closed.items():
             if spans and spans[-1][1] == float("inf"):
-                self._cluster.order(f"evacuate/{hall}")
-                spans[-1] = (spans[-1][0], 0.0)
+                at = self._cluster.order(f"evacuate/{hall}")
+                spans[-1] = (spans[-1][0], at)
         self._observer.wait_for_decision()
-        for job in sorted(self._accepted):
+
+    def _maintain(self, operation: int) -> None:
+        self._calm()
+        for box in range(self._cluster.boxes):
+            self._cluster.box(box, "/test/silent?s=0")
+        if self._links is not None:
+            time.sleep(max(HOLD_TIMES_S))
+        try:
+            self._maintenance.play(operation)
+        except AssertionError as error:
+            raise PromiseBroken(f"in a maintenance phase: {error}") from error
+        self._judge(self._runs())
+
+    def _settle(self) -> None:
+        """Let all be well, and wait for all work to end."""
+        self._calm()
+        for job in sorted(self._accepted | self._maintenance.jobs):
             self._ended(job)
         self._judge(self._runs())
 
     def _ended(self, job: str) -> None:
-        allowed = (
-            {"completed", "cancelled"} if job in self._cancelled else {"completed"}
-        )
+        cancelled = self._cancelled | self._maintenance.cancelled
+        allowed = {"completed", "cancelled"} if job in cancelled else {"completed"}
         try:
             self._cluster.wait(
                 lambda: self._cluster.state(job) in allowed, job, SETTLE_S
@@ -449,7 +438,9 @@
     except PromiseBroken as error:
         text = "\n".join([f"seed {seed}, logs in {folder}: {error}", *_notes(error)])
         raise PromiseBroken(text, error.subject) from error
-    return Played(played.counts, played.unfenced_starts, played.crashed)
+    return Played(
+        played.counts, played.unfenced_starts, played.crashed, played.maintained
+    )
 
 
 def _notes(error: BaseException) -> list[str]:
@@ -467,6 +458,7 @@
             played = soak(seed, *size, FLAGS.links, surroundings)
             said = (
                 f"ok {played.counts}, boxes crashed: {played.crashed}, "
+                f"maintenance: {played.maintained}, "
                 f"unfenced starts: {played.unfenced_starts}"
             )
         except PromiseBroken as error:
--- a/src/granitetrestle_standins/soaklinks.py
+++ b/src/granitetrestle_standins/soaklinks.py
@@ -12,7 +12,7 @@
 from .links import STORE
 from .links import Links
 
-__all__ = ["LinkFaults"]
+__all__ = ["HOLD_TIMES_S", "LinkFaults"]
 
 # From less than the time after which a silent leader is noticed (0.8 s) to several
 # lease durations.
--- a/src/granitetrestle_standins/soakobserver.py
+++ b/src/granitetrestle_standins/soakobserver.py
@@ -14,8 +14,10 @@
 from granitetrestle_standins.nativecluster import HOST
 from granitetrestle_standins.nativecluster import NativeCluster
 from granitetrestle_standins.runfacts import BoxFacts
+from granitetrestle_standins.runfacts import BoxLoss
 from granitetrestle_standins.runfacts import ClientEvent
 from granitetrestle_standins.runfacts import ClientFact
+from granitetrestle_standins.runfacts import Disorder
 from granitetrestle_standins.runfacts import EpochChange
 from granitetrestle_standins.runfacts import Facts
 from granitetrestle_standins.runfacts import Lapse
@@ -51,6 +53,8 @@
 
     :ivar last_fault: when the last disturbance that can keep the program from deciding
         ends, in seconds on the monotonic clock.
+    :ivar lasting: long-running steps.
+    :ivar losses: boxes that left for good.
     """
 
     def __init__(self, cluster: NativeCluster) -> None:
@@ -64,6 +68,9 @@
         self._stopped = threading.Event()
         self._threads: list[threading.Thread] = []
         self.last_fault = time.monotonic()
+        self.lasting: set[str] = set()
+        self.losses: list[BoxLoss] = []
+        self._disorders: list[Disorder] = []
 
     def start(self) -> None:
         """Start to send requests to each process."""
@@ -85,6 +92,14 @@
         """Record a disturbance that ends at ``until``, or now if that is later."""
         self.last_fault = max(self.last_fault, until, time.monotonic())
 
+    def record_disorder(self, since: float, until: float) -> None:
+        """Record a disturbance after which a leader may not have handed over in order.
+
+        :param until: when it ended; a leader decides soon afterwards.
+        """
+        self.record_disturbance(until)
+        self._disorders.append(Disorder(since, until + DECISION_TIMEOUT_S))
+
     def wait_for_decision(self) -> None:
         """Wait until a leader must have decided after the last disturbance."""
         time.sleep(max(0.0, self.last_fault + DECISION_TIMEOUT_S - time.monotonic()))
@@ -161,7 +176,7 @@
         lapses: list[Lapse] = []
         refused: list[RefusedStart] = []
         epochs: list[EpochChange] = []
-        for box in range(self._cluster.boxes):
+        for box in self._cluster.all_boxes:
             for incarnation in self._box_facts(box):
                 runs += incarnation.runs
                 lapses += incarnation.lapses
@@ -176,6 +191,9 @@
                 clients=list(self._clients),
                 probes=list(self._probes),
                 last_fault=self.last_fault,
+                lasting=frozenset(self.lasting),
+                losses=list(self.losses),
+                disorders=list(self._disorders),
             )
 
     def _box_facts(self, box: int) -> t.Iterator[BoxFacts]:
