--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -57,6 +57,8 @@
 from .shardstate import SchedulerParameters
 from .slices import in_slices
 from .statedigest import EpochClaim
+from .statedigest import LeaderMark
+from .statedigest import read_leader_mark
 from .succession import JOBS_TOPIC
 from .succession import StateReader
 from .succession import StateUnavailable
@@ -106,6 +108,7 @@
             self._append_not_kept,
             claim.end,
             parameters.call_bytes,
+            self._leader_mark,
         )
         self._lag = LoopLag(steadyclock.now)
         self._leader_lease = JournalLeaderLease(
@@ -123,6 +126,8 @@
         self._load_logged_at = time.monotonic()
         self._callers: dict[str, _Caller] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
+        # Whether the predecessor's state is restored, so that this session decides.
+        self._deciding = False
         self._over = False
         # Newest epoch that other processes are known to follow.
         self._newest_epoch = claim.epoch
@@ -201,6 +206,7 @@
                 self._tasks = tasks
                 if not await self._take_over():
                     return
+                self._deciding = True
                 tasks.start_soon(self._run_journal, tasks)
                 tasks.start_soon(self._operator_feed.follow)
                 tasks.start_soon(self._box_feed.follow)
@@ -223,10 +229,11 @@
         records, end = len(state.records), state.end
         with freeze_allocations():
             self._journal.start_from(state.records)
-            restoring = self._scheduler.restore_in_slices(state.records, now)
+            mark = read_leader_mark(state.records, self._claim)
+            restoring = self._scheduler.restore_in_slices(state.records, now, mark)
             del state
             self._apply(await in_slices(restoring))
-            self._apply([self._scheduler.fleet.inherited_event(now)])
+            self._apply([self._scheduler.fleet.leases.inherited_event(now)])
             self._operator_feed.load(read[self._sources.config_topic])
             await in_slices(self._box_feed.loading(read[self._sources.box_topic]))
         self._log.event(
@@ -384,7 +391,7 @@
             elif isinstance(decision, StartTask | StopTask):
                 self._send_command(decision)
             elif isinstance(decision, ResumeLeases):
-                self._scheduler.fleet.resume_leases(decision)
+                self._scheduler.fleet.leases.resume(decision)
             elif isinstance(decision, AcknowledgeEnds):
                 poller = self._pollers.get(decision.incarnation)
                 if poller is not None:
@@ -446,6 +453,26 @@
             await anyio.sleep(RETRY_INTERVAL_S)
         return True
 
+    async def resign(self) -> None:
+        """Stop leading: carry out what was decided, grant no further lease, and return
+        once the store knows that."""
+        if not self._deciding:
+            return
+        self._scheduler.stop_starting()
+        await self.drain()
+        self._scheduler.resign(time.monotonic())
+        self._journal.request_append()
+        while not self._journal.resignation_kept and not self._over:
+            await anyio.sleep(RETRY_INTERVAL_S / 10)
+
+    def record_process_end(self, epoch: int) -> None:
+        """Apply the proof that the process which led in ``epoch`` has ended."""
+        leases = self._scheduler.fleet.leases
+        self._apply(leases.record_process_end(epoch, time.monotonic()))
+
+    def _leader_mark(self, end: int) -> LeaderMark:
+        return self._scheduler.fleet.leases.mark(self._epoch, end, time.monotonic())
+
     async def drain(self) -> None:
         """Return once all decisions are durable and carried out."""
         while not self._journal.idle and not self._over:
