--- a/src/granitetrestle_standins/soakcrashes.py
+++ b/src/granitetrestle_standins/soakcrashes.py
@@ -8,7 +8,7 @@
 
 from .nativecluster import NativeCluster
 
-__all__ = ["SoakCrashes", "count_starts"]
+__all__ = ["SoakCrashes"]
 
 # Probability per operation of the soak that boxes crash as well, and the shares of all
 # boxes that do (at least one box).
@@ -65,12 +65,12 @@
             cluster.kill(name)
         for box in boxes:
             self._crash(cluster, box)
-        started = {name: count_starts(cluster, name) for name in cluster.nodes()}
+        started = {name: _count_starts(cluster, name) for name in cluster.nodes()}
         for name in cluster.nodes():
             cluster.restart(name)
         cluster.wait(
             lambda: all(
-                count_starts(cluster, n) > count for n, count in started.items()
+                _count_starts(cluster, n) > count for n, count in started.items()
             ),
             "all processes have started again",
         )
@@ -90,6 +90,5 @@
         self.counts[name] = self.counts.get(name, 0) + 1
 
 
-def count_starts(cluster: NativeCluster, name: str) -> int:
-    """Return how often a node has started, by its log."""
+def _count_starts(cluster: NativeCluster, name: str) -> int:
     return sum(line["event"] == "started" for line in cluster.log(name))
--- a/src/granitetrestle_standins/soakmaintenance.py
+++ b/src/granitetrestle_standins/soakmaintenance.py
@@ -20,7 +20,6 @@
 from .runjudge import LEASE_S
 from .runjudge import PROCESS_SLACK_S
 from .runjudge import SILENCE_LIMIT_S
-from .soakcrashes import count_starts
 from .soakobserver import SoakObserver
 
 __all__ = ["SoakMaintenance"]
@@ -111,9 +110,8 @@
         self._left: set[int] = set()
         self._joined = 0
         self._submitted = 0
-        # Nodes that were told to end, and how often each had started by then.
+        # Nodes that were told to end.
         self._ending: set[str] = set()
-        self._starts = dict.fromkeys(cluster.nodes(), 0)
         self._thaw_at: dict[str, float] = {}
         self._frozen_at: dict[str, float] = {}
         self._last_loss = 0.0
@@ -314,7 +312,7 @@
 
     def _disturb(self, name: str, leads: bool, how: str, freeze_s: float) -> bool:
         now = time.monotonic()
-        up = [node for node in self._cluster.nodes() if self._is_up(node)]
+        up = [node for node in self._cluster.nodes() if self._is_ready(node)]
         if len(up) < 2:
             # Without a process that can take over there is no hand-over.
             return False
@@ -329,16 +327,20 @@
         else:
             number = signal.SIGTERM if how == "end" else signal.SIGKILL
             self._ending.add(name)
-            self._starts[name] = count_starts(self._cluster, name)
             self._cluster.kill(name, number)
             if how == "kill":
                 self._observer.record_disorder(now, now)
         self._count(f"{how} the leader" if name == leader else f"{how} another")
         return True
 
-    def _is_up(self, name: str) -> bool:
-        down = name in self._ending or name in self._thaw_at
-        return not down and count_starts(self._cluster, name) > self._starts[name]
+    def _is_ready(self, name: str) -> bool:
+        if name in self._ending or name in self._thaw_at:
+            return False
+        address = self._cluster.readies[name]
+        try:
+            return self._cluster.call("GET", address, "/api/readyz").status == OK
+        except NativeCluster.LOST:
+            return False
 
     def _revive(self) -> None:
         """Restart the processes that have ended, and resume frozen ones when due."""
