--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -14,6 +14,7 @@
 from .forwarding import Deposed
 from .forwarding import Forwarding
 from .forwarding import Target
+from .handover import ask_to_take_over
 from .interfaces import StoreUnavailable
 from .leaderprocesses import LeaderProcesses
 from .leadership import next_epoch
@@ -28,6 +29,7 @@
 from .peerlink import PeerLink
 from .registration import Registration
 from .registry import HeartbeatWatch
+from .registry import LeaderEntry
 from .registry import Registry
 from .reports import OwnState
 from .reports import Report
@@ -226,7 +228,7 @@
     def _record_ended_leaders(self, status: NodeStatus, incarnation: str) -> None:
         ended = self._leader_processes.record_report(status, incarnation)
         for epoch in ended:
-            self._log.event("leader_process_ended", node=status.node, epoch=epoch)
+            self._log.event("leader_process_ended", process=status.node, epoch=epoch)
             if self._session is not None and self._serving:
                 self._session.record_process_end(epoch)
 
@@ -304,10 +306,11 @@
         """Hand over to a process on a much larger box, if there is one."""
         target = self._leadership.handover_target(now, self._parameters.cores)
         if target and self._session is not None and not self._session.store_unavailable:
-            tasks.start_soon(self._hand_over, target, DRAIN_TIMEOUT_S)
+            others = self._leadership.successor_candidates(now)
+            tasks.start_soon(self._hand_over, (target, *others), DRAIN_TIMEOUT_S)
 
-    async def _hand_over(self, successor: str, drain_s: float) -> None:
-        """Stop leading; ``successor`` is asked to take over, unless it is empty."""
+    async def _hand_over(self, candidates: t.Sequence[str], drain_s: float) -> None:
+        """Stop leading; the first of ``candidates`` that can be is asked to take over."""
         session, scope = self._session, self._session_scope
         if session is None or scope is None:
             return
@@ -316,16 +319,23 @@
         with anyio.move_on_after(drain_s) as resigning:
             await session.resign()
         scope.cancel()
-        if successor:
-            self._peers.send(successor, LeaderResigned(session.epoch))
+        resigned_at = time.monotonic()
+        successor = await ask_to_take_over(self._ask, candidates, session.epoch)
         self._log.event(
             "handed_over",
             epoch=session.epoch,
             to=successor,
-            took_s=round(time.monotonic() - started, 3),
+            took_s=round(resigned_at - started, 3),
             kept=not resigning.cancelled_caught,
+            asked_s=round(time.monotonic() - resigned_at, 3),
         )
 
+    def _ask(self, node: str, message: LeaderResigned) -> bool:
+        member = self._membership.find(node)
+        if member is not None:
+            self._peers.connect(node, member.address)
+        return self._peers.send(node, message)
+
     def _report_now(self) -> None:
         self._send_reports(self._reports.to_all(self._own_state(), time.monotonic()))
 
@@ -388,6 +398,7 @@
             return
         epoch_before = self._leadership.epoch
         self._registration.apply(known)
+        self._leader_processes.record_registry(known.leader)
         if self._leadership.epoch > epoch_before:
             # Another process has taken over first and will report, now that it is known.
             return
@@ -435,7 +446,9 @@
     async def _heartbeat_loop(self, epoch: int) -> None:
         """Write heartbeats of this epoch's leader to the store."""
         for beat in itertools.count(1):
-            await self._registry.beat(epoch, self._parameters.node, beat)
+            me = self._parameters
+            entry = LeaderEntry(epoch, me.node, beat, me.incarnation, me.address)
+            await self._registry.beat(entry)
             await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def stop(self, grace_s: float) -> None:
@@ -443,7 +456,8 @@
         self._stopping = True
         started = time.monotonic()
         if self._session is not None:
-            await self._hand_over(self._leadership.best_successor(started), grace_s / 4)
+            candidates = self._leadership.successor_candidates(started)
+            await self._hand_over(candidates, grace_s / 4)
         while time.monotonic() - started < grace_s and not self.idle:
             await anyio.sleep(TICK_INTERVAL_S / 2)
 
