--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -2,7 +2,6 @@
 Leaders are killed, frozen and replaced; commands and answers are lost or delayed; boxes
 crash, are cut off and restart. The runs on all boxes are checked after each tick."""
 
-import collections
 import random
 import typing as t
 
@@ -24,7 +23,6 @@
 from granitetrestle.jobcalls import JobCall
 from granitetrestle.jobcalls import SubmitJob
 from granitetrestle.shardstate import SchedulerParameters
-from granitetrestle.workflows import DONE
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle_standins.boxcrashes import BoxCrashes
@@ -33,6 +31,12 @@
 from granitetrestle_standins.nativebox import BoxRun
 from granitetrestle_standins.nativestore import StoreModel
 from granitetrestle_standins.promises import PromiseBroken
+from granitetrestle_standins.shardchecks import MAX_ATTEMPTS
+from granitetrestle_standins.shardchecks import check_all_stopped
+from granitetrestle_standins.shardchecks import check_dependencies
+from granitetrestle_standins.shardchecks import check_ended
+from granitetrestle_standins.shardchecks import check_one_place
+from granitetrestle_standins.shardchecks import may_fail
 from granitetrestle_standins.shardprocess import HALLS_TOPIC
 from granitetrestle_standins.shardprocess import TICK_INTERVAL_S
 from granitetrestle_standins.shardprocess import Command
@@ -47,7 +51,6 @@
 EVACUATION_GRACE_S = 0.1
 # Run times of tasks, chosen by task index; the longest exceeds a lease.
 TASK_S = (0.6, 0.3, 5.0)
-MAX_ATTEMPTS = 3
 # A start may rely on a box's earlier capacity for this long after it shrank: commands
 # are in flight, and the list of boxes is read a few times a second.
 CAPACITY_GRACE_S = 0.2
@@ -385,12 +388,8 @@
 
         :raises PromiseBroken: naming the task.
         """
-        box_of_task: dict[str, str] = {}
+        check_one_place(self.boxes.values())
         for box in self.boxes.values():
-            for run in box.running.values():
-                if run.task in box_of_task:
-                    raise PromiseBroken(f"{run.task} runs on two boxes")
-                box_of_task[run.task] = box.incarnation
             for run in box.history:
                 if id(run) not in self._checked:
                     self._checked.add(id(run))
@@ -430,22 +429,9 @@
             raise PromiseBroken(f"{run.task} crashes its boxes and is started again")
         if run.spec != f"spec-{job}" or job not in self._calls:
             raise PromiseBroken(f"{run.task} was not submitted")
-        self._check_dependencies(run, job)
-
-    def _check_dependencies(self, run: BoxRun, job: str) -> None:
         call = self._calls[job]
         assert isinstance(call, SubmitJob)
-        step = int(run.task.split(".")[2])
-        ended_done = {
-            other.task
-            for box in self.boxes.values()
-            for other in box.history
-            if other.how == "done"
-        }
-        for earlier in call.submission.steps[step].depends_on:
-            for index in range(call.submission.steps[earlier].count):
-                if f"{job}.0.{earlier}.{index}" not in ended_done:
-                    raise PromiseBroken(f"{run.task} began before step {earlier}")
+        check_dependencies(run, call.submission, self.boxes.values())
 
     def _cancel_long_running(self) -> None:
         for job, workflow in list(self.leader.scheduler.state.workflows.items()):
@@ -453,20 +439,6 @@
             if long_running and not workflow.terminal:
                 self.cancel(job)
 
-    def _may_fail(self, job: str) -> bool:
-        """Return whether a task used up its attempts or crashed too many boxes."""
-        failed: collections.Counter[str] = collections.Counter(
-            run.task
-            for box in self.boxes.values()
-            for run in box.history
-            if run.how == "failed"
-        )
-        exhausted = any(
-            task.startswith(f"{job}.") and count >= MAX_ATTEMPTS
-            for task, count in failed.items()
-        )
-        return exhausted or self.box_crashes.may_be_given_up(job)
-
     def settle(self, seconds: float) -> None:
         """Clear all faults, cancel long-running jobs, and check that each job ends.
 
@@ -487,17 +459,9 @@
             seconds -= 1.0
         # Leftover tasks of ended jobs stop within one or two polls.
         self.advance(1.0)
+        boxes = self.boxes.values()
         for job in self.accepted:
-            workflow = state.workflows.get(job)
-            if workflow is None:
-                raise PromiseBroken(f"{job} was accepted but is missing")
-            if not workflow.terminal:
-                remaining = [t.name for t in workflow.tasks.values() if t.state != DONE]
-                raise PromiseBroken(f"{job} did not end: {remaining}")
-            if workflow.ended == "cancelled" and job not in self.cancelled:
-                raise PromiseBroken(f"{job} counts as cancelled")
-            if workflow.ended == "failed" and not self._may_fail(job):
-                raise PromiseBroken(f"{job} counts as failed")
-        running = [run for box in self.boxes.values() for run in box.running]
-        if running:
-            raise PromiseBroken(f"{running[0]} still runs at the end")
+            job_may_fail = may_fail(job, boxes, self.box_crashes)
+            was_cancelled = job in self.cancelled
+            check_ended(job, state.workflows.get(job), was_cancelled, job_may_fail)
+        check_all_stopped(boxes)
