Model shard: boxes that hear but are not heard, polls that arrive late, slow clocks

Leases that a leader renews without knowing it run longest on such boxes, so they show best whether a successor waits long enough. Without the new faults no draw changes.

--- a/src/granitetrestle_standins/boxprofiles.py
+++ b/src/granitetrestle_standins/boxprofiles.py
@@ -7,6 +7,7 @@
 import typing as t
 
 __all__ = [
+    "MIN_CLOCK_RATE",
     "PLAIN_BOX",
     "BoxProfile",
     "EndsTold",
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -2,13 +2,11 @@
 Leaders are killed, frozen and replaced; commands and answers are lost or delayed; boxes
 crash, are cut off and restart. The runs on all boxes are checked after each tick."""
 
-import random
 import typing as t
 
 from granitetrestle.decisions import AnswerCall
 from granitetrestle.decisions import StartTask
 from granitetrestle.decisions import StopTask
-from granitetrestle.interfaces import BoxEntry
 from granitetrestle.interfaces import BoxNoAnswer
 from granitetrestle.interfaces import BoxReplaced
 from granitetrestle.interfaces import CommandNotSent
@@ -22,11 +20,9 @@
 from granitetrestle.jobcalls import JobAccepted
 from granitetrestle.jobcalls import JobCall
 from granitetrestle.jobcalls import SubmitJob
-from granitetrestle.shardstate import SchedulerParameters
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
-from granitetrestle_standins.boxcrashes import BoxCrashes
-from granitetrestle_standins.modelincarnations import IncarnationFactory
+from granitetrestle_standins.modelboxes import ModelBoxes
 from granitetrestle_standins.nativebox import BoxModel
 from granitetrestle_standins.nativebox import BoxRun
 from granitetrestle_standins.nativestore import StoreModel
@@ -51,17 +47,34 @@
 EVACUATION_GRACE_S = 0.1
 # Run times of tasks, chosen by task index; the longest exceeds a lease.
 TASK_S = (0.6, 0.3, 5.0)
-# A start may rely on a box's earlier capacity for this long after it shrank: commands
-# are in flight, and the list of boxes is read a few times a second.
-CAPACITY_GRACE_S = 0.2
 QUEUE = Queue("q", "host", "/q/", "pool", 0, MAX_ATTEMPTS, 1.5, 1000.0)
 CONFIG = Config(1, (QUEUE,), {"pool": True}, 262144)
 
 
-class ShardWorld:
+class SentStart(t.NamedTuple):
+    """A start command that a scheduler process sent."""
+
+    at: float
+    incarnation: str
+    epoch: int
+
+
+class _DelayedPoll(t.NamedTuple):
+    """A poll that a box receives later; the sender gets no answer."""
+
+    at: float
+    incarnation: str
+    token: int
+    acknowledged_end: int
+    lease_ends_ms: int | None
+
+
+class ShardWorld(ModelBoxes):
     """Model boxes, a model store and scheduler processes; its methods inject faults.
 
     :param keep_ids: whether crashed boxes may restart under the same id.
+    :param slow_clocks: whether clocks of boxes may run as slowly as is allowed.
+    :ivar sent_starts: task -> the newest start command that a leader sent for it.
     """
 
     def __init__(
@@ -71,30 +84,24 @@
         halls: t.Sequence[str] = ("h",),
         reading: StoreReading = PLAIN,
         keep_ids: bool = False,
+        slow_clocks: bool = False,
     ) -> None:
-        self.random = random.Random(seed)
-        self._incarnations = IncarnationFactory(seed, keep_ids)
-        self.now = 100.0
-        self.parameters = SchedulerParameters(lease_s=3.0, orphan_s=2.0, keep_s=600.0)
+        super().__init__(seed, halls, keep_ids, slow_clocks)
         self.store = StoreModel(reading)
         self.config = CONFIG
         self._store_down = False
         self._store_up_at = self.now
-        self.halls = halls
         self.evacuated: dict[str, float] = {}  # Hall -> start of its evacuation.
-        self.boxes: dict[str, BoxModel] = {}
-        self.entries: dict[str, BoxEntry] = {}
-        self.cut_until: dict[str, float] = {}
+        self.sent_starts: dict[str, SentStart] = {}
+        self.delayed_poll_share = 0.0
         self.delayed_share = 0.0
         self.lost_answer_share = 0.0
         self.task_failure_share = 0.0
-        self.box_crashes = BoxCrashes()
-        # Incarnation -> its earlier capacity (millicores), and how long that may count.
-        self._earlier_capacity: dict[str, tuple[int, float]] = {}
         self.accepted: dict[str, Submission] = {}
         self.cancelled: dict[str, float] = {}
         self._calls: dict[str, JobCall] = {}
         self._delayed: list[DelayedCommand] = []
+        self._delayed_polls: list[_DelayedPoll] = []
         self._done: dict[str, float] = {}
         self._failed: dict[str, int] = {}
         self._checked: set[int] = set()
@@ -123,19 +130,6 @@
         self.store.append(HALLS_TOPIC, [Record(hall, None)], None)
         self.evacuated.pop(hall, None)
 
-    def add_box(self, hall: str = "") -> str:
-        """Add an empty box; without a hall, halls are assigned in turn."""
-        hall = hall or self.halls[(self._incarnations.count + 1) % len(self.halls)]
-        return self._add_incarnation(self._incarnations.create(hall))
-
-    def _add_incarnation(self, entry: BoxEntry) -> str:
-        """Start an incarnation and list it."""
-        self.boxes[entry.incarnation] = BoxModel(
-            entry.incarnation, self.parameters.lease_s
-        )
-        self.entries[entry.incarnation] = entry
-        return entry.incarnation
-
     @property
     def leader(self) -> SchedulerProcess:
         """The scheduler process of the newest epoch."""
@@ -162,55 +156,6 @@
         """Kill the leader; decisions that wait for their write are lost."""
         self.leader.stopped = True
 
-    def crash_box(self, choice: int) -> None:
-        """End an incarnation of a box; the next one starts at once."""
-        incarnation = self._pick(choice)
-        if incarnation is not None:
-            self.box_crashes.crash(self.boxes[incarnation], self.now)
-            self._restart_box(self.entries.pop(incarnation))
-
-    def _restart_box(self, previous: BoxEntry) -> None:
-        """Start the incarnation that follows an ended one."""
-        entry = self._incarnations.restart(previous)
-        if entry.box_id == previous.box_id:
-            # The list holds one entry per id.
-            self.entries.pop(previous.incarnation, None)
-        self._add_incarnation(entry)
-
-    def _crash_boxes(self) -> None:
-        """Crash boxes under crashing tasks; restart or unlist crashed ones if due."""
-        crashes = self.box_crashes
-        for box in list(self.boxes.values()):
-            if crashes.crash_due(box, self.now):
-                crashes.crash_and_restart(box, self.now)
-        for incarnation in crashes.pop_restarted(self.now):
-            self._restart_box(self.entries[incarnation])
-        for incarnation in crashes.pop_unlisted(self.now):
-            self.entries.pop(incarnation, None)
-
-    def resize_box(self, choice: int, cpu: int) -> None:
-        """Change the listed capacity; the box itself refuses no start."""
-        incarnation = self._pick(choice)
-        if incarnation is not None:
-            entry = self.entries[incarnation]
-            previous = max(entry.cpu, self._recent_capacity(incarnation))
-            self._earlier_capacity[incarnation] = previous, self.now + CAPACITY_GRACE_S
-            self.entries[incarnation] = entry._replace(cpu=cpu)
-
-    def cut_box(self, choice: int, seconds: float) -> None:
-        """Cut a box off from every scheduler process; its tasks keep running."""
-        incarnation = self._pick(choice)
-        if incarnation is not None:
-            self.cut_until[incarnation] = self.now + seconds
-
-    def _pick(self, choice: int) -> str | None:
-        alive = [
-            incarnation
-            for incarnation in sorted(self.entries)
-            if self.boxes[incarnation].alive
-        ]
-        return alive[choice % len(alive)] if alive else None
-
     def submit(self, steps: tuple[Step, ...]) -> str:
         """Submit a job and return its id."""
         job = f"{len(self._calls):016x}"
@@ -247,6 +192,10 @@
                 self._report_not_sent(sender, command)
                 return
             self._check_hall(command)
+            if sender is self.leader:
+                self.sent_starts[command.task] = SentStart(
+                    self.now, command.incarnation, sender.epoch
+                )
             until = sender.scheduler.fleet.renewed_lease_end_ms(box, sender.now) or 0
         if draw < self.delayed_share:
             at = self.now + self.random.uniform(0.2, 6.0)
@@ -254,6 +203,9 @@
             outcome: CommandOutcome = BoxNoAnswer("delayed")
         elif self._unreachable(sender, command.incarnation):
             outcome = BoxNoAnswer("box unreachable")
+        elif command.incarnation in self.mute:
+            self._execute(command, until, sender.epoch)
+            outcome = BoxNoAnswer("answer lost", timed_out=True)
         else:
             outcome = self._execute(command, until, sender.epoch)
             if draw > 1.0 - self.lost_answer_share:
@@ -321,10 +273,30 @@
         box = self.boxes[incarnation]
         if not box.alive:
             return self._answer_of_ended(incarnation)
+        if self.delayed_poll_share and self.random.random() < self.delayed_poll_share:
+            at = self.now + self.random.uniform(0.1, 2.0)
+            self._delayed_polls.append(
+                _DelayedPoll(
+                    at, incarnation, sender.epoch, acknowledged_end, lease_ends_ms
+                )
+            )
+            return BoxNoAnswer("delayed", timed_out=True)
+        outcome = self._poll_box(box, acknowledged_end, lease_ends_ms, sender.epoch)
+        if incarnation in self.mute:
+            return BoxNoAnswer("answer lost", timed_out=True)
+        return outcome
+
+    def _poll_box(
+        self,
+        box: BoxModel,
+        acknowledged_end: int,
+        lease_ends_ms: int | None,
+        token: int,
+    ) -> PollOutcome:
         for row in box.unacknowledged():
             if row.number <= acknowledged_end:
                 self._record_acknowledged(box, row)
-        return box.poll(acknowledged_end, lease_ends_ms, sender.epoch, self.now)
+        return box.poll(acknowledged_end, lease_ends_ms, token, self.now)
 
     def _record_acknowledged(self, box: BoxModel, row: EndedRun) -> None:
         if row.how == "failed":
@@ -370,6 +342,13 @@
         for delayed in due:
             if self.boxes[delayed.command.incarnation].alive:
                 self._execute(delayed.command, delayed.lease_ends_ms, delayed.token)
+        due_polls = [poll for poll in self._delayed_polls if poll.at <= self.now]
+        self._delayed_polls = [p for p in self._delayed_polls if p.at > self.now]
+        for poll in due_polls:
+            box = self.boxes[poll.incarnation]
+            if box.alive:
+                ends = poll.acknowledged_end, poll.lease_ends_ms
+                self._poll_box(box, *ends, poll.token)
         self._crash_boxes()
         for box in self.boxes.values():
             box.tick(self.now)
@@ -396,11 +375,6 @@
                     self._check_start(run)
                     self._check_capacity(box)
 
-    def _recent_capacity(self, incarnation: str) -> int:
-        """Return the earlier capacity while a start may rely on it, otherwise 0."""
-        previous, until = self._earlier_capacity.get(incarnation, (0, 0.0))
-        return previous if self.now <= until else 0
-
     def _check_capacity(self, box: BoxModel) -> None:
         """Check that a box is within its capacity; tasks that are stopping count."""
         entry = self.entries.get(box.incarnation)
@@ -445,7 +419,9 @@
         :raises PromiseBroken: if an accepted job is lost or stalled.
         """
         self.delayed_share = self.lost_answer_share = self.task_failure_share = 0.0
+        self.delayed_poll_share = 0.0
         self.cut_until.clear()
+        self.mute.clear()
         self.reconnect_all()
         for hall in list(self.evacuated):
             self.restore(hall)
