Random series of changes of leader, judged by how soon tasks of lost boxes run again

Runs so far judged only that no promise is broken; nothing bounded how long a long-running task of a lost box waits while leaders follow each other. A series draws 1 to 6 changes of leader: in order, killed, frozen, without the store, and as the only one to reach some boxes. Boxes are lost before, between and after them, silent, heard by nobody or refusing connections, and stay listed or not. With only orderly changes since the loss a task has to run again one lease and 1.2 s after it, and after any other change one lease, 1.2 s and orphan_s after the last of these.

--- a/features/random_shard.py
+++ b/features/random_shard.py
@@ -6,6 +6,9 @@
 leaders are suspended, with ``parted`` leaders continue without the store, and with
 ``restarts`` boxes crash more often and keep their ids.
 
+``python features/random_shard.py series FIRST LAST`` runs series of changes of leader and
+also prints the longest waits for the leases of lost boxes.
+
 ``python features/random_shard.py innocent FIRST LAST`` counts the jobs that are given
 up though none of their tasks crashes boxes."""
 
@@ -17,6 +20,7 @@
 from granitetrestle_standins.shardworld import PromiseBroken
 from granitetrestle_standins.shardworld import ShardWorld
 from native_machines import STEPS
+from random_series import RandomSeries
 
 # An event is as likely as it is repeated here; "bad" submits a job that crashes boxes.
 EVENTS = [
@@ -178,15 +182,37 @@
         mean = sum(crashes) / len(crashes)
         print(f"{mean:.2f} crashes, at most {max(crashes)}; {given_up} of {others}")
         return
-    broken = 0
+    series = sys.argv[1] == "series"
+    if series:
+        sys.argv.pop(1)
+    broken, waits = 0, []
     for seed in range(*map(int, sys.argv[1:3])):
+        shard = RandomSeries(seed) if series else RandomShard(seed, extra)
         try:
-            RandomShard(seed, extra).run()
+            shard.run()
         except PromiseBroken as error:
             broken += 1
             print(f"seed {seed}: {error}", flush=True)
+        if series:
+            waits += shard.judge.waits
+    if series:
+        _print_waits(waits)
     print(f"{broken} broken")
 
 
+def _print_waits(waits):
+    for orderly in (True, False):
+        for number in range(7):
+            of_kind = [
+                wait for kind, n, wait in waits if (kind, n) == (orderly, number)
+            ]
+            if of_kind:
+                kind = "orderly" if orderly else "other"
+                print(
+                    f"{len(of_kind)} tasks after {number} {kind} changes of leader: "
+                    f"at most {max(of_kind):.2f} s"
+                )
+
+
 if __name__ == "__main__":
     main()
--- a/src/granitetrestle_standins/boxcrashes.py
+++ b/src/granitetrestle_standins/boxcrashes.py
@@ -2,6 +2,8 @@
 checks that a crashing task is not started too often. A crashed box stays listed for a
 while, and another incarnation answers at its address some time later."""
 
+import math
+
 from granitetrestle_standins.nativebox import BoxModel
 
 __all__ = ["BoxCrashes"]
@@ -45,6 +47,11 @@
         self._restart_at[box.incarnation] = now + RESTART_DELAY_S
         self._unlisted_at[box.incarnation] = now + UNLIST_DELAY_S
 
+    def crash_for_good(self, box: BoxModel, now: float) -> None:
+        """Crash a box that no other incarnation follows."""
+        self.crash(box, now)
+        self._restart_at[box.incarnation] = math.inf
+
     def crash_due(self, box: BoxModel, now: float) -> bool:
         """Return whether a task that runs on a box crashes it now."""
         return any(
--- a/src/granitetrestle_standins/modelboxes.py
+++ b/src/granitetrestle_standins/modelboxes.py
@@ -71,6 +71,10 @@
             self.box_crashes.crash(self.boxes[incarnation], self.now)
             self._restart_box(self.entries.pop(incarnation))
 
+    def end_box(self, incarnation: str) -> None:
+        """Crash a box for good; nobody accepts connections at its address."""
+        self.box_crashes.crash_for_good(self.boxes[incarnation], self.now)
+
     def _restart_box(self, previous: BoxEntry) -> None:
         """Start the incarnation that follows an ended one."""
         entry = self._incarnations.restart(previous)
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -353,13 +353,14 @@
         for box in self.boxes.values():
             box.tick(self.now)
             for run in list(box.running.values()):
-                if self._is_long_running(run.task):
+                if self.is_long_running(run.task):
                     continue
                 if self.now - run.began > TASK_S[int(run.task[-1]) % len(TASK_S)]:
                     failed = self.random.random() < self.task_failure_share
                     box.end(run.task, "failed" if failed else "done", self.now)
 
-    def _is_long_running(self, task: str) -> bool:
+    def is_long_running(self, task: str) -> bool:
+        """Return whether a task runs until it is stopped."""
         return self._step(task).long_running
 
     def check(self) -> None:
