Random series: leaders that linger, that write nothing and whose end is heard of

A leader that has resigned may go on and reach boxes alone; one may lose the store before it has written anything, so that the mark before it does not count; and a leader hears of the end of any former one. Boxes may refuse connections while their tasks go on, and polls take long.

--- a/features/random_series.py
+++ b/features/random_series.py
@@ -11,15 +11,18 @@
 
 KINDS = (
     *("hand over", "hand over", "hand over", "kill", "freeze"),
-    *("store", "island", "return", "boxes"),
+    *("store", "island", "return", "unwritten", "boxes"),
 )
 GAPS_S = (0.0, 0.3, 1.0, 1.0, 2.0, 4.0, 10.0)
 # Between the end of a leader and the take-over of its successor.
 PAUSES_S = (0.0, 0.05, 0.5, 1.0, 2.5)
+# The same where the leader reaches boxes that its successor does not reach: the sooner,
+# the longer leases run there after the take-over.
+ISLAND_PAUSES_S = (0.0, 0.05, 0.3, 1.0)
 CUTS_S = (0.5, 2.0, 4.0, 8.0)
 # Boxes that are never lost and that every leader reaches have room for all long-running
-# tasks, and for the others beside them.
-SPARE_BOXES = 2
+# tasks, and for the others beside them, even while the scheduler keeps one box empty.
+SPARE_BOXES = 3
 LONG_RUNNING = Step(count=2, cpu=900, memory_mb=10, long_running=True)
 SHORT = Step(count=2, cpu=200, memory_mb=10)
 
@@ -27,8 +30,8 @@
 class RandomSeries:
     """One seed: a series of changes of leader, and then time until all jobs have ended.
 
-    In one of four seeds the store is also unavailable at times and calls are delayed
-    and lost; there only the promises of the world are judged.
+    In one of four seeds the store is also unavailable at times, calls are delayed and
+    lost, and polls take long; there only the promises of the world are judged.
     """
 
     def __init__(self, seed):
@@ -42,8 +45,12 @@
             keep_ids=draw.random() < 0.5,
             slow_clocks=draw.random() < 0.5,
         )
+        self._poll_wait_s = draw.choice((0.0, 0.5, 1.0))
         self._spares = set()
         self._unlist_at = {}
+        # Epochs of former leaders whose processes have ended.
+        self._ended_epochs = []
+        self._predecessor = None
         # Boxes that only former leaders reach.
         self._island = set()
         self.judge = LeaseJudge(self.world)
@@ -84,9 +91,18 @@
             for incarnation in due:
                 del self._unlist_at[incarnation]
                 self.world.entries.pop(incarnation, None)
-            if not self._rough:
+            if self._rough:
+                self._delay_polls()
+            else:
                 self.judge.check()
 
+    def _delay_polls(self):
+        """Let the next poll of each box that was just polled wait for longer."""
+        for process in self.world.processes:
+            for incarnation, at in process.polled_at.items():
+                if at == process.now:
+                    process.polled_at[incarnation] += self._poll_wait_s
+
     def _disturb(self):
         """Draw what happens beside a change of leader."""
         draw, world = self._draw, self.world
@@ -101,6 +117,8 @@
             world.submit((SHORT,))
         if draw.random() < 0.1:
             self._restore_former_leaders()
+        if draw.random() < 0.5:
+            self._report_ended_process()
         if draw.random() < 0.1:
             world.add_box()
         if self._rough:
@@ -126,6 +144,7 @@
             if incarnation not in self._spares
             and world.boxes[incarnation].alive
             and incarnation not in world.mute
+            and incarnation not in world.refusing
             and world.cut_until.get(incarnation, 0.0) <= world.now
             and incarnation not in world.leader.cut_from
             and incarnation in boxes
@@ -146,16 +165,18 @@
             for task in world.boxes[incarnation].running
             if world.is_long_running(task)
         ]
-        kind = draw.choice(("cut", "mute", "refused"))
+        kind = draw.choice(("cut", "mute", "refusing", "crash"))
         if kind == "cut":
             world.cut_until[incarnation] = math.inf
         elif kind == "mute":
             world.mute.add(incarnation)
+        elif kind == "refusing":
+            world.refusing.add(incarnation)
         else:
             world.end_box(incarnation)
         if draw.random() < 0.5:
             self._unlist_at[incarnation] = world.now + draw.choice((0.0, 0.5, 2.0, 6.0))
-        self.judge.box_lost(incarnation, tasks, kind == "refused")
+        self.judge.box_lost(incarnation, tasks, kind in ("refusing", "crash"))
 
     def _restore_former_leaders(self):
         """Thaw former leaders, and reconnect them; all boxes are reached again."""
@@ -164,10 +185,27 @@
         self._island.clear()
         self.world.reconnect_all()
 
+    def _report_ended_process(self):
+        """Tell the leader of a former leader whose process has ended."""
+        leader = self.world.leader
+        if not self._ended_epochs or leader.stopped or leader.frozen:
+            return
+        epoch = self._draw.choice(self._ended_epochs[-3:])
+        leader.predecessor_ended(epoch)
+        # One that never wrote has left no mark of its own.
+        if epoch == self._predecessor.epoch and self._predecessor.sequence > 1:
+            self.judge.predecessor_ended()
+        # The leader writes what it knows now.
+        self._advance(TICK_INTERVAL_S)
+
     def _take_over(self, orderly):
         before = self.world.leader
+        ended = before.stopped and not self.world.store_down
         self.world.take_over()
         if self.world.leader is not before:
+            self._predecessor = before
+            if ended:
+                self._ended_epochs.append(before.epoch)
             self.world.leader.cut_from |= self._island
             self.judge.leader_changed(orderly)
 
@@ -176,21 +214,30 @@
 
         ``store``: it goes on for a while without the store. ``island``: it does so and
         reaches some boxes that its successors don't reach, and no others. ``return``:
-        these were cut off before, and answer again just then. ``boxes``: it does not
+        these were cut off before, and answer again just then. ``unwritten``: it hands
+        over to one that does so before it has written anything. ``boxes``: it does not
         reach some boxes.
         """
         draw, world = self._draw, self.world
         leader = world.leader
         pause = draw.choice(PAUSES_S)
+        if kind in ("island", "return", "unwritten"):
+            pause = draw.choice(ISLAND_PAUSES_S)
         if kind == "hand over":
             self._hand_over()
             return
         if kind == "kill":
             world.kill()
+            self.judge.leader_gone()
         elif kind == "freeze":
             leader.frozen = True
+            self.judge.leader_gone()
         elif kind == "store":
             leader.without_store = True
+            self.judge.leader_gone()
+        elif kind == "unwritten":
+            self._hand_over()
+            self._isolate(world.leader, returning=False)
         elif kind in ("island", "return"):
             self._isolate(leader, returning=kind == "return")
         else:
@@ -205,9 +252,15 @@
         self._take_over(orderly=False)
 
     def _hand_over(self):
+        """Let the leader resign; it may go on for a while, and reach other boxes than
+        its successor."""
+        leader = self.world.leader
         # A store that is away can't be told of a resignation.
-        orderly = not (self.world.store_down or self.world.leader.without_store)
-        self.world.leader.resign()
+        orderly = not (self.world.store_down or leader.without_store)
+        leader.resign()
+        if orderly and self._draw.random() < 0.3:
+            leader.stopped = False
+            self._cut_off(leader, self._others())
         self._take_over(orderly)
 
     def _others(self):
@@ -228,6 +281,11 @@
                 until = world.cut_until.get(incarnation, 0.0)
                 world.cut_until[incarnation] = max(until, world.now + cut_s)
             self._advance(cut_s - 2 * TICK_INTERVAL_S)
+        self.judge.leader_gone()
+        self._cut_off(leader, others)
+
+    def _cut_off(self, leader, others):
+        """Cut a leader from the store and all but some boxes, which no other reaches."""
         self._island |= others
         leader.without_store = True
         leader.cut_from.clear()
--- a/features/random_shard.py
+++ b/features/random_shard.py
@@ -185,7 +185,7 @@
     series = sys.argv[1] == "series"
     if series:
         sys.argv.pop(1)
-    broken, waits = 0, []
+    broken, suspected, waits = 0, 0, []
     for seed in range(*map(int, sys.argv[1:3])):
         shard = RandomSeries(seed) if series else RandomShard(seed, extra)
         try:
@@ -195,8 +195,10 @@
             print(f"seed {seed}: {error}", flush=True)
         if series:
             waits += shard.judge.waits
+            suspected += shard.judge.suspected
     if series:
         _print_waits(waits)
+        print(f"{suspected} tasks waited since they are suspected of crashes")
     print(f"{broken} broken")
 
 
--- a/src/granitetrestle_standins/modelboxes.py
+++ b/src/granitetrestle_standins/modelboxes.py
@@ -27,6 +27,7 @@
     :ivar entries: the current list of boxes.
     :ivar cut_until: boxes that no scheduler process reaches, and until when.
     :ivar mute: boxes that receive every call, but whose answers are lost.
+    :ivar refusing: boxes that accept no connection, though their tasks go on.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         self.entries: dict[str, BoxEntry] = {}
         self.cut_until: dict[str, float] = {}
         self.mute: set[str] = set()
+        self.refusing: set[str] = set()
         self.box_crashes = BoxCrashes()
         # Incarnation -> its earlier capacity (millicores), and how long that may count.
         self._earlier_capacity: dict[str, tuple[int, float]] = {}
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -201,8 +201,10 @@
             at = self.now + self.random.uniform(0.2, 6.0)
             self._delayed.append(DelayedCommand(at, sender.epoch, until, command))
             outcome: CommandOutcome = BoxNoAnswer("delayed")
-        elif self._unreachable(sender, command.incarnation):
-            outcome = BoxNoAnswer("box unreachable")
+        elif (
+            failure := self._connection_failure(sender, command.incarnation)
+        ) is not None:
+            outcome = failure
         elif command.incarnation in self.mute:
             self._execute(command, until, sender.epoch)
             outcome = BoxNoAnswer("answer lost", timed_out=True)
@@ -268,8 +270,9 @@
         lease_ends_ms: int | None,
     ) -> PollOutcome:
         """Poll a box."""
-        if self._unreachable(sender, incarnation):
-            return BoxNoAnswer("box unreachable")
+        failure = self._connection_failure(sender, incarnation)
+        if failure is not None:
+            return failure
         box = self.boxes[incarnation]
         if not box.alive:
             return self._answer_of_ended(incarnation)
@@ -318,10 +321,16 @@
             return BoxNoAnswer("connection refused", sent=False)
         return BoxReplaced()
 
-    def _unreachable(self, sender: SchedulerProcess, incarnation: str) -> bool:
-        return incarnation in sender.cut_from or self.now < self.cut_until.get(
-            incarnation, 0.0
-        )
+    def _connection_failure(
+        self, sender: SchedulerProcess, incarnation: str
+    ) -> BoxNoAnswer | None:
+        """Return the outcome of a call that does not reach a box, or ``None``."""
+        cut_until = self.cut_until.get(incarnation, 0.0)
+        if incarnation in sender.cut_from or self.now < cut_until:
+            return BoxNoAnswer("box unreachable")
+        if incarnation in self.refusing:
+            return BoxNoAnswer("connection refused", sent=False)
+        return None
 
     def advance(self, seconds: float) -> None:
         """Advance virtual time by ``seconds``, tick by tick."""
@@ -423,6 +432,7 @@
         self.delayed_poll_share = 0.0
         self.cut_until.clear()
         self.mute.clear()
+        self.refusing.clear()
         self.reconnect_all()
         for hall in list(self.evacuated):
             self.restore(hall)
