Lease judge: time without a leader counts, and waits that are handed down

What a leader stated counts for its successor from the take-over, so time in between is added; and after a change out of order an orderly one does not bring the wait down to one lease. Both made the judge too strict.

--- a/features/lease_judge.py
+++ b/features/lease_judge.py
@@ -83,10 +83,12 @@
             lost.changes += 1
             # The successor does not know when calls began to be refused.
             lost.deadline = max(lost.deadline, lost.lost_at + SILENCE_S + self._lease_s)
-            lost.deadline_before_change = lost.deadline
+            # What the predecessor stated counts from the take-over, not from its end.
+            lost.deadline_before_change = lost.deadline + now - gone_at
             if orderly:
-                # The successor waits for one lease at most, and records that at once.
-                lost.recorded_at = min(lost.recorded_at, now + RECORD_DELAY_S)
+                if lost.orderly:
+                    # The successor waits for one lease at most, and records that.
+                    lost.recorded_at = min(lost.recorded_at, now + RECORD_DELAY_S)
                 continue
             lost.orderly = False
             unproved = now + self._orphan_s + self._lease_s + SILENCE_S
