--- a/src/granitetrestle_standins/modelboxes.py
+++ b/src/granitetrestle_standins/modelboxes.py
@@ -42,6 +42,8 @@
         self.halls = halls
         self.boxes: dict[str, BoxModel] = {}
         self.entries: dict[str, BoxEntry] = {}
+        # Ids of boxes whose entries are there, but can't be read.
+        self.unreadable: set[str] = set()
         self.cut_until: dict[str, float] = {}
         self.mute: set[str] = set()
         self.refusing: set[str] = set()
