Mutants: five whose text has moved name it where it is now

Parts of fleet.py are in boxleases.py and losttasks.py, and starts, appends and the age of a run are written in other words; tools/mutants.py stopped at each of the five.

--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -114,8 +114,8 @@
         "native: a lost box counts against nobody",
         (
             (
-                "fleet.py",
-                "blamed = blame(may_have_crashed(box), box.lost_at or box.clock_at)",
+                "losttasks.py",
+                "blamed = self._blame(box, now)",
                 "pass",
             ),
         ),
@@ -142,8 +142,8 @@
         (
             (
                 "crashloops.py",
-                "if lost_at - _start_time(task) <= JUST_STARTED_MAX_AGE_S]",
-                "]",
+                "return lost_at - _start_time(task) <= JUST_STARTED_MAX_AGE_S",
+                "return True",
             ),
         ),
         "box_crashes",
--- a/tools/recovery_mutants.py
+++ b/tools/recovery_mutants.py
@@ -66,8 +66,8 @@
         (
             (
                 "scheduler.py",
-                "        if not self._evacuation.up_to_date(now):\n            return effects\n",
-                "",
+                "if self._stopped_starting or not self._evacuation.up_to_date(now):",
+                "if self._stopped_starting:",
             ),
             (
                 "scheduler.py",
@@ -81,7 +81,7 @@
         "native: a lease is renewed that a successor does not count on",
         (
             (
-                "fleet.py",
+                "boxleases.py",
                 "if box.incarnation in self._state.withdrawn_leases or ",
                 "if ",
             ),
@@ -153,7 +153,8 @@
         (
             (
                 "journal.py",
-                "records = self._digest_tracker.with_digest(batch)\n        self._sequence += 1\n"
+                "records = self._digest_tracker.with_digest(batch, mark)\n"
+                "        self._sequence += 1\n"
                 "        writer = Writer(self._epoch, self._sequence)",
                 "records = list(batch)\n        number = self._sequence + 1\n"
                 "        self._sequence += bool(records)\n"
