Retention of ended jobs goes on through hand-overs

Cause: a successor counted the time for which an ended job is kept from its own take-over, since its steady clock has nothing in common with its predecessor's. With hand-overs more often than that time, the records of all jobs that ended meanwhile stayed in the store, and each successor read them again.

Change: leaders count shard time, the time for which the shard has been led, and write it every 2 s while they know jobs (key c/). The record of an ended job has its end in shard time as a trailing field. A successor goes on from the latest recorded shard time, which never runs ahead of real time, so that no job is forgotten too soon. Older versions ignore key and field; a row of theirs has no time, and counts from the take-over as before.

Run: features/waits_through_hand_overs.feature. Before the change the outline with hand-overs every 5 and 8 s and kills every 5 s, for 60 s with 20 s of retention, failed three times of three: the record was still in the store.

--- /dev/null
+++ b/features/steps/hand_over_wait_steps.py
@@ -0,0 +1,112 @@
+"""Steps for waits that go on through hand-overs."""
+
+import msgspec
+from behave import given
+from behave import then
+from behave import when
+
+from granitetrestle.interfaces import Record
+from granitetrestle.interfaces import Writer
+from granitetrestle.workflows import Step
+from granitetrestle_standins.shardprocess import JOBS_TOPIC
+from granitetrestle_standins.shardworld import ShardWorld
+
+SHORT = (Step(count=1, cpu=500, memory_mb=10),)
+# How long a shard has no leader after the last one was killed.
+LEADERLESS_S = 0.9
+
+
+def change_leader(world, leaves):
+    if leaves == "hands over":
+        world.hand_over()
+    else:
+        world.kill()
+        world.advance(LEADERLESS_S)
+        world.take_over()
+
+
+def records_of(world, job):
+    newest = world.store.newest(JOBS_TOPIC).records
+    return [record for record in newest if job in record.key]
+
+
+@given("a shard of {boxes:d} boxes among models that keeps ended jobs for {keep:g} s")
+def shard_that_keeps(context, boxes, keep):
+    context.keep_s = keep
+    world = context.world = ShardWorld(7, boxes)
+    world.parameters = world.parameters._replace(keep_s=keep)
+    world.hand_over()
+
+
+@when("a job completes, and the leader {leaves} every {gap:g} s for {seconds:g} s")
+def completes_amid(context, leaves, gap, seconds):
+    world = context.world
+    context.job = world.submit(SHORT)
+    world.settle(20.0)
+    workflow = world.leader.scheduler.state.workflows[context.job]
+    context.ended_at, began = workflow.ended_at, world.now
+    while world.now - began < seconds:
+        changed_at = world.now
+        change_leader(world, leaves)
+        while world.now - changed_at < gap:
+            world.advance(0.5)
+            if context.job in world.leader.scheduler.state.workflows:
+                context.known_at = world.now
+
+
+@then("the job was known for at least {seconds:g} s after its end")
+def known_for(context, seconds):
+    known_s = context.known_at - context.ended_at
+    assert known_s >= seconds, known_s
+
+
+@then("the store holds no record of it")
+def no_record(context):
+    left = records_of(context.world, context.job)
+    assert not left, left
+
+
+class EndedRowOfOlder(msgspec.Struct, frozen=True, array_like=True):
+    """The record of an ended job, as versions without times read it."""
+
+    state: str
+    queue: str
+
+
+@then("a version that knows no times of ends reads the same state and queue")
+def older_reads(context):
+    (record,) = records_of(context.world, context.job)
+    assert len(msgspec.msgpack.decode(record.value)) == 3, record
+    row = msgspec.msgpack.decode(record.value, type=EndedRowOfOlder)
+    assert row == EndedRowOfOlder("completed", "q"), row
+
+
+@when(
+    "a successor finds the record of an ended job with {what}, after {seconds:g} s of "
+    "others"
+)
+def finds_record(context, what, seconds):
+    world = context.world
+    world.submit(SHORT)
+    world.settle(20.0)
+    world.advance(seconds)
+    world.kill()
+    context.job = "0" * 15 + "a"
+    times = [] if what.startswith("no time") else [10**9]
+    value = msgspec.msgpack.encode(["completed", "q", *times])
+    epoch = world.leader.epoch + 1
+    world.store.append(JOBS_TOPIC, (), Writer(epoch, 1))
+    record = Record(f"e/{context.job}", value)
+    world.store.append(JOBS_TOPIC, [record], Writer(epoch, 2))
+    world.leader.epoch = epoch
+    world.take_over()
+
+
+@then("it knows the job for {least:g} to {most:g} s")
+def knows_for(context, least, most):
+    world = context.world
+    began = world.now
+    while context.job in world.leader.scheduler.state.workflows:
+        world.advance(0.5)
+        assert world.now - began <= most
+    assert world.now - began >= least, world.now - began
--- /dev/null
+++ b/features/waits_through_hand_overs.feature
@@ -0,0 +1,31 @@
+Feature: Waits go on through hand-overs
+  A successor starts with another steady clock. A wait that it counts from its own
+  take-over begins anew with each hand-over, and never ends if these follow each other
+  fast enough.
+
+  Scenario Outline: Records of ended jobs are not kept for ever amid hand-overs
+    Given a shard of 2 boxes among models that keeps ended jobs for 20 s
+    When a job completes, and the leader <leaves> every <gap> s for 60 s
+    Then the job was known for at least 20 s after its end
+    And the store holds no record of it
+
+    Examples:
+      | leaves     | gap |
+      | hands over | 5   |
+      | hands over | 8   |
+      | is killed  | 5   |
+
+  Scenario: An older version reads the record of an ended job, which has a time since
+    Given a shard of 2 boxes among models that keeps ended jobs for 20 s
+    When a job completes, and the leader hands over every 5 s for 5 s
+    Then a version that knows no times of ends reads the same state and queue
+
+  Scenario Outline: An ended job whose record has <what> is kept for the whole time
+    Given a shard of 2 boxes among models that keeps ended jobs for 20 s
+    When a successor finds the record of an ended job with <what>, after 40 s of others
+    Then it knows the job for 20 to 24 s
+
+    Examples:
+      | what                             |
+      | no time, as by an older version  |
+      | a time later than the shard time |
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -12,6 +12,10 @@
 
 from .errors import UnreadableRecord
 from .interfaces import Record
+from .shardtime import SHARD_TIME_KEY
+from .shardtime import UNKNOWN_TIME
+from .shardtime import ShardTime
+from .shardtime import decode_shard_time
 from .slices import SlicedWork
 from .withdrawnleases import LEASE_KEY
 from .workflows import DONE
@@ -78,10 +82,14 @@
 
 
 class EndedRow(msgspec.Struct, frozen=True, array_like=True):
-    """All that is stored of an ended job whose tasks have all stopped."""
+    """All that is stored of an ended job whose tasks have all stopped.
+
+    :param ended_ms: when it ended, in shard time.
+    """
 
     state: str
     queue: str
+    ended_ms: int = UNKNOWN_TIME
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -119,7 +127,8 @@
 class JobRecords:
     """Collects changes of jobs and turns them into records."""
 
-    def __init__(self) -> None:
+    def __init__(self, time: ShardTime) -> None:
+        self._time = time
         self._accepted: dict[str, Workflow] = {}
         self._groups: dict[GroupId, Workflow] = {}
         self._states: dict[str, Workflow] = {}
@@ -180,7 +189,8 @@
                 value = _encode(JobRow(workflow.ended or ""))
                 records.append(Record(PROGRESS_KEY + job, value))
         for job, workflow in self._ended.items():
-            row = EndedRow(workflow.state, workflow.submission.queue)
+            ended_ms = self._time.at(workflow.ended_at)
+            row = EndedRow(workflow.state, workflow.submission.queue, ended_ms)
             records.append(Record(ENDED_KEY + job, _encode(row)))
             records += self._drop_details(job)
         for job in self._dropped:
@@ -226,9 +236,11 @@
     unreadable: list[UnreadableRecord]
 
 
-def restore_jobs(records: t.Iterable[Record], now: float) -> SlicedWork[Restored]:
-    """Restore jobs from ``records``, one in each step. Records that can't be read are
-    listed in ``unreadable`` and the rest is restored."""
+def restore_jobs(
+    records: t.Iterable[Record], time: ShardTime, now: float
+) -> SlicedWork[Restored]:
+    """Restore jobs and the shard time from ``records``, one job in each step. Records
+    that can't be read are listed in ``unreadable`` and the rest is restored."""
     by_kind: dict[str, dict[str, bytes]] = collections.defaultdict(dict)
     for record in records:
         if record.value is not None:
@@ -240,11 +252,16 @@
         if submission is not None:
             restored.workflows[job] = Workflow(submission, now)
         yield
+    ended_ms: dict[str, int] = {}
     for job, value in by_kind[ENDED_KEY].items():
         ended = _read(_ended_rows, ENDED_KEY + job, value, restored)
         if ended is not None:
             restored.workflows[job] = _retired(job, ended, now)
+            ended_ms[job] = ended.ended_ms
         yield
+    time.restore(_latest_time(by_kind[SHARD_TIME_KEY], ended_ms, restored), now)
+    for job, recorded_ms in ended_ms.items():
+        restored.workflows[job].ended_at = time.steady(recorded_ms, now)
     for job, value in by_kind[PROGRESS_KEY].items():
         _restore_state(job, value, restored, now)
         yield
@@ -267,6 +284,21 @@
         return None
 
 
+def _latest_time(
+    records: t.Mapping[str, bytes], ended_ms: t.Mapping[str, int], restored: Restored
+) -> int:
+    """Return the latest shard time that a predecessor recorded."""
+    latest_ms = max(ended_ms.values(), default=0)
+    for key, value in records.items():
+        try:
+            latest_ms = max(latest_ms, decode_shard_time(value))
+        except msgspec.DecodeError as error:
+            restored.unreadable.append(
+                UnreadableRecord(SHARD_TIME_KEY + key, str(error))
+            )
+    return max(0, latest_ms)
+
+
 def _retired(job: str, row: EndedRow, now: float) -> Workflow:
     workflow = Workflow(Submission(job, row.queue, "", "", ()), now)
     workflow.end(t.cast(WorkflowState, row.state), now)
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -230,6 +230,8 @@
 
     def _sweep(self, now: float) -> None:
         keep = self._state.parameters.keep_s
+        if self._state.workflows:
+            self._state.record_time(now)
         for job, workflow in list(self._state.workflows.items()):
             if not workflow.terminal:
                 continue
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -21,6 +21,7 @@
 from .jobrecords import restore_jobs
 from .mechanisms import Mechanism
 from .pacing import StepLoads
+from .shardtime import ShardTime
 from .slices import SlicedWork
 from .withdrawnleases import WithdrawnLeases
 from .workflows import PENDING
@@ -160,7 +161,9 @@
         )
         self.failure_rate = FailureRate()
         self.loads = StepLoads(trend=self.is_enabled(Mechanism.LOAD_TREND))
-        self._records = JobRecords()
+        self._time = ShardTime()
+        self._time_record: Record | None = None
+        self._records = JobRecords(self._time)
         self._interference_rows: dict[str, bytes] = {}
 
     def is_enabled(self, mechanism: Mechanism) -> bool:
@@ -198,11 +201,20 @@
         """Mark the learned interference of images to be written, for a successor."""
         self._interference_rows.update(self.interference.take_changed_rows())
 
+    def record_time(self, now: float) -> None:
+        """Mark the shard time to be written, from which a successor goes on."""
+        self._time_record = self._time.record(now)
+
     @property
     def has_writes(self) -> bool:
         """Whether something must be written."""
         leases = self.withdrawn_leases
-        return bool(self._records.waiting or self._interference_rows or leases.waiting)
+        return bool(
+            self._records.waiting
+            or self._interference_rows
+            or leases.waiting
+            or self._time_record
+        )
 
     def take_writes(self) -> list[Record]:
         """Return what changed since the last call, as records."""
@@ -211,11 +223,14 @@
             records.append(Record(INTERFERENCE_KEY + image, value))
         self._interference_rows.clear()
         records += self.withdrawn_leases.pop_records()
+        if self._time_record is not None:
+            records.append(self._time_record)
+            self._time_record = None
         return records
 
     def restore(self, records: t.Iterable[Record], now: float) -> SlicedWork[Restored]:
         """Restore a predecessor's records, a part at each step."""
-        restored = yield from restore_jobs(records, now)
+        restored = yield from restore_jobs(records, self._time, now)
         self.workflows.update(restored.workflows)
         for group in restored.groups:
             self._records.add_stored_group(group)
--- a/src/granitetrestle_bench/takeover.py
+++ b/src/granitetrestle_bench/takeover.py
@@ -34,6 +34,7 @@
 from granitetrestle.session import Session
 from granitetrestle.session import Sources
 from granitetrestle.shardstate import SchedulerParameters
+from granitetrestle.shardtime import ShardTime
 from granitetrestle.statedigest import DigestTracker
 from granitetrestle.statedigest import EpochClaim
 from granitetrestle.succession import JOBS_TOPIC
@@ -103,7 +104,7 @@
         self._model = model
         self._share = share
         self._random = random.Random(seed)
-        self._records = JobRecords()
+        self._records = JobRecords(ShardTime())
         self._jobs = 0
         self.boxes = round(BOXES * share)
 
