Jobs keep their age through hand-overs

Cause: a successor counted from its own take-over since when it had accepted a job. A job that was late was in time anew with each leader and went ahead of newer ones, and the line at its end said that it took only the time since the last take-over.

Change: the leader that accepts a job stores when, in shard time, as a trailing field of its record; a successor restores the time from it. Older versions ignore the field; a job that they accepted counts from the take-over as before. Shard time is written every second instead of every 2 s, since each change of leader leaves out the time since.

--- a/features/steps/hand_over_wait_steps.py
+++ b/features/steps/hand_over_wait_steps.py
@@ -7,6 +7,7 @@
 
 from granitetrestle.interfaces import Record
 from granitetrestle.interfaces import Writer
+from granitetrestle.waitingorder import count_waiting_tasks
 from granitetrestle.workflows import Step
 from granitetrestle_standins.shardprocess import JOBS_TOPIC
 from granitetrestle_standins.shardworld import ShardWorld
@@ -110,3 +111,109 @@
         world.advance(0.5)
         assert world.now - began <= most
     assert world.now - began >= least, world.now - began
+
+
+@when(
+    "a job waits for room for {seconds:g} s, and the leader hands over every {gap:g} s"
+)
+def waits_amid(context, seconds, gap):
+    world = context.world
+    context.holder = world.submit((Step(count=1, cpu=3000, long_running=True),))
+    world.advance(2.0)
+    context.job = world.submit((Step(count=1, cpu=2000),))
+    world.advance(gap)
+    for _ in range(round(seconds / gap) - 1):
+        world.hand_over()
+        world.advance(gap)
+
+
+@then("the leader counts it as too late")
+def counted_too_late(context):
+    world = context.world
+    waiting = world.leader.scheduler.state.waiting.values()
+    counts = count_waiting_tasks(waiting, world.now)
+    assert (counts["late"], counts["too_late"]) == (0, 1), counts
+
+
+def end_event(context):
+    (event,) = [
+        event
+        for event in context.world.leader.log_events
+        if event.event == "job_completed" and event.subject == context.job
+    ]
+    return event.inputs
+
+
+@then(
+    "once there is room its end is logged as at least {least:g} s after it was accepted"
+)
+def logged_after(context, least):
+    context.world.cancel(context.holder)
+    context.world.advance(4.0)
+    inputs = end_event(context)
+    assert inputs["took_s"] >= least, inputs
+    assert inputs["late_s"] >= least - 1.0, inputs
+
+
+@when("a job of 5 s runs, and the leader hands over after {seconds:g} s")
+def runs_through(context, seconds):
+    world = context.world
+    # Tasks with the index 2 take 5 s in the model.
+    context.job = world.submit((Step(count=3, cpu=100, estimate_ms=5000),))
+    world.advance(seconds)
+    world.hand_over()
+    world.advance(6.0)
+
+
+@then(
+    "its end is logged as {least:g} to {most:g} s after it was accepted, and as in time"
+)
+def logged_in_time(context, least, most):
+    inputs = end_event(context)
+    assert least <= inputs["took_s"] <= most, inputs
+    assert inputs["late_s"] < 0.0, inputs
+
+
+class SubmissionOfOlder(msgspec.Struct, frozen=True, array_like=True):
+    """The record of a job, as versions without times read it."""
+
+    job: str
+    queue: str
+    service: str
+    spec: str
+    steps: tuple[Step, ...]
+    repeat_count: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+def decode_older(record):
+    return msgspec.msgpack.decode(record.value, type=SubmissionOfOlder)
+
+
+@then("a version that knows no times of acceptance reads the same job")
+def older_reads_job(context):
+    (record,) = records_of(context.world, f"s/{context.job}")
+    context.older = decode_older(record)
+    expected = SubmissionOfOlder(
+        context.job, "q", "pool", f"spec-{context.job}", (Step(count=1, cpu=2000),)
+    )
+    assert len(msgspec.msgpack.decode(record.value)) == 9, record
+    assert context.older == expected, context.older
+
+
+@then("a job that such a version accepted is as old as the take-over")
+def older_accepted(context):
+    world = context.world
+    world.kill()
+    job = "0" * 15 + "a"
+    submission = msgspec.structs.replace(context.older, job=job)
+    record = Record(f"s/{job}", msgspec.msgpack.encode(submission))
+    epoch = world.leader.epoch + 1
+    world.store.append(JOBS_TOPIC, (), Writer(epoch, 1))
+    world.store.append(JOBS_TOPIC, [record], Writer(epoch, 2))
+    world.leader.epoch = epoch
+    world.take_over()
+    workflows = world.leader.scheduler.state.workflows
+    assert workflows[job].accepted_at == world.now
+    assert world.now - workflows[context.job].accepted_at > 9.0
--- a/features/waits_through_hand_overs.feature
+++ b/features/waits_through_hand_overs.feature
@@ -29,3 +29,17 @@
       | what                             |
       | no time, as by an older version  |
       | a time later than the shard time |
+
+  Scenario: A job that waits is not in time anew with each hand-over
+    With no estimate it is due after 1 s, and too late to be of use after 3 s. Each
+    hand-over may leave out 1 s.
+    Given a shard of 1 boxes among models
+    When a job waits for room for 12 s, and the leader hands over every 3 s
+    Then the leader counts it as too late
+    And once there is room its end is logged as at least 9 s after it was accepted
+
+  Scenario: An older version reads the record of a job, which has a time since
+    Given a shard of 1 boxes among models
+    When a job waits for room for 12 s, and the leader hands over every 3 s
+    Then a version that knows no times of acceptance reads the same job
+    And a job that such a version accepted is as old as the take-over
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -260,8 +260,12 @@
             ended_ms[job] = ended.ended_ms
         yield
     time.restore(_latest_time(by_kind[SHARD_TIME_KEY], ended_ms, restored), now)
-    for job, recorded_ms in ended_ms.items():
-        restored.workflows[job].ended_at = time.steady(recorded_ms, now)
+    for job, workflow in restored.workflows.items():
+        accepted_ms = workflow.submission.accepted_ms
+        workflow.accepted_at = workflow.due_at = time.steady(accepted_ms, now)
+        if job in ended_ms:
+            workflow.ended_at = time.steady(ended_ms[job], now)
+        yield
     for job, value in by_kind[PROGRESS_KEY].items():
         _restore_state(job, value, restored, now)
         yield
@@ -289,6 +293,8 @@
 ) -> int:
     """Return the latest shard time that a predecessor recorded."""
     latest_ms = max(ended_ms.values(), default=0)
+    for workflow in restored.workflows.values():
+        latest_ms = max(latest_ms, workflow.submission.accepted_ms)
     for key, value in records.items():
         try:
             latest_ms = max(latest_ms, decode_shard_time(value))
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -60,8 +60,9 @@
 # Pace of a task whose last pace command got no answer. It differs from every real pace,
 # so the next poll sends a command again.
 UNKNOWN_PACE_PERCENT: t.Final = -1
-# How often ended jobs are checked for those that are past their retention time.
-RETENTION_SWEEP_INTERVAL_S: t.Final = 2.0
+# How often ended jobs are checked for those that are past their retention time, and the
+# shard time is written. A change of leader leaves no more than this out of shard time.
+RETENTION_SWEEP_INTERVAL_S: t.Final = 1.0
 # How often learned interference is written. A successor loses no more than this.
 INTERFERENCE_WRITE_INTERVAL_S: t.Final = 3.0
 
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -172,7 +172,9 @@
 
     def add(self, submission: Submission, now: float) -> Workflow:
         """Add an accepted job and mark it to be written."""
-        workflow = Workflow(submission, now)
+        accepted_ms = self._time.at(now)
+        accepted = msgspec.structs.replace(submission, accepted_ms=accepted_ms)
+        workflow = Workflow(accepted, now)
         self.workflows[submission.job] = workflow
         self._records.add_job(workflow)
         return workflow
--- a/src/granitetrestle/shardtime.py
+++ b/src/granitetrestle/shardtime.py
@@ -3,7 +3,7 @@
 The steady clocks of two processes have nothing in common, and the wall clocks of machines
 may be wrong. What a leader stores as a time by either is worth nothing to a successor, or
 may deceive it. Leaders therefore count the time for which the shard has been led, and
-write it every few seconds. It never runs ahead of real time: a change of leader leaves
+write it every second. It never runs ahead of real time: a change of leader leaves
 out the time since the last record of it and the time without a leader."""
 
 import typing as t
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .shardtime import UNKNOWN_TIME
 from .tasktimes import TaskTimes
 
 __all__ = [
@@ -85,6 +86,7 @@
     :param repeat_count: number of occurrences of the steps; 0 for one, without delay.
     :param start_at_ms: wall time of the first occurrence, in milliseconds since 1970.
     :param interval_ms: time from one occurrence to the next.
+    :param accepted_ms: when the leader accepted it, in shard time.
     """
 
     job: str
@@ -95,6 +97,7 @@
     repeat_count: int = 0
     start_at_ms: int = 0
     interval_ms: int = 0
+    accepted_ms: int = UNKNOWN_TIME
 
 
 class Task:
