Runs and waits of tasks keep their age through hand-overs

Cause: a successor counted the starts of all inherited runs, and the waits of tasks that were to run again, from its own take-over, and a run that was recorded as running was never known to run again. A task that had run for long was blamed for the loss of its box soon after a take-over; a suspected one was never cleared by its running time; a checkpointing task that could end on a leaving box was moved; lasting_waits never named a wait if leaders led for less than 3 s.

Change: the record of a task has the start of its run, or since when it waits, in shard time as a trailing field. An inherited run counts as running from its recorded start once it is known to run. Tasks of a job that has not begun have waited since the job was accepted. Rows of older versions have no time and count from the take-over as before.

--- a/features/waits_through_hand_overs.feature
+++ b/features/waits_through_hand_overs.feature
@@ -43,3 +43,31 @@
     When a job waits for room for 12 s, and the leader hands over every 3 s
     Then a version that knows no times of acceptance reads the same job
     And a job that such a version accepted is as old as the take-over
+
+  Scenario Outline: A task that runs for long is not suspected of crashing its box after <changes>
+    Given a shard of 3 boxes among models
+    When a long-running task runs for 10 s, the leader <leaves> every <gap> s, and then its box crashes
+    Then the task has no points of suspicion
+
+    Examples:
+      | changes             | leaves     | gap |
+      | hand-overs          | hands over | 3   |
+      | leaders were killed | is killed  | 3   |
+
+  Scenario: Suspicion ends after a minute of running, whoever leads
+    Given a shard of 3 boxes among models
+    When a suspected long-running task runs for 120 s, the leader hands over every 5 s, and then the run fails
+    Then the task has no points of suspicion
+
+  Scenario: A checkpointing task that can end on a box that leaves is not moved after a hand-over
+    With 10 s to run and 8 s to the end of its box, it stays there after its first 4 s.
+    Given a shard of 3 boxes among models
+    When a checkpointing task of 10 s runs for 4 s, the leader hands over, and the box is to leave in 8 s
+    Then the task runs on where it is
+
+  Scenario: The log says how long a task has waited in all
+    A report names waits above 3 s, and no leader here leads for longer.
+    Given a shard of 1 boxes among models
+    When a long-running task fails and waits for room, and the leader hands over every 2.5 s for 15 s
+    Then a leader has logged that it waited for over 7 s
+    And a version that knows no times reads the same state of the task
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -19,6 +19,7 @@
 from .slices import SlicedWork
 from .withdrawnleases import LEASE_KEY
 from .workflows import DONE
+from .workflows import RUNNING
 from .workflows import STOPPING
 from .workflows import Submission
 from .workflows import Task
@@ -59,7 +60,11 @@
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
     """A task that was started; the fields after the state are only set until it is
-    done."""
+    done.
+
+    :param since_ms: when its run was started, or since when it waits for the next one,
+        in shard time.
+    """
 
     index: int
     run: int
@@ -68,6 +73,7 @@
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
     suspicion: int = 0
+    since_ms: int = UNKNOWN_TIME
 
 
 class JobRow(msgspec.Struct, frozen=True, array_like=True):
@@ -99,10 +105,11 @@
 _ended_rows = msgspec.msgpack.Decoder(EndedRow)
 
 
-def _task_row(task: Task) -> TaskRow:
+def _task_row(task: Task, time: ShardTime) -> TaskRow:
     if task.state == DONE:
         return TaskRow(task.index, task.run, DONE)
     failed = tuple(sorted(task.failed_runs))
+    since = task.started_at if task.placed else task.times.waits_since
     return TaskRow(
         task.index,
         task.run,
@@ -111,6 +118,7 @@
         failed,
         task.checkpoint,
         task.suspicion,
+        UNKNOWN_TIME if since is None else time.at(since),
     )
 
 
@@ -180,7 +188,9 @@
             records.append(submission_record(workflow.submission))
         for group, workflow in self._groups.items():
             if not workflow.retired:
-                records.append(Record(group.key, _encode(_rows(group, workflow))))
+                records.append(
+                    Record(group.key, _encode(_rows(group, workflow, self._time)))
+                )
                 self.add_stored_group(group)
         # Written after the groups, since this replaces a record in the old format that
         # holds the tasks itself.
@@ -207,14 +217,14 @@
         return [Record(key, None) for key in keys]
 
 
-def _rows(group: GroupId, workflow: Workflow) -> list[TaskRow]:
+def _rows(group: GroupId, workflow: Workflow, time: ShardTime) -> list[TaskRow]:
     first = group.number * GROUP_TASKS
     count = workflow.submission.steps[group.step].count
     tasks = (
         workflow.tasks[(group.occurrence, group.step, index)]
         for index in range(first, min(first + GROUP_TASKS, count))
     )
-    return [_task_row(task) for task in tasks if task.run]
+    return [_task_row(task, time) for task in tasks if task.run]
 
 
 class Restored(t.NamedTuple):
@@ -267,10 +277,10 @@
             workflow.ended_at = time.steady(ended_ms[job], now)
         yield
     for job, value in by_kind[PROGRESS_KEY].items():
-        _restore_state(job, value, restored, now)
+        _restore_state(job, value, restored, time, now)
         yield
     for place, value in by_kind[GROUP_KEY].items():
-        _restore_group(place, value, restored, now)
+        _restore_group(place, value, restored, time, now)
         yield
     return restored
 
@@ -312,7 +322,9 @@
     return workflow
 
 
-def _restore_state(job: str, value: bytes, restored: Restored, now: float) -> None:
+def _restore_state(
+    job: str, value: bytes, restored: Restored, time: ShardTime, now: float
+) -> None:
     workflow = restored.workflows.get(job)
     if workflow is None or workflow.retired:
         return
@@ -326,12 +338,14 @@
         task = workflow.tasks.get((occurrence, step, index))
         if task is not None:
             task_row = TaskRow(index, run, state, box, tuple(failed), checkpoint)
-            _restore_task(task, task_row, now)
+            _restore_task(task, task_row, time, now)
     if row.tasks:
         restored.in_old_format.append(workflow)
 
 
-def _restore_group(place: str, value: bytes, restored: Restored, now: float) -> None:
+def _restore_group(
+    place: str, value: bytes, restored: Restored, time: ShardTime, now: float
+) -> None:
     job, _, numbers = place.partition("/")
     workflow = restored.workflows.get(job)
     if workflow is None or workflow.retired:
@@ -351,10 +365,10 @@
     for row in rows:
         task = workflow.tasks.get((occurrence, step, row.index))
         if task is not None:
-            _restore_task(task, row, now)
+            _restore_task(task, row, time, now)
 
 
-def _restore_task(task: Task, row: TaskRow, now: float) -> None:
+def _restore_task(task: Task, row: TaskRow, time: ShardTime, now: float) -> None:
     task.run = row.run
     task.failed_runs = frozenset(row.failed_runs)
     task.checkpoint = row.checkpoint
@@ -369,4 +383,11 @@
         # been sent.
         task.state = STOPPING
     task.box = row.box if task.placed else ""
-    task.started_at = now
+    task.started_at = since = time.steady(row.since_ms, now)
+    if task.placed:
+        task.inherited = row.since_ms != UNKNOWN_TIME
+        if row.state == RUNNING:
+            # Polls set it only for tasks that are not known to run.
+            task.running_since = since
+    else:
+        task.times.enter("room", since)
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -282,7 +282,10 @@
         task.box = ""
 
     def enqueue_ready_steps(self, workflow: Workflow, now: float) -> None:
-        """Enqueue the pending tasks of all steps whose dependencies are done."""
+        """Enqueue the pending tasks of all steps whose dependencies are done. Until a
+        first task has started, they have waited since the job was accepted."""
+        if not workflow.begun:
+            now = workflow.accepted_at
         for (occurrence, number), undone in workflow.unfinished.items():
             if undone and workflow.step_ready(occurrence, number):
                 for task in workflow.step_tasks(occurrence, number):
@@ -311,7 +314,12 @@
             entry = self.waiting[key] = self._waiting_step(task)
             entry.waits_since = now
         if task.name not in entry.tasks:
-            task.times.enter("room", now)
+            since = task.times.waits_since
+            if since is None:
+                task.times.enter("room", now)
+            else:
+                # It waited under a predecessor already.
+                entry.waits_since = min(entry.waits_since, since)
         entry.tasks[task.name] = task
         entry.suspects = entry.suspects or task.suspicion > 0
 
--- a/src/granitetrestle/tasktimes.py
+++ b/src/granitetrestle/tasktimes.py
@@ -35,6 +35,11 @@
         """Phase -> seconds, without the phases that never occurred."""
         return self._spent
 
+    @property
+    def waits_since(self) -> float | None:
+        """Since when the task waits for a box, or ``None`` if it does not."""
+        return self._since if self._phase == "room" else None
+
     def enter(self, phase: Phase | None, now: float) -> None:
         """Start a phase; ``None`` once the task is done."""
         if self._phase is not None:
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -107,6 +107,7 @@
     :ivar run: number of its latest start, 0 before the first.
     :ivar sent: whether the command of that start may have been sent; for one of a
         predecessor, it may.
+    :ivar inherited: whether a predecessor started that run, and recorded when.
     :ivar running_since: time from which that run is known to run; 0 while it is not.
     :ivar suspicion: points for the boxes that it may have crashed; see
         :mod:`.crashloops`.
@@ -121,6 +122,7 @@
         "done_at",
         "failed_runs",
         "index",
+        "inherited",
         "name",
         "occurrence",
         "pace",
@@ -155,6 +157,7 @@
         # of its own would be a good part of the memory of each.
         self.failed_runs: frozenset[int] = frozenset()
         self.sent = True
+        self.inherited = False
         self.running_since = 0.0
         self.suspicion = 0
         self.checkpoint = ""
@@ -199,7 +202,10 @@
         """Record that a poll listed its run, or that its start was confirmed."""
         self.state = RUNNING
         self.confirmed_at = now
-        self.running_since = self.running_since or now
+        # Otherwise a run of weeks counts as one that has just begun, and is suspected of
+        # having crashed a box that is lost soon after a take-over.
+        began = self.started_at if self.inherited else now
+        self.running_since = self.running_since or began
         self.times.enter(self._run_phase, now)
 
     @property
