explain tells how long a long-running task was without a run, through all leaders

Cause: each leader logs the part of a wait that it sees, and no line told when it ended. To find out how long a task had been without a run, an operator had to know which lines of which machines belong together.

Change: lasting_wait_over is logged when the start of a long-running task that waited for over 3 s is accepted. The timeline of a job adds to this line and to lasting_waits the time without a run in all, from when the task's box fell silent, and the processes that led meanwhile.

Run: features/waits_through_hand_overs.feature; the new scenario (a lost box, its lease, a wait for room and three hand-overs) failed before, as there was no such line, and passes now within 0.2 s of what the model boxes recorded. Not covered: a box that no successor lists, of which box_never_listed names no tasks; a start whose answer meets no leader.

--- a/features/steps/hand_over_wait_steps.py
+++ b/features/steps/hand_over_wait_steps.py
@@ -12,6 +12,7 @@
 from granitetrestle.jobcalls import SubmitJob
 from granitetrestle.scheduler import Scheduler
 from granitetrestle.shardstate import SchedulerParameters
+from granitetrestle.timeline import timeline
 from granitetrestle.waitingorder import count_waiting_tasks
 from granitetrestle.workflows import PENDING
 from granitetrestle.workflows import Step
@@ -385,3 +386,83 @@
     assert entry.latest_start == entry.workflow.due_at
     useful_s = entry.latest_useful_start - entry.workflow.accepted_at
     assert useful_s == 3.0 * seconds, useful_s
+
+
+class LogCollector:
+    """Collects the lines of all leaders of a shard, as their machines write them."""
+
+    def __init__(self, world):
+        self.lines = []
+        self._world = world
+        self._read = {}
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / 0.05)):
+            self._world.advance(0.05)
+            for process in self._world.processes:
+                node = f"n{process.epoch}"
+                if process.epoch not in self._read:
+                    self._add(node, "took_over", "", {})
+                first = self._read.get(process.epoch, 0)
+                for event in process.log_events[first:]:
+                    self._add(node, event.event, event.subject, event.inputs)
+                self._read[process.epoch] = len(process.log_events)
+
+    def _add(self, node, event, subject, inputs):
+        minutes, seconds = divmod(self._world.now, 60.0)
+        timestamp = f"2026-01-01T00:{int(minutes):02}:{seconds:06.3f}Z"
+        common = {"node": node, "event": event, "timestamp": timestamp}
+        self.lines.append({**inputs, "subject": subject, **common})
+
+
+@when(
+    "a long-running task loses its box, the leader hands over, and there is room "
+    "{seconds:g} s after the loss and two more hand-overs"
+)
+def loses_box(context, seconds):
+    world = context.world
+    collector = context.collector = LogCollector(world)
+    step = Step(count=1, cpu=4000, memory_mb=10, long_running=True)
+    context.job, other = world.submit((step,)), world.submit((step,))
+    collector.advance(2.0)
+    task = only_task(world, context.job)
+    context.lost, lost_at = task.box, world.now
+    world.cut_until[context.lost] = world.now + 1000.0
+    collector.advance(2.0)
+    for _ in range(3):
+        world.hand_over()
+        collector.advance(6.0 if world.leader.epoch == 2 else 2.0)
+    collector.advance(seconds - (world.now - lost_at))
+    world.cancel(other)
+    collector.advance(3.0)
+
+
+@then(
+    "the job's timeline tells the time from the silence of its box to its next run, and "
+    "{count:d} leaders"
+)
+def timeline_tells(context, count):
+    (silent, *_) = [
+        line
+        for line in context.collector.lines
+        if line["event"] == "box_silent" and line["subject"] == context.lost
+    ]
+    (next_run,) = [
+        run
+        for box in context.world.boxes.values()
+        for run in box.history
+        if run.task.startswith(context.job) and box.incarnation != context.lost
+    ]
+    minutes, seconds = silent["timestamp"][14:-1].split(":")
+    expected_s = next_run.began - (60 * int(minutes) + float(seconds))
+    entries = timeline(context.job, context.collector.lines)
+    (over,) = [entry for entry in entries if entry.event == "lasting_wait_over"]
+    without_run_s = over.inputs["without_run_s"]
+    assert expected_s > 12.0, expected_s
+    assert abs(without_run_s - expected_s) < 0.2, (without_run_s, expected_s)
+    assert over.inputs["leaders"] == [f"n{n + 1}" for n in range(count)], over
+    waits = [entry for entry in entries if entry.event == "lasting_waits"]
+    assert waits, entries
+    assert all(
+        entry.inputs["without_run_s"] >= entry.inputs["waited_s"] for entry in waits
+    )
--- a/features/waits_through_hand_overs.feature
+++ b/features/waits_through_hand_overs.feature
@@ -81,3 +81,9 @@
   Scenario: A successor that reads the configuration after the jobs keeps their priority and objective
     When a successor restores a waiting job of a queue of priority 0 and an objective of 60 s, and then reads the configuration
     Then the job waits with the priority 0, and is due 60 s after it was accepted
+
+  Scenario: The timeline of a job tells how long a task was without a run in all, and who led
+    It waits for the lease of its lost box, then for room, and the leader changes meanwhile.
+    Given a shard of 2 boxes among models
+    When a long-running task loses its box, the leader hands over, and there is room 14 s after the loss and two more hand-overs
+    Then the job's timeline tells the time from the silence of its box to its next run, and 4 leaders
--- a/src/granitetrestle/longrunningwaits.py
+++ b/src/granitetrestle/longrunningwaits.py
@@ -14,8 +14,9 @@
 from .headroom import Headroom
 from .shardstate import ShardState
 from .shardstate import WaitingStep
+from .workflows import Task
 
-__all__ = ["LongRunningWaits", "WaitCause"]
+__all__ = ["LongRunningWaits", "WaitCause", "wait_over_events"]
 
 # Shorter waits are normal: a poll, a write and a command take up to one second.
 REPORT_THRESHOLD_S: t.Final = 3.0
@@ -210,6 +211,16 @@
             yield LogEvent("lasting_waits", incarnation, inputs)
 
 
+def wait_over_events(task: Task) -> list[LogEvent]:
+    """Return the event that ends the reports about a long-running task's wait, which may
+    have begun under earlier leaders, now that its start was accepted."""
+    waited_s = task.times.last_wait_s
+    if not task.spec.long_running or waited_s <= REPORT_THRESHOLD_S:
+        return []
+    inputs = {"run": task.run, "box": task.box, "waited_s": round(waited_s, 2)}
+    return [LogEvent("lasting_wait_over", task.name, inputs)]
+
+
 def _exclusion_cause(
     entry: WaitingStep,
     box: BoxView,
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -39,6 +39,7 @@
 from .jobcalls import SubmitJob
 from .jobcalls import WaitingCount
 from .longrunningwaits import LongRunningWaits
+from .longrunningwaits import wait_over_events
 from .packing import Packer
 from .progress import Progress
 from .shardstate import SchedulerParameters
@@ -278,13 +279,14 @@
         if task is None or not current:
             return []
         if isinstance(outcome, CommandAccepted):
-            if task.state == STARTING:
-                task.mark_running(now)
-                box = self._state.boxes.get(incarnation)
-                if box is not None and task.spec.best_effort and box.serving:
-                    # Serving tasks that it slows should not wait for the next poll.
-                    return self._fleet.repace(box, now)
-            return []
+            if task.state != STARTING:
+                return []
+            task.mark_running(now)
+            box = self._state.boxes.get(incarnation)
+            if box is not None and task.spec.best_effort and box.serving:
+                # Serving tasks that it slows should not wait for the next poll.
+                return self._fleet.repace(box, now)
+            return list(wait_over_events(task))
         if isinstance(outcome, CommandRejected):
             return self._start_rejected(incarnation, task, outcome, now)
         if task.state != STARTING:
--- a/src/granitetrestle/tasktimes.py
+++ b/src/granitetrestle/tasktimes.py
@@ -19,13 +19,17 @@
 
 
 class TaskTimes:
-    """Seconds that one task spent in each phase since its step became ready."""
+    """Seconds that one task spent in each phase since its step became ready.
 
-    __slots__ = ("_current_run", "_phase", "_since", "_spent")
+    :ivar last_wait_s: how long its last wait for a box took.
+    """
+
+    __slots__ = ("_current_run", "_phase", "_since", "_spent", "last_wait_s")
 
     def __init__(self) -> None:
         self._phase: Phase | None = None
         self._since = 0.0
+        self.last_wait_s = 0.0
         self._spent: dict[Phase, float] = {}
         # Time of the current run, moved to ``failed`` if it fails.
         self._current_run: dict[Phase, float] = {}
@@ -49,6 +53,8 @@
                 self._current_run[self._phase] = (
                     self._current_run.get(self._phase, 0.0) + elapsed_s
                 )
+        if self._phase == "room":
+            self.last_wait_s = now - self._since
         if phase == "order":
             self._current_run.clear()
         self._phase, self._since = phase, now
--- a/src/granitetrestle/timeline.py
+++ b/src/granitetrestle/timeline.py
@@ -5,13 +5,14 @@
 complaints."""
 
 import pathlib
-import re
 import typing as t
 
 import msgspec
 
 from .errors import InvalidInput
 from .errors import NotFound
+from .interruptions import interruptions
+from .interruptions import seconds_of_day
 
 __all__ = ["TimelineEntry", "read_lines", "timeline"]
 
@@ -51,7 +52,6 @@
 CONTEXT_BEFORE_S: t.Final = 3.0
 # The fields that every line has.
 COMMON_FIELDS: t.Final = ("event", "node", "timestamp")
-TIMESTAMP_PATTERN: t.Final = re.compile(r"T(\d\d):(\d\d):(\d\d(?:\.\d+)?)Z$")
 
 
 class TimelineEntry(t.NamedTuple):
@@ -98,7 +98,9 @@
 
 
 def timeline(job: str, lines: t.Iterable[t.Mapping[str, t.Any]]) -> list[TimelineEntry]:
-    """Return the timeline of ``job``, in the order of the machines' clocks.
+    """Return the timeline of ``job``, in the order of the machines' clocks. Lines about
+    waits of long-running tasks also tell how long such a task was without a run in all,
+    and which processes led meanwhile.
 
     :raises NotFound: if no line names it.
     """
@@ -112,13 +114,17 @@
         for key in ("box", "from", "to")
         if key in line
     }
-    first = _seconds(str(job_lines[0]["timestamp"])) - CONTEXT_BEFORE_S
-    last = _seconds(str(job_lines[-1]["timestamp"]))
+    first = seconds_of_day(str(job_lines[0]["timestamp"])) - CONTEXT_BEFORE_S
+    last = seconds_of_day(str(job_lines[-1]["timestamp"]))
+    waits = interruptions(job, ordered)
     entries = []
-    for line in ordered:
+    for position, line in enumerate(ordered):
         if _mentions(job, line):
-            entries.append(_entry(line, "job"))
-        elif first <= _seconds(str(line["timestamp"])) <= last and _is_context(
+            entry = _entry(line, "job")
+            if position in waits:
+                entry.inputs.update(waits[position]._asdict())
+            entries.append(entry)
+        elif first <= seconds_of_day(str(line["timestamp"])) <= last and _is_context(
             line, boxes
         ):
             entries.append(_entry(line, "around"))
@@ -143,13 +149,3 @@
     inputs = {key: value for key, value in line.items() if key not in COMMON_FIELDS}
     at, node, event = (str(line[key]) for key in ("timestamp", "node", "event"))
     return TimelineEntry(at, node, about, event, inputs)
-
-
-def _seconds(timestamp: str) -> float:
-    """Return the seconds since midnight, or 0 for an unknown format; the logs of one
-    complaint are of one day."""
-    match = TIMESTAMP_PATTERN.search(timestamp)
-    if match is None:
-        return 0.0
-    hours, minutes, seconds = match.groups()
-    return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
