A run that was recorded as running counts as running from the first poll on

Cause: such a run was restored as known to run before any poll of the successor. If its box was lost before that, it got the points of a task that is known to have been running, 3 instead of 2.

Change: it is restored like any other start; the first poll that lists it counts it as running from its recorded start, and one that does not requeues it, as before.

Run: features/waits_through_hand_overs.feature, 16 scenarios pass, among them the suspicion that ends after a minute of running, whose run is recorded as running.

--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -20,6 +20,7 @@
 from .withdrawnleases import LEASE_KEY
 from .workflows import DONE
 from .workflows import RUNNING
+from .workflows import STARTING
 from .workflows import STOPPING
 from .workflows import Submission
 from .workflows import Task
@@ -382,12 +383,12 @@
         # The job's end was written but the task's was not, so its stop may never have
         # been sent.
         task.state = STOPPING
+    elif task.state == RUNNING:
+        # The first poll shows whether it still runs, and counts it as running then.
+        task.state = STARTING
     task.box = row.box if task.placed else ""
     task.started_at = since = time.steady(row.since_ms, now)
     if task.placed:
         task.inherited = row.since_ms != UNKNOWN_TIME
-        if row.state == RUNNING:
-            # Polls set it only for tasks that are not known to run.
-            task.running_since = since
     else:
         task.times.enter("room", since)
