Mutants of the times that go on through hand-overs

Five mutants: times of ended jobs, of accepted jobs and of inherited runs counted from the take-over, shard time not recorded, and a configuration that does not order known jobs.

--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -231,4 +231,41 @@
         (("boxes.py", "            and self.listed\n", ""),),
         "native_decider",
     ),
+    Mutant(
+        "native: a successor counts ended jobs from its take-over",
+        (
+            (
+                "jobrecords.py",
+                "workflow.ended_at = time.steady(ended_ms[job], now)",
+                "pass",
+            ),
+        ),
+        "waits_through_hand_overs",
+    ),
+    Mutant(
+        "native: shard time is not recorded, and a successor starts it anew",
+        (("scheduler.py", "self._state.record_time(now)", "pass"),),
+        "waits_through_hand_overs",
+    ),
+    Mutant(
+        "native: a successor counts jobs from its take-over",
+        (("jobrecords.py", "time.steady(accepted_ms, now)", "now"),),
+        "waits_through_hand_overs",
+    ),
+    Mutant(
+        "native: a successor counts inherited runs from its take-over",
+        (("workflows.py", "self.started_at if self.inherited else now", "now"),),
+        "waits_through_hand_overs",
+    ),
+    Mutant(
+        "native: a configuration does not order the jobs that are known",
+        (
+            (
+                "shardstate.py",
+                "        for entry in self.waiting.values():\n            self._set_order(entry)\n",
+                "",
+            ),
+        ),
+        "waits_through_hand_overs",
+    ),
 )
