--- a/tools/hand_over_waits.py
+++ b/tools/hand_over_waits.py
@@ -158,6 +158,24 @@
     return task.suspicion
 
 
+def points_before_poll(killed: bool, interval_s: float) -> float | None:
+    """Suspicion of a task that ran for 10 s when its box fell silent, before the next
+    leader polled it."""
+    world = ShardWorld(7, 3)
+    job = world.submit((LONG_RUNNING,))
+    leaders, began = Leaders(world, killed, interval_s), world.now
+    while world.now - began < 10.0:
+        leaders.advance()
+    (lost,) = running_boxes(world, job)
+    world.cut_until[lost] = world.now + 1000.0
+    if interval_s:
+        world.hand_over()
+    world.advance(12.0)
+    (task,) = world.leader.scheduler.state.workflows[job].tasks.values()
+    assert task.box != lost
+    return task.suspicion
+
+
 def cleared_suspicion(killed: bool, interval_s: float) -> float | None:
     """Suspicion left of 3 points after a run of 200 s, at its end."""
     world = ShardWorld(7, 2)
@@ -223,6 +241,7 @@
     logged_wait,
     quarantined_starts,
     points_of_innocents,
+    points_before_poll,
     cleared_suspicion,
     cancelled,
     left_box,
