--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -12,10 +12,16 @@
 
 from .errors import UnreadableRecord
 from .interfaces import Record
+from .shardtime import SHARD_TIME_KEY
+from .shardtime import UNKNOWN_TIME
+from .shardtime import ShardTime
+from .shardtime import decode_shard_time
 from .slices import SlicedWork
 from .withdrawnleases import LEASE_KEY
 from .withdrawnleases import decode_lease_left
 from .workflows import DONE
+from .workflows import RUNNING
+from .workflows import STARTING
 from .workflows import STOPPING
 from .workflows import Submission
 from .workflows import Task
@@ -56,7 +62,11 @@
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
     """A task that was started; the fields after the state are only set until it is
-    done."""
+    done.
+
+    :param since_ms: when its run was started, or since when it waits for the next one,
+        in shard time.
+    """
 
     index: int
     run: int
@@ -65,6 +75,7 @@
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
     suspicion: int = 0
+    since_ms: int = UNKNOWN_TIME
 
 
 class JobRow(msgspec.Struct, frozen=True, array_like=True):
@@ -79,10 +90,14 @@
 
 
 class EndedRow(msgspec.Struct, frozen=True, array_like=True):
-    """All that is stored of an ended job whose tasks have all stopped."""
+    """All that is stored of an ended job whose tasks have all stopped.
+
+    :param ended_ms: when it ended, in shard time.
+    """
 
     state: str
     queue: str
+    ended_ms: int = UNKNOWN_TIME
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -92,10 +107,11 @@
 _ended_rows = msgspec.msgpack.Decoder(EndedRow)
 
 
-def _task_row(task: Task) -> TaskRow:
+def _task_row(task: Task, time: ShardTime) -> TaskRow:
     if task.state == DONE:
         return TaskRow(task.index, task.run, DONE)
     failed = tuple(sorted(task.failed_runs))
+    since = task.started_at if task.placed else task.times.waits_since
     return TaskRow(
         task.index,
         task.run,
@@ -104,6 +120,7 @@
         failed,
         task.checkpoint,
         task.suspicion,
+        UNKNOWN_TIME if since is None else time.at(since),
     )
 
 
@@ -120,7 +137,8 @@
 class JobRecords:
     """Collects changes of jobs and turns them into records."""
 
-    def __init__(self) -> None:
+    def __init__(self, time: ShardTime) -> None:
+        self._time = time
         self._accepted: dict[str, Workflow] = {}
         self._groups: dict[GroupId, Workflow] = {}
         self._states: dict[str, Workflow] = {}
@@ -172,7 +190,9 @@
             records.append(submission_record(workflow.submission))
         for group, workflow in self._groups.items():
             if not workflow.retired:
-                records.append(Record(group.key, _encode(_rows(group, workflow))))
+                records.append(
+                    Record(group.key, _encode(_rows(group, workflow, self._time)))
+                )
                 self.add_stored_group(group)
         # Written after the groups, since this replaces a record in the old format that
         # holds the tasks itself.
@@ -181,7 +201,8 @@
                 value = _encode(JobRow(workflow.ended or ""))
                 records.append(Record(PROGRESS_KEY + job, value))
         for job, workflow in self._ended.items():
-            row = EndedRow(workflow.state, workflow.submission.queue)
+            ended_ms = self._time.at(workflow.ended_at)
+            row = EndedRow(workflow.state, workflow.submission.queue, ended_ms)
             records.append(Record(ENDED_KEY + job, _encode(row)))
             records += self._drop_details(job)
         for job in self._dropped:
@@ -198,14 +219,14 @@
         return [Record(key, None) for key in keys]
 
 
-def _rows(group: GroupId, workflow: Workflow) -> list[TaskRow]:
+def _rows(group: GroupId, workflow: Workflow, time: ShardTime) -> list[TaskRow]:
     first = group.number * GROUP_TASKS
     count = workflow.submission.steps[group.step].count
     tasks = (
         workflow.tasks[(group.occurrence, group.step, index)]
         for index in range(first, min(first + GROUP_TASKS, count))
     )
-    return [_task_row(task) for task in tasks if task.run]
+    return [_task_row(task, time) for task in tasks if task.run]
 
 
 class Restored(t.NamedTuple):
@@ -228,9 +249,11 @@
     unreadable: list[UnreadableRecord]
 
 
-def restore_jobs(records: t.Iterable[Record], now: float) -> SlicedWork[Restored]:
-    """Restore jobs from ``records``, one in each step. Records that can't be read are
-    listed in ``unreadable`` and the rest is restored."""
+def restore_jobs(
+    records: t.Iterable[Record], time: ShardTime, now: float
+) -> SlicedWork[Restored]:
+    """Restore jobs and the shard time from ``records``, one job in each step. Records
+    that can't be read are listed in ``unreadable`` and the rest is restored."""
     by_kind: dict[str, dict[str, bytes]] = collections.defaultdict(dict)
     for record in records:
         if record.value is not None:
@@ -245,16 +268,25 @@
         if submission is not None:
             restored.workflows[job] = Workflow(submission, now)
         yield
+    ended_ms: dict[str, int] = {}
     for job, value in by_kind[ENDED_KEY].items():
         ended = _read(_ended_rows, ENDED_KEY + job, value, restored)
         if ended is not None:
             restored.workflows[job] = _retired(job, ended, now)
+            ended_ms[job] = ended.ended_ms
+        yield
+    time.restore(_latest_time(by_kind[SHARD_TIME_KEY], ended_ms, restored), now)
+    for job, workflow in restored.workflows.items():
+        accepted_ms = workflow.submission.accepted_ms
+        workflow.accepted_at = workflow.due_at = time.steady(accepted_ms, now)
+        if job in ended_ms:
+            workflow.ended_at = time.steady(ended_ms[job], now)
         yield
     for job, value in by_kind[PROGRESS_KEY].items():
-        _restore_state(job, value, restored, now)
+        _restore_state(job, value, restored, time, now)
         yield
     for place, value in by_kind[GROUP_KEY].items():
-        _restore_group(place, value, restored, now)
+        _restore_group(place, value, restored, time, now)
         yield
     return restored
 
@@ -272,6 +304,23 @@
         return None
 
 
+def _latest_time(
+    records: t.Mapping[str, bytes], ended_ms: t.Mapping[str, int], restored: Restored
+) -> int:
+    """Return the latest shard time that a predecessor recorded."""
+    latest_ms = max(ended_ms.values(), default=0)
+    for workflow in restored.workflows.values():
+        latest_ms = max(latest_ms, workflow.submission.accepted_ms)
+    for key, value in records.items():
+        try:
+            latest_ms = max(latest_ms, decode_shard_time(value))
+        except msgspec.DecodeError as error:
+            restored.unreadable.append(
+                UnreadableRecord(SHARD_TIME_KEY + key, str(error))
+            )
+    return max(0, latest_ms)
+
+
 def _retired(job: str, row: EndedRow, now: float) -> Workflow:
     workflow = Workflow(Submission(job, row.queue, "", "", ()), now)
     workflow.end(t.cast(WorkflowState, row.state), now)
@@ -279,7 +328,9 @@
     return workflow
 
 
-def _restore_state(job: str, value: bytes, restored: Restored, now: float) -> None:
+def _restore_state(
+    job: str, value: bytes, restored: Restored, time: ShardTime, now: float
+) -> None:
     workflow = restored.workflows.get(job)
     if workflow is None or workflow.retired:
         return
@@ -293,12 +344,14 @@
         task = workflow.tasks.get((occurrence, step, index))
         if task is not None:
             task_row = TaskRow(index, run, state, box, tuple(failed), checkpoint)
-            _restore_task(task, task_row, now)
+            _restore_task(task, task_row, time, now)
     if row.tasks:
         restored.in_old_format.append(workflow)
 
 
-def _restore_group(place: str, value: bytes, restored: Restored, now: float) -> None:
+def _restore_group(
+    place: str, value: bytes, restored: Restored, time: ShardTime, now: float
+) -> None:
     job, _, numbers = place.partition("/")
     workflow = restored.workflows.get(job)
     if workflow is None or workflow.retired:
@@ -318,10 +371,10 @@
     for row in rows:
         task = workflow.tasks.get((occurrence, step, row.index))
         if task is not None:
-            _restore_task(task, row, now)
+            _restore_task(task, row, time, now)
 
 
-def _restore_task(task: Task, row: TaskRow, now: float) -> None:
+def _restore_task(task: Task, row: TaskRow, time: ShardTime, now: float) -> None:
     task.run = row.run
     task.failed_runs = frozenset(row.failed_runs)
     task.checkpoint = row.checkpoint
@@ -335,5 +388,12 @@
         # The job's end was written but the task's was not, so its stop may never have
         # been sent.
         task.state = STOPPING
+    elif task.state == RUNNING:
+        # The first poll shows whether it still runs, and counts it as running then.
+        task.state = STARTING
     task.box = row.box if task.placed else ""
-    task.started_at = now
+    task.started_at = since = time.steady(row.since_ms, now)
+    if task.placed:
+        task.inherited = row.since_ms != UNKNOWN_TIME
+    else:
+        task.times.enter("room", since)
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -39,6 +39,7 @@
 from .jobcalls import SubmitJob
 from .jobcalls import WaitingCount
 from .longrunningwaits import LongRunningWaits
+from .longrunningwaits import wait_over_events
 from .packing import Packer
 from .progress import Progress
 from .shardstate import SchedulerParameters
@@ -61,8 +62,9 @@
 # Pace of a task whose last pace command got no answer. It differs from every real pace,
 # so the next poll sends a command again.
 UNKNOWN_PACE_PERCENT: t.Final = -1
-# How often ended jobs are checked for those that are past their retention time.
-RETENTION_SWEEP_INTERVAL_S: t.Final = 2.0
+# How often ended jobs are checked for those that are past their retention time, and the
+# shard time is written. A change of leader leaves no more than this out of shard time.
+RETENTION_SWEEP_INTERVAL_S: t.Final = 1.0
 # How often learned interference is written. A successor loses no more than this.
 INTERFERENCE_WRITE_INTERVAL_S: t.Final = 3.0
 
@@ -160,6 +162,8 @@
         """Grant and renew no lease any more; a successor may start what waits."""
         self.stop_starting()
         self._fleet.leases.resign(now)
+        # Ages go on from here; otherwise each hand-over would take up to a second off.
+        self._state.record_time(now)
 
     def leader_mark(self, epoch: int, end: int, now: float) -> LeaderMark:
         """Return what this leader states about leases with an append; see
@@ -181,7 +185,7 @@
         if current is not None and config.version <= current.version:
             return []
         self._state.config = config
-        self._state.queues = {queue.name: queue for queue in config.queues}
+        self._state.apply_queues(config.queues)
         inputs = {"version": config.version, "queues": len(config.queues)}
         return [LogEvent("config_in_force", "config", inputs)]
 
@@ -259,6 +263,8 @@
 
     def _sweep(self, now: float) -> None:
         keep = self._state.parameters.keep_s
+        if self._state.workflows:
+            self._state.record_time(now)
         for job, workflow in list(self._state.workflows.items()):
             if not workflow.terminal:
                 continue
@@ -304,13 +310,14 @@
         if task is None or not current:
             return []
         if isinstance(outcome, CommandAccepted):
-            if task.state == STARTING:
-                task.mark_running(now)
-                box = self._state.boxes.get(incarnation)
-                if box is not None and task.spec.best_effort and box.serving:
-                    # Serving tasks that it slows should not wait for the next poll.
-                    return self._fleet.repace(box, now)
-            return []
+            if task.state != STARTING:
+                return []
+            task.mark_running(now)
+            box = self._state.boxes.get(incarnation)
+            if box is not None and task.spec.best_effort and box.serving:
+                # Serving tasks that it slows should not wait for the next poll.
+                return self._fleet.repace(box, now)
+            return list(wait_over_events(task))
         if isinstance(outcome, CommandRejected):
             return self._start_rejected(incarnation, task, outcome, now)
         if task.state != STARTING:
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .shardtime import UNKNOWN_TIME
 from .tasktimes import TaskTimes
 
 __all__ = [
@@ -85,6 +86,7 @@
     :param repeat_count: number of occurrences of the steps; 0 for one, without delay.
     :param start_at_ms: wall time of the first occurrence, in milliseconds since 1970.
     :param interval_ms: time from one occurrence to the next.
+    :param accepted_ms: when the leader accepted it, in shard time.
     """
 
     job: str
@@ -95,6 +97,7 @@
     repeat_count: int = 0
     start_at_ms: int = 0
     interval_ms: int = 0
+    accepted_ms: int = UNKNOWN_TIME
 
 
 class Task:
@@ -104,6 +107,7 @@
     :ivar run: number of its latest start, 0 before the first.
     :ivar sent: whether the command of that start may have been sent; for one of a
         predecessor, it may.
+    :ivar inherited: whether a predecessor started that run, and recorded when.
     :ivar running_since: time from which that run is known to run; 0 while it is not.
     :ivar suspicion: points for the boxes that it may have crashed; see
         :mod:`.crashloops`.
@@ -118,6 +122,7 @@
         "done_at",
         "failed_runs",
         "index",
+        "inherited",
         "name",
         "occurrence",
         "pace",
@@ -152,6 +157,7 @@
         # of its own would be a good part of the memory of each.
         self.failed_runs: frozenset[int] = frozenset()
         self.sent = True
+        self.inherited = False
         self.running_since = 0.0
         self.suspicion = 0
         self.checkpoint = ""
@@ -196,7 +202,10 @@
         """Record that a poll listed its run, or that its start was confirmed."""
         self.state = RUNNING
         self.confirmed_at = now
-        self.running_since = self.running_since or now
+        # Otherwise a run of weeks counts as one that has just begun, and is suspected of
+        # having crashed a box that is lost soon after a take-over.
+        began = self.started_at if self.inherited else now
+        self.running_since = self.running_since or began
         self.times.enter(self._run_phase, now)
 
     @property
@@ -293,6 +302,13 @@
     ) -> float:
         """Return the critical path from the start of ``step`` to the end of the job.
 
+        :param estimates: returns the duration of a step, in milliseconds.
+        """
+        return self.critical_paths_ms(estimates)[step]
+
+    def critical_paths_ms(self, estimates: t.Callable[[Step], float]) -> list[float]:
+        """Return the critical paths from the start of each step to the end of the job.
+
         :param estimates: returns the duration of a step, in milliseconds.
         """
         steps = self.submission.steps
@@ -304,7 +320,7 @@
                 if number in steps[later].depends_on
             ]
             longest[number] = estimates(steps[number]) + max(successors, default=0.0)
-        return longest[step]
+        return longest
 
     def end(self, state: WorkflowState, now: float) -> None:
         """Set the final state of the job."""
