--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -40,6 +40,7 @@
 from .interfaces import Record
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
+from .jobcalls import PendingCall
 from .journal import Journal
 from .journal import NotKept
 from .leaderlease import JournalLeaderLease
@@ -78,6 +79,7 @@
     """Decides for a shard in one epoch.
 
     :param claim: claim of the epoch that this session leads in.
+    :param ended_epochs: epochs whose leader's process has ended; may grow meanwhile.
     """
 
     def __init__(
@@ -87,8 +89,10 @@
         parameters: SchedulerParameters,
         log: NodeLog,
         metrics: NodeMetrics,
+        ended_epochs: t.Collection[int] = (),
     ) -> None:
         self._sources = sources
+        self._ended_epochs = ended_epochs
         self._claim = claim
         self._epoch = claim.epoch
         self._parameters = parameters
@@ -110,6 +114,7 @@
             parameters.call_bytes,
             self._leader_mark,
         )
+        self._state_reader = StateReader(sources.store, claim, log)
         self._lag = LoopLag(steadyclock.now)
         self._leader_lease = JournalLeaderLease(
             self._journal, parameters.orphan_s, self._lag
@@ -124,7 +129,7 @@
         self._window = CommandWindow(lag=self._lag) if limited else UnlimitedWindow()
         self._budget = PollBudget(parameters.connections)
         self._load_logged_at = time.monotonic()
-        self._callers: dict[str, _Caller] = {}
+        self._callers: dict[str, PendingCall] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         # Whether the predecessor's state is restored, so that this session decides.
         self._deciding = False
@@ -175,6 +180,11 @@
         """Whether this session has ended: requests belong to the successor."""
         return self._over
 
+    @property
+    def resignation_kept(self) -> bool:
+        """Whether the store knows that this leader has resigned."""
+        return self._journal.resignation_kept
+
     @property
     def store_unavailable(self) -> bool:
         """Whether an append has waited too long for the store."""
@@ -230,10 +240,15 @@
         with freeze_allocations():
             self._journal.start_from(state.records)
             mark = read_leader_mark(state.records, self._claim)
-            restoring = self._scheduler.restore_in_slices(state.records, now, mark)
+            restoring = self._scheduler.restore_in_slices(
+                state.records, now, mark, self._state_reader.records_lost
+            )
             del state
             self._apply(await in_slices(restoring))
-            self._apply([self._scheduler.fleet.leases.inherited_event(now)])
+            leases = self._scheduler.fleet.leases
+            for epoch in self._ended_epochs:
+                leases.record_process_end(epoch, now)
+            self._apply([leases.inherited_event(now)])
             self._operator_feed.load(read[self._sources.config_topic])
             await in_slices(self._box_feed.loading(read[self._sources.box_topic]))
         self._log.event(
@@ -253,12 +268,11 @@
         """Return the newest records of each topic, or ``None`` if unreadable."""
         read: dict[str, NewestRecords] = {}
         store = self._sources.store
-        state = StateReader(store, self._claim, self._log)
 
         async def fetch(topic: str) -> None:
             outcome: NewestRecords | NewestUnavailable | StateUnavailable
             if topic == JOBS_TOPIC:
-                outcome = await state.run()
+                outcome = await self._state_reader.run()
             else:
                 outcome = await read_newest(store, topic)
             if not isinstance(outcome, NewestRecords):
@@ -416,7 +430,7 @@
         """
         if self._over:
             raise Deposed
-        caller = self._callers[request] = _Caller()
+        caller = self._callers[request] = PendingCall()
         try:
             self._apply(self._scheduler.handle_call(request, call, time.monotonic()))
             while caller.outcome is None and not self._over:
@@ -474,16 +488,9 @@
         return self._scheduler.leader_mark(self._epoch, end, time.monotonic())
 
     async def drain(self) -> None:
-        """Return once all decisions are durable and carried out."""
-        while not self._journal.idle and not self._over:
+        """Return once all decisions made so far are durable and carried out; others may
+        follow them without end."""
+        batch = self._journal.next_batch
+        self._journal.request_append()
+        while not self._journal.is_complete(batch) and not self._over:
             await anyio.sleep(RETRY_INTERVAL_S / 10)
-
-
-class _Caller:
-    """A request that waits for the outcome of its call."""
-
-    __slots__ = ("changed", "outcome")
-
-    def __init__(self) -> None:
-        self.changed = anyio.Event()
-        self.outcome: JobOutcome | None = None
