--- a/tools/lease_mutants.py
+++ b/tools/lease_mutants.py
@@ -54,8 +54,8 @@
         (
             (
                 "boxleases.py",
-                "self._resigned, max(0.0, inherited_end - now))",
-                "self._resigned, 0.0)",
+                "inherited_s = max(0.0, inherited_end - now)",
+                "inherited_s = 0.0",
             ),
         ),
         "lease_waits_random",
--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -22,7 +22,7 @@
         (
             (
                 "shardstate.py",
-                "return self.lease_s * (1.0 + self.clock_slack) + 0.3",
+                "return lease_s * (1.0 + self.clock_slack) + 0.3",
                 "return 0.2",
             ),
         ),
--- a/tools/recovery_mutants.py
+++ b/tools/recovery_mutants.py
@@ -249,8 +249,8 @@
         (
             (
                 "node.py",
-                "self._leadership.epoch, self._refused_epoch)",
-                "self._leadership.epoch)",
+                "max(newest_known, self._refused_epoch)",
+                "newest_known",
             ),
         ),
         "own_limits",
