--- a/features/steps/shrunk_steps.py
+++ b/features/steps/shrunk_steps.py
@@ -5,7 +5,7 @@
 from behave import when
 
 from granitetrestle.workflows import Step
-from granitetrestle_standins.shardworld import CAPACITY_GRACE_S
+from granitetrestle_standins.modelboxes import CAPACITY_GRACE_S
 from granitetrestle_standins.shardworld import ShardWorld
 
 FULL_CPU = 4000
