A task that ran for long is not suspected as its box is lost before a successor's first poll

The tasks of a box that was lost before a new leader had polled it were all suspected of having crashed it, however long they had run: its loss counted as having been at time zero, before they started. Of 17 long-running tasks lost with three boxes around hand-overs 17 were suspected, and tasks of such boxes were given up, or tried late, for it.

A loss without any answer counts from the first poll that failed, or from now; a run that a predecessor recorded as started 5 s before the loss, or before the take-over where the box is not listed, is not blamed: a start without an answer is stopped sooner.

--- a/src/granitetrestle/crashloops.py
+++ b/src/granitetrestle/crashloops.py
@@ -24,10 +24,14 @@
     "has_just_started",
     "is_given_up",
     "may_have_crashed",
+    "ran_under_predecessor",
 ]
 
 # A run that was observed running for this long did not crash its box by its start.
 MIN_PROVEN_RUNTIME_S: t.Final = 2.0
+# A run that a predecessor started this long before. A start without an answer is tried
+# three times and then stopped, which takes less.
+MIN_INHERITED_RUNTIME_S: t.Final = 5.0
 # A start that crashes a box does so within 0.1 s; the rest is for the delivery of the
 # command and the detection of the lost connection, on a slow link and a busy leader.
 JUST_STARTED_MAX_AGE_S: t.Final = 0.5
@@ -83,10 +87,22 @@
     return bool(began) and box.clock_at - began >= MIN_PROVEN_RUNTIME_S
 
 
-def may_have_crashed(box: BoxView) -> list[Task]:
+def ran_under_predecessor(task: Task, lost_at: float) -> bool:
+    """Return whether a run that this leader has not observed began long before its box
+    was lost: by then its predecessor had stopped it, had its start been in doubt."""
+    if task.running_since or not task.inherited:
+        return False
+    return lost_at - task.started_at >= MIN_INHERITED_RUNTIME_S
+
+
+def may_have_crashed(box: BoxView, lost_at: float) -> list[Task]:
     """Return the tasks on a lost box that may have crashed it."""
     return [
-        task for task in box.tasks.values() if task.sent and not _is_proven(box, task)
+        task
+        for task in box.tasks.values()
+        if task.sent
+        and not _is_proven(box, task)
+        and not ran_under_predecessor(task, lost_at)
     ]
 
 
--- a/src/granitetrestle/losttasks.py
+++ b/src/granitetrestle/losttasks.py
@@ -10,6 +10,7 @@
 from .crashloops import has_just_started
 from .crashloops import is_given_up
 from .crashloops import may_have_crashed
+from .crashloops import ran_under_predecessor
 from .decisions import Decision
 from .decisions import LogEvent
 from .progress import Progress
@@ -47,7 +48,9 @@
 
     def _blame(self, box: BoxView, now: float) -> BlamedTasks:
         """Count the loss of a box against the tasks that may have crashed it."""
-        candidates, lost_at = may_have_crashed(box), box.lost_at or box.clock_at
+        # Without any answer it may have been lost before this leader first polled it.
+        lost_at = box.lost_at or box.clock_at or box.silent_since or now
+        candidates = may_have_crashed(box, lost_at)
         if not any(has_just_started(task, lost_at) for task in candidates):
             self._losses.record_unexplained(now)
         maybe_unrelated = self._losses.may_be_unrelated(box.silent_since, now)
@@ -65,7 +68,8 @@
             "since_take_over_s": round(since_take_over_s, 2),
         }
         effects: list[Decision] = [LogEvent("box_never_listed", incarnation, inputs)]
-        blame(there)
+        took_over_at = now - since_take_over_s
+        blame([task for task in there if not ran_under_predecessor(task, took_over_at)])
         for task in there:
             given_up = is_given_up(task, alone=False)
             effects += self._progress.requeue_lost(task, given_up, now)
