A long-running task that waits is reported though others of its step start

The time of a step's wait began anew with each task of it that started, so a task that waited for 20 s beside others appeared in no lasting_waits line, and its cause could not be found.

The report counts from the task that has waited longest. Placement is as before.

--- a/features/native_policy.feature
+++ b/features/native_policy.feature
@@ -80,6 +80,11 @@
       | 13      |
       | 30      |
 
+  Scenario: A long-running task that waits is reported though others of its step start
+    Given a box of 64 cores, where three long-running tasks of 40 cores wait for room
+    When a second box is added after 2 seconds
+    Then 2.8 seconds later the log gives a wait of at least 3.9 seconds
+
   Scenario Outline: The log says why long-running tasks wait while they wait
     Given four boxes of 64 cores, where long-running tasks wait for <reason>
     When 5 seconds pass in which nothing frees room
--- a/features/steps/lasting_steps.py
+++ b/features/steps/lasting_steps.py
@@ -107,6 +107,39 @@
     assert counted == {cause}, causes
 
 
+@given("a box of 64 cores, where three long-running tasks of 40 cores wait for room")
+def three_large_tasks(context):
+    context.harness = SchedulerHarness(1, OFF)
+    step = Step(count=3, cpu=40_000, memory_mb=100, long_running=True)
+    context.workflow = context.harness.submit("job", step)
+
+
+@when("a second box is added after {seconds:g} seconds")
+def second_box(context, seconds):
+    harness = context.harness
+    harness.wait(seconds)
+    entry = harness.entries["b0"]._replace(incarnation="b1", address="a1")
+    harness.entries["b1"] = entry
+    harness.scheduler.fleet.update_boxes(harness.entries, harness.now)
+    harness.poll("b1")
+    harness.decide()
+    placed = [task for task in context.workflow.tasks.values() if task.placed]
+    assert len(placed) == 2, placed
+
+
+@then("{seconds:g} seconds later the log gives a wait of at least {least:g} seconds")
+def wait_logged(context, seconds, least):
+    harness = context.harness
+    harness.log_events.clear()
+    harness.wait(seconds)
+    waits = [
+        event.inputs["waited_s"]
+        for event in harness.log_events
+        if event.event == "lasting_waits"
+    ]
+    assert waits and max(waits) >= least, waits
+
+
 class FailingBox:
     """A scheduler with one box, where every run soon fails while ``fails`` is set."""
 
--- a/src/granitetrestle/longrunningwaits.py
+++ b/src/granitetrestle/longrunningwaits.py
@@ -6,6 +6,7 @@
 
 import collections
 import enum
+import math
 import typing as t
 
 from .boxes import BoxView
@@ -111,9 +112,10 @@
         waits = [
             entry
             for entry in self._state.waiting.values()
-            if entry.spec.long_running and now - entry.waits_since > REPORT_THRESHOLD_S
+            if entry.spec.long_running
+            and now - _waits_since(entry) > REPORT_THRESHOLD_S
         ]
-        waits.sort(key=lambda entry: entry.waits_since)
+        waits.sort(key=_waits_since)
         for entry in waits[: max(1, min(MAX_REPORTS, MAX_BOXES_EXAMINED // boxes))]:
             cause, inputs = self._explain(entry, headroom, now)
             causes[cause] += len(entry.tasks)
@@ -157,7 +159,7 @@
             cause = WaitCause.UNREACHED
         inputs = {
             "cause": cause.value,
-            "waited_s": round(now - entry.waits_since, 2),
+            "waited_s": round(now - _waits_since(entry), 2),
             "tasks": len(entry.tasks),
             "cpu": step.cpu,
             "memory_mb": step.memory_mb,
@@ -211,6 +213,13 @@
             yield LogEvent("lasting_waits", incarnation, inputs)
 
 
+def _waits_since(entry: WaitingStep) -> float:
+    """Return since when the task waits that has waited longest; others of its step may
+    have started meanwhile."""
+    waits = (task.times.waits_since for task in entry.tasks.values())
+    return min((since for since in waits if since is not None), default=math.inf)
+
+
 def wait_over_events(task: Task) -> list[LogEvent]:
     """Return the event that ends the reports about a long-running task's wait, which may
     have begun under earlier leaders, now that its start was accepted."""
