A failing scenario: a box that has answered counts as leased for too long

At a box's first answer its last lease counts until former leaders can't renew any more, after two changes out of order in a row 5.4 s with leases of 3 s, though the box rejects them from then on and holds no lease for longer than one.

--- a/features/lease_waits_random.feature
+++ b/features/lease_waits_random.feature
@@ -28,6 +28,10 @@
     When a series of changes of leader runs from seed 356
     Then no promise was broken
 
+  Scenario: A box that has answered a leader is not waited for as long as former leaders might renew
+    When a series of changes of leader runs from seed 761
+    Then no promise was broken
+
   Scenario: A poll that renews nothing and is never sent does not shorten the lease before
     Given a shard of 3 boxes among models
     When the box of a long-running task accepts no connection just as its leader, without the store, may no longer renew its lease
