At a box's first answer no lease of an earlier leader runs longer than the longest that boxes grant

Time for which earlier leaders might still renew was counted for a box that had answered, and rejects them from then on; a mark that does not state how long its leader's leases are counted as leases of no time.

The first is bounded by the longest lease from the answer on; a mark without that statement proves nothing.

--- a/src/granitetrestle/inheritedleases.py
+++ b/src/granitetrestle/inheritedleases.py
@@ -57,11 +57,12 @@
     def end_at_adoption(self, now: float) -> float:
         """Return when the last of these leases has ended on a box that has answered by
         ``now``, and rejects earlier leaders from then on."""
+        longest_end = now + self._parameters.max_lease_bound_s
         mark = self._predecessor
         if mark is None:
-            return now + self._parameters.max_lease_bound_s
+            return longest_end
         inherited_end = self._took_over_at + mark.inherited_s
-        return max(now + mark.lease_bound_s, inherited_end)
+        return min(longest_end, max(now + mark.lease_bound_s, inherited_end))
 
     def record_box(self, incarnation: str, left_s: float | None) -> None:
         """Apply a predecessor's record that it renews the leases of a box no more.
--- a/src/granitetrestle/statedigest.py
+++ b/src/granitetrestle/statedigest.py
@@ -231,7 +231,7 @@
         stored = _digest_decoder.decode(value or b"")
     except msgspec.DecodeError:
         return None
-    if not stored.epoch or stored.end + 1 != claim.end:
+    if not stored.epoch or not stored.lease_ms or stored.end + 1 != claim.end:
         return None
     if stored.epoch < claim.newest_known:
         # A leader of a version that claims its epoch without a record came after it.
