Test: a task that has run for long is blamed for boxes that are lost soon after hand-overs

A leader counts how long a task has run from its own first poll. Two boxes that crash within half a second of a hand-over, a minute apart, end the job of a task that did nothing wrong as failed.

--- a/features/hand_over_findings.feature
+++ b/features/hand_over_findings.feature
@@ -92,3 +92,8 @@
     Given 3 real processes and 2 boxes
     When the leader is stopped in order
     Then its successor counts on its resignation
+
+  Scenario: A task that has run for long is not blamed for boxes that are lost soon after hand-overs
+    Given a shard of 6 boxes among models
+    When a long-running task has run for 100 s, and 3 times the leader hands over, the task's box crashes 0.3 s later, and the task runs for another minute
+    Then its job has not failed
--- a/features/steps/hand_over_findings_steps.py
+++ b/features/steps/hand_over_findings_steps.py
@@ -449,3 +449,29 @@
     cluster = context.cluster
     newest = inherited(cluster, cluster.leader())[-1]
     assert newest["proof"] == "resigned", newest
+
+
+@when(
+    "a long-running task has run for {seconds:g} s, and {count:d} times the leader "
+    "hands over, the task's box crashes {later:g} s later, and the task runs for "
+    "another minute"
+)
+def crashes_after_hand_overs(context, seconds, count, later):
+    world = context.world
+    lasting_task(context)
+    world.advance(seconds)
+    for _ in range(count):
+        world.hand_over()
+        world.advance(later)
+        tasks = world.leader.scheduler.state.workflows[context.job].tasks
+        alive = sorted(name for name in world.entries if world.boxes[name].alive)
+        boxes = {task.box for task in tasks.values()}
+        for box in boxes:
+            world.crash_box(alive.index(box))
+        world.advance(60.0)
+
+
+@then("its job has not failed")
+def job_not_failed(context):
+    workflow = context.world.leader.scheduler.state.workflows[context.job]
+    assert workflow.state == "running", workflow.state
