--- a/features/hand_over_findings.feature
+++ b/features/hand_over_findings.feature
@@ -97,3 +97,13 @@
     Given a shard of 6 boxes among models
     When a long-running task has run for 100 s, and 3 times the leader hands over, the task's box crashes 0.3 s later, and the task runs for another minute
     Then its job has not failed
+
+  Scenario Outline: A leader waits for the longer leases that a leader of an older version granted
+    Given a shard whose boxes grant 10 s, and a leader that grants as much
+    When a long-running task runs, a leader that grants 6 s takes over, and <what>
+    Then no task ever ran on two boxes
+
+    Examples:
+      | what                                                           |
+      | the box is cut off once it has answered that one               |
+      | the box is reached only by the older one, without the store    |
--- a/features/steps/hand_over_findings_steps.py
+++ b/features/steps/hand_over_findings_steps.py
@@ -475,3 +475,29 @@
 def job_not_failed(context):
     workflow = context.world.leader.scheduler.state.workflows[context.job]
     assert workflow.state == "running", workflow.state
+
+
+@given("a shard whose boxes grant 10 s, and a leader that grants as much")
+def boxes_grant_longer(context):
+    world = context.world = ShardWorld(7, 6)
+    world.parameters = world.parameters._replace(lease_s=10.0, orphan_s=8.0)
+    for box in world.boxes.values():
+        box._hold_max_s = 10.0
+    world.hand_over()
+
+
+@when("a long-running task runs, a leader that grants 6 s takes over, and {what}")
+def shorter_leases(context, what):
+    world = context.world
+    box = lasting_task(context).box
+    world.parameters = world.parameters._replace(lease_s=6.0)
+    older = world.leader
+    world.take_over()
+    if what == "the box is cut off once it has answered that one":
+        world.advance(0.1)
+        world.cut_until[box] = world.now + 1000.0
+    else:
+        older.without_store = True
+        older.cut_from.update(world.entries.keys() - {box})
+        world.leader.cut_from.add(box)
+    world.advance(40.0)
