--- a/features/hand_over_findings.feature
+++ b/features/hand_over_findings.feature
@@ -107,3 +107,8 @@
       | what                                                           |
       | the box is cut off once it has answered that one               |
       | the box is reached only by the older one, without the store    |
+
+  Scenario: A hand-over does not hide a leader that renews leases of a box that is no longer listed
+    Given a shard of 6 boxes among models
+    When a long-running task runs on an unlisted box that only a leader without the store reaches, and its successor hands over at once
+    Then no task ever ran on two boxes
--- a/features/steps/hand_over_findings_steps.py
+++ b/features/steps/hand_over_findings_steps.py
@@ -501,3 +501,20 @@
         older.cut_from.update(world.entries.keys() - {box})
         world.leader.cut_from.add(box)
     world.advance(40.0)
+
+
+@when(
+    "a long-running task runs on an unlisted box that only a leader without the store "
+    "reaches, and its successor hands over at once"
+)
+def unlisted_and_renewed(context):
+    world = context.world
+    box = lasting_task(context).box
+    older = world.leader
+    older.without_store = True
+    older.cut_from.update(world.entries.keys() - {box})
+    del world.entries[box]
+    world.take_over()
+    world.advance(0.3)
+    world.hand_over()
+    world.advance(20.0)
