A resigning leader waits for a ready process that it can't send to yet, rather than ask one that stops

A process that has just restarted is ready, but a connection to it stays in the library's reconnect interval of up to a second.

A process that is not ready is asked only if none is ready. A connection to an earlier incarnation of a process is closed as soon as the next one reports, so that the new one opens at once.

--- a/features/inherited_leases.feature
+++ b/features/inherited_leases.feature
@@ -108,7 +108,8 @@
       | can be reached 0.2 s later, to                  | the first  | 0.35  |
       | stop, but for one that is ready 0.2 s later, to | the second | 0.35  |
       | are not ready to                                | the first  | 0.6   |
-      | can never be reached, to                        | nobody     | 1.0   |
+      | are ready 0.6 s before they can be reached, to  | the first  | 0.75  |
+      | can never be reached, to                        | nobody     | 1.4   |
 
   Scenario: A job that can't be read keeps the wait for all boxes
     Its tasks may run on any box, whose other tasks say nothing about that.
--- a/features/steps/inherited_lease_steps.py
+++ b/features/steps/inherited_lease_steps.py
@@ -362,6 +362,7 @@
     "can be reached 0.2 s later, to": ((0.0, 0.0), (0.2, NEVER_S)),
     "stop, but for one that is ready 0.2 s later, to": ((NEVER_S, 0.2), (0.0, 0.0)),
     "are not ready to": ((NEVER_S, NEVER_S), (0.0, 0.0)),
+    "are ready 0.6 s before they can be reached, to": ((0.0, NEVER_S), (0.6, 0.0)),
     "can never be reached, to": ((0.0, 0.0), (NEVER_S, NEVER_S)),
 }
 
--- a/src/granitetrestle/handover.py
+++ b/src/granitetrestle/handover.py
@@ -11,7 +11,7 @@
 
 # A connection to a process that has just restarted opens within a second, and nobody
 # leads meanwhile. Without a request, the silence of the leader is noticed after as long.
-ASK_TIMEOUT_S: t.Final = 0.8
+ASK_TIMEOUT_S: t.Final = 1.2
 ASK_INTERVAL_S: t.Final = 0.02
 # Processes that are not ready start, or stop and never take over, so they are asked only
 # if none becomes ready within this time.
@@ -34,9 +34,9 @@
     began = time.monotonic()
     while True:
         waited_s = time.monotonic() - began
-        candidates = [*ready()]
-        if waited_s >= READY_TIMEOUT_S:
-            candidates += others()
+        candidates = ready()
+        if not candidates and waited_s >= READY_TIMEOUT_S:
+            candidates = others()
         for node in candidates:
             if send(node, LeaderResigned(epoch)):
                 return node
--- a/src/granitetrestle/peerlink.py
+++ b/src/granitetrestle/peerlink.py
@@ -75,6 +75,8 @@
         self._inbound.setsockopt(zmq.LINGER, 0)
         self._inbound.bind(f"tcp://{bind}")
         self._peers: dict[str, _Peer] = {}
+        # Process -> its incarnation by the message that was received last.
+        self._incarnations: dict[str, str] = {}
         self._not_opened = 0
         self.dropped = 0
         self.on_not_opened: t.Callable[[str, str], None] = _ignore
@@ -183,11 +185,20 @@
             while (frames := self._next_frames()) is not None:
                 envelope = self._decode(frames)
                 if envelope is not None:
+                    self._drop_outdated(envelope)
                     yield envelope
             # The descriptor is edge-triggered; the timeout covers a missed edge.
             with anyio.move_on_after(RECEIVE_RECHECK_INTERVAL_S):
                 await anyio.wait_readable(descriptor)
 
+    def _drop_outdated(self, envelope: Envelope) -> None:
+        """Close the connection to an earlier incarnation of a process that has started
+        again. The library would reopen it only after its growing interval."""
+        node, incarnation = envelope.sender, envelope.incarnation
+        if self._incarnations.setdefault(node, incarnation) != incarnation:
+            self._incarnations[node] = incarnation
+            self.disconnect(node)
+
     def _next_frames(self) -> list[bytes] | None:
         try:
             return self._inbound.recv_multipart(zmq.NOBLOCK)
