Count owners before the last one that may still renew leases

Cause: a successor looked only at the owner right before it. If that one had released the shard, or its process was seen replaced, leases and loans of an older owner, which is cut off and renews for up to 600 s, counted as ended after one lease.

Change: the state of a shard, which follows from the log alone, names each owner that lost the shard without a release, with the log's time of the claim after it. A successor waits for all of them but those whose processes were replaced, for leases and for loans. Records are unchanged. A release can't vouch for older owners: a box that has reported still takes their renewals.

--- a/src/granitetrestle/lending.py
+++ b/src/granitetrestle/lending.py
@@ -104,10 +104,14 @@
         """Replace the endpoints that may be lent."""
         self._lendable = lendable
 
-    def shorten_older_loans(self, now: float) -> None:
-        """Expect older loans to end within one duration: nobody renews them now."""
+    def shorten_older_loans(self, renewals_end_at: float) -> None:
+        """Expect older loans to end one duration after nobody renews them any more.
+
+        :param renewals_end_at: monotonic time from which that holds.
+        """
         self._older_loans_end_at = min(
-            self._older_loans_end_at, now + self._parameters.loan_duration_s
+            self._older_loans_end_at,
+            renewals_end_at + self._parameters.loan_duration_s,
         )
 
     def outstanding(self, endpoint: str, now: float) -> int:
--- a/src/granitetrestle/ownership.py
+++ b/src/granitetrestle/ownership.py
@@ -6,14 +6,16 @@
 process measures its ownership lease by its own monotonic clock."""
 
 import dataclasses
+import math
 import typing as t
 
 from .records import Beat
+from .records import LogRecord
 from .records import Renewed
 from .records import ShardClaimed
 from .records import ShardReleased
 
-__all__ = ["Ownership", "OwnershipParameters", "Member", "ShardState"]
+__all__ = ["EarlierOwner", "Member", "Ownership", "OwnershipParameters", "ShardState"]
 
 
 class OwnershipParameters(t.NamedTuple):
@@ -36,9 +38,30 @@
     member_timeout_s: float = 60.0
 
 
+class EarlierOwner(t.NamedTuple):
+    """An owner that lost its shard without releasing it, and may not know that yet.
+
+    :param superseded_at: wall time (s) of the log at which another process's claim won;
+        infinite if it is not known.
+    """
+
+    incarnation: str
+    superseded_at: float
+
+
+def _unknown_owners() -> dict[str, EarlierOwner]:
+    # No process has an empty name, so none of these is ever seen replaced.
+    return {"": EarlierOwner("", math.inf)}
+
+
 @dataclasses.dataclass(slots=True)
 class ShardState:
-    """State of a shard, derived from a prefix of the log alone."""
+    """State of a shard, derived from a prefix of the log alone.
+
+    :param earlier_owners: node -> its newest process that lost the shard without
+        releasing it. Releases and claims of later owners prove nothing about it.
+        Snapshots of older versions lack this, so the default stands for any owners.
+    """
 
     epoch: int = 0
     holder: str = ""
@@ -47,6 +70,9 @@
     renewal_number: int = 0
     released: bool = True
     heir: str = ""
+    earlier_owners: dict[str, EarlierOwner] = dataclasses.field(
+        default_factory=_unknown_owners
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,10 +182,11 @@
                 self._log_lease_starts_at, self._heartbeats_sent_at[beat.number]
             )
 
-    def apply_claim(self, offset: int, fact: ShardClaimed, now: float) -> bool:
+    def apply_claim(self, record: LogRecord, fact: ShardClaimed, now: float) -> bool:
         """Apply a claim.
 
-        :returns: whether the claim won, which sets the epoch to ``offset``.
+        :param record: the record that holds it.
+        :returns: whether the claim won, which sets the epoch to the record's offset.
         """
         shard = self._shards.get(fact.shard)
         if shard is None or fact.previous_epoch != shard.epoch:
@@ -173,11 +200,12 @@
                 self._predecessor_quiesced_at(shard, now),
             )
         self._shards[fact.shard] = ShardState(
-            epoch=offset,
+            epoch=record.offset,
             holder=fact.node,
             holder_incarnation=fact.incarnation,
-            renewal=offset,
+            renewal=record.offset,
             released=False,
+            earlier_owners=_earlier_owners(shard, fact.node, record.at),
         )
         return True
 
@@ -285,17 +313,26 @@
         """Return the time after which the previous owner sends no more starts."""
         return self._acquisitions.get(shard, (0.0, 0.0))[1]
 
-    def holder_was_replaced(self, previous: ShardState) -> bool:
-        """Return whether a previous owner's process has provably been replaced.
+    def superseded_at(self, shard: int) -> float:
+        """Return when the last earlier owner lost ``shard`` that may not know it yet.
 
-        The platform never runs two processes under one node's name.
+        Owners that have released it are left out, as are those whose process has
+        provably been replaced: the platform never runs two processes under one node's
+        name. In wall time (s) of the log; minus infinity if no owner is left.
         """
-        member = self._members.get(previous.holder)
-        return (
-            member is not None
-            and member.beat.incarnation != previous.holder_incarnation
+        return max(
+            (
+                owner.superseded_at
+                for node, owner in self._shards[shard].earlier_owners.items()
+                if not self._was_replaced(node, owner.incarnation)
+            ),
+            default=-math.inf,
         )
 
+    def _was_replaced(self, node: str, incarnation: str) -> bool:
+        member = self._members.get(node)
+        return member is not None and member.beat.incarnation != incarnation
+
     def live_members(self, now: float) -> list[str]:
         """Return the members that renewed within a lease and its margin, sorted.
 
@@ -380,3 +417,26 @@
         self._tail_read_at = -1e18
         for number in self._shards:
             self._shards[number] = shards.get(number, ShardState())
+
+
+def _earlier_owners(
+    previous: ShardState, claimant: str, at: float
+) -> dict[str, EarlierOwner]:
+    """Return the owners before a claim that may still renew leases.
+
+    The claimant's node is left out: the process that claims has read of the end of its
+    own epochs, and replaces any other of that name.
+
+    :param previous: state of the shard before the claim.
+    :param at: wall time (s) that the log assigned to the claim.
+    """
+    if not previous.epoch:
+        return {}
+    owners = {
+        node: owner._replace(superseded_at=min(owner.superseded_at, at))
+        for node, owner in previous.earlier_owners.items()
+        if node != claimant
+    }
+    if not previous.released:
+        owners[previous.holder] = EarlierOwner(previous.holder_incarnation, at)
+    return owners
--- a/src/granitetrestle/placement.py
+++ b/src/granitetrestle/placement.py
@@ -99,10 +99,11 @@
         )
         if before.epoch:
             starts_expired_wall += self._parameters.clock_margin_s
-        orphan_s = 0.0 if before.released else self._parameters.orphan_s
+        renewals_end_wall = self._parameters.renewals_end_wall(
+            self._ownership.superseded_at(shard)
+        )
         leases_expired_wall = (
-            starts_expired_wall
-            + orphan_s
+            max(starts_expired_wall, renewals_end_wall)
             + self._parameters.lease_s
             + self._parameters.clock_margin_s
         )
--- a/src/granitetrestle/placementparameters.py
+++ b/src/granitetrestle/placementparameters.py
@@ -23,6 +23,11 @@
     exchange_s: float = 1.0
     orphan_s: float = 600.0
 
+    def renewals_end_wall(self, superseded_at: float) -> float:
+        """Return the wall time (s) after which an owner renews no lease and prolongs no
+        loan that lost its shard at ``superseded_at``, by another machine's clock."""
+        return superseded_at + self.orphan_s + self.clock_margin_s
+
 
 def shard_of(box: str, shards: int) -> int:
     """Return the shard of a box. All processes and releases must agree on it."""
--- a/src/granitetrestle/reducer.py
+++ b/src/granitetrestle/reducer.py
@@ -358,34 +358,34 @@
             return []
         effects: list[Effect] = []
         for fact in record.batch.facts:
-            effects += self._apply_fact(record.offset, fact, now)
+            effects += self._apply_fact(record, fact, now)
         return effects
 
-    def _apply_fact(self, offset: int, fact: Fact, now: float) -> list[Effect]:
+    def _apply_fact(self, record: LogRecord, fact: Fact, now: float) -> list[Effect]:
         match fact:
             case Renewed():
-                self._ownership.apply_renewed(offset, fact, now)
+                self._ownership.apply_renewed(record.offset, fact, now)
                 self._heartbeat.remove_appended(fact.beats)
                 return []
             case AttemptEnded():
-                return self._apply_end(offset, fact, now)
+                return self._apply_end(record.offset, fact, now)
             case JobSubmitted():
-                return self._apply_submission(offset, fact)
+                return self._apply_submission(record.offset, fact)
             case JobCancelled():
-                return self._apply_cancellation(offset, fact)
+                return self._apply_cancellation(record.offset, fact)
             case ShardClaimed():
-                return self._apply_claim(offset, fact, now)
+                return self._apply_claim(record, fact, now)
             case ShardReleased():
-                return self._apply_release(offset, fact)
+                return self._apply_release(record.offset, fact)
             case TableEdited():
-                outcome = self._table.apply(offset, fact)
+                outcome = self._table.apply(record.offset, fact)
                 return self._submissions.read_back(fact.request, outcome)
             case BoxDrained():
                 self._owner.placement.box_drained(fact.box, fact.drained)
-                return self._read_back(fact.request, fact.box, offset)
+                return self._read_back(fact.request, fact.box, record.offset)
             case HallEvacuated():
                 self._owner.placement.hall_evacuated(fact.evacuated)
-                return self._read_back(fact.request, self._setup.hall, offset)
+                return self._read_back(fact.request, self._setup.hall, record.offset)
             case _:
                 return []
 
@@ -415,12 +415,13 @@
         effects: list[Effect] = []
         if job is not None:
             effects += self._owner.placement.job_cancelled(job)
-        done = Accepted(fact.job, offset)
-        return effects + self._submissions.read_back(fact.request, done)
+        return effects + self._read_back(fact.request, fact.job, offset)
 
-    def _apply_claim(self, offset: int, fact: ShardClaimed, now: float) -> list[Effect]:
+    def _apply_claim(
+        self, record: LogRecord, fact: ShardClaimed, now: float
+    ) -> list[Effect]:
         before = self._ownership.shards.get(fact.shard)
-        if before is None or not self._ownership.apply_claim(offset, fact, now):
+        if before is None or not self._ownership.apply_claim(record, fact, now):
             return []
         effects = self._owner.close_epoch(fact.shard)
         if fact.incarnation == self._setup.incarnation:
--- a/src/granitetrestle/shards.py
+++ b/src/granitetrestle/shards.py
@@ -63,7 +63,8 @@
         self._starter = TaskStarter(stream, shards, policy, table, jobs)
         self._lenders: dict[int, Lender] = {}
         self._keys: dict[int, KeyLedger] = {}
-        self._previous_states: dict[int, ShardState] = {}
+        # Owned shard -> what its books count as :meth:`.Ownership.superseded_at`.
+        self._superseded_at: dict[int, float] = {}
         self._sweep_at = -1e18
         self._releasing: set[int] = set()
         self._released: set[int] = set()
@@ -87,12 +88,16 @@
         """
         effects = self._placement.open_shard(shard, previous, now, wall)
         epoch = self._ownership.shards[shard].epoch
+        superseded_at = self._ownership.superseded_at(shard)
         older_loans_end_at = now
         if previous.epoch:
-            orphan_s = 0.0 if previous.released else self._parameters.orphan_s
-            quiesced_at = self._ownership.predecessor_quiesced_at(shard)
+            renewals_end_wall = self._parameters.renewals_end_wall(superseded_at)
             older_loans_end_at = (
-                quiesced_at + orphan_s + self._lending_parameters.loan_duration_s
+                max(
+                    self._ownership.predecessor_quiesced_at(shard),
+                    now + renewals_end_wall - wall,
+                )
+                + self._lending_parameters.loan_duration_s
             )
         nodes = self._ownership.nodes
         self._lenders[shard] = Lender(
@@ -101,7 +106,7 @@
         since = wall + KEY_AHEAD_S + self._parameters.clock_margin_s
         since = since if previous.epoch else 0.0
         self._keys[shard] = KeyLedger(since)
-        self._previous_states[shard] = previous
+        self._superseded_at[shard] = superseded_at
         self._releasing.discard(shard)
         self._released.discard(shard)
         return effects
@@ -110,7 +115,7 @@
         """Close the books and ledgers of an epoch that has ended."""
         self._lenders.pop(shard, None)
         self._keys.pop(shard, None)
-        self._previous_states.pop(shard, None)
+        self._superseded_at.pop(shard, None)
         return self._placement.close_shard(shard)
 
     def release_after_gap(self, shard: int, epoch: int) -> Effect:
@@ -223,27 +228,27 @@
         self, shard: int, owned: OwnedShard, now: float, wall: float
     ) -> list[Effect]:
         """Check every box and task; urgent work is done on each tick instead."""
-        self._check_previous_owner(shard, owned, now, wall)
+        self._check_earlier_owners(shard, owned, now, wall)
         effects = self._placement.end_lapsed(owned, wall)
         effects += self._drain(owned, now)
         self._update_lendable(owned, now)
         self._keys[shard].prune(wall)
         return effects
 
-    def _check_previous_owner(
+    def _check_earlier_owners(
         self, shard: int, owned: OwnedShard, now: float, wall: float
     ) -> None:
-        previous = self._previous_states.get(shard)
-        if previous is None or not previous.epoch:
-            return
-        if not self._ownership.holder_was_replaced(previous):
+        """Wait for less once an earlier owner's process was seen replaced."""
+        superseded_at = self._ownership.superseded_at(shard)
+        if superseded_at >= self._superseded_at[shard]:
             return
-        del self._previous_states[shard]
+        self._superseded_at[shard] = superseded_at
+        renewals_end_wall = max(wall, self._parameters.renewals_end_wall(superseded_at))
         margin = self._parameters.lease_s + self._parameters.clock_margin_s
         owned.old_leases_expired_wall = min(
-            owned.old_leases_expired_wall, wall + margin
+            owned.old_leases_expired_wall, renewals_end_wall + margin
         )
-        self._lenders[shard].shorten_older_loans(now)
+        self._lenders[shard].shorten_older_loans(now + renewals_end_wall - wall)
 
     def _exchange(
         self, owned: OwnedShard, sweep: bool, now: float, wall: float
--- a/tools/older_mutants.py
+++ b/tools/older_mutants.py
@@ -32,6 +32,17 @@
         ),
         "promise_2_one_place_at_a_time",
     ),
+    Mutant(
+        "2: only the last owner before a claim is waited for",
+        (
+            (
+                "ownership.py",
+                "        if node != claimant\n",
+                "        if False\n",
+            ),
+        ),
+        "earlier_owners",
+    ),
     Mutant(
         "3: the next attempt forgets the checkpoint",
         (
