A command window for each path: boxes of a far area no longer shrink that of near ones

Cause: with boxes at 0.3 ms and at 40 ms behind one window, an answer from the other area over a new connection (three round trips) counted as congestion against the shortest latency of a near box; the window stayed at 6 to 15 commands while 2,479 tasks waited.

Change: commandpaths.py keeps a window for each area that the leader's boxes stand in; latencies are compared within a data hall; 256 commands in flight for all windows together, urgent ones first, then the window with the fewest. StartLimits tells a pass how many tasks it may place on each path, so none waits for a link while other boxes have room. One area is one window, as before. Moves of slowed tasks leave dispatch.py for slowmoves.py, unchanged.

--- a/features/steps/aged_steps.py
+++ b/features/steps/aged_steps.py
@@ -10,6 +10,7 @@
 from granitetrestle.interfaces import PollResult
 from granitetrestle.jobcalls import SubmitJob
 from granitetrestle.scheduler import Scheduler
+from granitetrestle.startlimits import StartLimits
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from session_world import CONFIG
@@ -55,7 +56,9 @@
             for _ in range(2 * self.most):
                 self.submit(URGENT)
             wall_ms = int(self.now * 1000)
-            for decision in self.scheduler.decide(self.now, wall_ms, self.most):
+            for decision in self.scheduler.decide(
+                self.now, wall_ms, StartLimits(self.most)
+            ):
                 if isinstance(decision, StartTask):
                     self.start(decision)
 
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -317,7 +317,7 @@
 def move_target(context):
     halls = context.halls
     halls.scheduler.state.index.refresh(halls.now)
-    return halls.scheduler.dispatcher._better_box(context.task, halls.now)
+    return halls.scheduler._slow_moves._better_box(context.task, halls.now)
 
 
 @then("it would move to a box")
--- a/features/steps/late_steps.py
+++ b/features/steps/late_steps.py
@@ -11,7 +11,6 @@
 from granitetrestle.decisions import AcknowledgeEnds
 from granitetrestle.decisions import StartTask
 from granitetrestle.decisions import StopTask
-from granitetrestle.dispatch import UNLIMITED_STARTS
 from granitetrestle.interfaces import BoxEntry
 from granitetrestle.interfaces import CommandAccepted
 from granitetrestle.interfaces import Config
@@ -25,6 +24,8 @@
 from granitetrestle.retryafter import SteadyRetries
 from granitetrestle.scheduler import Scheduler
 from granitetrestle.shardstate import SchedulerParameters
+from granitetrestle.startlimits import UNLIMITED_STARTS
+from granitetrestle.startlimits import StartLimits
 from granitetrestle.waitingorder import count_waiting_tasks
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
@@ -180,7 +181,7 @@
         for incarnation in self.running:
             self.poll(incarnation)
         if decide:
-            self.apply(self.scheduler.decide(self.now, 0, self.max_starts))
+            self.apply(self.scheduler.decide(self.now, 0, StartLimits(self.max_starts)))
 
     def in_time(self, times=1.0):
         """Return how many jobs were completed within ``times`` their objective."""
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -20,6 +20,7 @@
 from granitetrestle.looplag import LoopLag
 from granitetrestle.nodemetrics import NodeMetrics
 from granitetrestle.pollbudget import PollBudget
+from granitetrestle.startlimits import StartLimits
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle_bench.deciding import Load
@@ -188,7 +189,7 @@
 def place_starts(context):
     load = context.load
     load.now += 0.1
-    decisions = load.scheduler.decide(load.now, 0, context.most)
+    decisions = load.scheduler.decide(load.now, 0, StartLimits(context.most))
     return [d for d in decisions if isinstance(d, StartTask)]
 
 
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -379,13 +379,16 @@
     boot.write_text(json.dumps(good))
     assert load_boot_file(str(boot)).node == "n"
     bad = {**good, "node_name": 7, "internal_ports": [1], "platform": {"address": "x"}}
+    bad["zones"] = {"h": 3}
     boot.write_text(json.dumps(bad))
     try:
         load_boot_file(str(boot))
     except SettingsError as error:
         text = "; ".join(error.problems)
         assert len(error.problems) == 3, error.problems
-        assert all(k in text for k in ("node_name", "internal_ports", "address")), text
+        assert all(
+            k in text for k in ("node_name", "internal_ports", "address", "zones")
+        ), text
     else:
         raise AssertionError("no error")
 
--- a/src/granitetrestle/boxpoller.py
+++ b/src/granitetrestle/boxpoller.py
@@ -50,9 +50,10 @@
 
     :param apply: carries out the decisions that follow from an answer.
     :param leader_lease: lease under which this process decides.
-    :param window: congestion window shared by all boxes of a leader.
+    :param window: congestion window shared by all boxes on the same path.
     :param lag: lag of this process's event loop.
     :param budget: limits on polls, shared by all boxes.
+    :param hall: data hall of the box.
     """
 
     def __init__(
@@ -68,7 +69,9 @@
         window: CommandWindow,
         lag: LoopLag,
         budget: PollBudget,
+        hall: str = "",
     ) -> None:
+        self._hall = hall
         self._budget = budget
         self._window = window
         self._lag = lag
@@ -292,7 +295,9 @@
         while True:
             if needs_leader_lease:
                 await self._leader_lease.wait_until_valid()
-            async with self._window.turn(priority, self._incarnation) as turn:
+            async with self._window.turn(
+                priority, self._incarnation, self._hall
+            ) as turn:
                 if needs_leader_lease and not self._leader_lease.is_valid():
                     # Frees the turn for others: changes of pace waited behind starts
                     # otherwise.
--- a/src/granitetrestle/boxsearch.py
+++ b/src/granitetrestle/boxsearch.py
@@ -27,6 +27,7 @@
 ]
 
 Narrowing: t.TypeAlias = t.Callable[[list[BoxView]], list[BoxView]]
+Reachability: t.TypeAlias = t.Callable[[BoxView], bool]
 
 
 def is_eligible(step: Step, task: Task, box: BoxView) -> bool:
@@ -61,13 +62,20 @@
 
     @abc.abstractmethod
     def begin(
-        self, entry: WaitingStep, pool: Pool, ranking: Ranking, narrow: Narrowing
+        self,
+        entry: WaitingStep,
+        pool: Pool,
+        ranking: Ranking,
+        narrow: Narrowing,
+        can_send: Reachability,
     ) -> StepSearch:
         """Return the search for the tasks of ``entry``.
 
         :param pool: the boxes that they may be placed on.
         :param ranking: orders the boxes.
         :param narrow: filters the eligible boxes.
+        :param can_send: returns whether a start can be sent to a box soon; may change
+            with each placement.
         """
 
 
@@ -82,25 +90,36 @@
     """Checks all boxes for each task."""
 
     def begin(
-        self, entry: WaitingStep, pool: Pool, ranking: Ranking, narrow: Narrowing
+        self,
+        entry: WaitingStep,
+        pool: Pool,
+        ranking: Ranking,
+        narrow: Narrowing,
+        can_send: Reachability,
     ) -> StepSearch:
         """See :meth:`BoxSearch.begin`."""
-        return _PlainWalk(entry, pool, ranking, narrow)
+        return _PlainWalk(entry, pool, ranking, narrow, can_send)
 
 
 class _PlainWalk(StepSearch):
     def __init__(
-        self, entry: WaitingStep, pool: Pool, ranking: Ranking, narrow: Narrowing
+        self,
+        entry: WaitingStep,
+        pool: Pool,
+        ranking: Ranking,
+        narrow: Narrowing,
+        can_send: Reachability,
     ) -> None:
         self._task = next(iter(entry.tasks.values()))
         self._step = self._task.spec
         self._pool = pool
         self._ranking = ranking
         self._narrow = narrow
+        self._can_send = can_send
 
     def best(self) -> BoxView | None:
         eligible = prefer_data_rack(self._step, self._narrow(self.eligible()))
-        return best_box(eligible, self._ranking)
+        return best_box(filter(self._can_send, eligible), self._ranking)
 
     def record_placement(self, box: BoxView) -> None:
         pass
@@ -115,7 +134,12 @@
     eligible ones once."""
 
     def begin(
-        self, entry: WaitingStep, pool: Pool, ranking: Ranking, narrow: Narrowing
+        self,
+        entry: WaitingStep,
+        pool: Pool,
+        ranking: Ranking,
+        narrow: Narrowing,
+        can_send: Reachability,
     ) -> StepSearch:
         """See :meth:`BoxSearch.begin`."""
         if entry.eligible is None or entry.eligible.pool is not pool:
@@ -126,7 +150,7 @@
                 return is_eligible(step, task, box)
 
             entry.eligible = EligibleBoxes(pool, fits)
-        return _RankedBoxes(entry, entry.eligible, ranking, narrow)
+        return _RankedBoxes(entry, entry.eligible, ranking, narrow, can_send)
 
 
 class _RankedBoxes(StepSearch):
@@ -136,12 +160,14 @@
         eligible: EligibleBoxes,
         ranking: Ranking,
         narrow: Narrowing,
+        can_send: Reachability,
     ) -> None:
         self._task = next(iter(entry.tasks.values()))
         self._step = self._task.spec
         self._eligible = eligible
         self._ranking = ranking
         self._narrow = narrow
+        self._can_send = can_send
         self._heap: list[tuple[Rank, str, BoxView]] | None = None
         self._placed_on: BoxView | None = None
         # Boxes that tasks were placed on in this search; the index is updated after it.
@@ -155,6 +181,9 @@
             self._placed_on = None
         if self._heap is None or (self._ranks_again and not self._heap):
             self._heap = self._ranked()
+        # What the limits of a path exclude stays excluded for the whole pass.
+        while self._heap and not self._can_send(self._heap[0][2]):
+            heapq.heappop(self._heap)
         if not self._heap:
             return None
         box = heapq.heappop(self._heap)[2]
--- a/src/granitetrestle/commandwindow.py
+++ b/src/granitetrestle/commandwindow.py
@@ -2,7 +2,8 @@
 
 A burst of wide jobs fills the queue of a small link: commands then time out before they
 have left, are sent again, and the link carries little else. So commands queue here
-instead, the urgent ones first, and the window follows the latency of answers.
+instead, the urgent ones first, and the window follows the latency of answers. Each path
+has a window of its own; see :mod:`.commandpaths`.
 """
 
 import collections
@@ -16,15 +17,22 @@
 
 from .looplag import LoopLag
 
-__all__ = ["BEST_EFFORT", "URGENT", "SHORT", "UnlimitedWindow", "CommandWindow"]
+__all__ = [
+    "BEST_EFFORT",
+    "URGENT",
+    "SHORT",
+    "CommandSlots",
+    "CommandWindow",
+    "UnlimitedWindow",
+]
 
 # Priorities, the lowest value first. URGENT commands free capacity or protect other
 # tasks: stops and changes of pace.
 URGENT: t.Final = 0
 SHORT: t.Final = 1
 BEST_EFFORT: t.Final = 2
-# Commands in flight. The maximum is what one process's descriptors and the boxes'
-# connections allow; answers within 10 ms need far fewer.
+# Commands in flight. The maximum holds for all windows of a leader together; it is what
+# one process's descriptors and the boxes' connections allow.
 INITIAL_WINDOW_SIZE: t.Final = 32
 MIN_WINDOW_SIZE: t.Final = 4
 MAX_WINDOW_SIZE: t.Final = 256
@@ -60,6 +68,54 @@
     granted: anyio.Event
 
 
+class CommandSlots:
+    """The commands that all windows of a leader together may have in flight.
+
+    :param limit: how many these are.
+    """
+
+    def __init__(self, limit: int = MAX_WINDOW_SIZE) -> None:
+        self._limit = limit
+        self._windows: list[CommandWindow] = []
+
+    def add(self, window: "CommandWindow") -> None:
+        """Add a window."""
+        self._windows.append(window)
+
+    def grant_turns(self) -> None:
+        """Grant turns while there are slots: to the most urgent command, and among
+        equals to the window with the fewest in flight."""
+        free = self._limit - sum(window.in_flight for window in self._windows)
+        while free > 0:
+            best: tuple[int, int, CommandWindow] | None = None
+            for window in self._windows:
+                priority = window.next_priority()
+                if priority is None:
+                    continue
+                if best is None or (priority, window.in_flight) < best[:2]:
+                    best = (priority, window.in_flight, window)
+            if best is None:
+                return
+            best[2].grant_next()
+            free -= 1
+
+
+class _ShortestAnswer:
+    """The shortest recent latency of one data hall's answers, in seconds."""
+
+    __slots__ = ("_at", "_latency_s")
+
+    def __init__(self, latency_s: float, now: float) -> None:
+        self._latency_s, self._at = latency_s, now
+
+    def update(self, latency_s: float, now: float) -> float:
+        """Record an answer, and return the shortest latency."""
+        grown = 1.0 + SHORTEST_ANSWER_GROWTH_PER_S * (now - self._at)
+        if latency_s < self._latency_s * grown:
+            self._latency_s, self._at = latency_s, now
+        return self._latency_s
+
+
 class CommandWindow:
     """Lets commands go as fast as they are answered.
 
@@ -67,6 +123,7 @@
     :param lag: lag of this process's event loop.
     :param min_slow_answer_s: answers that take less never count as slow.
     :param min_size: minimum size of the window.
+    :param slots: shared with the other windows of a leader.
     """
 
     def __init__(
@@ -75,7 +132,10 @@
         lag: LoopLag | None = None,
         min_slow_answer_s: float = MIN_SLOW_ANSWER_S,
         min_size: int = MIN_WINDOW_SIZE,
+        slots: CommandSlots | None = None,
     ) -> None:
+        self._slots = slots or CommandSlots()
+        self._slots.add(self)
         self._min_slow_answer_s = min_slow_answer_s
         self._min_size = float(min_size)
         self._clock = clock
@@ -87,8 +147,8 @@
         # Commands in flight to each box, and those that wait for one of them to end.
         self._in_flight_to_box: collections.Counter[str] = collections.Counter()
         self._held_for_box: dict[str, list[_QueuedCommand]] = {}
-        self._shortest_answer_s: float | None = None
-        self._shortest_answer_at = 0.0
+        # By data hall.
+        self._shortest_answers: dict[str, _ShortestAnswer] = {}
         self._shrunk_at = -1e9
         self._last_answer_slow = False
 
@@ -97,6 +157,11 @@
         """How many commands may be in flight."""
         return int(self._size)
 
+    @property
+    def in_flight(self) -> int:
+        """How many commands are in flight."""
+        return self._in_flight
+
     @property
     def waiting(self) -> int:
         """How many commands wait for their turn."""
@@ -109,16 +174,21 @@
         return max(0, MAX_QUEUE_WINDOWS * self.size - len(self._queue))
 
     @contextlib.asynccontextmanager
-    async def turn(self, priority: int, incarnation: str) -> t.AsyncIterator["Turn"]:
-        """Wait for a turn to send a command to a box; it ends with the block."""
+    async def turn(
+        self, priority: int, incarnation: str, hall: str = ""
+    ) -> t.AsyncIterator["Turn"]:
+        """Wait for a turn to send a command to a box; it ends with the block.
+
+        :param hall: data hall of the box.
+        """
         entry = _QueuedCommand(
             priority, next(self._sequence), incarnation, anyio.Event()
         )
         heapq.heappush(self._queue, entry)
-        self._grant_turns()
+        self._slots.grant_turns()
         try:
             await entry.granted.wait()
-            yield Turn(self, self._clock())
+            yield Turn(self, hall, self._clock())
         finally:
             if entry.granted.is_set():
                 self._in_flight -= 1
@@ -126,7 +196,7 @@
             else:
                 self._withdraw(entry)
             self._requeue_for_box(incarnation)
-            self._grant_turns()
+            self._slots.grant_turns()
 
     def release_starts(self, incarnations: t.Collection[str]) -> None:
         """Grant a turn at once to all queued starts on these boxes. They have been
@@ -160,24 +230,29 @@
         if not self._in_flight_to_box[incarnation]:
             del self._in_flight_to_box[incarnation]
 
-    def _grant_turns(self) -> None:
+    def next_priority(self) -> int | None:
+        """Return the priority of the command that may go next, or ``None``."""
         while self._queue and self._in_flight < self.size:
-            entry = heapq.heappop(self._queue)
+            entry = self._queue[0]
             if self._in_flight_to_box[entry.incarnation] >= MAX_COMMANDS_PER_BOX:
+                heapq.heappop(self._queue)
                 self._held_for_box.setdefault(entry.incarnation, []).append(entry)
                 continue
-            self._grant(entry)
+            return entry.priority
+        return None
+
+    def grant_next(self) -> None:
+        """Grant a turn to the command that :meth:`next_priority` is about."""
+        self._grant(heapq.heappop(self._queue))
 
-    def record_answer(self, latency_s: float) -> None:
-        """Adapt the window to the latency of an answer."""
+    def record_answer(self, latency_s: float, hall: str = "") -> None:
+        """Adapt the window to the latency of an answer from a data hall."""
         now = self._clock()
-        if self._shortest_answer_s is None:
-            self._shortest_answer_s, self._shortest_answer_at = latency_s, now
-        grown = 1.0 + SHORTEST_ANSWER_GROWTH_PER_S * (now - self._shortest_answer_at)
-        if latency_s < self._shortest_answer_s * grown:
-            self._shortest_answer_s, self._shortest_answer_at = latency_s, now
+        shortest = self._shortest_answers.setdefault(
+            hall, _ShortestAnswer(latency_s, now)
+        )
         expected_s = (
-            SLOW_ANSWER_FACTOR * self._shortest_answer_s
+            SLOW_ANSWER_FACTOR * shortest.update(latency_s, now)
             + LOOP_LAG_FACTOR * self._lag.lag_s
         )
         self._last_answer_slow = latency_s > max(self._min_slow_answer_s, expected_s)
@@ -204,6 +279,9 @@
 class UnlimitedWindow(CommandWindow):
     """Baseline for comparison: all commands go at once."""
 
+    def __init__(self) -> None:
+        super().__init__(slots=CommandSlots(UNLIMITED_WINDOW_SIZE))
+
     @property
     def size(self) -> int:
         """More commands than there ever are."""
@@ -213,13 +291,14 @@
 class Turn:
     """One command in flight."""
 
-    def __init__(self, window: CommandWindow, started_at: float) -> None:
+    def __init__(self, window: CommandWindow, hall: str, started_at: float) -> None:
         self._window = window
+        self._hall = hall
         self._started_at = started_at
 
     def finish(self, answered: bool, now: float) -> None:
         """Record whether the command was answered."""
         if answered:
-            self._window.record_answer(now - self._started_at)
+            self._window.record_answer(now - self._started_at, self._hall)
         else:
             self._window.record_no_answer()
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -1,4 +1,4 @@
-"""Placement passes: assign waiting tasks to boxes, and move tasks that are kept slow.
+"""Placement passes: assign waiting tasks to boxes.
 
 A pass visits the waiting steps in the order of :mod:`.waitingorder`. Ahead of it, the
 steps that have waited longest get a few starts, so that no step starves."""
@@ -25,16 +25,14 @@
 from .interfaces import Advice
 from .interfaces import AdviceUnavailable
 from .mechanisms import Mechanism
-from .pacing import slowed_tasks
 from .packing import FirstFitPacker
 from .packing import InterferenceAwarePacker
 from .packing import Packer
 from .packing import best_box
 from .packing import fewest_best_effort
-from .packing import move_target
-from .progress import Progress
 from .shardstate import ShardState
 from .shardstate import WaitingStep
+from .startlimits import StartLimits
 from .waitingorder import ByArrival
 from .waitingorder import ByUrgency
 from .waitingorder import WaitingOrder
@@ -45,10 +43,7 @@
 from .workflows import Task
 from .workflows import Workflow
 
-__all__ = ["UNLIMITED_STARTS", "Dispatcher"]
-
-# Larger than any number of waiting tasks.
-UNLIMITED_STARTS: t.Final = 1_000_000_000
+__all__ = ["Dispatcher"]
 
 # The advice service needs time for each box named, and its calls queue: only the boxes
 # with the most free processor time are named, and a step asks again after an interval.
@@ -69,13 +64,6 @@
 # tried is limited because each search examines all boxes.
 MAX_AGED_STARTS_SHARE: t.Final = 0.25
 MAX_AGED_TRIES: t.Final = 4
-# One task is moved at a time, so that the next choice takes its new box into account.
-MOVE_INTERVAL_S: t.Final = 0.05
-# After a search without result, tasks of the same image that need as much processor
-# time or more are skipped for this interval, in which the figures of many boxes change.
-# The searches of a pass are limited because each examines all boxes.
-MOVE_RETRY_INTERVAL_S: t.Final = 0.3
-MAX_MOVE_SEARCHES: t.Final = 8
 
 # The requirements of a task that decide which boxes can run it.
 PlacementKey: t.TypeAlias = tuple[t.Any, ...]
@@ -84,11 +72,8 @@
 class Dispatcher:
     """Places the waiting tasks of a :class:`~.shardstate.ShardState`."""
 
-    def __init__(
-        self, state: ShardState, progress: Progress, packer: Packer | None, now: float
-    ) -> None:
+    def __init__(self, state: ShardState, packer: Packer | None) -> None:
         self._state = state
-        self._progress = progress
         self.packer = packer or _default_packer(state)
         headroom = state.is_enabled(Mechanism.HEADROOM)
         self._headroom: Headroom = ReservedBoxes() if headroom else NoHeadroom()
@@ -96,10 +81,9 @@
         self._search: BoxSearch = IndexedSearch() if indexed else PlainSearch()
         self._order = _waiting_order(state)
         self._suspect_placement = SuspectPlacement()
-        self._move_checked_at = now
-        # Image -> the least need (thousandths of a core) of a failed search, and when.
-        self._failed_searches: dict[str, tuple[int, float]] = {}
         self._best_effort_placed_at = 0.0
+        # Limits of the current pass.
+        self._limits = StartLimits()
         # Whether the last pass used up its starts before it had reached every step.
         self._cut_short = False
         # Requirements for which no box was found in the current pass.
@@ -114,13 +98,11 @@
         """Record a job that was submitted, or was read from a predecessor's records."""
         self._order.record_submission(workflow)
 
-    def place(
-        self, now: float, wall_ms: int, max_starts: int = UNLIMITED_STARTS
-    ) -> list[Decision]:
+    def place(self, now: float, wall_ms: int, limits: StartLimits) -> list[Decision]:
         """Start the waiting tasks for which a box is found.
 
         :param wall_ms: time of day in ms since 1970, for timed jobs.
-        :param max_starts: limit of starts in this pass; a gang may exceed it.
+        :param limits: limits of starts in this pass.
         """
         waiting = self._state.waiting
         if not waiting:
@@ -134,14 +116,15 @@
         if best_effort_due:
             self._best_effort_placed_at = now
         self._unplaceable.clear()
+        self._limits = limits
         self._order.start_pass(now)
         order = sorted(
             waiting.items(), key=lambda item: self._order.sort_key(item[1], now)
         )
-        effects = self._place_aged(now, wall_ms, max_starts)
+        effects = self._place_aged(now, wall_ms, limits.total)
         self._cut_short = False
         for key, entry in order:
-            left = max_starts - len(effects)
+            left = limits.total - len(effects)
             if left <= 0:
                 self._cut_short = True
                 break
@@ -155,6 +138,7 @@
                     effects += self._place_step(entry, pool, now, left)
             if not entry.tasks:
                 del waiting[key]
+        self._cut_short = self._cut_short or limits.path_exhausted
         return effects
 
     def _place_aged(self, now: float, wall_ms: int, max_starts: int) -> list[Decision]:
@@ -307,7 +291,10 @@
             return self._allowed_boxes(entry, boxes, now)
 
         ranking = self.packer.ranking(task, self._state.interference, now)
-        return self._search.begin(entry, pool, ranking, narrow)
+        return self._search.begin(entry, pool, ranking, narrow, self._can_send)
+
+    def _can_send(self, box: BoxView) -> bool:
+        return self._limits.allows(box.entry.hall)
 
     def _allowed_boxes(
         self, entry: WaitingStep, boxes: t.Collection[BoxView], now: float
@@ -419,6 +406,7 @@
         task.stop_sent_at = 0.0
         task.set_pace(FULL_PACE, now)
         box.place(task)
+        self._limits.record_start(box.entry.hall)
         task.workflow.begun = True
         self._order.record_start(task)
         self._state.mark_task_changed(task)
@@ -433,46 +421,6 @@
             task.spec.best_effort,
         )
 
-    def move_slowed(self, now: float) -> list[Decision]:
-        """Stop a slowed task if a better box is found, so that it starts anew there."""
-        if now - self._move_checked_at < MOVE_INTERVAL_S or not self._state.is_enabled(
-            Mechanism.MOVES
-        ):
-            return []
-        self._move_checked_at = now
-        self._state.index.refresh(now)
-        boxes = (
-            box
-            for pool in self._state.index.pools.values()
-            for box in pool.boxes.values()
-        )
-        tries = 0
-        for task in slowed_tasks(boxes, now):
-            if not self._should_search(task, now):
-                continue
-            tries += 1
-            box = self._better_box(task, now)
-            if box is not None:
-                inputs = {"from": task.box, "to": box.incarnation, "pace": task.pace}
-                return [
-                    LogEvent("moved_for_targets", task.name, inputs),
-                    *self._progress.stop(task, now),
-                ]
-            self._failed_searches[task.spec.image] = (task.spec.cpu, now)
-            if tries >= MAX_MOVE_SEARCHES:
-                break
-        return []
-
-    def _should_search(self, task: Task, now: float) -> bool:
-        """Return whether to search a better box for a slowed task now."""
-        least, at = self._failed_searches.get(task.spec.image, (0, -1e9))
-        return now - at >= MOVE_RETRY_INTERVAL_S or task.spec.cpu < least
-
-    def _better_box(self, task: Task, now: float) -> BoxView | None:
-        pool = self._state.index.pool(self._state.service_of(task.workflow))
-        able = (box for box in pool.boxes.values() if is_eligible(task.spec, task, box))
-        return move_target(task, able, self._state.interference, now)
-
 
 def _aging_rank(entry: WaitingStep) -> tuple[float, int]:
     return (max(entry.waits_since, entry.head_start_tried_at), entry.priority)
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -95,6 +95,8 @@
             connections=settings.max_files - RESERVED_FILES,
             call_bytes=settings.call_bytes,
             off=off,
+            hall=settings.hall,
+            areas=settings.areas,
         ),
     )
     peers = PeerLink(settings.node, incarnation, PEER_TOKEN, address)
--- a/src/granitetrestle/platform/settings.py
+++ b/src/granitetrestle/platform/settings.py
@@ -17,6 +17,7 @@
 class PlatformSettings(t.NamedTuple):
     """Settings of one process. Durations are in seconds.
 
+    :param areas: data hall -> its area.
     :param front: address for clients.
     :param ready: address for the platform's readiness checks.
     :param ports: first and last port for messages between processes.
@@ -30,6 +31,7 @@
 
     node: str
     hall: str
+    areas: t.Mapping[str, str]
     ip: str
     front: Address | None
     ready: Address | None
@@ -79,6 +81,7 @@
         settings = PlatformSettings(
             node=self._text("node_name"),
             hall=self._text("zone"),
+            areas=self._texts("zones"),
             ip=self._text("ip"),
             front=self._address("listen.front", optional=True),
             ready=self._address("listen.ready", optional=True),
@@ -115,6 +118,17 @@
         self._problems.append(f"{key}: {value!r} is not a non-empty string")
         return ""
 
+    def _texts(self, key: str) -> dict[str, str]:
+        value = self._find(key)
+        if value is None:
+            return {}
+        if isinstance(value, dict) and all(
+            isinstance(text, str) for text in value.values()
+        ):
+            return value
+        self._problems.append(f"{key}: {value!r} is not a table of strings")
+        return {}
+
     def _number(self, key: str, default: float) -> float:
         value = self._find(key)
         if value is None:
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -13,7 +13,6 @@
 from .decisions import PaceTask
 from .decisions import StartTask
 from .decisions import StepDown
-from .dispatch import UNLIMITED_STARTS
 from .dispatch import Dispatcher
 from .evacuation import Evacuation
 from .fleet import Fleet
@@ -46,6 +45,8 @@
 from .shardstate import ShardState
 from .slices import SlicedWork
 from .slices import run_to_completion
+from .slowmoves import SlowTaskMoves
+from .startlimits import StartLimits
 from .statedigest import LeaderMark
 from .workflows import RUNNING
 from .workflows import STARTING
@@ -78,7 +79,8 @@
         self._state = ShardState(parameters)
         self._progress = Progress(self._state)
         self._fleet = Fleet(self._state, self._progress, now)
-        self._dispatcher = Dispatcher(self._state, self._progress, packer, now)
+        self._dispatcher = Dispatcher(self._state, packer)
+        self._slow_moves = SlowTaskMoves(self._state, self._progress, now)
         self._evacuation = Evacuation(self._state)
         self._long_running_waits = LongRunningWaits(self._state)
         self._swept_at = now
@@ -231,14 +233,15 @@
         return [*effects, AnswerCall(request, Cancelled())]
 
     def decide(
-        self, now: float, wall_ms: int, max_starts: int = UNLIMITED_STARTS
+        self, now: float, wall_ms: int, limits: StartLimits | None = None
     ) -> list[Decision]:
         """Place waiting tasks, and requeue tasks whose leases have expired.
 
         :param wall_ms: Unix time in ms, for timed jobs.
-        :param max_starts: how many commands can be sent soon. Any further task stays in
+        :param limits: how many commands can be sent soon. Any further task stays in
             the queue, ordered by urgency, rather than wait to be sent.
         """
+        limits = limits or StartLimits()
         effects = self._fleet.expire_leases(now)
         effects += self._fleet.reclaim_orphaned_tasks(now)
         self._enqueue_doubtful(now)
@@ -251,15 +254,15 @@
             self._state.record_interference()
         effects += self._long_running_waits.report(
             self._dispatcher.headroom,
-            max_starts,
+            limits.total,
             self._fleet.leases.inherited.end,
             now,
         )
         effects += self._evacuation.report_held_starts(now)
         if self._stopped_starting or not self._evacuation.up_to_date(now):
             return effects
-        effects += self._dispatcher.move_slowed(now)
-        return effects + self._dispatcher.place(now, wall_ms, max_starts)
+        effects += self._slow_moves.move(now)
+        return effects + self._dispatcher.place(now, wall_ms, limits)
 
     def _sweep(self, now: float) -> None:
         keep = self._state.parameters.keep_s
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -12,8 +12,7 @@
 from .boxpoller import BoxPoller
 from .collector import freeze_allocations
 from .collector import unfreeze_allocations
-from .commandwindow import CommandWindow
-from .commandwindow import UnlimitedWindow
+from .commandpaths import CommandPaths
 from .decisions import GATED
 from .decisions import AcknowledgeEnds
 from .decisions import AnswerCall
@@ -126,7 +125,9 @@
         steady = Mechanism.STEADY_RETRIES not in parameters.off
         self._retry_after: RetryAfter = SteadyRetries() if steady else FollowingOutage()
         limited = Mechanism.COMMAND_WINDOW not in parameters.off
-        self._window = CommandWindow(lag=self._lag) if limited else UnlimitedWindow()
+        self._paths = CommandPaths(
+            parameters.hall, parameters.areas, self._lag, limited
+        )
         self._budget = PollBudget(parameters.connections)
         self._load_logged_at = time.monotonic()
         self._callers: dict[str, PendingCall] = {}
@@ -154,8 +155,9 @@
                 f"tasks_waiting_long_{cause}": float(causes.get(cause, 0))
                 for cause in WaitCause
             },
-            "orders_waiting": float(self._window.waiting),
-            "orders_at_once": float(self._window.size),
+            "orders_waiting": float(self._paths.waiting),
+            "orders_at_once": float(self._paths.size),
+            **self._paths.load(),
             "loop_lag_s": round(self._lag.lag_s, 3),
             "looks_waiting": float(self._budget.long_polls),
             "looks_to_begin": float(self._budget.contact_window.waiting),
@@ -336,9 +338,7 @@
             self._load_logged_at = now
             self._log.event("load", epoch=self._epoch, **self.load(now))
         wall_ms = time.time_ns() // 1_000_000
-        self._apply(
-            self._scheduler.decide(now, wall_ms, self._window.remaining_capacity)
-        )
+        self._apply(self._scheduler.decide(now, wall_ms, self._paths.start_limits()))
         return self._scheduler.take_writes()
 
     def _apply(self, decisions: list[Decision]) -> None:
@@ -357,7 +357,7 @@
                 if poller is not None:
                     poller.stop()
             elif isinstance(decision, WithdrawStarts):
-                self._window.release_starts(decision.incarnations)
+                self._paths.release_starts(decision.incarnations)
             elif isinstance(decision, PaceTask):
                 self._send_command(decision)
             elif isinstance(decision, AskAdvice):
@@ -368,6 +368,7 @@
             self._journal.request_batch()
 
     def _watch(self, decision: StartPolling) -> None:
+        hall = self._scheduler.state.boxes[decision.incarnation].entry.hall
         poller = BoxPoller(
             decision.incarnation,
             decision.address,
@@ -377,9 +378,10 @@
             self._apply,
             self._leader_lease,
             self._metrics,
-            self._window,
+            self._paths.window(hall),
             self._lag,
             self._budget,
+            hall,
         )
         self._pollers[decision.incarnation] = poller
         self._start(poller.run)
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -1,6 +1,7 @@
 """State of the scheduler of one shard: jobs, boxes, configuration, and the changes that
 are not written yet. The parts of the scheduler share it."""
 
+import types
 import typing as t
 
 import msgspec
@@ -55,6 +56,8 @@
     :param connections: maximum number of open connections of a process.
     :param call_bytes: maximum size of a call to the store.
     :param off: disabled mechanisms.
+    :param hall: data hall of this process.
+    :param areas: data hall -> its area.
     """
 
     lease_s: float = 10.0
@@ -65,6 +68,8 @@
     connections: int = 3900
     call_bytes: int = 2_097_152
     off: frozenset[Mechanism] = frozenset()
+    hall: str = ""
+    areas: t.Mapping[str, str] = types.MappingProxyType({})
 
     @property
     def lease_bound_s(self) -> float:
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -15,6 +15,7 @@
 from known_red import read_report
 from lease_mutants import LEASE_MUTANTS
 from life_mutants import LIFE_MUTANTS
+from load_mutants import LOAD_MUTANTS
 from mutant import Mutant
 from native_mutants import NATIVE_MUTANTS
 from older_mutants import OLDER_MUTANTS
@@ -30,6 +31,7 @@
     *RECOVERY_MUTANTS,
     *LIFE_MUTANTS,
     *LEASE_MUTANTS,
+    *LOAD_MUTANTS,
 )
 
 
