Account of room: what processor time of each service goes to, and why it is unused

Cause: best-effort jobs spend half of their time slowed while nobody can say how much processor time is unused meanwhile, and for which reason.

Switch room_account. The command explain leaves cli.py for explaincommand.py.

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -91,7 +91,7 @@
     Then any body gives a submission or invalid input, and any record a config or an error
 
   Scenario: A settings file names every problem at once
-    Then a settings file with three problems names all three, and unknown keys are ignored
+    Then a settings file with four problems names all four, and unknown keys are ignored
 
   Scenario: The log is bounded and never blocks
     Given a log whose reader does not read
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -363,9 +363,7 @@
     records()
 
 
-@then(
-    "a settings file with three problems names all three, and unknown keys are ignored"
-)
+@then("a settings file with four problems names all four, and unknown keys are ignored")
 def settings_file(context):
     boot = context.folder / "boot.json"
     good = {
@@ -385,7 +383,7 @@
         load_boot_file(str(boot))
     except SettingsError as error:
         text = "; ".join(error.problems)
-        assert len(error.problems) == 3, error.problems
+        assert len(error.problems) == 4, error.problems
         assert all(
             k in text for k in ("node_name", "internal_ports", "address", "zones")
         ), text
--- a/src/granitetrestle/cli.py
+++ b/src/granitetrestle/cli.py
@@ -15,27 +15,16 @@
 from .errors import InvalidInput
 from .errors import NotFound
 from .errors import UnreachableError
-from .jobtimes import queue_times
-from .tasktimes import PHASES
-from .timeline import read_lines
-from .timeline import timeline
+from .explaincommand import Result
+from .explaincommand import Rows
+from .explaincommand import explain
+from .explaincommand import explain_flags
 
 __all__ = ["main"]
 
 ENV_PREFIX = "GRANITETRESTLE_"
 IN_FORCE_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.1
-# Given in place of a job: summarize all jobs that ended in the logs.
-ALL_JOBS = "all"
-Rows: t.TypeAlias = list[list[t.Any]]
-
-
-class Result(t.NamedTuple):
-    """Output of a command: the answer, and its table."""
-
-    answer: t.Any
-    header: list[str]
-    rows: Rows
 
 
 class Command(t.NamedTuple):
@@ -294,46 +283,6 @@
     return Result(answer, header, rows)
 
 
-def _explain_flags(values: flags.FlagValues) -> None:
-    flags.DEFINE_list(
-        "logs", [], "log files of all boxes, to explain from", flag_values=values
-    )
-
-
-def _explain(client: Client, args: list[str], options: t.Any) -> Result:
-    if args[0] == ALL_JOBS and not options.logs:
-        raise InvalidInput("explain all needs the log files of all boxes (--logs)")
-    if args[0] == ALL_JOBS:
-        return _summarize_logs(options.logs)
-    if options.logs:
-        return _explain_from_logs(args[0], options.logs)
-    answer = client.call("GET", f"/v1/jobs/{args[0]}/explain")
-    return Result(answer, ["TASK", "WHY"], [[k, v] for k, v in answer.items()])
-
-
-def _summarize_logs(paths: list[str]) -> Result:
-    queues = queue_times(read_lines(paths))
-    if not queues:
-        raise NotFound("no job ended in these logs", "give the logs of all boxes")
-    rows = [
-        [q.queue, q.jobs, q.failed, q.late, q.took_s, *q.phases.values()]
-        for q in queues
-    ]
-    header = ["QUEUE", "JOBS", "FAILED", "LATE", "TOOK S"]
-    header += [f"{phase.upper()} S" for phase in PHASES]
-    return Result([q._asdict() for q in queues], header, rows)
-
-
-def _explain_from_logs(job: str, paths: list[str]) -> Result:
-    timeline_entries = timeline(job, read_lines(paths))
-    rows = [
-        [m.at, m.node, m.about, m.event, msgspec.json.encode(m.inputs).decode()]
-        for m in timeline_entries
-    ]
-    answer = [timeline_entry._asdict() for timeline_entry in timeline_entries]
-    return Result(answer, ["AT", "NODE", "ABOUT", "EVENT", "INPUTS"], rows)
-
-
 COMMANDS: t.Final = (
     Command(("table", "show"), (), "show the table", _no_flags, _table_show),
     Command(
@@ -382,9 +331,9 @@
     Command(
         ("explain",),
         ("JOB",),
-        "explain a job's state; with all: how all jobs spent their time",
-        _explain_flags,
-        _explain,
+        "explain a job's state; with all: how all jobs spent their time; with room: processor time",
+        explain_flags,
+        explain,
     ),
 )
 
--- a/src/granitetrestle/interference.py
+++ b/src/granitetrestle/interference.py
@@ -181,6 +181,10 @@
             (serving, best_effort), INITIALLY_HIGHLY_SENSITIVE
         )
 
+    def is_observed(self, serving: str, best_effort: str) -> bool:
+        """Return whether the interference of a pair has been observed."""
+        return (serving, best_effort) in self._means
+
     def compatible_share(self, serving: t.Collection[str]) -> float:
         """Return the share of best-effort images to which none of ``serving`` is highly
         sensitive."""
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -481,8 +481,10 @@
         session = self._session
         state = session.scheduler.state if session is not None else None
         load = session.load(time.monotonic()) if session is not None else {}
+        room = session.scheduler.room.cores if session is not None else {}
         return {
             **load,
+            **room,
             "leading": float(session is not None and self._serving),
             "epoch_known": float(self._leadership.epoch),
             "decider_heard_s_ago": self._leadership.leader_silence_s(time.monotonic()),
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -39,8 +39,10 @@
 from .jobcalls import WaitingCount
 from .longrunningwaits import LongRunningWaits
 from .longrunningwaits import wait_over_events
+from .mechanisms import Mechanism
 from .packing import Packer
 from .progress import Progress
+from .roomaccount import RoomAccount
 from .shardstate import SchedulerParameters
 from .shardstate import ShardState
 from .slices import SlicedWork
@@ -83,6 +85,7 @@
         self._slow_moves = SlowTaskMoves(self._state, self._progress, now)
         self._evacuation = Evacuation(self._state)
         self._long_running_waits = LongRunningWaits(self._state)
+        self._room = RoomAccount(self._state, now)
         self._swept_at = now
         self._interference_written_at = now
         # Jobs whose progress could not be read at the take-over.
@@ -109,6 +112,11 @@
         """Reports why long-running tasks wait."""
         return self._long_running_waits
 
+    @property
+    def room(self) -> RoomAccount:
+        """Account of the boxes' processor time."""
+        return self._room
+
     @property
     def dispatcher(self) -> Dispatcher:
         """Places tasks on boxes."""
@@ -259,6 +267,8 @@
             now,
         )
         effects += self._evacuation.report_held_starts(now)
+        if self._state.is_enabled(Mechanism.ROOM_ACCOUNT):
+            effects += self._room.update(limits, now)
         if self._stopped_starting or not self._evacuation.up_to_date(now):
             return effects
         effects += self._slow_moves.move(now)
--- a/src/granitetrestle/startlimits.py
+++ b/src/granitetrestle/startlimits.py
@@ -42,6 +42,10 @@
         self.path_exhausted = True
         return False
 
+    def is_exhausted(self, hall: str) -> bool:
+        """Return whether no start can be sent to a data hall soon."""
+        return self.total <= 0 or self._left.get(self._path_of(hall), 1) <= 0
+
     def record_start(self, hall: str) -> None:
         """Count a start in a data hall."""
         path = self._path_of(hall)
--- a/tools/load_mutants.py
+++ b/tools/load_mutants.py
@@ -54,4 +54,35 @@
         ),
         "load_far_area",
     ),
+    Mutant(
+        "load: use beyond the cores of a box is counted as measured",
+        (("roomaccount.py", "if used > box.entry.cpu:", "if False:"),),
+        "room_account",
+    ),
+    Mutant(
+        "load: room counts as obstructed though fewer tasks wait",
+        (("roomaccount.py", "if obstructed <= wanted:", "if True:"),),
+        "room_account",
+    ),
+    Mutant(
+        "load: what slowed tasks leave counts as free",
+        (("roomaccount.py", "slowed = min(unused, _slowed_cpu(box))", "slowed = 0.0"),),
+        "room_account",
+    ),
+    Mutant(
+        "load: boxes that get no tasks count as open",
+        (("roomaccount.py", "if not box.open_for_work(now):", "if False:"),),
+        "room_account",
+    ),
+    Mutant(
+        "load: a pair that was never observed counts as observed",
+        (
+            (
+                "roomaccount.py",
+                "return RoomUse.TARGET if observed else RoomUse.UNKNOWN",
+                "return RoomUse.TARGET",
+            ),
+        ),
+        "room_account",
+    ),
 )
