Revert the reservations of room for large tasks

Cause: there all boxes lack processor time since long-running tasks hold it, so no end of a short task makes the room; and pieces add up on a reserved box for longer than the 3 s within which a smaller long-running task that has room there must start.

--- a/features/load_far_area.feature
+++ b/features/load_far_area.feature
@@ -27,7 +27,7 @@
 
   Scenario: Where there is one area, it has one window for all data halls
     Given paths to the data halls a1, a2 and a3 of one area
-    Then they share a window, and the load of paths names no area
+    Then they share a window, and the load of paths names none
 
   Scenario: Paths with equal claims share the commands in flight equally
     Given 100 queued starts to each of two areas, with 60 commands in flight in all
--- a/src/granitetrestle/boxsearch.py
+++ b/src/granitetrestle/boxsearch.py
@@ -27,7 +27,7 @@
 ]
 
 Narrowing: t.TypeAlias = t.Callable[[list[BoxView]], list[BoxView]]
-Acceptance: t.TypeAlias = t.Callable[[BoxView], bool]
+Reachability: t.TypeAlias = t.Callable[[BoxView], bool]
 
 
 def is_eligible(step: Step, task: Task, box: BoxView) -> bool:
@@ -67,14 +67,14 @@
         pool: Pool,
         ranking: Ranking,
         narrow: Narrowing,
-        can_start: Acceptance,
+        can_send: Reachability,
     ) -> StepSearch:
         """Return the search for the tasks of ``entry``.
 
         :param pool: the boxes that they may be placed on.
         :param ranking: orders the boxes.
         :param narrow: filters the eligible boxes.
-        :param can_start: returns whether a start on a box is possible now; may change
+        :param can_send: returns whether a start can be sent to a box soon; may change
             with each placement.
         """
 
@@ -95,10 +95,10 @@
         pool: Pool,
         ranking: Ranking,
         narrow: Narrowing,
-        can_start: Acceptance,
+        can_send: Reachability,
     ) -> StepSearch:
         """See :meth:`BoxSearch.begin`."""
-        return _PlainWalk(entry, pool, ranking, narrow, can_start)
+        return _PlainWalk(entry, pool, ranking, narrow, can_send)
 
 
 class _PlainWalk(StepSearch):
@@ -108,18 +108,18 @@
         pool: Pool,
         ranking: Ranking,
         narrow: Narrowing,
-        can_start: Acceptance,
+        can_send: Reachability,
     ) -> None:
         self._task = next(iter(entry.tasks.values()))
         self._step = self._task.spec
         self._pool = pool
         self._ranking = ranking
         self._narrow = narrow
-        self._can_start = can_start
+        self._can_send = can_send
 
     def best(self) -> BoxView | None:
         eligible = prefer_data_rack(self._step, self._narrow(self.eligible()))
-        return best_box(filter(self._can_start, eligible), self._ranking)
+        return best_box(filter(self._can_send, eligible), self._ranking)
 
     def record_placement(self, box: BoxView) -> None:
         pass
@@ -139,7 +139,7 @@
         pool: Pool,
         ranking: Ranking,
         narrow: Narrowing,
-        can_start: Acceptance,
+        can_send: Reachability,
     ) -> StepSearch:
         """See :meth:`BoxSearch.begin`."""
         if entry.eligible is None or entry.eligible.pool is not pool:
@@ -150,7 +150,7 @@
                 return is_eligible(step, task, box)
 
             entry.eligible = EligibleBoxes(pool, fits)
-        return _RankedBoxes(entry, entry.eligible, ranking, narrow, can_start)
+        return _RankedBoxes(entry, entry.eligible, ranking, narrow, can_send)
 
 
 class _RankedBoxes(StepSearch):
@@ -160,14 +160,14 @@
         eligible: EligibleBoxes,
         ranking: Ranking,
         narrow: Narrowing,
-        can_start: Acceptance,
+        can_send: Reachability,
     ) -> None:
         self._task = next(iter(entry.tasks.values()))
         self._step = self._task.spec
         self._eligible = eligible
         self._ranking = ranking
         self._narrow = narrow
-        self._can_start = can_start
+        self._can_send = can_send
         self._heap: list[tuple[Rank, str, BoxView]] | None = None
         self._placed_on: BoxView | None = None
         # Boxes that tasks were placed on in this search; the index is updated after it.
@@ -181,8 +181,8 @@
             self._placed_on = None
         if self._heap is None or (self._ranks_again and not self._heap):
             self._heap = self._ranked()
-        # What is excluded now stays excluded for the whole pass.
-        while self._heap and not self._can_start(self._heap[0][2]):
+        # What the limits of a path exclude stays excluded for the whole pass.
+        while self._heap and not self._can_send(self._heap[0][2]):
             heapq.heappop(self._heap)
         if not self._heap:
             return None
--- a/src/granitetrestle/commandpaths.py
+++ b/src/granitetrestle/commandpaths.py
@@ -83,13 +83,10 @@
             window.release_starts(incarnations)
 
     def load(self) -> dict[str, float]:
-        """Return sizes and queues of the windows, also by area where there are several."""
-        figures = {
-            "orders_waiting": float(self.waiting),
-            "orders_at_once": float(self.size),
-        }
+        """Return the sizes and queues by area, where there are several."""
         if len(self._windows) == 1:
-            return figures
+            return {}
+        figures: dict[str, float] = {}
         for path, window in sorted(self._windows.items()):
             figures[f"orders_waiting_to_{path}"] = float(window.waiting)
             figures[f"orders_at_once_to_{path}"] = float(window.size)
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -24,16 +24,12 @@
 from .headroom import ReservedBoxes
 from .interfaces import Advice
 from .interfaces import AdviceUnavailable
-from .longrunningwaits import KeptRoom
 from .mechanisms import Mechanism
 from .packing import FirstFitPacker
 from .packing import InterferenceAwarePacker
 from .packing import Packer
 from .packing import best_box
 from .packing import fewest_best_effort
-from .reservations import BoxReservations
-from .reservations import NoReservations
-from .reservations import Reservations
 from .shardstate import ShardState
 from .shardstate import WaitingStep
 from .startlimits import StartLimits
@@ -81,10 +77,6 @@
         self.packer = packer or _default_packer(state)
         headroom = state.is_enabled(Mechanism.HEADROOM)
         self._headroom: Headroom = ReservedBoxes() if headroom else NoHeadroom()
-        reserves = state.is_enabled(Mechanism.RESERVATIONS)
-        self._reservations: Reservations = (
-            BoxReservations() if reserves else NoReservations()
-        )
         indexed = state.is_enabled(Mechanism.INDEX)
         self._search: BoxSearch = IndexedSearch() if indexed else PlainSearch()
         self._order = _waiting_order(state)
@@ -98,9 +90,9 @@
         self._unplaceable: set[PlacementKey] = set()
 
     @property
-    def kept_room(self) -> KeptRoom:
-        """The boxes that are reserved for short tasks, and for large ones."""
-        return KeptRoom(self._headroom, self._reservations)
+    def headroom(self) -> Headroom:
+        """The boxes that are reserved from long-running tasks."""
+        return self._headroom
 
     def record_submission(self, workflow: Workflow) -> None:
         """Record a job that was submitted, or was read from a predecessor's records."""
@@ -125,7 +117,6 @@
             self._best_effort_placed_at = now
         self._unplaceable.clear()
         self._limits = limits
-        self._reservations.start_pass(waiting, self._state.index.pools.values(), now)
         self._order.start_pass(now)
         order = sorted(
             waiting.items(), key=lambda item: self._order.sort_key(item[1], now)
@@ -148,7 +139,7 @@
             if not entry.tasks:
                 del waiting[key]
         self._cut_short = self._cut_short or limits.path_exhausted
-        return effects + self._reservations.take_events()
+        return effects
 
     def _place_aged(self, now: float, wall_ms: int, max_starts: int) -> list[Decision]:
         """Start one task each of the steps that have waited longest, ahead of others.
@@ -241,7 +232,6 @@
                 # how long there has been room for them.
                 if not step.per_box and not step.long_running:
                     self._unplaceable.add(placement_key)
-                self._request_room(entry, pool, now)
                 break
             effects.append(self._start_waiting(entry, task, box, now))
         self._state.index.refresh(now)
@@ -267,13 +257,8 @@
         del entry.tasks[task.name]
         entry.found_waiting_at = entry.waits_since = now
         task.ticket = entry.tickets.get(box.incarnation, "")
-        self._reservations.record_start(entry, now)
         return self._start(task, box, now)
 
-    def _request_room(self, entry: WaitingStep, pool: Pool, now: float) -> None:
-        boxes = self._with_ticket(entry, pool.boxes.values())
-        self._reservations.request(entry, pool, boxes, now)
-
     def _place_suspects(
         self, entry: WaitingStep, suspects: list[Task], pool: Pool, now: float
     ) -> list[Decision]:
@@ -290,12 +275,7 @@
             search = self._begin_search(entry, pool, now)
             boxes = self._allowed_boxes(entry, search.eligible(), now)
             boxes = prefer_data_rack(entry.spec, boxes)
-            bearable = [
-                box
-                for box in boxes
-                if ranking.rank(box) is not None
-                and self._reservations.allows(entry, box, now)
-            ]
+            bearable = [box for box in boxes if ranking.rank(box) is not None]
             if not bearable:
                 break
             box = min(bearable, key=placement.rank)
@@ -311,13 +291,10 @@
             return self._allowed_boxes(entry, boxes, now)
 
         ranking = self.packer.ranking(task, self._state.interference, now)
+        return self._search.begin(entry, pool, ranking, narrow, self._can_send)
 
-        def can_start(box: BoxView) -> bool:
-            return self._reservations.allows(entry, box, now) and self._limits.allows(
-                box.entry.hall
-            )
-
-        return self._search.begin(entry, pool, ranking, narrow, can_start)
+    def _can_send(self, box: BoxView) -> bool:
+        return self._limits.allows(box.entry.hall)
 
     def _allowed_boxes(
         self, entry: WaitingStep, boxes: t.Collection[BoxView], now: float
--- a/src/granitetrestle/longrunningwaits.py
+++ b/src/granitetrestle/longrunningwaits.py
@@ -13,12 +13,11 @@
 from .boxsearch import is_eligible
 from .decisions import LogEvent
 from .headroom import Headroom
-from .reservations import Reservations
 from .shardstate import ShardState
 from .shardstate import WaitingStep
 from .workflows import Task
 
-__all__ = ["KeptRoom", "LongRunningWaits", "WaitCause", "wait_over_events"]
+__all__ = ["LongRunningWaits", "WaitCause", "wait_over_events"]
 
 # Shorter waits are normal: a poll, a write and a command take up to one second.
 REPORT_THRESHOLD_S: t.Final = 3.0
@@ -57,8 +56,6 @@
     QUARANTINE = "put_aside"
     # The only boxes with room are in evacuated data halls.
     EVACUATED = "evacuated"
-    # The only boxes with room are reserved for other tasks that are large.
-    SAVED = "saved"
     # The only boxes with room are reserved for short tasks.
     RESERVED = "kept"
     # A box can take the task: it starts in the next pass.
@@ -76,19 +73,11 @@
     WaitCause.PER_BOX,
     WaitCause.EVACUATED,
     WaitCause.QUARANTINE,
-    WaitCause.SAVED,
     WaitCause.RESERVED,
     WaitCause.NONE,
 )
 
 
-class KeptRoom(t.NamedTuple):
-    """What keeps a long-running task from boxes that have room."""
-
-    headroom: Headroom
-    reservations: Reservations
-
-
 class LongRunningWaits:
     """Logs and counts long-running tasks that have waited for long.
 
@@ -102,14 +91,13 @@
 
     def report(
         self,
-        kept: KeptRoom,
+        headroom: Headroom,
         max_starts: int,
         inherited_leases_end: t.Callable[[str], float],
         now: float,
     ) -> t.Iterator[LogEvent]:
         """Report every few seconds why long-running tasks have waited for long.
 
-        :param kept: what keeps such tasks from boxes with room.
         :param max_starts: limit of starts in the pass.
         :param inherited_leases_end: maps the incarnation of a box to the time when the
             last lease that a predecessor may have given it ends.
@@ -129,7 +117,7 @@
         ]
         waits.sort(key=_waits_since)
         for entry in waits[: max(1, min(MAX_REPORTS, MAX_BOXES_EXAMINED // boxes))]:
-            cause, inputs = self._explain(entry, kept, now)
+            cause, inputs = self._explain(entry, headroom, now)
             causes[cause] += len(entry.tasks)
             inputs["most_starts"] = max_starts
             yield LogEvent("lasting_waits", _step_name(entry), inputs)
@@ -146,7 +134,7 @@
         return queue is not None and queue.advised
 
     def _count_exclusions(
-        self, entry: WaitingStep, kept: KeptRoom, now: float
+        self, entry: WaitingStep, headroom: Headroom, now: float
     ) -> dict[WaitCause, int]:
         """Return how many boxes each cause excludes that no earlier cause excluded."""
         counts = dict.fromkeys(EXCLUSION_CAUSES, 0)
@@ -154,14 +142,14 @@
         tickets = entry.tickets if self._needs_advice(entry) else None
         for box in self._state.boxes.values():
             if box.entry.service == service:
-                counts[_exclusion_cause(entry, box, tickets, kept, now)] += 1
+                counts[_exclusion_cause(entry, box, tickets, headroom, now)] += 1
         return counts
 
     def _explain(
-        self, entry: WaitingStep, kept: KeptRoom, now: float
+        self, entry: WaitingStep, headroom: Headroom, now: float
     ) -> tuple[WaitCause, dict[str, t.Any]]:
         step = entry.spec
-        counts = self._count_exclusions(entry, kept, now)
+        counts = self._count_exclusions(entry, headroom, now)
         last = (cause for cause in reversed(EXCLUSION_CAUSES) if counts[cause])
         cause = next(last, WaitCause.NO_BOX)
         if (
@@ -246,7 +234,7 @@
     entry: WaitingStep,
     box: BoxView,
     tickets: t.Collection[str] | None,
-    kept: KeptRoom,
+    headroom: Headroom,
     now: float,
 ) -> WaitCause:
     """Return the first cause that excludes a box for a step.
@@ -264,11 +252,11 @@
         return WaitCause.CPU
     if not box.fits(step):
         return WaitCause.MEMORY
-    return _closing_cause(entry, box, kept, now)
+    return _closing_cause(entry, box, headroom, now)
 
 
 def _closing_cause(
-    entry: WaitingStep, box: BoxView, kept: KeptRoom, now: float
+    entry: WaitingStep, box: BoxView, headroom: Headroom, now: float
 ) -> WaitCause:
     """Return the first cause that excludes a box that has room."""
     task = next(iter(entry.tasks.values()), None)
@@ -278,9 +266,7 @@
         return WaitCause.EVACUATED
     if now < box.closed_until:
         return WaitCause.QUARANTINE
-    if not kept.reservations.allows(entry, box, now):
-        return WaitCause.SAVED
-    return WaitCause.RESERVED if kept.headroom.is_reserved(box) else WaitCause.NONE
+    return WaitCause.RESERVED if headroom.is_reserved(box) else WaitCause.NONE
 
 
 def _seconds_since(at: float, now: float) -> float | None:
--- a/src/granitetrestle/mechanisms.py
+++ b/src/granitetrestle/mechanisms.py
@@ -42,8 +42,6 @@
     SIZE_SHARES = "size_shares"
     # Work that is too late to be of use goes after late work. Off: both count alike.
     TOO_LATE_LAST = "too_late_last"
-    # Room is reserved for large tasks that waited long. Off: smaller tasks take it.
-    RESERVATIONS = "reservations"
     # Processor time is attributed to its uses. Off: it is not.
     ROOM_ACCOUNT = "room_account"
     # Refused clients retry at steady intervals. Off: intervals grow with the outage.
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -261,7 +261,7 @@
             self._interference_written_at = now
             self._state.record_interference()
         effects += self._long_running_waits.report(
-            self._dispatcher.kept_room,
+            self._dispatcher.headroom,
             limits.total,
             self._fleet.leases.inherited.end,
             now,
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -43,6 +43,7 @@
 from .journal import Journal
 from .journal import NotKept
 from .leaderlease import JournalLeaderLease
+from .longrunningwaits import WaitCause
 from .looplag import LoopLag
 from .mechanisms import Mechanism
 from .newestread import read_newest
@@ -61,7 +62,7 @@
 from .succession import JOBS_TOPIC
 from .succession import StateReader
 from .succession import StateUnavailable
-from .waitingfigures import waiting_figures
+from .waitingorder import count_waiting_tasks
 
 __all__ = ["Session", "Sources"]
 
@@ -145,12 +146,22 @@
 
     def load(self, now: float) -> dict[str, float]:
         """Return the lengths of queues, and how far behind this process is."""
+        entries = self._scheduler.state.waiting.values()
+        waiting = count_waiting_tasks(entries, now)
+        causes = self._scheduler.long_running_waits.causes
         return {
-            **waiting_figures(self._scheduler, now),
+            **{f"tasks_waiting_{kind}": float(n) for kind, n in waiting.items()},
+            **{
+                f"tasks_waiting_long_{cause}": float(causes.get(cause, 0))
+                for cause in WaitCause
+            },
+            "orders_waiting": float(self._paths.waiting),
+            "orders_at_once": float(self._paths.size),
             **self._paths.load(),
             "loop_lag_s": round(self._lag.lag_s, 3),
             "looks_waiting": float(self._budget.long_polls),
             "looks_to_begin": float(self._budget.contact_window.waiting),
+            "halls_evacuated": float(len(self._scheduler.state.evacuated_halls)),
             "orders_unreadable": float(self._operator_feed.unreadable),
             "log_end": float(self._journal.end or 0),
             "right_age_s": round(self._leader_lease.age_s(), 3),
--- a/src/granitetrestle/timeline.py
+++ b/src/granitetrestle/timeline.py
@@ -37,8 +37,6 @@
         "hall_restored",
         "starts_held",
         "starts_go_on",
-        "room_reserved",
-        "reservation_over",
     }
 )
 BOX_EVENTS: t.Final = frozenset(
