A box whose entry names no processor time ends no leader

Callers would see: nothing is decided any more. An entry may leave its capacity out, and a best-effort step its cpu; ranking such a box for such a step divided by zero in the leader, and then in each successor.

Cause: shares of a box's processor time were taken in five places, each with a division of its own. They now use BoxView.cpu_share.

Evidence: the new scenario of features/foreign_records.feature raised ZeroDivisionError in packing.py before the change, and in the account of room; a mutant dies.

--- a/features/foreign_records.feature
+++ b/features/foreign_records.feature
@@ -24,6 +24,11 @@
       | with labels that are not strings       |
       | of an unknown service                  |
 
+  Scenario: A box without processor time, and a job that names none, end no leader
+    Given a box whose entry names no processor time, beside one with 16 cores
+    When a best-effort job and a serving one name no processor time
+    Then both start, and the processor time of both boxes is accounted for
+
   Scenario: An entry that became invalid is no longer used in its earlier form
     When the list of boxes holds two valid entries, and one is overwritten with bytes that are not Unicode text
     Then only the valid one is used, and the other is logged once, with its key
--- a/features/steps/room_account_steps.py
+++ b/features/steps/room_account_steps.py
@@ -325,6 +325,34 @@
     assert ["pool", "unused", "startable", "150", "75"] in rows, context.output
 
 
+@given("a box whose entry names no processor time, beside one with 16 cores")
+def box_without_cpu(context):
+    entries = [box_entry("b0", cpu=0), box_entry("b1")]
+    context.room = Room(entries, frozenset({Mechanism.HEADROOM}))
+
+
+@when("a best-effort job and a serving one name no processor time")
+def jobs_without_cpu(context):
+    room = context.room
+    context.jobs = [
+        room.submit(structs.replace(SERVING, cpu=0, count=2, per_box=1)),
+        room.submit(structs.replace(FILL, cpu=0, count=2, per_box=1)),
+    ]
+    for _ in range(8):
+        room.place()
+        for name in room.entries:
+            room.poll(name, s=30.0, f=900.0)
+    room.submit(structs.replace(FILL, cpu=0, count=8, memory_mb=7900))
+
+
+@then("both start, and the processor time of both boxes is accounted for")
+def both_start(context):
+    for job in context.jobs:
+        tasks = context.room.state.workflows[job].tasks.values()
+        assert any(task.placed for task in tasks), job
+    assert abs(sum(context.room.split().values()) - 16.0) < 0.2
+
+
 @given("the mechanism room_account is switched off")
 def account_off(context):
     context.room = Room([box_entry("b")], frozenset({Mechanism.ROOM_ACCOUNT}))
--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -152,6 +152,11 @@
         """Unreserved processor time, in thousandths of a core."""
         return self.entry.cpu - self.cpu_used
 
+    def cpu_share(self, cpu: float) -> float:
+        """Return thousandths of a core as a share of the box's processor time. An entry
+        may name none, as its capacity is optional."""
+        return cpu / max(1, self.entry.cpu)
+
     @property
     def over_room(self) -> bool:
         """Whether the tasks exceed its capacity, as when that shrank."""
--- a/src/granitetrestle/overload.py
+++ b/src/granitetrestle/overload.py
@@ -54,7 +54,7 @@
     shares: dict[str, float] = {}
     for task in box.best_effort_tasks.values():
         step = task.spec
-        shares[step.image] = shares.get(step.image, 0.0) + step.cpu / box.entry.cpu
+        shares[step.image] = shares.get(step.image, 0.0) + box.cpu_share(step.cpu)
     return shares
 
 
@@ -126,7 +126,7 @@
     if box.overloaded_since:
         # Something on the box interferes, and the model does not show yet which image.
         return 0.0
-    share = step.cpu / box.entry.cpu
+    share = box.cpu_share(step.cpu)
     pace = 1.0
     for image, spare in load.serving:
         slowdown = share * interference.sensitivity(image, step.image)
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -144,7 +144,8 @@
         if task is not None:
             image = task.spec.image
             interference.add_best_effort_image(image)
-            measured[image] = measured.get(image, 0.0) + row.measurement / box.entry.cpu
+            share = box.cpu_share(row.measurement)
+            measured[image] = measured.get(image, 0.0) + share
     previous = sum(box.best_effort_shares.values())
     decay = math.exp(-elapsed_s / MEASUREMENT_LAG_S)
     for image in {*measured, *box.best_effort_shares}:
@@ -223,7 +224,7 @@
 def _slowdown_costs(
     task: Task, box: BoxView, interference: Interference
 ) -> dict[str, SlowdownCost]:
-    share = task.spec.cpu / box.entry.cpu
+    share = box.cpu_share(task.spec.cpu)
     best_effort = task.spec.image
     costs = {}
     for image in {serving.spec.image for serving in box.serving.values()}:
--- a/src/granitetrestle/packing.py
+++ b/src/granitetrestle/packing.py
@@ -221,6 +221,6 @@
         pace = tolerable_pace(self._step, box, load, self._interference)
         if pace < self._min_pace:
             return None
-        score = pace + UNUSED_WEIGHT * load.unused / box.entry.cpu
+        score = pace + UNUSED_WEIGHT * box.cpu_share(load.unused)
         score -= COMPATIBLE_SHARE_WEIGHT * load.compatible_share
         return (-score, box.incarnation)
--- a/src/granitetrestle/roomaccount.py
+++ b/src/granitetrestle/roomaccount.py
@@ -67,8 +67,17 @@
     NO_DEMAND = "no_demand"
 
 
-UNUSED: t.Final = tuple(RoomUse)[4:]
-_OBSTACLES: t.Final = tuple(RoomUse)[4:12]
+_OBSTACLES: t.Final = (
+    RoomUse.STARTABLE,
+    RoomUse.COMMANDS,
+    RoomUse.UNKNOWN,
+    RoomUse.TARGET,
+    RoomUse.OVER_TARGET,
+    RoomUse.CPU,
+    RoomUse.MEMORY,
+    RoomUse.NOT_ALLOWED,
+)
+UNUSED: t.Final = (*_OBSTACLES, RoomUse.SLOWED, RoomUse.CLOSED, RoomUse.NO_DEMAND)
 _Split: t.TypeAlias = dict[RoomUse, float]
 
 
--- a/tools/load_mutants.py
+++ b/tools/load_mutants.py
@@ -85,4 +85,9 @@
         ),
         "room_account",
     ),
+    Mutant(
+        "load: shares of a box without processor time are taken",
+        (("boxes.py", "cpu / max(1, self.entry.cpu)", "cpu / self.entry.cpu"),),
+        "foreign_records",
+    ),
 )
--- a/tools/recovery_mutants.py
+++ b/tools/recovery_mutants.py
@@ -10,7 +10,7 @@
         (
             (
                 "overload.py",
-                "shares.get(step.image, 0.0) + step.cpu / box.entry.cpu",
+                "shares.get(step.image, 0.0) + box.cpu_share(step.cpu)",
                 "shares.get(step.image, 0.0)",
             ),
         ),
