A figure of a running task that is no number is a malformed answer

The figure of a task in a box's answer was taken as it came and added up later, in pacing.py and now in the account.

Evidence: the new scenarios of features/foreign_records.feature got such a figure through before the change.

--- a/features/foreign_records.feature
+++ b/features/foreign_records.feature
@@ -29,6 +29,16 @@
     When a best-effort job and a serving one name no processor time
     Then both start, and the processor time of both boxes is accounted for
 
+  Scenario Outline: An answer to a poll with a figure that is <figure> is malformed
+    When a box answers a poll with a task whose figure is <figure>
+    Then it counts as no answer, and the reason says that it is malformed
+
+    Examples:
+      | figure  |
+      | "much"  |
+      | null    |
+      | [1, 2]  |
+
   Scenario: An entry that became invalid is no longer used in its earlier form
     When the list of boxes holds two valid entries, and one is overwritten with bytes that are not Unicode text
     Then only the valid one is used, and the other is logged once, with its key
--- a/features/steps/ends_steps.py
+++ b/features/steps/ends_steps.py
@@ -9,6 +9,7 @@
 
 from granitetrestle.calls import Caller
 from granitetrestle.calls import Reply
+from granitetrestle.interfaces import BoxNoAnswer
 from granitetrestle.platform.boxes import PlatformBoxes
 from granitetrestle.workflows import Step
 
@@ -77,6 +78,20 @@
     assert len(context.poll.ended) == count, context.poll
 
 
+@when("a box answers a poll with a task whose figure is {figure}")
+def answers_with_figure(context, figure):
+    row = [f"{'a' * 16}.0.0.0", 1, "", 50, json.loads(figure)]
+    answer = {"clock_ms": 1, "running": [row], "finished": []}
+    boxes = PlatformBoxes(AnsweringBox(answer))
+    context.poll = anyio.run(boxes.poll, "life", "address", 1, 0, None, 0)
+
+
+@then("it counts as no answer, and the reason says that it is malformed")
+def malformed_answer(context):
+    assert isinstance(context.poll, BoxNoAnswer), context.poll
+    assert "malformed" in context.poll.reason, context.poll
+
+
 @then("no further ends exist")
 def no_further(context):
     assert not context.poll.more_ends
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -339,11 +339,13 @@
     return CommandRejected(answer.reason, answer.clock_ms)
 
 
+def _running_task(row: list[t.Any]) -> RunningTask:
+    measurement = float(row[4]) if len(row) > 4 else 0.0
+    return RunningTask(row[0], row[1], row[2], row[3], measurement)
+
+
 def _decode_poll(body: bytes) -> PollResult:
     raw = _poll_answers.decode(body)
-    running = tuple(
-        RunningTask(row[0], row[1], row[2], row[3], row[4] if len(row) > 4 else 0.0)
-        for row in raw.running
-    )
+    running = tuple(map(_running_task, raw.running))
     ended = tuple(EndedRun(*row[:5]) for row in raw.finished)
     return PollResult(raw.clock_ms, running, ended, len(ended) >= MAX_ENDS_PER_POLL)
