--- a/tools/lease_mutants.py
+++ b/tools/lease_mutants.py
@@ -43,8 +43,9 @@
         (
             (
                 "statedigest.py",
-                "if not stored.epoch or stored.end + 1 != claim.end:",
-                "if not stored.epoch:",
+                "if not stored.epoch or not stored.lease_ms "
+                "or stored.end + 1 != claim.end:",
+                "if not stored.epoch or not stored.lease_ms:",
             ),
         ),
         "lease_waits_random",
--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -131,7 +131,7 @@
         (
             (
                 "crashloops.py",
-                "if task.sent and not _is_proven(box, task)",
+                "if task.sent\n        and not _is_proven(box, task)",
                 "if not _is_proven(box, task)",
             ),
         ),
@@ -244,7 +244,18 @@
     ),
     Mutant(
         "native: shard time is not recorded, and a successor starts it anew",
-        (("scheduler.py", "self._state.record_time(now)", "pass"),),
+        (
+            (
+                "scheduler.py",
+                "off.\n        self._state.record_time(now)",
+                "off.",
+            ),
+            (
+                "scheduler.py",
+                "if self._state.workflows:\n            self._state.record_time(now)",
+                "pass",
+            ),
+        ),
         "waits_through_hand_overs",
     ),
     Mutant(
