A start that never left leaves its box at once, so that no successor counts it

Callers saw jobs that did nothing wrong shown as failed while boxes and leaders were lost in turn.

Cause: a connection that is refused proves that a start did not arrive. The leader that tried it noted that in memory (`sent`), kept the task on the box as STOPPING and waited for the box's end. Its successor restored the task from the record as one whose start may have crashed the box, and counted 2 points as the box was lost; four such losses end the job.

Now such a start is withdrawn, like a command that was not sent: the task waits for another box at once, which also spares its job the wait for the box's end, and the box gets nothing for 0.5 s, as after a rejection. What the store says is then true for every leader. The command is sent by the one leader that numbered the run, and `sent` is false only if none of its attempts left, so no second run can begin.

The new scenario failed before ("counts as failed" after the fourth box). Mutant: "a start that never left stays with its box" dies.

--- a/features/box_crashes.feature
+++ b/features/box_crashes.feature
@@ -71,6 +71,13 @@
     When a job has just started, another's start is held back as the store is away, and the box crashes
     Then the first is suspected, and the other is not
 
+  Scenario: A job whose starts never left is not given up as boxes and leaders are lost in turn
+    A connection that is refused proves that the start did not arrive. Only the leader that
+    tried it knew, so its successor counted each such loss: 2 points, four times.
+    Given a shard of 1 boxes among models
+    When 5 times in a row the box refuses the start of a job, and its leader and then the box are lost
+    Then its job is completed
+
   Scenario: The log names each run that was lost with its box, and its age
     Given a shard of 3 boxes among models
     When a long-running job runs, a task that crashes its box starts beside it, and the crash is detected
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -231,6 +231,35 @@
             world.crash_box(sorted(world.entries).index(lost))
 
 
+@when(
+    "{times:d} times in a row the box refuses the start of a job, and its leader and "
+    "then the box are lost"
+)
+def refused_starts(context, times):
+    world = context.world
+    (incarnation,) = world.entries
+    for _ in range(times):
+        while True:
+            box = world.leader.scheduler.state.boxes.get(incarnation)
+            if box is not None and box.adopted:
+                break
+            world.advance(TICK_INTERVAL_S)
+        world.refusing.add(incarnation)
+        if not world.accepted:
+            context.job = world.submit((Step(count=1, cpu=500, memory_mb=10),))
+        # The start is refused, and the leader writes what it makes of that.
+        world.advance(2 * TICK_INTERVAL_S)
+        job = world.leader.scheduler.state.workflows[context.job]
+        reasons = [event.inputs.get("reason") for event in world.leader.log_events]
+        assert job.terminal or "connection refused" in reasons, reasons
+        assert not world.boxes[incarnation].history
+        world.kill()
+        world.take_over()
+        world.refusing.clear()
+        world.crash_box(0)
+        (incarnation,) = world.entries
+
+
 @then("its job is completed")
 def job_is_completed(context):
     context.world.settle(60.0)
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -336,12 +336,16 @@
         if task.state != STARTING:
             return []
         inputs = {"run": run, "box": incarnation, "reason": outcome.reason}
-        if isinstance(outcome, CommandNotSent):
+        unsent = isinstance(outcome, BoxNoAnswer) and not outcome.sent
+        if unsent or isinstance(outcome, CommandNotSent):
+            # If the task stayed on the box, a successor could not tell this start from
+            # one that crashed the box.
             self._progress.requeue(task, now)
+            box = self._state.boxes.get(incarnation)
+            if unsent and box is not None:
+                box.pause(REJECTION_PAUSE_S, now)
             event = LogEvent("start_withdrawn", name, inputs)
             return [event, *self._stop_gang(task, now)]
-        if isinstance(outcome, BoxNoAnswer) and not outcome.sent:
-            task.sent = False
         event = LogEvent("start_in_doubt", name, inputs)
         return [event, *self._progress.stop(task, now)]
 
--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -137,6 +137,17 @@
         ),
         "box_crashes",
     ),
+    Mutant(
+        "native: a start that never left stays with its box",
+        (
+            (
+                "scheduler.py",
+                "if unsent or isinstance(outcome, CommandNotSent):",
+                "if isinstance(outcome, CommandNotSent):",
+            ),
+        ),
+        "box_crashes",
+    ),
     Mutant(
         "native: an older run is blamed as one that has just begun",
         (
