Two crashes give a job up only if its task had provably just started at both

Callers saw a job shown as failed after a single box was lost under it.

Cause: a task that alone had just started on a lost box is given up at 6 points, meant as two crashes of 3 each. Starts that got no answer add 2 points each, though they may have arrived nowhere; two of them and one crash are 7. The points do not say what kind they were.

Now the crashes that were answered and that no other loss explains are counted apart and stored with the task. Points still give up a task at 8, so one that crashes every box is given up after four at most, whatever its starts are answered with. Older builds ignore the new field, and rows without it count as none.

Both new scenarios failed before ("counts as failed"); a mutant that counts points again dies.

--- a/features/box_crashes.feature
+++ b/features/box_crashes.feature
@@ -78,6 +78,13 @@
     When 5 times in a row the box refuses the start of a job, and its leader and then the box are lost
     Then its job is completed
 
+  Scenario: A job is not given up for one crash after starts that may not have arrived
+    Two crashes give up a task that had provably just started at both. Points alone do not
+    tell such a crash from a start to a box that was cut off, which has arrived nowhere.
+    Given a shard of 3 boxes among models
+    When a job's starts reach no box twice, as its box is lost, and its third box is lost just after the start
+    Then its job is completed
+
   Scenario: The log names each run that was lost with its box, and its age
     Given a shard of 3 boxes among models
     When a long-running job runs, a task that crashes its box starts beside it, and the crash is detected
@@ -130,6 +137,10 @@
     When random work and faults run on a shard from seed 2278
     Then no promise was broken
 
+  Scenario: A job is not given up for a single crash after two starts to boxes that are cut off
+    When random work and faults run on a shard from seed 13700
+    Then no promise was broken
+
   Scenario: A job that did nothing wrong is not given up as boxes are lost in waves
     A third to a half of the boxes crash together, again and again. Two waves, each just
     after a start of a task, would otherwise give its job up, as no other task has just
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -260,6 +260,29 @@
         (incarnation,) = world.entries
 
 
+@when(
+    "a job's starts reach no box twice, as its box is lost, and its third box is lost "
+    "just after the start"
+)
+def unreached_starts(context):
+    world = context.world
+    world.advance(0.5)
+    context.job = world.submit((Step(count=1, cpu=500, memory_mb=10),))
+    task = next(
+        iter(world.leader.scheduler.state.workflows[context.job].tasks.values())
+    )
+    for arrives in (False, False, True):
+        run = task.run + 1
+        cut = () if arrives else sorted(world.entries)
+        world.cut_until.update(dict.fromkeys(cut, world.now + 1.5 * TICK_INTERVAL_S))
+        while task.run < run:
+            world.advance(TICK_INTERVAL_S)
+        assert bool(world.boxes[task.box].running) == arrives
+        world.crash_box(sorted(world.entries).index(task.box))
+        while task.placed:
+            world.advance(TICK_INTERVAL_S)
+
+
 @then("its job is completed")
 def job_is_completed(context):
     context.world.settle(60.0)
--- a/src/granitetrestle/crashloops.py
+++ b/src/granitetrestle/crashloops.py
@@ -53,8 +53,9 @@
 # promised that it is after five; some crashes may go uncounted while the store or the
 # leader is unavailable.
 GIVE_UP_THRESHOLD: t.Final = 8
-# Two crashes are enough if no other task had just started at the second.
-GIVE_UP_THRESHOLD_ALONE: t.Final = 2 * LIKELY_POINTS
+# Two crashes are enough if the task had provably just started at both, no other boxes
+# were being lost, and no other task had just started at the second.
+LIKELY_CRASHES_ALONE: t.Final = 2
 # A task that has run for this long is no longer suspected: one that runs for weeks
 # loses boxes now and then, and would be given up in the end.
 CLEARED_RUNTIME_S: t.Final = 60.0
@@ -160,9 +161,11 @@
     tasks = tuple(task for task in likely if task.suspicion == max_suspicion)
     for task in candidates:
         if task in tasks and task.running_since:
-            task.suspicion += (
-                LIKELY_POINTS_AMID_LOSSES if maybe_unrelated else LIKELY_POINTS
-            )
+            if maybe_unrelated:
+                task.suspicion += LIKELY_POINTS_AMID_LOSSES
+            else:
+                task.suspicion += LIKELY_POINTS
+                task.likely_crashes += 1
         elif task in likely:
             # Two tasks that crash boxes may start together each time, on the only box.
             task.suspicion += LESS_LIKELY_POINTS
@@ -178,13 +181,15 @@
 
     :param alone: whether it alone can have been the cause.
     """
-    return task.suspicion >= (GIVE_UP_THRESHOLD_ALONE if alone else GIVE_UP_THRESHOLD)
+    if alone and task.likely_crashes >= LIKELY_CRASHES_ALONE:
+        return True
+    return task.suspicion >= GIVE_UP_THRESHOLD
 
 
 def clear_suspicion(task: Task, now: float) -> None:
     """Clear the suspicion of a task whose run has been running for long."""
     if task.running_since and now - task.running_since >= CLEARED_RUNTIME_S:
-        task.suspicion = 0
+        task.suspicion = task.likely_crashes = 0
 
 
 class SuspectPlacement:
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -66,6 +66,7 @@
 
     :param since_ms: when its run was started, or since when it waits for the next one,
         in shard time.
+    :param likely_crashes: as :attr:`.Task.likely_crashes`; 0 in rows of older versions.
     """
 
     index: int
@@ -76,6 +77,7 @@
     checkpoint: str = ""
     suspicion: int = 0
     since_ms: int = UNKNOWN_TIME
+    likely_crashes: int = 0
 
 
 class JobRow(msgspec.Struct, frozen=True, array_like=True):
@@ -121,6 +123,7 @@
         task.checkpoint,
         task.suspicion,
         UNKNOWN_TIME if since is None else time.at(since),
+        task.likely_crashes,
     )
 
 
@@ -379,6 +382,7 @@
     task.failed_runs = frozenset(row.failed_runs)
     task.checkpoint = row.checkpoint
     task.suspicion = row.suspicion
+    task.likely_crashes = row.likely_crashes
     task.workflow.begun = True
     if row.state == DONE:
         task.workflow.mark_done(task, now)
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -111,6 +111,8 @@
     :ivar running_since: time from which that run is known to run; 0 while it is not.
     :ivar suspicion: points for the boxes that it may have crashed; see
         :mod:`.crashloops`.
+    :ivar likely_crashes: how many of these boxes it had provably just started on, while
+        no other boxes were lost.
     :ivar done_at: time at which it was done, in seconds on the steady clock.
     """
 
@@ -123,6 +125,7 @@
         "failed_runs",
         "index",
         "inherited",
+        "likely_crashes",
         "name",
         "occurrence",
         "pace",
@@ -160,6 +163,7 @@
         self.inherited = False
         self.running_since = 0.0
         self.suspicion = 0
+        self.likely_crashes = 0
         self.checkpoint = ""
         self.started_at = 0.0
         self.confirmed_at = 0.0
--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -137,6 +137,17 @@
         ),
         "box_crashes",
     ),
+    Mutant(
+        "native: points of any kind count as two crashes under a task alone",
+        (
+            (
+                "crashloops.py",
+                "if alone and task.likely_crashes >= LIKELY_CRASHES_ALONE:",
+                "if alone and task.suspicion >= 2 * LIKELY_POINTS:",
+            ),
+        ),
+        "box_crashes",
+    ),
     Mutant(
         "native: a start that never left stays with its box",
         (
