The loss of a box that listed a run as running is no crash by its start

Callers saw a job shown as failed after one box had crashed under five tasks and the next one, which ran the job alone, was cut off and then replaced.

Cause: a run counts as just started for 0.5 s, which covers the delivery of the command and the detection of the loss, though a start that crashes a box does so within 0.1 s. That a poll in between had listed the run as running was not used.

Now such a loss gives its points as before, but is not one of the two crashes that suffice under a task alone. A task that crashes boxes 0.3 s after its start is given up after three of them instead of two; one that does so by its start is not listed as running later, so nothing changes for it.

--- a/features/box_crashes.feature
+++ b/features/box_crashes.feature
@@ -85,6 +85,13 @@
     When a job's starts reach no box twice, as its box is lost, and its third box is lost just after the start
     Then its job is completed
 
+  Scenario: A job is not given up as its box is lost some time after the start, the second time
+    The loss of a box that listed the run as running is no crash by its start, as of a box
+    that is cut off and then replaced.
+    Given a shard of 3 boxes among models
+    When a job's box is lost 0.05 seconds after its start, and the next one 0.35 seconds after
+    Then its job is completed
+
   Scenario: The log names each run that was lost with its box, and its age
     Given a shard of 3 boxes among models
     When a long-running job runs, a task that crashes its box starts beside it, and the crash is detected
@@ -137,6 +144,16 @@
     When random work and faults run on a shard from seed 2278
     Then no promise was broken
 
+  Scenario Outline: A job is not given up as its box is cut off after the start, seed <seed>
+    The box then crashes before it answers again, so that the run seems to have crashed it.
+    When random work and faults run on a shard from seed <seed>
+    Then no promise was broken
+
+    Examples:
+      | seed  |
+      | 20381 |
+      | 40191 |
+
   Scenario: A job is not given up for a single crash after two starts to boxes that are cut off
     When random work and faults run on a shard from seed 13700
     Then no promise was broken
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -283,6 +283,22 @@
             world.advance(TICK_INTERVAL_S)
 
 
+@when(
+    "a job's box is lost {first_s:g} seconds after its start, and the next one "
+    "{second_s:g} seconds after"
+)
+def lost_after_start(context, first_s, second_s):
+    world = context.world
+    world.advance(0.5)
+    context.job = world.submit((Step(count=1, cpu=500, memory_mb=10),))
+    for after_s in (first_s, second_s):
+        while (incarnation := box_of(world, f"{context.job}.0.0.0")) is None:
+            world.advance(TICK_INTERVAL_S)
+        world.advance(after_s)
+        world.crash_box(sorted(world.entries).index(incarnation))
+        world.advance(TICK_INTERVAL_S)
+
+
 @then("its job is completed")
 def job_is_completed(context):
     context.world.settle(60.0)
--- a/src/granitetrestle/crashloops.py
+++ b/src/granitetrestle/crashloops.py
@@ -22,6 +22,7 @@
     "blame",
     "clear_suspicion",
     "has_just_started",
+    "has_outlived_start",
     "is_given_up",
     "may_have_crashed",
     "ran_under_predecessor",
@@ -35,6 +36,9 @@
 # A start that crashes a box does so within 0.1 s; the rest is for the delivery of the
 # command and the detection of the lost connection, on a slow link and a busy leader.
 JUST_STARTED_MAX_AGE_S: t.Final = 0.5
+# A run that its box lists as running this long after the start was answered has outlived
+# its start.
+OUTLIVED_START_S: t.Final = 0.1
 # Points of suspicion for a crash: for the most suspected task, if its start was
 # answered; for others that had just started, or may not have started at all; and for
 # those that started earlier, if none was suspected before.
@@ -112,6 +116,15 @@
     return lost_at - _start_time(task) <= JUST_STARTED_MAX_AGE_S
 
 
+def has_outlived_start(box: BoxView, task: Task) -> bool:
+    """Return whether a run was observed running after a crash by its start would have
+    happened."""
+    row = box.running.get(task.name)
+    if row is None or row.run != task.run or not task.running_since:
+        return False
+    return box.clock_at - task.running_since >= OUTLIVED_START_S
+
+
 class BoxLosses:
     """Detects whether boxes are lost for causes unrelated to the tasks on them."""
 
@@ -148,12 +161,14 @@
     candidates: t.Sequence[Task],
     lost_at: float = math.inf,
     maybe_unrelated: bool = False,
+    outlived: t.Collection[Task] = (),
 ) -> BlamedTasks:
     """Add points of suspicion to the tasks that may have crashed a lost box.
 
     :param candidates: the tasks of :func:`may_have_crashed`.
     :param lost_at: when it was lost, or last answered before.
     :param maybe_unrelated: whether it may have been lost for an unrelated cause.
+    :param outlived: those of the tasks whose runs have outlived their start.
     """
     likely = [task for task in candidates if has_just_started(task, lost_at)]
     likely = likely or list(candidates)
@@ -165,14 +180,19 @@
                 task.suspicion += LIKELY_POINTS_AMID_LOSSES
             else:
                 task.suspicion += LIKELY_POINTS
-                task.likely_crashes += 1
+                task.likely_crashes += task not in outlived
         elif task in likely:
             # Two tasks that crash boxes may start together each time, on the only box.
             task.suspicion += LESS_LIKELY_POINTS
         elif not max_suspicion:
             # A task may run for a while before it crashes its box.
             task.suspicion += POSSIBLE_POINTS
-    alone = len(likely) == 1 and bool(likely[0].running_since) and not maybe_unrelated
+    alone = (
+        len(likely) == 1
+        and bool(likely[0].running_since)
+        and likely[0] not in outlived
+        and not maybe_unrelated
+    )
     return BlamedTasks(tasks, alone)
 
 
--- a/src/granitetrestle/losttasks.py
+++ b/src/granitetrestle/losttasks.py
@@ -8,6 +8,7 @@
 from .crashloops import BoxLosses
 from .crashloops import blame
 from .crashloops import has_just_started
+from .crashloops import has_outlived_start
 from .crashloops import is_given_up
 from .crashloops import may_have_crashed
 from .crashloops import ran_under_predecessor
@@ -54,7 +55,8 @@
         if not any(has_just_started(task, lost_at) for task in candidates):
             self._losses.record_unexplained(now)
         maybe_unrelated = self._losses.may_be_unrelated(box.silent_since, now)
-        return blame(candidates, lost_at, maybe_unrelated)
+        outlived = [task for task in candidates if has_outlived_start(box, task)]
+        return blame(candidates, lost_at, maybe_unrelated, outlived)
 
     def requeue_unlisted(
         self, incarnation: str, since_take_over_s: float, now: float
--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -148,6 +148,17 @@
         ),
         "box_crashes",
     ),
+    Mutant(
+        "native: a run that was listed as running counts as crashed by its start",
+        (
+            (
+                "crashloops.py",
+                "return box.clock_at - task.running_since >= OUTLIVED_START_S",
+                "return False",
+            ),
+        ),
+        "box_crashes",
+    ),
     Mutant(
         "native: a start that never left stays with its box",
         (
