A task under which two boxes were lost is tried apart from all that has just started

Callers saw jobs that did nothing wrong shown as failed while boxes were lost one after the other.

Cause: suspects are tried on boxes that take nothing else for 0.5 s, but only as long as an eighth of the boxes are closed so. In a small shard, or beside several suspects, the rest start together again, on the same box as the task that crashes it, and each crash counts against all of them.

Now a task with 4 points, which two lost boxes give, starts only where no other task has just started, and its box takes no other for 0.5 s, however many are closed; it waits for that for 2 s at most.

--- a/features/box_crashes.feature
+++ b/features/box_crashes.feature
@@ -97,6 +97,22 @@
     When a job's box is lost 0.05 seconds after its start, the leader is replaced, and its next box is lost in the same way
     Then its job counts as failed
 
+  Scenario: Tasks under which boxes were lost are tried apart from tasks that crash theirs
+    One of the two boxes took other tasks beside a suspect, and a crash of theirs gave it up.
+    Given a shard of 2 boxes among models
+    When 2 jobs under which three boxes were lost are submitted just before one that crashes its box
+    Then both jobs are completed
+
+  Scenario: A suspected task does not start beside another that has just started
+    Given a shard of 1 boxes among models
+    When a job under which three boxes were lost is submitted just after another task has started
+    Then its task starts no sooner than 0.4 seconds later
+
+  Scenario: A suspected task does not wait for ever on a busy shard to be tried apart
+    Given a shard of 1 boxes among models
+    When a job under which three boxes were lost waits while others start on the only box 10 times a second
+    Then it starts within 2.5 seconds, and its box takes no other task for 0.4 seconds
+
   Scenario: The log names each run that was lost with its box, and its age
     Given a shard of 3 boxes among models
     When a long-running job runs, a task that crashes its box starts beside it, and the crash is detected
@@ -159,10 +175,21 @@
       | 20381 |
       | 40191 |
 
+  Scenario: A job is not given up as its boxes are lost under other tasks that start with it
+    Three of its starts get no answer and one does, each beside tasks that crash the box.
+    When random work and faults run on a shard from seed 21152
+    Then no promise was broken
+
   Scenario: A job is not given up for a single crash after two starts to boxes that are cut off
     When random work and faults run on a shard from seed 13700
     Then no promise was broken
 
+  Scenario: A job that did nothing wrong is not given up though one of its runs lasted
+    Three of its starts get no answer as boxes are lost; a run that lasted for 1.7 s when its
+    box was lost counts as much as each of them.
+    When random work and faults run on a shard whose boxes restart from seed 50651
+    Then no promise was broken
+
   Scenario: A job that did nothing wrong is not given up as boxes are lost in waves
     A third to a half of the boxes crash together, again and again. Two waves, each just
     after a start of a task, would otherwise give its job up, as no other task has just
--- a/src/granitetrestle/crashloops.py
+++ b/src/granitetrestle/crashloops.py
@@ -63,6 +63,11 @@
 # A task that has run for this long is no longer suspected: one that runs for weeks
 # loses boxes now and then, and would be given up in the end.
 CLEARED_RUNTIME_S: t.Final = 60.0
+# A task that is suspected of this much, after two lost boxes, is tried where no other
+# task has just started, so that a crash by another task is not held against it. It
+# waits this long at most until there is such a box.
+ISOLATION_THRESHOLD: t.Final = 2 * LESS_LIKELY_POINTS
+MAX_ISOLATION_WAIT_S: t.Final = 2.0
 # Maximum share of a pool's open boxes that take only a suspect at a time: other tasks
 # have just lost a box as well, and wait for room.
 MAX_ISOLATED_BOXES_SHARE: t.Final = 0.125
@@ -212,6 +217,10 @@
         task.suspicion = task.likely_crashes = 0
 
 
+def _needs_isolation(task: Task) -> bool:
+    return task.suspicion >= ISOLATION_THRESHOLD
+
+
 class SuspectPlacement:
     """Chooses the boxes on which suspects are retried."""
 
@@ -245,10 +254,22 @@
         is the strongest evidence, and affects the fewest other tasks."""
         return (self._just_started[box.incarnation], len(box.tasks), box.incarnation)
 
-    def record_start(self, box: BoxView) -> None:
+    def choose(self, task: Task, boxes: t.Iterable[BoxView]) -> BoxView | None:
+        """Return the best of ``boxes`` for a suspect, or ``None`` if it waits until one
+        is free of tasks that have just started."""
+        box = min(boxes, key=self.rank)
+        if self._just_started[box.incarnation] and _needs_isolation(task):
+            waits_since = task.times.waits_since
+            if waits_since is not None:
+                patient = self._now - waits_since < MAX_ISOLATION_WAIT_S
+                return None if patient else box
+        return box
+
+    def record_start(self, task: Task, box: BoxView) -> None:
         """Close a box to other tasks than the suspect that starts there until a crash
-        by its start would have shown, unless too many boxes are isolated."""
+        by its start would have shown, unless too many boxes are isolated for tasks that
+        are suspected of less."""
         self._just_started[box.incarnation] += 1
-        if len(self._isolated) < self._max_isolated:
+        if _needs_isolation(task) or len(self._isolated) < self._max_isolated:
             self._isolated[box.incarnation] = self._now + JUST_STARTED_MAX_AGE_S
             box.closed_until = max(box.closed_until, self._isolated[box.incarnation])
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -278,8 +278,10 @@
             bearable = [box for box in boxes if ranking.rank(box) is not None]
             if not bearable:
                 break
-            box = min(bearable, key=placement.rank)
-            placement.record_start(box)
+            box = placement.choose(task, bearable)
+            if box is None:
+                continue
+            placement.record_start(task, box)
             effects.append(self._start_waiting(entry, task, box, now))
             self._state.index.refresh(now)
         return effects
--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -159,6 +159,39 @@
         ),
         "box_crashes",
     ),
+    Mutant(
+        "native: strong suspects share boxes where many are isolated",
+        (
+            (
+                "crashloops.py",
+                "if _needs_isolation(task) or len(",
+                "if len(",
+            ),
+        ),
+        "box_crashes",
+    ),
+    Mutant(
+        "native: a strong suspect starts beside others that have just started",
+        (
+            (
+                "crashloops.py",
+                "return None if patient else box",
+                "return box",
+            ),
+        ),
+        "box_crashes",
+    ),
+    Mutant(
+        "native: a strong suspect waits for ever for a box of its own",
+        (
+            (
+                "crashloops.py",
+                "return None if patient else box",
+                "return None",
+            ),
+        ),
+        "box_crashes",
+    ),
     Mutant(
         "native: a start that never left stays with its box",
         (
