Scenarios of leases on deployments: what an outage may take, and what a successor waits

The known failure of a box and its leader that are lost at once sets leases of 6 s for the successor alone; the lost leader grants the model's 3 s, and 12.3 s are seen. With 6 s for both it is 15.4 s; that scenario is listed beside it, with the same 6 s promised.

Two more guard against what a shorter wait could cost, and pass: a long-running task runs without a break while the store is away for 6 and 13 s, and a leader that is cut off from the store alone runs no task beside its successor.

--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -178,6 +178,30 @@
     When a long-running task runs, and its box and the leader are lost at once, where leases last 6 s
     Then it runs on another box within 6 seconds of when its box became silent
 
+  Scenario: A lasting task whose box is lost together with the decider runs elsewhere within 6 s
+    The durations of deployments throughout, also for the leader that is lost.
+    Given a shard of 3 boxes among models, whose leases last 6 s
+    When a long-running task runs, and its box and the leader are lost at once
+    Then it runs on another box within 6 seconds of when its box became silent
+
+  Scenario Outline: No work is lost while the store is away for <seconds> s
+    A leader goes on renewing leases for 8 s, and the last ones last 6 s. Shorter ones would
+    let a successor start sooner what ran on boxes that it does not reach.
+    Given a shard of 3 boxes among models, whose leases last 6 s
+    When a long-running task runs, and the store is away for <seconds> seconds
+    Then the task has run without a break
+
+    Examples:
+      | seconds |
+      | 6       |
+      | 13      |
+
+  Scenario: A leader that is cut off from the store alone runs no task beside its successor
+    It goes on renewing leases of boxes that the successor does not reach.
+    Given a shard of 3 boxes among models, whose leases last 6 s
+    When a long-running task runs on a box that only a leader without the store reaches
+    Then the task runs elsewhere, and never ran on two boxes
+
   Scenario Outline: Orderly hand-overs do not prolong the wait for the lease of a lost box
     With leases of 3 s the task runs again 4.9 s after the loss, as without a hand-over.
     Given a shard of 6 boxes among models
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -47,6 +47,67 @@
     world.take_over()
 
 
+@given("a shard of {boxes:d} boxes among models, whose leases last 6 s")
+def shard_of_long_leases(context, boxes):
+    world = context.world = ShardWorld(7, boxes)
+    world.parameters = SchedulerParameters(lease_s=6.0, keep_s=600.0)
+    for box in world.boxes.values():
+        box._hold_max_s = world.parameters.lease_s
+    world.hand_over()
+
+
+@when("a long-running task runs, and its box and the leader are lost at once")
+def lost_with_leader(context):
+    world = context.world
+    task = lasting_task(context)
+    world.cut_until[task.box] = world.now + 1000.0
+    context.silent_box, context.since = task.box, world.now
+    world.kill()
+    world.advance(0.9)
+    world.take_over()
+
+
+@when("a long-running task runs, and the store is away for {seconds:g} seconds")
+def store_away(context, seconds):
+    world = context.world
+    context.task = lasting_task(context)
+    world.store_down = True
+    world.advance(seconds)
+    world.store_down = False
+    world.advance(5.0)
+
+
+@then("the task has run without a break")
+def ran_without_break(context):
+    runs = [run for box in context.world.boxes.values() for run in box.history]
+    assert [(run.task, run.ended) for run in runs] == [(context.task.name, None)], runs
+
+
+@when("a long-running task runs on a box that only a leader without the store reaches")
+def only_former_leader_reaches(context):
+    world = context.world
+    context.task = lasting_task(context)
+    box, older = context.task.box, world.leader
+    older.without_store = True
+    older.cut_from.update(world.entries.keys() - {box})
+    world.advance(0.9)
+    world.take_over()
+    world.leader.cut_from.add(box)
+    # The world checks at each step that no task runs on two boxes.
+    world.advance(20.0)
+    context.silent_box = box
+
+
+@then("the task runs elsewhere, and never ran on two boxes")
+def runs_elsewhere_alone(context):
+    running = [
+        incarnation
+        for incarnation, box in context.world.boxes.items()
+        if context.task.name in box.running
+    ]
+    assert len(running) == 1 and running != [context.silent_box], running
+
+
 @when(
     "a long-running task runs, its box is lost, {listed}, and the leader hands over "
     "{count:d} times, first after {first:g} s and then every {gap:g} s"
