A mark names the boxes where leases of earlier leaders may run longer

Cause: a leader states with each append how long leases of leaders before it may run, in one number, that of the box with the longest. A successor applies it to every box without a record of its own, and a box lost at the moment of the hand-over has none.

Now the mark also names these boxes, each with its time, while there are at most eight. A successor waits for others no longer than for the leader's own leases. With more of them, as in the first second after a take-over, the one number holds as before. Older builds ignore the names and read the same number; a mark without names is read as before. Cost: one byte an append, and for each named box its name and 3 to 5 bytes.

--- a/features/inherited_leases.feature
+++ b/features/inherited_leases.feature
@@ -116,3 +116,24 @@
     Given a shard of 3 boxes among models
     When the progress of a job can't be read by a leader, which has reached all boxes and resigns
     Then its successor waits for as long as the leaders before it may have left
+
+  Scenario Outline: A mark names the boxes where leases of earlier leaders run, unless that is long
+    It is written with every append. A box that is not named is not waited for longer than the
+    leases of the leader itself last.
+    Given a leader that has stated that leases of 5 s may run on <boxes> boxes, with names of <bytes> bytes
+    When nothing else was written, and a successor reads the records
+    Then it reads <names>, and a bound of 5 s
+    And a version that knows no names reads the same bound
+
+    Examples:
+      | boxes | bytes | names        |
+      | 0     | 12    | 0 names      |
+      | 1     | 12    | 1 names      |
+      | 8     | 64    | 8 names      |
+      | 9     | 12    | nothing of them |
+      | 1     | 65    | nothing of them |
+
+  Scenario: A lost box is not waited for as long as another that only a former leader reaches
+    Given a shard of 6 boxes among models
+    When one long-running task runs on a box that only a leader without the store reaches, another's box is lost, and the successor hands over at once
+    Then the task of the lost box runs again within 4.9 seconds, and the other one no sooner than its leases end
--- a/features/lease_waits_random.feature
+++ b/features/lease_waits_random.feature
@@ -28,6 +28,11 @@
     When a series of changes of leader runs from seed 356
     Then no promise was broken
 
+  Scenario: A long-running task whose lease has ended does not wait for a box that is closed for a suspect
+    One box is full, one is reserved for short tasks, and one is closed for 0.5 s.
+    When a series of changes of leader runs from seed 41311
+    Then no promise was broken
+
   Scenario: A box that has answered a leader is not waited for as long as former leaders might renew
     When a series of changes of leader runs from seed 761
     Then no promise was broken
--- a/features/steps/inherited_lease_steps.py
+++ b/features/steps/inherited_lease_steps.py
@@ -15,6 +15,7 @@
 from granitetrestle.messages import Member
 from granitetrestle.messages import NodeStatus
 from granitetrestle.registry import LeaderEntry
+from granitetrestle.statedigest import DIGEST_BYTES
 from granitetrestle.statedigest import DIGEST_KEY
 from granitetrestle.statedigest import DigestTracker
 from granitetrestle.statedigest import EpochClaim
@@ -37,6 +38,16 @@
     total: int
 
 
+class DigestWithoutNames(OldDigest, frozen=True, array_like=True):
+    """The digest and the mark as versions without names of boxes read them."""
+
+    epoch: int = 0
+    end: int = 0
+    resigned: bool = False
+    inherited_ms: int = 0
+    lease_ms: int = 0
+
+
 def claim_epoch(store, epoch):
     appended = store.append(TOPIC, [EpochClaim.record(epoch, f"life-{epoch}")], None)
     return EpochClaim(epoch, f"life-{epoch}", appended.end)
@@ -51,6 +62,37 @@
     context.store.append(TOPIC, records, None)
 
 
+@given(
+    "a leader that has stated that leases of {inherited_s:g} s may run on {boxes:d} "
+    "boxes, with names of {size:d} bytes"
+)
+def leader_of_named_boxes(context, inherited_s, boxes, size):
+    context.store = StoreModel()
+    claim = claim_epoch(context.store, 1)
+    context.named = {f"{number:0{size}d}": inherited_s for number in range(boxes)}
+    mark = LeaderMark(1, claim.end + 2, False, inherited_s, 1.0, context.named)
+    records = DigestTracker().with_digest([Record("k", b"v")], mark)
+    digest = records[-1]
+    assert len(digest.key) + len(digest.value) + 8 <= DIGEST_BYTES
+    context.store.append(TOPIC, records, None)
+
+
+@then("it reads {what}, and a bound of {inherited_s:g} s")
+def names_read(context, what, inherited_s):
+    named = None if what == "nothing of them" else context.named
+    assert context.mark.inherited_s_of == named, context.mark
+    assert context.mark.inherited_s == inherited_s, context.mark
+
+
+@then("a version that knows no names reads the same bound")
+def bound_read_without_names(context):
+    newest = context.store.newest(TOPIC).records
+    (value,) = (record.value for record in newest if record.key == DIGEST_KEY)
+    digest = msgspec.msgpack.decode(value, type=DigestWithoutNames)
+    assert digest.inherited_ms == context.mark.inherited_s * 1000.0, digest
+    assert digest.lease_ms == context.mark.lease_bound_s * 1000.0, digest
+
+
 @when("nothing else was written, and a successor reads the records")
 def read_at_once(context):
     read_records(context)
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -10,6 +10,7 @@
 from granitetrestle.shardstate import SchedulerParameters
 from granitetrestle.workflows import Step
 from granitetrestle_standins.nativebox import BoxModel
+from granitetrestle_standins.shardprocess import TICK_INTERVAL_S
 from granitetrestle_standins.shardworld import ShardWorld
 from lasting_task import lasting_task
 
@@ -306,3 +307,42 @@
         running = sum(len(box.running) for box in world.boxes.values())
         assert running >= least, running
     assert not any(world.boxes[name].running for name in context.boxes[1:])
+
+
+@when(
+    "one long-running task runs on a box that only a leader without the store reaches, "
+    "another's box is lost, and the successor hands over at once"
+)
+def island_and_lost_box(context):
+    world = context.world
+    step = Step(count=2, cpu=500, memory_mb=10, long_running=True, per_box=1)
+    job = world.submit((step,))
+    world.advance(4.0)
+    tasks = world.leader.scheduler.state.workflows[job].tasks.values()
+    context.kept, context.lost = (task.name for task in tasks)
+    island, lost_box = (task.box for task in tasks)
+    older = world.leader
+    older.without_store = True
+    older.cut_from.update(world.entries.keys() - {island})
+    world.take_over()
+    world.leader.cut_from.add(island)
+    world.advance(0.3)
+    world.cut_until[lost_box] = world.now + 1000.0
+    context.since = world.now
+    world.leader.resign()
+    world.take_over()
+    world.leader.cut_from.add(island)
+
+
+@then(
+    "the task of the lost box runs again within {seconds:g} seconds, and the other one "
+    "no sooner than its leases end"
+)
+def lost_box_first(context, seconds):
+    world = context.world
+    while world.sent_starts[context.lost].at < context.since:
+        world.advance(TICK_INTERVAL_S)
+        assert world.now - context.since <= seconds, world.now - context.since
+    # The world checks at each step that no task runs on two boxes.
+    world.advance(10.0)
+    assert world.sent_starts[context.kept].at > world.sent_starts[context.lost].at
--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -106,14 +106,18 @@
         :param anywhere: whether a task may run on any box, since its record can't be
             read.
         """
-        inherited_end = self._inherited.latest_end
-        if inherited_end > now and not anywhere:
-            inherited_end = max(self._inherited_ends(now), default=now)
-        inherited_s = max(0.0, inherited_end - now)
         lease_bound_s = self._state.parameters.lease_bound_s
-        return LeaderMark(epoch, end, self._resigned, inherited_s, lease_bound_s)
-
-    def _inherited_ends(self, now: float) -> t.Iterator[float]:
+        named: dict[str, float] | None = None
+        inherited_s = max(0.0, self._inherited.latest_end - now)
+        if not anywhere:
+            named = {}
+            if inherited_s:
+                ends = self._inherited_ends(now)
+                named = {name: max(0.0, ends_at - now) for name, ends_at in ends}
+            inherited_s = max(named.values(), default=0.0)
+        return LeaderMark(epoch, end, self._resigned, inherited_s, lease_bound_s, named)
+
+    def _inherited_ends(self, now: float) -> t.Iterator[tuple[str, float]]:
         """Yield the ends of leases that earlier leaders granted, of the boxes with tasks
         whose last lease has no record in the store: those that this leader has not
         reached, and those with longer leases than it grants. Any other box rejects the
@@ -124,10 +128,10 @@
             if not box.tasks or leases.is_written(incarnation):
                 continue
             if not box.clock_at or box.lease_ends > own_end:
-                yield box.lease_ends
+                yield incarnation, box.lease_ends
         for incarnation in self._state.inherited:
             if not leases.is_written(incarnation):
-                yield self._inherited.end(incarnation)
+                yield incarnation, self._inherited.end(incarnation)
 
     def resign(self, now: float) -> None:
         """Grant and renew no lease any more, and record how long the last lease of each
--- a/src/granitetrestle/inheritedleases.py
+++ b/src/granitetrestle/inheritedleases.py
@@ -5,6 +5,8 @@
 them begins anew with a take-over: otherwise a task of a lost box would wait for as long
 as leaders follow each other."""
 
+import math
+
 from .shardstate import SchedulerParameters
 from .statedigest import LeaderMark
 
@@ -26,6 +28,9 @@
         # The predecessor may be alive, without the store, and renew leases.
         self._end = now + parameters.orphan_s + parameters.max_lease_bound_s
         self._proof = "none"
+        # By when the predecessor's own leases have ended, if it named the boxes where
+        # those of earlier leaders may run longer.
+        self._own_end = math.inf
         # Incarnation of a box -> bound by a record about it.
         self._recorded_ends: dict[str, float] = {}
 
@@ -52,7 +57,13 @@
 
     def end(self, incarnation: str) -> float:
         """Return when the last of these leases has ended on a box."""
-        return self._recorded_ends.get(incarnation, self._end)
+        if incarnation in self._recorded_ends:
+            return self._recorded_ends[incarnation]
+        mark = self._predecessor
+        if mark is None or mark.inherited_s_of is None:
+            return self._end
+        inherited_s = mark.inherited_s_of.get(incarnation, 0.0)
+        return min(self._end, max(self._own_end, self._took_over_at + inherited_s))
 
     def end_at_adoption(self, now: float) -> float:
         """Return when the last of these leases has ended on a box that has answered by
@@ -101,8 +112,10 @@
         leases of leaders before it may run for as long as it says."""
         own_end = ended_at + mark.lease_bound_s
         end = max(own_end, self._took_over_at + mark.inherited_s)
-        if end >= self._end:
+        of_boxes = mark.inherited_s_of is not None and own_end < self._own_end
+        if end >= self._end and not of_boxes:
             return False
-        self._end = end
+        self._own_end = min(self._own_end, own_end)
+        self._end = min(self._end, end)
         self._proof = proof
         return True
--- a/src/granitetrestle/statedigest.py
+++ b/src/granitetrestle/statedigest.py
@@ -38,8 +38,12 @@
 DIGEST_KEY: t.Final = "m/state"
 EPOCH_CLAIM_KEY: t.Final = "m/taken"
 _OWN_KEYS: t.Final = frozenset({DIGEST_KEY, EPOCH_CLAIM_KEY})
+# Upper limits of the boxes that a mark names, and of the length of their names: it is
+# written with every append. Without names its bound holds for all boxes.
+MAX_NAMED_BOXES: t.Final = 8
+MAX_BOX_NAME_BYTES: t.Final = 64
 # Upper limit of the bytes that a digest adds to an append, with its length prefixes.
-DIGEST_BYTES: t.Final = 64
+DIGEST_BYTES: t.Final = 80 + MAX_NAMED_BOXES * (MAX_BOX_NAME_BYTES + 8)
 # A topic without a digest that ends below this offset may hold nothing but epoch
 # claims: at the first start all processes try to take over, some of them several times.
 MAX_RECORDS_OF_CLAIMS: t.Final = 64
@@ -67,6 +71,7 @@
     resigned: bool = False
     inherited_ms: int = 0
     lease_ms: int = 0
+    inherited_ms_of: dict[str, int] | None = None
 
 
 class LeaderMark(t.NamedTuple):
@@ -76,6 +81,8 @@
     :param resigned: whether it grants and renews no lease any more.
     :param inherited_s: how long a lease may still run that an earlier leader granted.
     :param lease_bound_s: how long a lease may run that this leader grants.
+    :param inherited_s_of: incarnation of a box -> how long a lease of an earlier leader
+        may still run there, for all boxes where one may; ``None`` if they are not named.
     """
 
     epoch: int
@@ -83,6 +90,7 @@
     resigned: bool
     inherited_s: float
     lease_bound_s: float
+    inherited_s_of: t.Mapping[str, float] | None = None
 
 
 class _EpochClaimant(msgspec.Struct, frozen=True, array_like=True):
@@ -163,11 +171,27 @@
                 math.ceil(mark.lease_bound_s * 1000.0),
             )
             stored = _StoredDigest(
-                keys, total, mark.epoch, mark.end, mark.resigned, *durations_ms
+                keys,
+                total,
+                mark.epoch,
+                mark.end,
+                mark.resigned,
+                *durations_ms,
+                _durations_ms_of_boxes(mark),
             )
         return [*records, Record(DIGEST_KEY, _encode(stored))]
 
 
+def _durations_ms_of_boxes(mark: LeaderMark) -> dict[str, int] | None:
+    """Return the stored form of what a mark says of single boxes, unless that is long."""
+    named = mark.inherited_s_of
+    if named is None or len(named) > MAX_NAMED_BOXES:
+        return None
+    if any(len(name.encode()) > MAX_BOX_NAME_BYTES for name in named):
+        return None
+    return {name: math.ceil(left_s * 1000.0) for name, left_s in named.items()}
+
+
 class Verdict(enum.Enum):
     """Why a read is not proved to be complete."""
 
@@ -236,12 +260,16 @@
     if stored.epoch < claim.newest_known:
         # A leader of a version that claims its epoch without a record came after it.
         return None
+    of_boxes = stored.inherited_ms_of
     return LeaderMark(
         stored.epoch,
         stored.end,
         stored.resigned,
         stored.inherited_ms / 1000.0,
         stored.lease_ms / 1000.0,
+        None
+        if of_boxes is None
+        else {name: left_ms / 1000.0 for name, left_ms in of_boxes.items()},
     )
 
 
--- a/tools/lease_mutants.py
+++ b/tools/lease_mutants.py
@@ -55,8 +55,30 @@
         (
             (
                 "boxleases.py",
-                "inherited_s = max(0.0, inherited_end - now)",
-                "inherited_s = 0.0",
+                "named = {name: max(0.0, ends_at - now) for name, ends_at in ends}",
+                "named = {name: 0.0 for name, ends_at in ends}",
+            ),
+        ),
+        "lease_waits_random",
+    ),
+    Mutant(
+        "leases: a mark names no box where earlier leases run longer",
+        (
+            (
+                "statedigest.py",
+                "for name, left_s in named.items()}",
+                "for name, left_s in ()}",
+            ),
+        ),
+        "lease_waits_random",
+    ),
+    Mutant(
+        "leases: what a mark says of one box holds for all",
+        (
+            (
+                "inheritedleases.py",
+                "if mark is None or mark.inherited_s_of is None:",
+                "if True:",
             ),
         ),
         "lease_waits_random",
