A successor knows of long-running tasks whose runs a leader has observed for long

Callers saw long-running jobs that did nothing wrong shown as failed after boxes were lost around changes of leader, and others wait since boxes were closed to try them.

Cause: a run that was observed at work for 2 s did not crash its box by its start, and is not suspected. That is known to the leader that observed it; its successor knows only when the run began, and suspects it for 5 s. A long-running job whose boxes are lost within 5 s of its starts, around changes of leader, collects 2 points each time, though the tasks worked for seconds.

Now the row of a long-running task is written once more when its run has been observed for 2 s, and says so. Older builds ignore the field. Other tasks are not written again: they are many and short.

What the old rule guards against: new scenarios of a long-running task that crashes its box 0.3 and 1.5 s after the start, with one leader and with one that dies after each crash, are given up after at most 5 boxes. Mutants: "a successor does not know which runs were observed", "every run counts as observed for long".

--- a/features/box_crashes.feature
+++ b/features/box_crashes.feature
@@ -21,6 +21,19 @@
       | its starts are never answered              |
       | all lose power after each crash            |
 
+  Scenario Outline: A long-running task that crashes boxes is given up though a leader saw it run
+    That a run was listed as running does not clear it for a successor, only that it lasted.
+    Given a shard of 6 boxes among models, with jobs of several accounts
+    When a long-running task is submitted that crashes its box <delay> seconds after its start, and <what>
+    Then the task has crashed at most 5 boxes, and its job is shown as failed
+
+    Examples:
+      | delay | what                            |
+      | 0.3   | one process leads throughout    |
+      | 0.3   | the leader dies after each crash |
+      | 1.5   | one process leads throughout    |
+      | 1.5   | the leader dies after each crash |
+
   Scenario Outline: A task is given up though no leader that starts it lives to see the crash
     The leader is killed after its order and before it learns of the crash, so only
     successors can count it, from the orders in the store.
@@ -66,6 +79,27 @@
       | 1.0 |
       | 3.0 |
 
+  Scenario: A long-running task that a predecessor has observed is not suspected as its box is lost
+    A successor that knows only when the run began suspects it for 5 s, and a job whose boxes
+    are lost around changes of leader collected points with each.
+    Given a shard of 12 boxes among models
+    When a long-running job has run for 3 seconds, a successor takes over, and after 0.0 seconds a box of the job crashes
+    Then none of its tasks is suspected
+
+  Scenario Outline: A long-running job is not given up as its boxes are lost around changes of leader
+    When a series of changes of leader runs from seed <seed>
+    Then no promise was broken
+
+    Examples:
+      | seed  |
+      | 10675 |
+      | 82624 |
+
+  Scenario: A long-running job is not given up as each of its boxes is lost soon after the start
+    Nothing tells its four losses, 0.15 to 1.5 s after a start, from crashes by its task.
+    When a series of changes of leader runs from seed 81046
+    Then no promise was broken
+
   Scenario: A task whose start was never sent is not blamed for the box
     Given a shard of 1 boxes among models
     When a job has just started, another's start is held back as the store is away, and the box crashes
--- a/features/lease_waits_random.feature
+++ b/features/lease_waits_random.feature
@@ -29,7 +29,8 @@
     Then no promise was broken
 
   Scenario: A long-running task whose lease has ended does not wait for a box that is closed for a suspect
-    One box is full, one is reserved for short tasks, and one is closed for 0.5 s.
+    One box is full, one is reserved for short tasks, and one is closed for 0.5 s for a task
+    that was suspected for the loss of a box on which it had run for 4.5 s.
     When a series of changes of leader runs from seed 41311
     Then no promise was broken
 
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -88,9 +88,23 @@
 
 @when("a task that crashes its box is submitted, and {fault} for {seconds:g} seconds")
 def crashing_task(context, fault, seconds):
+    run_crashing(context, Step(count=1, cpu=500, memory_mb=10), fault, seconds)
+
+
+@when(
+    "a long-running task is submitted that crashes its box {delay_s:g} seconds after its "
+    "start, and {fault}"
+)
+def crashing_later(context, delay_s, fault):
+    context.world.box_crashes.crash_delay_s = delay_s
+    step = Step(count=1, cpu=500, memory_mb=10, long_running=True)
+    run_crashing(context, step, fault, 60.0)
+
+
+def run_crashing(context, step, fault, seconds):
     world = context.world
     world.box_crashes.crash_before_answer = fault == "its starts are never answered"
-    context.culprit = world.submit((Step(count=1, cpu=500, memory_mb=10),))
+    context.culprit = world.submit((step,))
     context.task = f"{context.culprit}.0.0.0"
     world.box_crashes.crashing.add(context.task)
     ends, crashes = world.now + seconds, 0
--- a/src/granitetrestle/crashloops.py
+++ b/src/granitetrestle/crashloops.py
@@ -24,6 +24,7 @@
     "has_just_started",
     "has_outlived_start",
     "is_given_up",
+    "is_to_be_recorded",
     "may_have_crashed",
     "ran_under_predecessor",
 ]
@@ -97,11 +98,23 @@
     return bool(began) and box.clock_at - began >= MIN_PROVEN_RUNTIME_S
 
 
+def is_to_be_recorded(task: Task, now: float) -> bool:
+    """Return whether the store should say now that the run of a task was observed
+    running for long. Otherwise a successor suspects it as its box is lost soon. Runs
+    of other than long-running tasks are too short and too many to be written again."""
+    if task.proven or not task.spec.long_running or not task.running_since:
+        return False
+    return now - task.running_since >= MIN_PROVEN_RUNTIME_S
+
+
 def ran_under_predecessor(task: Task, lost_at: float) -> bool:
     """Return whether a run that this leader has not observed began long before its box
-    was lost: by then its predecessor had stopped it, had its start been in doubt."""
+    was lost: a predecessor has observed it, or had stopped it by then, had its start
+    been in doubt."""
     if task.running_since or not task.inherited:
         return False
+    if task.proven:
+        return True
     return lost_at - task.started_at >= MIN_INHERITED_RUNTIME_S
 
 
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -402,7 +402,7 @@
         task.times.enter("order", now)
         task.box = box.incarnation
         task.started_at = now
-        task.sent = task.inherited = False
+        task.sent = task.inherited = task.proven = False
         task.running_since = 0.0
         task.confirmed_at = 0.0
         task.stop_sent_at = 0.0
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -8,6 +8,7 @@
 from .boxlogevents import contradiction_events
 from .boxlogevents import silence_inputs
 from .boxlogevents import task_counts
+from .crashloops import is_to_be_recorded
 from .decisions import AcknowledgeEnds
 from .decisions import Decision
 from .decisions import LogEvent
@@ -366,6 +367,9 @@
                 continue
             if row.checkpoint:
                 task.checkpoint = row.checkpoint
+            if is_to_be_recorded(task, now):
+                task.proven = True
+                self._state.mark_task_changed(task)
             if task.state == STARTING:
                 task.mark_running(now)
                 task.paced_at = now
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -78,13 +78,15 @@
     since_ms: int = UNKNOWN_TIME
 
 
-class SuspectRow(TaskRow, frozen=True, array_like=True):
-    """A task with likely crashes, which few have; older versions ignore their number.
+class ObservedRow(TaskRow, frozen=True, array_like=True):
+    """A task with observations that few tasks have, and that older versions ignore.
 
     :param likely_crashes: as :attr:`.Task.likely_crashes`.
+    :param proven: as :attr:`.Task.proven`.
     """
 
     likely_crashes: int = 0
+    proven: bool = False
 
 
 class JobRow(msgspec.Struct, frozen=True, array_like=True):
@@ -112,7 +114,7 @@
 _encode = msgspec.msgpack.Encoder().encode
 _submissions = msgspec.msgpack.Decoder(Submission)
 _job_rows = msgspec.msgpack.Decoder(JobRow)
-_task_rows = msgspec.msgpack.Decoder(list[SuspectRow])
+_task_rows = msgspec.msgpack.Decoder(list[ObservedRow])
 _ended_rows = msgspec.msgpack.Decoder(EndedRow)
 
 
@@ -131,8 +133,8 @@
         task.suspicion,
         UNKNOWN_TIME if since is None else time.at(since),
     )
-    if task.likely_crashes:
-        return SuspectRow(*row, task.likely_crashes)
+    if task.likely_crashes or task.proven:
+        return ObservedRow(*row, task.likely_crashes, task.proven)
     return TaskRow(*row)
 
 
@@ -355,7 +357,7 @@
     for occurrence, step, index, run, state, box, failed, checkpoint in row.tasks:
         task = workflow.tasks.get((occurrence, step, index))
         if task is not None:
-            task_row = SuspectRow(index, run, state, box, tuple(failed), checkpoint)
+            task_row = ObservedRow(index, run, state, box, tuple(failed), checkpoint)
             _restore_task(task, task_row, time, now)
     if row.tasks:
         restored.in_old_format.append(workflow)
@@ -386,7 +388,7 @@
             _restore_task(task, row, time, now)
 
 
-def _restore_task(task: Task, row: SuspectRow, time: ShardTime, now: float) -> None:
+def _restore_task(task: Task, row: ObservedRow, time: ShardTime, now: float) -> None:
     task.run = row.run
     task.failed_runs = frozenset(row.failed_runs)
     task.checkpoint = row.checkpoint
@@ -408,5 +410,6 @@
     task.started_at = since = time.steady(row.since_ms, now)
     if task.placed:
         task.inherited = row.since_ms != UNKNOWN_TIME
+        task.proven = row.proven
     else:
         task.times.enter("room", since)
--- a/src/granitetrestle/progress.py
+++ b/src/granitetrestle/progress.py
@@ -108,6 +108,7 @@
         clear_suspicion(task, now)
         self._state.free(task)
         task.state = PENDING
+        task.proven = False
         self._state.mark_task_changed(task)
         self._state.enqueue(task, now)
 
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -111,6 +111,7 @@
     :ivar running_since: time from which that run is known to run; 0 while it is not.
     :ivar suspicion: points for the boxes that it may have crashed; see
         :mod:`.crashloops`.
+    :ivar proven: whether the store says that its run was observed running for long.
     :ivar likely_crashes: how many of these boxes it had provably just started on, while
         no other boxes were lost.
     :ivar done_at: time at which it was done, in seconds on the steady clock.
@@ -130,6 +131,7 @@
         "occurrence",
         "pace",
         "paced_at",
+        "proven",
         "run",
         "running_since",
         "sent",
@@ -164,6 +166,7 @@
         self.running_since = 0.0
         self.suspicion = 0
         self.likely_crashes = 0
+        self.proven = False
         self.checkpoint = ""
         self.started_at = 0.0
         self.confirmed_at = 0.0
--- a/src/granitetrestle_standins/boxcrashes.py
+++ b/src/granitetrestle_standins/boxcrashes.py
@@ -23,12 +23,14 @@
     """Tracks crashing tasks and crashed boxes. Times are in seconds.
 
     :ivar crashing: tasks that crash each box that starts them.
+    :ivar crash_delay_s: how long after its start a crashing task crashes its box.
     :ivar crash_before_answer: whether the crash precedes the answer to the start.
     :ivar counts: task -> number of boxes that crashed while it ran there.
     """
 
     def __init__(self) -> None:
         self.crashing: set[str] = set()
+        self.crash_delay_s = CRASH_DELAY_S
         self.crash_before_answer = False
         self.counts: dict[str, int] = {}
         self._starts_after_threshold: dict[str, int] = {}
@@ -55,7 +57,7 @@
     def crash_due(self, box: BoxModel, now: float) -> bool:
         """Return whether a task that runs on a box crashes it now."""
         return any(
-            run.task in self.crashing and now - run.began >= CRASH_DELAY_S
+            run.task in self.crashing and now - run.began >= self.crash_delay_s
             for run in box.running.values()
         )
 
--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -192,6 +192,22 @@
         ),
         "box_crashes",
     ),
+    Mutant(
+        "native: a successor does not know which runs were observed",
+        (("jobrecords.py", "task.proven = row.proven", "task.proven = False"),),
+        "box_crashes",
+    ),
+    Mutant(
+        "native: every run counts as observed for long",
+        (
+            (
+                "crashloops.py",
+                "return now - task.running_since >= MIN_PROVEN_RUNTIME_S",
+                "return True",
+            ),
+        ),
+        "box_crashes",
+    ),
     Mutant(
         "native: a start that never left stays with its box",
         (
