--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -235,7 +235,7 @@
         (
             (
                 "crashloops.py",
-                "if len(self._isolated) < self._max_isolated:",
+                "if _needs_isolation(task) or len(self._isolated) < self._max_isolated:",
                 "if True:",
             ),
         ),
