--- a/review/3/case.py
+++ b/review/3/case.py
@@ -39,8 +39,11 @@
             reader, writer = await asyncio.open_connection(ip, int(port))
             writer.write(head.encode())
             self.sent_at = time.monotonic()
-            first = await reader.readline()
-            self.answered = first.startswith(b"HTTP/1.1")
+            world.journal.write("client", f"GET {PLANS}{number:016x} -> {node.name}")
+            first = (await reader.readline()).decode().strip()
+            self.answered = first.startswith("HTTP/1.1")
+            if self.answered:
+                world.journal.write("client", f"GET {PLANS}{number:016x} <- {first}")
         except ConnectionError:
             pass
         finally:
@@ -49,7 +52,7 @@
         if self.sent_at and not self.answered:
             self.cut_after_s = time.monotonic() - self.sent_at
             world.journal.write(
-                "client", f"connection to {node.name} ends without an answer "
+                "client", f"GET {PLANS}{number:016x}: connection ends without an answer "
                 f"{self.cut_after_s:.3f} s after the request was sent"
             )  # fmt: skip
 
