--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 # Plans that repeat and fall due later, as many as a successor takes a moment to read.
 JOBS, COUNT, REPEATS = 40, 100, 50
 ROUNDS = 3
-PENDING_S = 0.3
+PENDING_S = 0.25
 # RULES.md, LOST: "more than `loss_slack_ms` after its last byte was sent".
 SLACK_S = rig.BOUNDS["loss_slack_ms"] / 1000.0
 
