A new shard has witnesses as soon as its first boxes answer

Its first panel was chosen 2 s late: the first look, before any box had answered, counted as a comparison of the whole panel, which is made every 2 s. Callers saw nothing; a leader lost within that time was waited for with 8 s and a lease. Found by the scenarios on panels that follow: "A witness that is lost is replaced" saw no panel 0.5 s after the start.

--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -196,7 +196,8 @@
         kept = [
             name for name in members if name in boxes and _may_stay(boxes[name], now)
         ]
-        if len(kept) == len(members) and now < self._panel_review_due_at:
+        unchanged = len(kept) == len(members)
+        if members and unchanged and now < self._panel_review_due_at:
             return []
         self._panel_review_due_at = now + PANEL_REVIEW_INTERVAL_S
         usable = [
@@ -206,7 +207,7 @@
         if not chosen and len(kept) >= witnesses.panel.majority:
             # All that are left are needed.
             return []
-        if len(kept) == len(members) and not _is_better(chosen, members, boxes):
+        if unchanged and not _is_better(chosen, members, boxes):
             return []
         if set(chosen) == set(members):
             return []
