The panel of witnesses also bounds the leases of the leader before last

A mark says that it does if leases of that leader are no longer than ours. The length in the mark is rounded up to milliseconds, so it always was the longer one, by less than 1 ms, and no mark ever said it. Callers saw long-running services down for up to 16 s when the leader and its successor were lost one after the other, before the successor had reached a majority of the witnesses. Lengths are compared with 1 ms of tolerance, as sums of times are elsewhere.

--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -11,6 +11,7 @@
 from .decisions import Decision
 from .decisions import LogEvent
 from .decisions import ResumeLeases
+from .inheritedleases import ROUNDING_S
 from .inheritedleases import InheritedLeases
 from .shardstate import ShardState
 from .statedigest import LeaderMark
@@ -32,8 +33,6 @@
 # A successor changes the panel of the leader before it only once that one is excluded,
 # or after this time, as then a majority of the panel may be lost.
 INHERITED_PANEL_TIMEOUT_S: t.Final = 3.0
-# Sums of times differ by less than this; records are rounded up to it.
-ROUNDING_S: t.Final = 0.001
 
 
 # Accounts are promised that a long-running task runs again soon after its box is lost,
--- a/src/granitetrestle/inheritedleases.py
+++ b/src/granitetrestle/inheritedleases.py
@@ -6,11 +6,15 @@
 as leaders follow each other."""
 
 import math
+import typing as t
 
 from .shardstate import SchedulerParameters
 from .statedigest import LeaderMark
 
-__all__ = ["InheritedLeases"]
+__all__ = ["ROUNDING_S", "InheritedLeases"]
+
+# Sums of times differ by less than this; records are rounded up to it.
+ROUNDING_S: t.Final = 0.001
 
 
 class InheritedLeases:
@@ -142,7 +146,7 @@
             mark is not None
             and mark.panel == panel
             and mark.panel_covers_earlier
-            and mark.lease_bound_s <= self._parameters.lease_bound_s
+            and mark.lease_bound_s <= self._parameters.lease_bound_s + ROUNDING_S
         )
 
     def _shorten(self, mark: LeaderMark, ended_at: float, proof: str) -> bool:
