Two mutants of leases apply again

Lines that they change had been written differently: a leader that resigns renews nothing, and what it states. Nothing that runs is changed. Seen by looking up every change of tools/mutants.py in the sources: all are there once.

--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -166,15 +166,9 @@
         panel = self._state.witnesses.panel
         version = panel.version if panel.members else 0
         covers = not anywhere and self._inherited.is_covered(version, now)
-        return LeaderMark(
-            epoch,
-            end,
-            self._resigned,
-            inherited_s,
-            lease_bound_s,
-            named,
-            version,
-            bool(version) and covers,
+        mark = LeaderMark(epoch, end, self._resigned, inherited_s, lease_bound_s, named)
+        return mark._replace(
+            panel=version, panel_covers_earlier=bool(version) and covers
         )
 
     def update_panel(self, now: float) -> list[Decision]:
@@ -256,12 +250,12 @@
         :param proof_age_s: as :meth:`.LeaderLease.renewal_age_s`.
         :return: ``None`` if the lease must not be renewed.
         """
-        if self._resigned or not box.clock_at or proof_age_s is None:
+        if self._resigned or not box.clock_at:
             return None
         if box.incarnation in self._state.withdrawn_leases or _long_silent(box, now):
             return None
         parameters = self._state.parameters
-        if proof_age_s >= parameters.lease_s:
+        if proof_age_s is None or proof_age_s >= parameters.lease_s:
             return None
         lease_ends = now - proof_age_s + parameters.lease_bound_s
         box.lease_ends = max(box.lease_ends, lease_ends)
