Checkpoints too long for the record of their group get records of their own

Cause: the rows of up to 16 tasks, with their checkpoints, went into one record. Checkpoints have no limit, records of the store have (`record_bytes`, 262,144). The store refused the append, and each leader in turn repeated it.

Why the fix works: if the record of a group is above the limit, checkpoints above 1/32 of it go into records of their own (`k/`), so what is left of 16 rows fits. The rows stay the only record of what runs where; a checkpoint in a row counts before one beside it. They are written before the rows without them and removed after the rows with them, since records may be split over two appends. Older builds ignore the new keys, as they do all that they don't know, but keep them in their digests; what they write into the rows later counts, and what they leave behind of a job is removed at the next take-over. Groups that fit are written as before.

--- /dev/null
+++ b/features/long_records.feature
@@ -0,0 +1,33 @@
+Feature: What client accounts send never makes a record that the store refuses
+  The store takes no record above a limit. A leader that writes a longer one would repeat its
+  append without end, and so would each of its successors.
+
+  Scenario: Records of tasks with long checkpoints are short enough, and a successor has all of them
+    Given 16 long-running tasks whose checkpoints have 40000 characters each
+    When all their boxes are lost, and a successor takes over from what was written
+    Then no record had more than 262144 bytes, and the successor has each checkpoint
+
+  Scenario: A checkpoint is written once while only others change
+    Given 16 long-running tasks whose checkpoints have 40000 characters each
+    When all their boxes are lost, and one of the tasks changes
+    Then less than 10000 bytes are written for that
+
+  Scenario: A checkpoint that shrinks is in its task's record again, and no other is left
+    Given 16 long-running tasks whose checkpoints have 40000 characters each
+    When all their boxes are lost, and checkpoints of 100 characters follow
+    Then the store holds only the rows of the tasks, and the successor has each checkpoint
+
+  Scenario: A checkpoint that no record can hold doesn't stop the rest
+    Given 16 long-running tasks whose checkpoints have 300000 characters each
+    When all their boxes are lost, and a successor takes over from what was written
+    Then no record had more than 262144 bytes, and the successor knows each task's run
+
+  Scenario: An older version goes on from the rows, and its later checkpoints count
+    Given 16 long-running tasks whose checkpoints have 40000 characters each
+    When all their boxes are lost, and an older version writes checkpoints of its own
+    Then the successor has each checkpoint of the older version
+
+  Scenario: What an older version leaves behind of an ended job is removed
+    Given 16 long-running tasks whose checkpoints have 40000 characters each
+    When all their boxes are lost, and an older version removes the job
+    Then the successor's first records remove all checkpoints
--- a/src/granitetrestle/interfaces.py
+++ b/src/granitetrestle/interfaces.py
@@ -50,6 +50,12 @@
     key: str
     value: bytes | None
 
+    @property
+    def size(self) -> int:
+        """Its bytes in the store, as the limit for one record counts them: the length
+        of the key, the key and the value."""
+        return 1 + len(self.key.encode()) + len(self.value or b"")
+
 
 class Writer(t.NamedTuple):
     """Identifies one append of one epoch, so that the store can answer a repeat like
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -3,7 +3,11 @@
 The amount written is proportional to what changed: the progress of a job is stored in
 groups of tasks, of which only changed ones are written, and of an ended job only its
 state remains. With one record for all tasks of a job, a job of n tasks wrote n squared
-rows."""
+rows.
+
+The store takes no record above a limit, and checkpoints may have any length. Where the
+rows of a group are too long for one record, its long checkpoints get records of their
+own; see :mod:`.longcheckpoints`."""
 
 import collections
 import typing as t
@@ -12,6 +16,7 @@
 
 from .errors import UnreadableRecord
 from .interfaces import Record
+from .longcheckpoints import LongCheckpoints
 from .shardtime import SHARD_TIME_KEY
 from .shardtime import UNKNOWN_TIME
 from .shardtime import ShardTime
@@ -28,7 +33,13 @@
 from .workflows import Workflow
 from .workflows import WorkflowState
 
-__all__ = ["JobRecords", "Restored", "restore_jobs", "submission_record"]
+__all__ = [
+    "DEFAULT_MAX_RECORD_BYTES",
+    "JobRecords",
+    "Restored",
+    "restore_jobs",
+    "submission_record",
+]
 
 SUBMISSION_KEY: t.Final = "s/"
 PROGRESS_KEY: t.Final = "p/"
@@ -39,6 +50,8 @@
 # records for a job: a page of the store has 500 records, and a successor reads all
 # pages.
 GROUP_TASKS: t.Final = 16
+# Used where the settings name no limit.
+DEFAULT_MAX_RECORD_BYTES: t.Final = 262_144
 TERMINAL_STATES: t.Final = frozenset({"completed", "failed", "cancelled"})
 
 
@@ -59,6 +72,10 @@
         place = f"{self.occurrence}.{self.step}.{self.number}"
         return f"{GROUP_KEY}{self.job}/{place}"
 
+    def task(self, index: int) -> str:
+        """Return the name of one of the tasks."""
+        return f"{self.job}.{self.occurrence}.{self.step}.{index}"
+
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
     """A task that was started; the fields after the state are only set until it is
@@ -149,10 +166,17 @@
 
 
 class JobRecords:
-    """Collects changes of jobs and turns them into records."""
+    """Collects changes of jobs and turns them into records.
 
-    def __init__(self, time: ShardTime) -> None:
+    :param record_bytes: size limit of the store for one record.
+    """
+
+    def __init__(
+        self, time: ShardTime, record_bytes: int = DEFAULT_MAX_RECORD_BYTES
+    ) -> None:
         self._time = time
+        self._record_bytes = record_bytes
+        self._checkpoints = LongCheckpoints(record_bytes)
         self._accepted: dict[str, Workflow] = {}
         self._groups: dict[GroupId, Workflow] = {}
         self._states: dict[str, Workflow] = {}
@@ -161,6 +185,11 @@
         # Groups in the store, by job, to be deleted with the job.
         self._stored: dict[str, set[GroupId]] = {}
 
+    @property
+    def checkpoints(self) -> LongCheckpoints:
+        """The checkpoints that have a record of their own."""
+        return self._checkpoints
+
     @property
     def waiting(self) -> bool:
         """Whether records must be written."""
@@ -199,14 +228,12 @@
 
     def pop_records(self) -> list[Record]:
         """Return the records of all changes since the last call."""
-        records = []
+        records = self._checkpoints.pop_unneeded()
         for workflow in self._accepted.values():
             records.append(submission_record(workflow.submission))
         for group, workflow in self._groups.items():
             if not workflow.retired:
-                records.append(
-                    Record(group.key, _encode(_rows(group, workflow, self._time)))
-                )
+                records += self._group_records(group, workflow)
                 self.add_stored_group(group)
         # Written after the groups, since this replaces a record in the old format that
         # holds the tasks itself.
@@ -227,10 +254,42 @@
         self._dropped.clear()
         return records
 
+    def _group_records(self, group: GroupId, workflow: Workflow) -> list[Record]:
+        """Return the record of a group, and those of its checkpoints that need one.
+
+        The records may be split over two appends. So a checkpoint gets a record of its
+        own before the group's record is without it, and loses it after that holds it.
+        """
+        rows = _rows(group, workflow, self._time)
+        record = Record(group.key, _encode(rows))
+        fits = record.size <= self._record_bytes
+        if fits and group.job not in self._checkpoints:
+            return [record]
+        tasks = {row.index: group.task(row.index) for row in rows}
+        if fits:
+            return [record, *self._checkpoints.drop(tasks.values())]
+        longest = self._record_bytes // (2 * GROUP_TASKS)
+        long = {
+            row.index: row.checkpoint
+            for row in rows
+            if len(row.checkpoint.encode()) > longest
+        }
+        shortened = [
+            msgspec.structs.replace(row, checkpoint="") if row.index in long else row
+            for row in rows
+        ]
+        records = self._checkpoints.put({tasks[n]: text for n, text in long.items()})
+        records.append(Record(group.key, _encode(shortened)))
+        records += self._checkpoints.drop(
+            task for index, task in tasks.items() if index not in long
+        )
+        return records
+
     def _drop_details(self, job: str) -> list[Record]:
         keys = [SUBMISSION_KEY + job, PROGRESS_KEY + job]
         keys += [group.key for group in self._stored.pop(job, ())]
-        return [Record(key, None) for key in keys]
+        dropped = [Record(key, None) for key in keys]
+        return dropped + self._checkpoints.drop_job(job)
 
 
 def _rows(group: GroupId, workflow: Workflow, time: ShardTime) -> list[TaskRow]:
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -94,6 +94,7 @@
             keep_s=settings.job_status_s * 1.25,
             connections=settings.max_files - RESERVED_FILES,
             call_bytes=settings.call_bytes,
+            record_bytes=settings.record_bytes,
             off=off,
             hall=settings.hall,
             areas=settings.areas,
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -10,6 +10,7 @@
 from ..forwarding import Deposed
 from ..interfaces import Config
 from ..jobcalls import SubmitJob
+from ..jobrecords import DEFAULT_MAX_RECORD_BYTES
 from ..jobrecords import submission_record
 from ..node import Node
 from ..session import Session
@@ -25,8 +26,6 @@
 # Subtracted from a client's deadline, so that the answer arrives in time.
 ANSWER_SLACK_S: t.Final = 0.05
 MAX_BODY_BYTES: t.Final = 1024 * 1024
-# Used where the settings name no limit.
-DEFAULT_MAX_RECORD_BYTES: t.Final = 262_144
 RETRY_AFTER_S: t.Final = 1
 
 Scope: t.TypeAlias = t.MutableMapping[str, t.Any]
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -163,6 +163,7 @@
             "looks_to_begin": float(self._budget.contact_window.waiting),
             "halls_evacuated": float(len(self._scheduler.state.evacuated_halls)),
             "orders_unreadable": float(self._operator_feed.unreadable),
+            "checkpoints_too_long": float(self._scheduler.state.checkpoints_too_long),
             "log_end": float(self._journal.end or 0),
             "right_age_s": round(self._leader_lease.age_s(), 3),
         }
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -16,6 +16,7 @@
 from .interfaces import Queue
 from .interfaces import Record
 from .interference import Interference
+from .jobrecords import DEFAULT_MAX_RECORD_BYTES
 from .jobrecords import INTERFERENCE_KEY
 from .jobrecords import JobRecords
 from .jobrecords import Restored
@@ -55,6 +56,7 @@
     :param keep_s: how long the state of an ended job can be queried.
     :param connections: maximum number of open connections of a process.
     :param call_bytes: maximum size of a call to the store.
+    :param record_bytes: maximum size of a record in the store.
     :param off: disabled mechanisms.
     :param hall: data hall of this process.
     :param areas: data hall -> its area.
@@ -67,6 +69,7 @@
     keep_s: float = 120.0
     connections: int = 3900
     call_bytes: int = 2_097_152
+    record_bytes: int = DEFAULT_MAX_RECORD_BYTES
     off: frozenset[Mechanism] = frozenset()
     hall: str = ""
     areas: t.Mapping[str, str] = types.MappingProxyType({})
@@ -182,9 +185,14 @@
         self.loads = StepLoads(trend=self.is_enabled(Mechanism.LOAD_TREND))
         self._time = ShardTime()
         self._time_record: Record | None = None
-        self._records = JobRecords(self._time)
+        self._records = JobRecords(self._time, parameters.record_bytes)
         self._interference_rows: dict[str, bytes] = {}
 
+    @property
+    def checkpoints_too_long(self) -> int:
+        """See :attr:`.LongCheckpoints.too_long`."""
+        return self._records.checkpoints.too_long
+
     def is_enabled(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
         return mechanism not in self.parameters.off
@@ -252,7 +260,11 @@
 
     def restore(self, records: t.Iterable[Record], now: float) -> SlicedWork[Restored]:
         """Restore a predecessor's records, a part at each step."""
+        records = tuple(records)
         restored = yield from restore_jobs(records, self._time, now)
+        yield from self._records.checkpoints.restore(
+            records, restored.workflows, restored.unreadable
+        )
         self.workflows.update(restored.workflows)
         for group in restored.groups:
             self._records.add_stored_group(group)
