Signals are handled until a process ends, not until the first SIGTERM

Cause: the handlers of SIGTERM, SIGINT and SIGHUP lived within the wait for the first SIGTERM. Leaving it restored the default action of all three, so that SIGHUP, or a second SIGTERM, ended the process in its grace period, and SIGHUP before the wait as well. The project's own daemon had the same wait, without SIGHUP.

The new scenario in native_whole_path.feature on the code before: a client's connection breaks off.

Why the fix works: one receiver of signals is entered before the ports are opened and left after the last task has ended; then they are ignored. Until it is entered SIGHUP is ignored, from before most of the program is loaded.

--- a/features/native_whole_path.feature
+++ b/features/native_whole_path.feature
@@ -38,6 +38,12 @@
     Then no request was cut off and no answer was late or of unknown outcome
     And all jobs that were accepted complete
 
+  Scenario: SIGHUP while the leader is being stopped
+    Given 3 nodes on the platform with 2 boxes
+    When the leader gets SIGTERM, and SIGHUP and SIGTERM again, while jobs are submitted on open connections
+    Then no request was cut off and no answer was late or of unknown outcome
+    And the leader was stopped as planned, and all jobs that were accepted complete
+
   Scenario: Answers to appends are lost
     Given 2 nodes on the platform with 2 boxes
     When the answers to the next 3 appends are lost and a job is submitted
--- a/features/steps/native_steps.py
+++ b/features/steps/native_steps.py
@@ -119,9 +119,9 @@
 
 
 @when("the leader gets SIGTERM while jobs are submitted on open connections")
-def stop_leader(context):
+def stop_leader(context, later=()):
     cluster = context.cluster
-    leader = cluster.leader()
+    leader = context.stopped = cluster.leader()
     step = [{"count": 1, "cpu": 100, "mem_mb": 10}]
     context.jobs = [f"{number:016x}" for number in range(40)]
     context.answers = []
@@ -138,9 +138,20 @@
         parts = [pool.submit(submit_jobs, context.jobs[i::4]) for i in range(4)]
         time.sleep(0.15)
         cluster.kill(leader, signal.SIGTERM)
+        for number in later:
+            time.sleep(0.02)
+            cluster.kill(leader, number)
         for part in parts:
             part.result()
-    cluster.processes[leader].wait(6)
+    context.exit_code = cluster.processes[leader].wait(6)
+
+
+@when(
+    "the leader gets SIGTERM, and SIGHUP and SIGTERM again, while jobs are submitted on "
+    "open connections"
+)
+def stop_leader_with_more_signals(context):
+    stop_leader(context, (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP))
 
 
 @then("no request was cut off and no answer was late or of unknown outcome")
@@ -148,6 +159,14 @@
     assert context.answers == [200] * 40, context.answers
 
 
+@then("the leader was stopped as planned, and all jobs that were accepted complete")
+def stopped_as_planned(context):
+    assert context.exit_code == 0, context.exit_code
+    events = [line["event"] for line in context.cluster.log(context.stopped)]
+    assert events[-1] == "stopped" and events.count("reload") == 2, events[-10:]
+    all_complete(context)
+
+
 @then("all jobs that were accepted complete")
 def all_complete(context):
     cluster = context.cluster
--- a/src/granitetrestle/daemon.py
+++ b/src/granitetrestle/daemon.py
@@ -3,7 +3,6 @@
 beyond that in the platform's log."""
 
 import os
-import signal
 import sys
 import time
 import uuid
@@ -23,6 +22,8 @@
 from .settings import Settings
 from .settings import load_from_process
 from .settings import usage
+from .stopsignals import StopSignals
+from .stopsignals import ignore_hangup
 from .telemetry import start_telemetry
 
 __all__ = ["main"]
@@ -51,6 +52,11 @@
 
 
 async def _run(settings: Settings) -> None:
+    with StopSignals() as signals:
+        await _run_engine(settings, signals)
+
+
+async def _run_engine(settings: Settings, signals: StopSignals) -> None:
     telemetry = start_telemetry(settings)
     setup = _setup(settings)
     reducer = Reducer(setup)
@@ -72,9 +78,10 @@
     server = EmbeddedServer(config)
     telemetry.log.info("started", incarnation=setup.incarnation, pid=os.getpid())
     async with anyio.create_task_group() as tasks:
+        tasks.start_soon(signals.run)
         await engine.run(tasks)
         tasks.start_soon(_serve, server, tasks)
-        await _wait_for_signal()
+        await signals.wait()
         await engine.stop()
         server.should_exit = True
         await anyio.sleep(SERVER_STOP_WAIT_S)
@@ -91,12 +98,6 @@
         raise RuntimeError("can't bind the HTTP address") from stop
 
 
-async def _wait_for_signal() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
-
-
 def main() -> None:
     """Run the daemon until a signal asks it to stop."""
     if {"--help", "-h"} & set(sys.argv[1:]):
@@ -108,6 +109,7 @@
         for problem in error.problems:
             print(f"granitetrestled: {problem}", file=sys.stderr)
         sys.exit(error.exit_code)
+    ignore_hangup()
     started = time.monotonic()
     anyio.run(_run, settings, backend="asyncio")
     elapsed = time.monotonic() - started
--- a/src/granitetrestle/platform/__main__.py
+++ b/src/granitetrestle/platform/__main__.py
@@ -5,7 +5,7 @@
 
 from ..errors import SettingsError
 from ..mechanisms import parse_switched_off
-from .process import run
+from ..stopsignals import ignore_hangup
 from .settings import BOOT_VARIABLE
 from .settings import OFF_VARIABLE
 
@@ -16,6 +16,10 @@
     Exits with the error's exit code if the settings or the list of mechanisms to
     switch off are malformed.
     """
+    ignore_hangup()
+    # Loading it takes most of the time of a start.
+    from .process import run  # noqa: PLC0415
+
     try:
         off = parse_switched_off(os.environ.get(OFF_VARIABLE, ""))
         run(os.environ.get(BOOT_VARIABLE, ""), off)
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -1,6 +1,5 @@
 """Process of the platform: settings, listening sockets, signals, graceful shutdown."""
 
-import signal
 import socket
 import time
 import typing as t
@@ -22,6 +21,7 @@
 from ..session import Sources
 from ..settings import Address
 from ..shardstate import SchedulerParameters
+from ..stopsignals import StopSignals
 from . import front
 from .advice import PlatformAdvisor
 from .boxes import PlatformBoxes
@@ -120,6 +120,18 @@
     off: frozenset[Mechanism],
     log: NodeLog,
     metrics: NodeMetrics,
+) -> None:
+    # Nothing to reload: the settings are fixed for an incarnation.
+    with StopSignals(lambda: log.event("reload", changed=False)) as signals:
+        await _serve(settings, off, log, metrics, signals)
+
+
+async def _serve(
+    settings: PlatformSettings,
+    off: frozenset[Mechanism],
+    log: NodeLog,
+    metrics: NodeMetrics,
+    signals: StopSignals,
 ) -> None:
     caller = Caller(int((settings.max_files - RESERVED_FILES) * CALL_CONNECTIONS_SHARE))
     node = _node(settings, off, caller, log, metrics)
@@ -148,10 +160,11 @@
         switched_off=sorted(off),
     )
     async with anyio.create_task_group() as tasks:
+        tasks.start_soon(signals.run)
         tasks.start_soon(node.run)
         tasks.start_soon(server.serve, listeners)
         tasks.start_soon(_prune, caller)
-        await _wait_for_stop_signal(log)
+        await signals.wait()
         stopping_since = time.monotonic()
         stopping = True
         log.event("stopping", grace_s=settings.grace_s)
@@ -182,17 +195,6 @@
         await caller.prune()
 
 
-async def _wait_for_stop_signal(log: NodeLog) -> None:
-    """Return when the process receives SIGTERM or SIGINT; SIGHUP is only logged."""
-    handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with anyio.open_signal_receiver(*handled) as signals:
-        async for number in signals:
-            if number != signal.SIGHUP:
-                return
-            # Nothing to reload: the settings are fixed for an incarnation.
-            log.event("reload", changed=False)
-
-
 def run(boot_file: str, off: frozenset[Mechanism] = frozenset()) -> None:
     """Run until the process receives SIGTERM or SIGINT.
 
