Test: a box and its leader are lost at once (red)

A long-running task of a box that is lost together with its leader waits for 15.4 s in the model with the durations of deployments: leases of 6 s, which a leader renews for 8 s without the store. Callers saw long-running services down for 15 to 17 s, where 9 s since the last run are allowed. It makes no difference whether the leader is killed for good, frozen, cut off from the store, or cut off with the box: its successor can't tell.

The model world takes the durations as a parameter.

--- a/src/granitetrestle_standins/modelboxes.py
+++ b/src/granitetrestle_standins/modelboxes.py
@@ -12,11 +12,12 @@
 from granitetrestle_standins.modelincarnations import IncarnationFactory
 from granitetrestle_standins.nativebox import BoxModel
 
-__all__ = ["CAPACITY_GRACE_S", "ModelBoxes"]
+__all__ = ["CAPACITY_GRACE_S", "SHORT_DURATIONS", "ModelBoxes"]
 
 # A start may rely on a box's earlier capacity for this long after it shrank: commands
 # are in flight, and the list of boxes is read a few times a second.
 CAPACITY_GRACE_S = 0.2
+SHORT_DURATIONS = SchedulerParameters(lease_s=3.0, orphan_s=2.0, keep_s=600.0)
 
 
 class ModelBoxes:
@@ -24,6 +25,7 @@
 
     :param keep_ids: whether crashed boxes may restart under the same id.
     :param slow_clocks: whether clocks of boxes may run as slowly as is allowed.
+    :param parameters: of all leaders; boxes grant leases of the same length.
     :ivar entries: the current list of boxes.
     :ivar cut_until: boxes that no scheduler process reaches, and until when.
     :ivar mute: boxes that receive every call, but whose answers are lost.
@@ -31,14 +33,19 @@
     """
 
     def __init__(
-        self, seed: int, halls: t.Sequence[str], keep_ids: bool, slow_clocks: bool
+        self,
+        seed: int,
+        halls: t.Sequence[str],
+        keep_ids: bool,
+        slow_clocks: bool,
+        parameters: SchedulerParameters = SHORT_DURATIONS,
     ) -> None:
         self.random = random.Random(seed)
         self._incarnations = IncarnationFactory(seed, keep_ids)
         # A generator of its own: the simulation's draws don't depend on clocks.
         self._clock_draw = random.Random(f"clocks {seed}") if slow_clocks else None
         self.now = 100.0
-        self.parameters = SchedulerParameters(lease_s=3.0, orphan_s=2.0, keep_s=600.0)
+        self.parameters = parameters
         self.halls = halls
         self.boxes: dict[str, BoxModel] = {}
         self.entries: dict[str, BoxEntry] = {}
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -20,8 +20,10 @@
 from granitetrestle.jobcalls import JobAccepted
 from granitetrestle.jobcalls import JobCall
 from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.shardstate import SchedulerParameters
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
+from granitetrestle_standins.modelboxes import SHORT_DURATIONS
 from granitetrestle_standins.modelboxes import ModelBoxes
 from granitetrestle_standins.nativebox import BoxModel
 from granitetrestle_standins.nativebox import BoxRun
@@ -74,6 +76,7 @@
 
     :param keep_ids: whether crashed boxes may restart under the same id.
     :param slow_clocks: whether clocks of boxes may run as slowly as is allowed.
+    :param parameters: of all leaders; boxes grant leases of the same length.
     :ivar sent_starts: task -> the newest start command that a leader sent for it.
     """
 
@@ -85,8 +88,9 @@
         reading: StoreReading = PLAIN,
         keep_ids: bool = False,
         slow_clocks: bool = False,
+        parameters: SchedulerParameters = SHORT_DURATIONS,
     ) -> None:
-        super().__init__(seed, halls, keep_ids, slow_clocks)
+        super().__init__(seed, halls, keep_ids, slow_clocks, parameters)
         self.store = StoreModel(reading)
         self.config = CONFIG
         self._store_down = False
