Model: leaders lost together with boxes, also in outages of the store

The seeded series knew neither a leader that is lost together with boxes nor one whose append has no answer for seconds, and judged no task that has to go on while the store is away. random_shard.py losses draws these: leaders killed, frozen, cut off alone or with a data hall, boxes lost within 0.1 s, outages of 3 to 60 s, 1 to 30 boxes, with short durations and those of deployments. Judged are the promises of the world, the waits of long-running tasks by what a successor can know, and leases that end in outages of up to 13 s.

--- a/features/lost_leaders.feature
+++ b/features/lost_leaders.feature
@@ -18,3 +18,15 @@
       | frozen                                 |
       | cut off from the store                 |
       | cut off from the store and most boxes  |
+
+  Scenario Outline: However leaders are lost with boxes, tasks run once and again in time, seed <seed>
+    When leaders are lost with boxes from seed <seed>
+    Then no promise was broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
--- a/features/random_shard.py
+++ b/features/random_shard.py
@@ -7,7 +7,8 @@
 ``restarts`` boxes crash more often and keep their ids.
 
 ``python features/random_shard.py series FIRST LAST`` runs series of changes of leader and
-also prints the longest waits for the leases of lost boxes.
+also prints the longest waits for the leases of lost boxes. ``losses`` does the same with
+leaders that are lost together with boxes.
 
 ``python features/random_shard.py innocent FIRST LAST`` counts the jobs that are given
 up though none of their tasks crashes boxes."""
@@ -20,6 +21,7 @@
 from granitetrestle_standins.shardworld import PromiseBroken
 from granitetrestle_standins.shardworld import ShardWorld
 from native_machines import STEPS
+from random_losses import RandomLosses
 from random_series import RandomSeries
 
 # An event is as likely as it is repeated here; "bad" submits a job that crashes boxes.
@@ -37,6 +39,8 @@
     "parted": (*["part"] * 4, *["join"] * 2, *["submit"] * 3, *["cut"] * 3),
 }
 FULL_CPU = 4000
+# Series whose waits are judged too.
+JUDGED = {"series": RandomSeries, "losses": RandomLosses}
 PAUSES_S = (0.05, 0.1, 0.5, 1.0, 3.0)
 FAULT_SHARES = (0, 0.1, 0.5)
 
@@ -182,26 +186,46 @@
         mean = sum(crashes) / len(crashes)
         print(f"{mean:.2f} crashes, at most {max(crashes)}; {given_up} of {others}")
         return
-    series = sys.argv[1] == "series"
-    if series:
+    judged = JUDGED.get(sys.argv[1])
+    if judged is not None:
         sys.argv.pop(1)
-    broken, suspected, waits = 0, 0, []
+    broken, suspected, waits, judges = 0, 0, [], []
     for seed in range(*map(int, sys.argv[1:3])):
-        shard = RandomSeries(seed) if series else RandomShard(seed, extra)
+        shard = RandomShard(seed, extra) if judged is None else judged(seed)
         try:
             shard.run()
         except PromiseBroken as error:
             broken += 1
             print(f"seed {seed}: {error}", flush=True)
-        if series:
+        if judged is not None:
             waits += shard.judge.waits
             suspected += shard.judge.suspected
-    if series:
+            judges.append(shard.judge)
+    if judged is RandomLosses:
+        _print_losses(waits, judges)
+    elif judged is not None:
         _print_waits(waits)
+    if judged is not None:
         print(f"{suspected} tasks waited since they are suspected of crashes")
     print(f"{broken} broken")
 
 
+def _print_losses(waits, judges):
+    take_overs = sum(judge.take_overs for judge in judges)
+    excluded = sum(judge.excluded for judge in judges)
+    outages = sum(judge.outages for judge in judges)
+    print(
+        f"{take_overs} take-overs, in {excluded} a majority of the witnesses answered; "
+        f"{outages} outages that had to end no task"
+    )
+    for number in sorted({changes for changes, _ in waits}):
+        of_kind = [wait for changes, wait in waits if changes == number]
+        print(
+            f"{len(of_kind)} tasks after {number} changes of leader: "
+            f"at most {max(of_kind):.2f} s"
+        )
+
+
 def _print_waits(waits):
     for orderly in (True, False):
         for number in range(7):
--- a/features/steps/lost_leader_steps.py
+++ b/features/steps/lost_leader_steps.py
@@ -6,13 +6,12 @@
 from behave import then
 from behave import when
 
-from granitetrestle.shardstate import SchedulerParameters
 from granitetrestle_standins.shardprocess import TICK_INTERVAL_S
 from granitetrestle_standins.shardworld import ShardWorld
 from lasting_task import lasting_task
+from random_losses import LONG_DURATIONS
+from random_losses import RandomLosses
 
-# Durations of deployments.
-PARAMETERS = SchedulerParameters(lease_s=6.0, orphan_s=8.0, keep_s=600.0)
 # Longer than any lease of a leader that was lost may run.
 AFTERWARDS_S = 20.0
 
@@ -23,7 +22,7 @@
 )
 def shard_of_deployment(context, boxes, halls):
     names = [f"h{number}" for number in range(halls)]
-    context.world = ShardWorld(7, boxes, names, parameters=PARAMETERS)
+    context.world = ShardWorld(7, boxes, names, parameters=LONG_DURATIONS)
 
 
 @when("the box of a long-running task is lost, and its leader is {way}")
@@ -73,3 +72,10 @@
     # The world checks this after each step.
     context.leader.resume()
     context.world.advance(AFTERWARDS_S)
+
+
+@when("leaders are lost with boxes from seed {seed:d}")
+def random_losses(context, seed):
+    context.shard = RandomLosses(seed)
+    # Raises when a promise is broken.
+    context.shard.run()
--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -143,7 +143,11 @@
         """Start a new leader; the former one may not notice."""
         epoch = self.processes[-1].epoch + 1 if self.processes else 1
         if not self.store_down:
-            self.processes.append(SchedulerProcess(self, epoch))
+            self.processes.append(self._create_process(epoch))
+
+    def _create_process(self, epoch: int) -> SchedulerProcess:
+        """Create a leader, which claims its epoch."""
+        return SchedulerProcess(self, epoch)
 
     def reconnect_all(self) -> None:
         """Reconnect every scheduler process to the store and all boxes."""
