--- a/src/granitetrestle_standins/shardworld.py
+++ b/src/granitetrestle_standins/shardworld.py
@@ -20,8 +20,10 @@
 from granitetrestle.jobcalls import JobAccepted
 from granitetrestle.jobcalls import JobCall
 from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.shardstate import SchedulerParameters
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
+from granitetrestle_standins.modelboxes import SHORT_DURATIONS
 from granitetrestle_standins.modelboxes import ModelBoxes
 from granitetrestle_standins.nativebox import BoxModel
 from granitetrestle_standins.nativebox import BoxRun
@@ -74,6 +76,7 @@
 
     :param keep_ids: whether crashed boxes may restart under the same id.
     :param slow_clocks: whether clocks of boxes may run as slowly as is allowed.
+    :param parameters: of all leaders; boxes grant leases of the same length.
     :ivar sent_starts: task -> the newest start command that a leader sent for it.
     """
 
@@ -85,8 +88,9 @@
         reading: StoreReading = PLAIN,
         keep_ids: bool = False,
         slow_clocks: bool = False,
+        parameters: SchedulerParameters = SHORT_DURATIONS,
     ) -> None:
-        super().__init__(seed, halls, keep_ids, slow_clocks)
+        super().__init__(seed, halls, keep_ids, slow_clocks, parameters)
         self.store = StoreModel(reading)
         self.config = CONFIG
         self._store_down = False
@@ -139,7 +143,11 @@
         """Start a new leader; the former one may not notice."""
         epoch = self.processes[-1].epoch + 1 if self.processes else 1
         if not self.store_down:
-            self.processes.append(SchedulerProcess(self, epoch))
+            self.processes.append(self._create_process(epoch))
+
+    def _create_process(self, epoch: int) -> SchedulerProcess:
+        """Create a leader, which claims its epoch."""
+        return SchedulerProcess(self, epoch)
 
     def reconnect_all(self) -> None:
         """Reconnect every scheduler process to the store and all boxes."""
@@ -196,7 +204,12 @@
                 self.sent_starts[command.task] = SentStart(
                     self.now, command.incarnation, sender.epoch
                 )
-            until = sender.scheduler.fleet.leases.renew(box, sender.now) or 0
+            until = (
+                sender.scheduler.fleet.leases.renew(
+                    box, sender.now, sender.renewal_age_s
+                )
+                or 0
+            )
         if draw < self.delayed_share:
             at = self.now + self.random.uniform(0.2, 6.0)
             self._delayed.append(DelayedCommand(at, sender.epoch, until, command))
