--- a/src/granitetrestle/overload.py
+++ b/src/granitetrestle/overload.py
@@ -11,7 +11,13 @@
 from .workflows import Step
 from .workflows import Task
 
-__all__ = ["BoxLoad", "tolerable_pace", "tolerable_slowdown", "box_load"]
+__all__ = [
+    "BoxLoad",
+    "box_load",
+    "pace_within",
+    "tolerable_pace",
+    "tolerable_slowdown",
+]
 
 # Maximum share of time that a serving task may be busy; lower for an image whose tail
 # latency is at its target before.
@@ -118,6 +124,14 @@
     )
 
 
+def pace_within(tolerable: float, slowdown: float) -> float:
+    """Return the share of its full speed at which a task that causes ``slowdown`` at
+    full speed causes no more than ``tolerable``. Nothing is gained by slowing one that
+    causes none, as one without processor time of its own."""
+    tolerable = max(0.0, tolerable)
+    return 1.0 if slowdown <= tolerable else tolerable / slowdown
+
+
 def tolerable_pace(
     step: Step, box: BoxView, load: BoxLoad, interference: Interference
 ) -> float:
@@ -129,7 +143,7 @@
     share = box.cpu_share(step.cpu)
     pace = 1.0
     for image, spare in load.serving:
-        slowdown = share * interference.sensitivity(image, step.image)
-        if slowdown > spare and interference.highly_sensitive(image, step.image):
-            pace = min(pace, max(0.0, spare) / slowdown)
+        if interference.highly_sensitive(image, step.image):
+            slowdown = share * interference.sensitivity(image, step.image)
+            pace = min(pace, pace_within(spare, slowdown))
     return pace
--- a/src/granitetrestle/pacing.py
+++ b/src/granitetrestle/pacing.py
@@ -8,6 +8,7 @@
 
 from .boxes import BoxView
 from .interference import Interference
+from .overload import pace_within
 from .overload import tolerable_slowdown
 from .serviceload import StepLoad
 from .workflows import FULL_PACE
@@ -248,8 +249,8 @@
     """
     pace = 1.0
     for name, cost in costs.items():
-        if cost.highly_sensitive and remaining[name] < cost.slowdown:
-            pace = min(pace, max(0.0, remaining[name]) / cost.slowdown)
+        if cost.highly_sensitive:
+            pace = min(pace, pace_within(remaining[name], cost.slowdown))
     for name, cost in costs.items():
         remaining[name] -= pace * cost.slowdown
     return pace
