--- a/features/random_losses.py
+++ b/features/random_losses.py
@@ -135,6 +135,9 @@
         self._bring_store_back()
         world.delayed_share = world.delayed_poll_share = world.lost_answer_share = 0.0
         world.unanswered_share = world.late_answer_share = 0.0
+        if not self._spares:
+            # All others may be lost.
+            world.add_box()
         if world.leader.stopped or world.leader.frozen:
             self._take_over(orderly=False)
 
