--- a/features/steps/lost_leader_steps.py
+++ b/features/steps/lost_leader_steps.py
@@ -31,10 +31,17 @@
     context.task = lasting_task(context)
     context.lost, context.leader = context.task.box, world.leader
     context.since = world.now
+    context.island = {context.lost}
     if way == "cut off from the store and most boxes":
         # The leader still renews the lease of the box that is lost to all others.
-        reached = {context.lost, min(world.entries.keys() - {context.lost})}
-        context.leader.cut_from |= world.entries.keys() - reached
+        context.island.add(min(world.entries.keys() - {context.lost}))
+        context.leader.cut_from |= world.entries.keys() - context.island
+    elif way == "cut off from the store, with a majority of the witnesses":
+        panel = context.leader.scheduler.state.witnesses.panel
+        others = sorted(set(panel.members) - {context.lost})
+        wanted = panel.majority - (context.lost in panel.members)
+        context.island.update(others[:wanted])
+        context.leader.cut_from |= world.entries.keys() - context.island
     else:
         world.cut_until[context.lost] = math.inf
     if way == "killed for good":
@@ -49,7 +56,7 @@
 def successor_takes_over(context, seconds):
     context.world.advance(seconds)
     context.world.take_over()
-    context.world.leader.cut_from.add(context.lost)
+    context.world.leader.cut_from |= context.island
 
 
 @then("the task runs on another box within {seconds:g} s of the loss")
--- a/tools/lease_mutants.py
+++ b/tools/lease_mutants.py
@@ -127,4 +127,200 @@
         ),
         "lease_waits_random",
     ),
+    Mutant(
+        "witnesses: a new panel counts alone before it is durable",
+        (
+            (
+                "witnesses.py",
+                "panels = [self._panel] if self._next is None else "
+                "[self._panel, self._next]",
+                "panels = [self.panel]",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: less than half of the panel counts as a majority",
+        (
+            (
+                "witnesses.py",
+                "return len(self.members) // 2 + 1",
+                "return len(self.members) // 2",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: a poll counts as sent when it was answered",
+        (
+            (
+                "boxpoller.py",
+                "leases.record_accepted(self._incarnation, sent_at, now)",
+                "leases.record_accepted(self._incarnation, steadyclock.now(), now)",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: a poll that a box rejects counts too",
+        (
+            (
+                "boxpoller.py",
+                "        if isinstance(outcome, PollResult):\n"
+                "            leases = self._scheduler.fleet.leases\n",
+                "        if True:\n            leases = self._scheduler.fleet.leases\n",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: the next incarnation of a box counts as the one in the panel",
+        (
+            (
+                "witnesses.py",
+                "from .interfaces import Record\n",
+                "from .incarnations import box_id_of\nfrom .interfaces import Record\n",
+            ),
+            (
+                "witnesses.py",
+                "        self._accepted_at[incarnation] = max(earlier, sent_at)\n",
+                "        for member in (incarnation, *self.panel.members):\n"
+                "            if box_id_of(member) == box_id_of(incarnation):\n"
+                "                self._accepted_at[member] = max(earlier, sent_at)\n",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: one that has answered a successor is enough",
+        (
+            (
+                "witnesses.py",
+                "len(self._excluding) >= panel.majority",
+                "len(self._excluding) >= 1",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: a leader with a majority of them renews without end",
+        (
+            (
+                "leaderlease.py",
+                "return min(store_age_s, max(now - proved_at, store_age_s - orphan_s))",
+                "return min(store_age_s, now - proved_at)",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: a lease lasts from its renewal, not from the proof",
+        (
+            (
+                "boxleases.py",
+                "left_s = parameters.lease_s - proof_age_s",
+                "left_s = parameters.lease_s",
+            ),
+        ),
+        "lost_leaders",
+    ),
+    Mutant(
+        "witnesses: a successor relies on a panel that its predecessor did not follow",
+        (
+            (
+                "inheritedleases.py",
+                "if mark is None or not panel or mark.panel != panel:",
+                "if mark is None or not panel or not mark.panel:",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: a successor relies on a panel that no mark names",
+        (
+            (
+                "inheritedleases.py",
+                "if mark is None or not panel or mark.panel != panel:",
+                "if mark is None or not panel:",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: a claim counts as sent when it was answered",
+        (
+            (
+                "succession.py",
+                "return EpochClaim(epoch, by, outcome.end, sent_at=sent_at)",
+                "return EpochClaim(epoch, by, outcome.end, sent_at=steadyclock.now())",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: a journal counts as confirmed from when it begins",
+        (
+            (
+                "journal.py",
+                "self._confirmed_at = min(claimed_at, self._answered_at)",
+                "self._confirmed_at = self._answered_at",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: a successor does not ask them",
+        (
+            (
+                "inheritedleases.py",
+                '        shortened = self._shorten(mark, now, "witnesses")\n',
+                "        shortened = False\n",
+            ),
+        ),
+        "lost_leaders",
+    ),
+    Mutant(
+        "witnesses: leases count as covered by a panel that came after them",
+        (
+            (
+                "inheritedleases.py",
+                "            and mark.panel == panel\n",
+                "",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: a panel covers earlier leases that it never limited",
+        (
+            (
+                "inheritedleases.py",
+                "if mark.panel_covers_earlier and longest_end > end:",
+                "if longest_end > end:",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: leases that no panel limited count as covered",
+        (
+            (
+                "inheritedleases.py",
+                "            and mark.panel_covers_earlier\n",
+                "",
+            ),
+        ),
+        "witness_rules",
+    ),
+    Mutant(
+        "witnesses: longer leases of earlier leaders count as covered",
+        (
+            (
+                "inheritedleases.py",
+                "            and mark.lease_bound_s <= self._parameters.lease_bound_s\n",
+                "",
+            ),
+        ),
+        "witness_rules",
+    ),
 )
