An append that the store refuses for good is not repeated

Batches were measured by characters of keys.

Why the fix works: AppendRefused says that nothing was done and never will be.

A store that refuses even an append without records proves nothing about them, and ends the session.

--- a/features/own_limits.feature
+++ b/features/own_limits.feature
@@ -12,6 +12,31 @@
     When 40 records of 9000 bytes are written at once
     Then all of them are in the store within 2 seconds
 
+  Scenario: A record that the store refuses for good holds nothing else up
+    Given a store that refuses a call with a record of more than 1000 bytes for good
+    When 40 records are written at once, 2 of which have 1500 bytes
+    Then the other 38 are in the store, the effects are released, and 2 are reported
+    And a successor's read of the store is proved to be complete
+
+  Scenario: A leader whose store refuses whatever is written steps down
+    Given a store that refuses a call with a record of more than 0 bytes for good
+    When 40 records are written at once, 2 of which have 1500 bytes
+    Then nothing is in the store or reported, and the journal has ended
+
+  Scenario Outline: An append that <what> is <verdict>
+    When the platform's store is called with an append that <what>
+    Then the append is <verdict>
+
+    Examples:
+      | what                      | verdict          |
+      | is answered 400           | refused for good |
+      | is answered 413           | refused for good |
+      | is answered 429           | repeated later   |
+      | is answered 503           | repeated later   |
+      | is answered 507           | repeated later   |
+      | has a key of 255 bytes    | done             |
+      | has a key of 256 bytes    | refused for good |
+
   Scenario Outline: A job whose record is <what> is <verdict>
     An append that the store refuses is repeated forever, by each successor as well.
     When a job is submitted whose record has <bytes> bytes, where 5000 are allowed
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -12,10 +12,13 @@
 from behave import when
 
 from granitetrestle.calls import Caller
+from granitetrestle.calls import Reply
 from granitetrestle.decisions import AskAdvice
 from granitetrestle.decisions import StartTask
 from granitetrestle.forwarding import ClientCall
 from granitetrestle.interfaces import Advice
+from granitetrestle.interfaces import Appended
+from granitetrestle.interfaces import AppendRefused
 from granitetrestle.interfaces import Config
 from granitetrestle.interfaces import PollResult
 from granitetrestle.interfaces import Queue
@@ -29,9 +32,13 @@
 from granitetrestle.leadership import ADDRESS_BITS
 from granitetrestle.platform.boxes import PlatformBoxes
 from granitetrestle.platform.server import FrontResponder
+from granitetrestle.platform.store import PlatformStore
 from granitetrestle.scheduler import Scheduler
 from granitetrestle.statedigest import DIGEST_KEY
+from granitetrestle.statedigest import EPOCH_CLAIM_KEY
+from granitetrestle.statedigest import verify_read
 from granitetrestle.succession import JOBS_TOPIC
+from granitetrestle.succession import take_over
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
 from granitetrestle_standins.nativestore import MemoryStore
@@ -137,6 +144,115 @@
 QUEUE = Queue("q", "host", "/q/", "pool", 0, 3, 1.5, 1.0)
 
 
+@given("a store that refuses a call with a record of more than {most:d} bytes for good")
+def refusing_store(context, most):
+    context.store = store = MemoryStore(StoreModel())
+    append = store.append
+    context.calls = 0
+
+    async def limited(topic, records, writer, timeout_s):
+        context.calls += 1
+        if any(record.size > most for record in records):
+            return AppendRefused("400 record_bytes")
+        return await append(topic, records, writer, timeout_s)
+
+    store.append = limited
+
+
+@when("{count:d} records are written at once, {long:d} of which have {size:d} bytes")
+def some_too_long(context, count, long, size):
+    pending = [Record(f"r/{number}", b"short") for number in range(count)]
+    for number in range(long):
+        pending[7 * number + 3] = Record(f"long/{number}", bytes(size))
+    context.wanted = [r for r in pending if not r.key.startswith("long/")]
+    context.released, context.refused, context.outcome = [], [], None
+
+    def take():
+        records = list(pending)
+        pending.clear()
+        return records
+
+    async def play():
+        context.claim = await take_over(MemoryStore(context.store.model), 1, "by")
+        journal = Journal(
+            context.store,
+            JOBS_TOPIC,
+            1,
+            take,
+            context.released.extend,
+            time.monotonic,
+            lambda reason, waiting_s: None,
+            on_refused=context.refused.append,
+            end=context.claim.end,
+        )
+        journal.start_from(context.store.model.newest(JOBS_TOPIC).records)
+        journal.hold("effect")
+        with anyio.move_on_after(1.0):
+            context.outcome = await journal.run()
+
+    anyio.run(play)
+
+
+@then(
+    "the other {count:d} are in the store, the effects are released, and {long:d} are "
+    "reported"
+)
+def others_stored(context, count, long):
+    stored = {r.key: r for r in context.store.model.topics[JOBS_TOPIC]}
+    assert len(context.wanted) == count
+    assert all(stored.get(r.key) == r for r in context.wanted), stored.keys()
+    assert context.released == ["effect"], context.released
+    assert len(context.refused) == long and not [
+        key for key in stored if key.startswith("long/")
+    ], context.refused
+    assert context.outcome is None and context.calls < 40, context.calls
+
+
+@then("a successor's read of the store is proved to be complete")
+def proved_complete(context):
+    store = MemoryStore(context.store.model)
+
+    async def read():
+        claim = await take_over(store, 2, "successor")
+        return verify_read(store.model.newest(JOBS_TOPIC), claim)
+
+    assert anyio.run(read) is None
+
+
+@then("nothing is in the store or reported, and the journal has ended")
+def nothing_stored(context):
+    keys = {r.key for r in context.store.model.topics[JOBS_TOPIC]}
+    assert keys == {EPOCH_CLAIM_KEY}, keys
+    assert not context.released and not context.refused
+    assert isinstance(context.outcome, AppendRefused), context.outcome
+    assert context.calls < 40, context.calls
+
+
+@when("the platform's store is called with an append that {what}")
+def call_store(context, what):
+    *_, number = (int(word) for word in what.split() if word.isdigit())
+    keys = "has a key" in what
+    status = 200 if keys else number
+
+    class OneAnswer:
+        async def call(self, *args, **kwargs):
+            return Reply(status, (), b'{"end":1}' if status == 200 else b"{}")
+
+    record = Record("k" * number if keys else "key", b"value")
+    store = PlatformStore("address", OneAnswer())
+    context.outcome = anyio.run(store.append, "t", [record], Writer(1, 1), 1.0)
+
+
+@then("the append is {verdict}")
+def append_verdict(context, verdict):
+    verdicts = {
+        Appended: "done",
+        AppendRefused: "refused for good",
+        StoreUnavailable: "repeated later",
+    }
+    assert verdicts[type(context.outcome)] == verdict, context.outcome
+
+
 @when("a job is submitted whose record has {size:d} bytes, where {most:d} are allowed")
 def submit_long_job(context, size, most):
     async def confirm():
--- a/src/granitetrestle/errors.py
+++ b/src/granitetrestle/errors.py
@@ -24,6 +24,7 @@
     "UnknownMechanism",
     "UnreachableError",
     "UnreadableRecord",
+    "UnstorableRecord",
 ]
 
 
@@ -213,6 +214,12 @@
         self.key = key
 
 
+class UnstorableRecord(GranitetrestleError):
+    """A record can't be put into the store's format, whatever is tried."""
+
+    code = "unstorable_record"
+
+
 class FrameError(GranitetrestleError):
     """A message between processes can't be decoded; it is dropped whole."""
 
--- a/src/granitetrestle/interfaces.py
+++ b/src/granitetrestle/interfaces.py
@@ -13,6 +13,7 @@
     "Advice",
     "AdviceUnavailable",
     "Advisor",
+    "AppendRefused",
     "Appended",
     "BoxCalls",
     "BoxEntry",
@@ -87,6 +88,16 @@
     wanted: int
 
 
+class AppendRefused(t.NamedTuple):
+    """The store will never take these records, as one of them is too long. Nothing was
+    done, so the sequence number is free for another append.
+
+    :param reason: short text for logs.
+    """
+
+    reason: str
+
+
 class StoreUnavailable(t.NamedTuple):
     """The call was not applied, or its fate is unknown; it may be repeated.
 
@@ -149,7 +160,7 @@
         records: t.Sequence[Record],
         writer: Writer | None,
         timeout_s: float,
-    ) -> Appended | Fenced | NumberTaken | StoreUnavailable:
+    ) -> Appended | Fenced | NumberTaken | AppendRefused | StoreUnavailable:
         """Append all records or none.
 
         :param writer: fences older epochs; ``None`` for an unfenced topic. An append
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -3,7 +3,11 @@
 
 An append without an answer is repeated under the same sequence number until the store
 answers; only a newer epoch ends that. A repeat does not cancel the attempt before it,
-which a slow store answers first."""
+which a slow store answers first.
+
+An append that the store refuses for good is split, down to the record that it does not
+take. That one is left out: no successor could write it either, and all else would wait
+for it without end."""
 
 import math
 import typing as t
@@ -11,6 +15,7 @@
 import anyio
 
 from .interfaces import Appended
+from .interfaces import AppendRefused
 from .interfaces import Fenced
 from .interfaces import NumberTaken
 from .interfaces import Record
@@ -21,7 +26,7 @@
 from .statedigest import DigestTracker
 from .statedigest import LeaderMark
 
-__all__ = ["Journal", "JournalStatus", "NotKept"]
+__all__ = ["Journal", "JournalStatus", "NotKept", "RefusedRecord"]
 
 # The store charges for calls and limits them. A decision waits half of this on average,
 # which is little compared to the time that a short job may take.
@@ -36,11 +41,13 @@
 MAX_CONCURRENT_ATTEMPTS: t.Final = 3
 RETRY_INTERVAL_S: t.Final = 0.08
 MAX_BATCH_BYTES: t.Final = 1_500_000
+# The length in front of each record of a call.
+RECORD_PREFIX_BYTES: t.Final = 4
 INITIAL_APPEND_DURATION_S: t.Final = 0.012
 APPEND_DURATION_SMOOTHING_FACTOR: t.Final = 0.1
 
 
-_Outcome: t.TypeAlias = Appended | Fenced | NumberTaken
+_Outcome: t.TypeAlias = Appended | Fenced | NumberTaken | AppendRefused
 
 
 class JournalStatus(t.NamedTuple):
@@ -70,6 +77,18 @@
     end: int
 
 
+class RefusedRecord(t.NamedTuple):
+    """A record that the store refuses for good.
+
+    :param size: as in :class:`.Record`.
+    :param reason: what the store said.
+    """
+
+    key: str
+    size: int
+    reason: str
+
+
 class Journal:
     """The only writer of a shard's topic in one epoch.
 
@@ -79,6 +98,7 @@
         seconds since it was first sent.
     :param on_not_kept: called for an append that was answered although the topic did
         not grow by the number of its records.
+    :param on_refused: called for a record that is left out.
     :param end: end offset of the topic when this epoch was claimed, if that is known.
     :param call_bytes: size limit of the store for one call. A larger batch would be
         refused and repeated forever.
@@ -98,6 +118,7 @@
         clock: t.Callable[[], float],
         on_unanswered: t.Callable[[str, float], None],
         on_not_kept: t.Callable[["NotKept"], None] = lambda _: None,
+        on_refused: t.Callable[["RefusedRecord"], None] = lambda _: None,
         end: int | None = None,
         call_bytes: int = MAX_BATCH_BYTES,
         leader_mark: t.Callable[[int], LeaderMark] | None = None,
@@ -112,6 +133,7 @@
         self._clock = clock
         self._on_unanswered = on_unanswered
         self._on_not_kept = on_not_kept
+        self._on_refused = on_refused
         # End offset of the topic by the newest answer; nobody else writes to it.
         self._end = end
         self._leader_mark = leader_mark
@@ -191,9 +213,9 @@
             self.request_append()
             await self._success.wait()
 
-    async def run(self) -> Fenced | NumberTaken:
+    async def run(self) -> Fenced | NumberTaken | AppendRefused:
         """Write batches until the store reports a newer epoch or another writer in this
-        one."""
+        one, or refuses whatever is written."""
         while True:
             with anyio.move_on_after(CONFIRM_INTERVAL_S):
                 await self._wake.wait()
@@ -204,7 +226,7 @@
             held, self._held = self._held, []
             if records or held or append_requested or self._confirm_due():
                 for batch in _split_batches(records, self._batch_bytes):
-                    outcome = await self._append(batch)
+                    outcome = await self._append_acceptable(batch)
                     if not isinstance(outcome, Appended):
                         return outcome
                 self._release(held)
@@ -214,6 +236,25 @@
     def _confirm_due(self) -> bool:
         return self._clock() - self._confirmed_at > CONFIRM_INTERVAL_S
 
+    async def _append_acceptable(self, batch: t.Sequence[Record]) -> _Outcome:
+        """Append what the store takes of a batch."""
+        outcome = await self._append(batch)
+        if not isinstance(outcome, AppendRefused) or not batch:
+            return outcome
+        if len(batch) > 1:
+            middle = len(batch) // 2
+            for part in (batch[:middle], batch[middle:]):
+                outcome = await self._append_acceptable(part)
+                if not isinstance(outcome, Appended):
+                    break
+            return outcome
+        refused = RefusedRecord(batch[0].key, batch[0].size, outcome.reason)
+        # A store that refuses everything proves nothing about the record.
+        outcome = await self._append(())
+        if isinstance(outcome, Appended):
+            self._on_refused(refused)
+        return outcome
+
     async def _append(self, batch: t.Sequence[Record]) -> _Outcome:
         # The state digest keeps every append from being empty. An empty append may
         # share its number with the next one, which a store may take for a repeat and
@@ -236,6 +277,9 @@
             self._success = anyio.Event()
             if mark is not None and mark.resigned:
                 self._resignation_kept = True
+        elif isinstance(settled.outcome, AppendRefused):
+            self._sequence -= 1
+            self._digest_tracker.undo()
         self._waiting_since = None
         return settled.outcome
 
@@ -311,7 +355,7 @@
     batch: list[Record] = []
     size = 0
     for record in records:
-        length = len(record.key) + len(record.value or b"") + 8
+        length = record.size + RECORD_PREFIX_BYTES
         if batch and size + length > max_bytes:
             yield batch
             batch, size = [], 0
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -11,7 +11,9 @@
 from ..calls import Caller
 from ..calls import CallFailure
 from ..calls import Reply
+from ..errors import UnstorableRecord
 from ..interfaces import Appended
+from ..interfaces import AppendRefused
 from ..interfaces import Fenced
 from ..interfaces import NewestPage
 from ..interfaces import NumberTaken
@@ -37,10 +39,14 @@
 PRODUCER: t.Final = "granitetrestle"
 # Size of the length prefix of a record; the length doesn't include it.
 LENGTH_PREFIX_BYTES: t.Final = 4
+# The length of a key has one byte.
+MAX_KEY_BYTES: t.Final = 255
 # An answer takes about 5 ms, and up to half a second if the store is slow.
 READ_TIMEOUT_S: t.Final = 1.0
 MAX_ANSWER_BYTES: t.Final = 4 * 1024 * 1024
 OK: t.Final = 200
+# Statuses with which an append is refused for its content, and so for good.
+REFUSED: t.Final = frozenset({400, 413})
 CONFLICT: t.Final = 409
 GONE: t.Final = 410
 
@@ -87,17 +93,23 @@
         records: t.Sequence[Record],
         writer: Writer | None,
         timeout_s: float,
-    ) -> Appended | Fenced | NumberTaken | StoreUnavailable:
+    ) -> Appended | Fenced | NumberTaken | AppendRefused | StoreUnavailable:
         """See :meth:`.interfaces.Store.append`."""
         query = {"topic": topic, "part": "0"}
         if writer is not None:
             query["producer"] = PRODUCER
             query["epoch"] = str(writer.epoch)
             query["call_seq"] = str(writer.sequence)
-        body = b"".join(map(encode_record, records))
+        try:
+            body = b"".join(map(encode_record, records))
+        except UnstorableRecord as error:
+            return AppendRefused(error.message)
         reply = await self._append(topic, writer, query, timeout_s, body)
         if isinstance(reply, StoreUnavailable):
             return reply
+        reason = f"{reply.status} {reply.body[:80]!r}"
+        if reply.status in REFUSED:
+            return AppendRefused(reason)
         try:
             answer = _append_answers.decode(reply.body or b"{}")
         except msgspec.DecodeError:
@@ -108,7 +120,7 @@
             return Fenced()
         if reply.status == CONFLICT and answer.reason == "seq":
             return NumberTaken(answer.call_seq)
-        return StoreUnavailable(f"{reply.status} {reply.body[:80]!r}", not_applied=True)
+        return StoreUnavailable(reason, not_applied=True)
 
     async def _append(
         self,
@@ -204,8 +216,13 @@
 
 def encode_record(record: Record) -> bytes:
     """Return a keyed record in the store's binary format: length, key length, key,
-    value."""
+    value.
+
+    :raises UnstorableRecord: if its key is too long.
+    """
     key = record.key.encode()
+    if len(key) > MAX_KEY_BYTES:
+        raise UnstorableRecord(f"a key of {len(key)} bytes: {record.key[:80]}...")
     value = record.value or b""
     return struct.pack(">IB", 1 + len(key) + len(value), len(key)) + key + value
 
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from . import steadyclock
+from .appendlog import AppendLog
 from .boxpoller import BoxPoller
 from .collector import freeze_allocations
 from .collector import unfreeze_allocations
@@ -40,7 +41,6 @@
 from .jobcalls import JobOutcome
 from .jobcalls import PendingCall
 from .journal import Journal
-from .journal import NotKept
 from .leaderlease import JournalLeaderLease
 from .longrunningwaits import WaitCause
 from .looplag import LoopLag
@@ -96,6 +96,7 @@
         self._log = log
         self._metrics = metrics
         self._scheduler = Scheduler(parameters, time.monotonic())
+        self._append_log = AppendLog(claim.epoch, log, metrics)
         self._journal = Journal(
             sources.store,
             JOBS_TOPIC,
@@ -105,8 +106,9 @@
             # Counts the time in which this machine is suspended: another process may
             # take over meanwhile, so earlier confirmations must not support answers.
             steadyclock.now,
-            self._append_unanswered,
-            self._append_not_kept,
+            self._append_log.unanswered,
+            self._append_log.not_kept,
+            self._append_log.refused,
             claim.end,
             parameters.call_bytes,
             self._leader_mark,
@@ -139,7 +141,6 @@
         self._over = False
         # Newest epoch that other processes are known to follow.
         self._newest_epoch = claim.epoch
-        self._store_lost_at: float | None = None
 
     @property
     def epoch(self) -> int:
@@ -277,27 +278,6 @@
         self._step_down("store", type(met).__name__)
         tasks.cancel_scope.cancel()
 
-    def _append_unanswered(self, reason: str, waiting_s: float) -> None:
-        self._metrics.count("append_repeated")
-        if self._store_lost_at is None:
-            self._store_lost_at = time.monotonic() - waiting_s
-            self._log.event(
-                "store_lost",
-                epoch=self._epoch,
-                reason=reason,
-                waiting_s=round(waiting_s, 3),
-            )
-
-    def _append_not_kept(self, not_kept: NotKept) -> None:
-        self._metrics.count("append_not_kept")
-        self._log.event("append_not_kept", epoch=self._epoch, **not_kept._asdict())
-
-    def _log_store_back(self) -> None:
-        if self._store_lost_at is not None:
-            lost_s = time.monotonic() - self._store_lost_at
-            self._store_lost_at = None
-            self._log.event("store_back", epoch=self._epoch, lost_s=round(lost_s, 3))
-
     def _step_down(self, where: str, met: str = "Fenced") -> None:
         if not self._over:
             self._over = True
@@ -375,7 +355,7 @@
         self._apply(self._scheduler.apply_advice(asked, advice, time.monotonic()))
 
     def _apply_durable(self, held: list[t.Any]) -> None:
-        self._log_store_back()
+        self._append_log.answered()
         for decision in held:
             if isinstance(decision, AnswerCall):
                 self._answer(decision)
--- a/src/granitetrestle/statedigest.py
+++ b/src/granitetrestle/statedigest.py
@@ -147,6 +147,8 @@
     def __init__(self, records: t.Iterable[Record] = ()) -> None:
         self._checksums: dict[str, int] = {}
         self._combined = 0
+        # The checksums before the newest append, of the keys that it changes.
+        self._before: dict[str, int | None] = {}
         for record in records:
             self._apply(record)
 
@@ -172,6 +174,9 @@
 
         :param mark: what the leader states with this append, if it knows the offset.
         """
+        self._before = {
+            record.key: self._checksums.get(record.key) for record in records
+        }
         for record in records:
             self._apply(record)
         keys, total = self.digest.keys, self.digest.total
@@ -194,6 +199,15 @@
             )
         return [*records, Record(DIGEST_KEY, _encode(stored))]
 
+    def undo(self) -> None:
+        """Restore the digest from before the newest append, which was not done."""
+        for key, total in self._before.items():
+            self._combined ^= self._checksums.pop(key, 0)
+            if total is not None:
+                self._checksums[key] = total
+                self._combined ^= total
+        self._before = {}
+
 
 def _durations_ms_of_boxes(mark: LeaderMark) -> dict[str, int] | None:
     """Return the stored form of what a mark says of single boxes, unless that is long."""
--- a/src/granitetrestle/succession.py
+++ b/src/granitetrestle/succession.py
@@ -10,6 +10,7 @@
 import anyio
 
 from . import steadyclock
+from .interfaces import AppendRefused
 from .interfaces import Fenced
 from .interfaces import NewestRecords
 from .interfaces import NewestUnavailable
@@ -57,6 +58,8 @@
     sent_at = steadyclock.now()
     writer = Writer(epoch, 1)
     outcome = await store.append(JOBS_TOPIC, records, writer, CLAIM_TIMEOUT_S)
+    if isinstance(outcome, AppendRefused):
+        return StoreUnavailable(outcome.reason, not_applied=True)
     if isinstance(outcome, Fenced | NumberTaken | StoreUnavailable):
         return outcome
     return EpochClaim(epoch, by, outcome.end, sent_at=sent_at)
