A job is measured as its record will be, with the time of its acceptance

What callers saw: nothing in tests; a submission whose record is within 8 bytes of `record_bytes` was accepted, its record refused by the store (found by reading in the review), and the shard stuck.

Cause: the size was checked before `accepted_ms` was set, which takes one byte as long as it is unknown, and up to nine once it is known.

Evidence: own_limits.feature with a record of up to 5,001 bytes, where 5,000 are allowed: accepted before, refused now.

Why the fix works: the record is measured with the latest time there is. The scenario measured the record of a job accepted at 0, which is why it passed; it now takes the longest over the times and is as strict: 5,000 bytes are accepted, 5,001 refused.

--- a/features/own_limits.feature
+++ b/features/own_limits.feature
@@ -38,8 +38,9 @@
       | has a key of 256 bytes    | refused for good |
 
   Scenario Outline: A job whose record is <what> is <verdict>
-    An append that the store refuses is repeated forever, by each successor as well.
-    When a job is submitted whose record has <bytes> bytes, where 5000 are allowed
+    The record holds when the job is accepted, which takes up to eight bytes more the later it
+    is. A record that the store refuses must not be accepted at any time.
+    When a job is submitted whose record has up to <bytes> bytes, where 5000 are allowed
     Then it is answered <status>
 
     Examples:
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -253,7 +253,9 @@
     assert verdicts[type(context.outcome)] == verdict, context.outcome
 
 
-@when("a job is submitted whose record has {size:d} bytes, where {most:d} are allowed")
+@when(
+    "a job is submitted whose record has up to {size:d} bytes, where {most:d} are allowed"
+)
 def submit_long_job(context, size, most):
     async def confirm():
         return True
@@ -284,12 +286,16 @@
 
 
 def record_bytes(submission):
-    """Return the size of a job's record in a call, as the store counts it: the length
-    of its key (1 byte), the key, the value."""
-    scheduler = Scheduler(ShardWorld(1, 0).parameters, 0.0)
-    scheduler.handle_call("r", SubmitJob(submission), 0.0)
-    (record,) = scheduler.take_writes()
-    return 1 + len(record.key) + len(record.value)
+    """Return the size that a job's record may have in a call, as the store counts it:
+    the length of its key (1 byte), the key, the value."""
+    sizes = []
+    for accepted_at in (0.0, 1e3, 1e8, 1e15):
+        scheduler = Scheduler(ShardWorld(1, 0).parameters, 0.0)
+        scheduler.handle_call("r", SubmitJob(submission), accepted_at)
+        (record,) = scheduler.take_writes()
+        sizes.append(1 + len(record.key) + len(record.value))
+    assert sizes[-1] - sizes[0] == 8, sizes
+    return max(sizes)
 
 
 @then("it is answered {status:d}")
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -17,6 +17,7 @@
 from .errors import UnreadableRecord
 from .interfaces import Record
 from .longcheckpoints import LongCheckpoints
+from .shardtime import MAX_SHARD_TIME_MS
 from .shardtime import SHARD_TIME_KEY
 from .shardtime import UNKNOWN_TIME
 from .shardtime import ShardTime
@@ -38,8 +39,8 @@
     "DEFAULT_MAX_RECORD_BYTES",
     "JobRecords",
     "Restored",
+    "longest_submission_record",
     "restore_jobs",
-    "submission_record",
 ]
 
 SUBMISSION_KEY: t.Final = "s/"
@@ -161,11 +162,17 @@
     return GroupId(job, task.occurrence, task.step, task.index // GROUP_TASKS)
 
 
-def submission_record(submission: Submission) -> Record:
-    """Return the record of a new job."""
+def _submission_record(submission: Submission) -> Record:
     return Record(SUBMISSION_KEY + submission.job, _encode(submission))
 
 
+def longest_submission_record(submission: Submission) -> Record:
+    """Return the record that a job would have if it were accepted at the time whose
+    stored form is longest."""
+    latest = msgspec.structs.replace(submission, accepted_ms=MAX_SHARD_TIME_MS)
+    return _submission_record(latest)
+
+
 class JobRecords:
     """Collects changes of jobs and turns them into records.
 
@@ -231,7 +238,7 @@
         """Return the records of all changes since the last call."""
         records = self._checkpoints.pop_unneeded()
         for workflow in self._accepted.values():
-            records.append(submission_record(workflow.submission))
+            records.append(_submission_record(workflow.submission))
         for group, workflow in self._groups.items():
             if not workflow.retired:
                 records += self._group_records(group, workflow)
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -11,12 +11,10 @@
 from ..interfaces import Config
 from ..jobcalls import SubmitJob
 from ..jobrecords import DEFAULT_MAX_RECORD_BYTES
-from ..jobrecords import submission_record
+from ..jobrecords import longest_submission_record
 from ..node import Node
 from ..session import Session
 from . import front
-from .store import LENGTH_PREFIX_BYTES
-from .store import encode_record
 
 __all__ = ["FrontResponder", "Ports", "make_app"]
 
@@ -80,15 +78,14 @@
         return ClientAnswer(answer.status, answer.body)
 
     def _check_size(self, decoded: front.DecodedCall) -> None:
-        """Reject a job that the store would not take: this leader, and each successor
-        that the job is submitted to, would retry its append for ever.
+        """Reject a job that the store would not take, at whatever time it is accepted.
 
         :raises InvalidInput: if the job's record is too long for the store.
         """
         if not isinstance(decoded, SubmitJob):
             return
-        record = encode_record(submission_record(decoded.submission))
-        if len(record) - LENGTH_PREFIX_BYTES > self._record_bytes:
+        record = longest_submission_record(decoded.submission)
+        if record.size > self._record_bytes:
             raise InvalidInput(
                 f"the job's record has more than {self._record_bytes} bytes"
             )
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -26,7 +26,6 @@
 
 __all__ = [
     "CONFIG_TOPIC",
-    "LENGTH_PREFIX_BYTES",
     "BOX_TOPIC",
     "PlatformStore",
     "decode_records",
@@ -37,8 +36,6 @@
 CONFIG_TOPIC: t.Final = "keyed.op"
 BOX_TOPIC: t.Final = "keyed.servers"
 PRODUCER: t.Final = "granitetrestle"
-# Size of the length prefix of a record; the length doesn't include it.
-LENGTH_PREFIX_BYTES: t.Final = 4
 # The length of a key has one byte.
 MAX_KEY_BYTES: t.Final = 255
 # An answer takes about 5 ms, and up to half a second if the store is slow.
--- a/src/granitetrestle/shardtime.py
+++ b/src/granitetrestle/shardtime.py
@@ -12,9 +12,17 @@
 
 from .interfaces import Record
 
-__all__ = ["SHARD_TIME_KEY", "UNKNOWN_TIME", "ShardTime", "decode_shard_time"]
+__all__ = [
+    "MAX_SHARD_TIME_MS",
+    "SHARD_TIME_KEY",
+    "UNKNOWN_TIME",
+    "ShardTime",
+    "decode_shard_time",
+]
 
 SHARD_TIME_KEY: t.Final = "c/"
+# Upper limit of shard times; their stored form has up to nine bytes.
+MAX_SHARD_TIME_MS: t.Final = 2**63 - 1
 # Stands for a time that was not recorded, as by an older version.
 UNKNOWN_TIME: t.Final = -1
 
@@ -36,7 +44,7 @@
 
     def at(self, steady: float) -> int:
         """Return the shard time at a time by the steady clock."""
-        return max(0, int((steady - self._zero) * 1000.0))
+        return min(MAX_SHARD_TIME_MS, max(0, int((steady - self._zero) * 1000.0)))
 
     def steady(self, recorded_ms: int, now: float) -> float:
         """Return a recorded time by the steady clock; ``now`` if it is unknown."""
