What is learned of images fits into keys and records, however long their names are

Cause: what is learned is written under `i/` and the image's name. The length of a key has one byte in the store's format, and encode_record raised struct.error. The record holds a row with the name of each image that slows this one down, in any number.

Why the fix works: an image is written if its key fits; of the rows of one record the newest are, up to `record_bytes` less the longest key. It is a hint: a successor learns anew what was not written. `take_changed_rows` takes the limit, so two steps of native_policy pass one; what they check is as before.

--- a/features/long_records.feature
+++ b/features/long_records.feature
@@ -27,6 +27,24 @@
     When all their boxes are lost, and an older version writes checkpoints of its own
     Then the successor has each checkpoint of the older version
 
+  Scenario Outline: What is learned of an image whose name has <bytes> bytes is <kept>
+    Given a leader that has learned how an image whose name has <bytes> bytes slows down another
+    And how images slow down one whose name has <bytes> bytes
+    When it writes that, and a successor takes over
+    Then each record has a key of at most 255 bytes, and the successor has <kept>
+
+    Examples:
+      | bytes | kept                                      |
+      | 10    | what was learned of both                  |
+      | 253   | what was learned of both                  |
+      | 254   | what was learned of the one that it slows |
+      | 3000  | what was learned of the one that it slows |
+
+  Scenario: What is learned of too many images for one record is kept for the newest
+    Given a leader that has learned how 500 images with names of 1000 bytes slow down another
+    When it writes that, and a successor takes over
+    Then no record had more than 262144 bytes, and the successor has the 249 newest
+
   Scenario: What an older version leaves behind of an ended job is removed
     Given 16 long-running tasks whose checkpoints have 40000 characters each
     When all their boxes are lost, and an older version removes the job
--- a/features/steps/long_record_steps.py
+++ b/features/steps/long_record_steps.py
@@ -13,6 +13,8 @@
 from granitetrestle.interfaces import RunningTask
 from granitetrestle.jobcalls import SubmitJob
 from granitetrestle.scheduler import Scheduler
+from granitetrestle.shardstate import ShardState
+from granitetrestle.slices import run_to_completion
 from granitetrestle.workflows import PENDING
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
@@ -236,3 +238,63 @@
     assert [key for key in topic.values if JOB in key], topic.values.keys()
     topic.write(successor(context).take_writes())
     assert not [key for key in topic.values if JOB in key], topic.values.keys()
+
+
+def learn(interference, serving, filling):
+    interference.observe(serving, 0.7, 0.5, 0.01, {filling: 0.3})
+
+
+@given(
+    "a leader that has learned how an image whose name has {size:d} bytes slows down "
+    "another"
+)
+def learned_of_filling(context, size):
+    # Two bytes for each character but the last ones.
+    context.name = "\u00e9" * (size // 2) + "x" * (size % 2)
+    context.state = ShardState(ShardWorld(1, 1).parameters)
+    learn(context.state.interference, "other", context.name)
+
+
+@given("how images slow down one whose name has {size:d} bytes")
+def learned_of_serving(context, size):
+    learn(context.state.interference, context.name, "filling")
+
+
+@given(
+    "a leader that has learned how {count:d} images with names of {size:d} bytes slow "
+    "down another"
+)
+def learned_of_many(context, count, size):
+    context.state = ShardState(ShardWorld(1, 1).parameters)
+    context.names = [f"{number:0{size}d}" for number in range(count)]
+    for name in context.names:
+        learn(context.state.interference, "other", name)
+
+
+@when("it writes that, and a successor takes over")
+def learned_written(context):
+    context.state.record_interference()
+    context.records = context.state.take_writes()
+    context.successor = ShardState(context.state.parameters)
+    restored = run_to_completion(context.successor.restore(context.records, 0.0))
+    assert not restored.unreadable
+
+
+@then("each record has a key of at most {most:d} bytes, and the successor has {kept}")
+def short_keys(context, most, kept):
+    assert all(len(r.key.encode()) <= most for r in context.records), context.records
+    interference = context.successor.interference
+    assert interference.is_observed("other", context.name)
+    both = kept == "what was learned of both"
+    assert interference.is_observed(context.name, "filling") == both
+
+
+@then(
+    "no record had more than {most:d} bytes, and the successor has the {count:d} newest"
+)
+def newest_kept(context, most, count):
+    assert max(record.size for record in context.records) <= most
+    interference = context.successor.interference
+    known = [name for name in context.names if interference.is_observed("other", name)]
+    assert known == context.names[-len(known) :], len(known)
+    assert len(known) == count, len(known)
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -85,12 +85,14 @@
 @then("a successor that restores the stored rows classifies both pairs alike")
 def handed_over(context):
     successor = Interference()
-    for image, row in context.interference.take_changed_rows().items():
+    for image, row in context.interference.take_changed_rows(10_000).items():
         successor.restore(image, row)
     assert successor.highly_sensitive("serving", "bad")
     assert not successor.highly_sensitive("serving", "mild")
     assert successor.best_effort_images == set(SENSITIVITIES)
-    assert not context.interference.take_changed_rows(), "no pair has changed since"
+    assert not context.interference.take_changed_rows(10_000), (
+        "no pair has changed since"
+    )
 
 
 @given("a box whose serving tasks tolerate little slowdown")
--- a/src/granitetrestle/interfaces.py
+++ b/src/granitetrestle/interfaces.py
@@ -23,6 +23,7 @@
     "EndedRun",
     "Fenced",
     "HallDirective",
+    "MAX_KEY_BYTES",
     "PollResult",
     "PollOutcome",
     "NewestRecords",
@@ -45,6 +46,10 @@
 ]
 
 
+# Upper limit of the bytes of a record's key in the store.
+MAX_KEY_BYTES: t.Final = 255
+
+
 class Record(t.NamedTuple):
     """The newest value under a key; ``None`` deletes the key."""
 
--- a/src/granitetrestle/interference.py
+++ b/src/granitetrestle/interference.py
@@ -35,6 +35,8 @@
 MIN_SENSITIVITY_VARIANCE: t.Final = 0.02
 # Images below this share of a box are left out of an update.
 MIN_LEARNING_CPU_SHARE: t.Final = 0.01
+# Bytes in front of the elements of an encoded list.
+MAX_ARRAY_PREFIX_BYTES: t.Final = 5
 # Above this the tail latency is only a lower bound for the busy share.
 SATURATED_BUSY_SHARE: t.Final = 0.9
 
@@ -305,13 +307,15 @@
             self._update_cached(serving, image, pair)
         self._changed.add(serving)
 
-    def take_changed_rows(self) -> dict[str, bytes]:
-        """Return the encoded pairs of serving images updated since the last call."""
+    def take_changed_rows(self, max_bytes: int) -> dict[str, bytes]:
+        """Return the encoded pairs of serving images updated since the last call.
+
+        :param max_bytes: size limit of the pairs of one image; those known for longest
+            are left out.
+        """
         rows = {
-            serving: _encode(
-                [_row(image, p) for image, p in self._pairs[serving].items()]
-            )
-            for serving in self._changed
+            serving: _encode(_newest_rows(self._pairs[serving], max_bytes))
+            for serving in sorted(self._changed)
         }
         self._changed.clear()
         return rows
@@ -333,6 +337,18 @@
             self._update_cached(serving, row.best_effort, pair)
 
 
+def _newest_rows(pairs: t.Mapping[str, _Pair], max_bytes: int) -> list[PairRow]:
+    rows = [_row(image, pair) for image, pair in pairs.items()]
+    left = max_bytes - MAX_ARRAY_PREFIX_BYTES
+    kept = []
+    for row in reversed(rows):
+        size = len(_encode(row))
+        if size <= left:
+            left -= size
+            kept.append(row)
+    return kept[::-1]
+
+
 def _row(best_effort: str, pair: _Pair) -> PairRow:
     return PairRow(
         best_effort,
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -12,6 +12,7 @@
 from ..calls import CallFailure
 from ..calls import Reply
 from ..errors import UnstorableRecord
+from ..interfaces import MAX_KEY_BYTES
 from ..interfaces import Appended
 from ..interfaces import AppendRefused
 from ..interfaces import Fenced
@@ -36,8 +37,6 @@
 CONFIG_TOPIC: t.Final = "keyed.op"
 BOX_TOPIC: t.Final = "keyed.servers"
 PRODUCER: t.Final = "granitetrestle"
-# The length of a key has one byte.
-MAX_KEY_BYTES: t.Final = 255
 # An answer takes about 5 ms, and up to half a second if the store is slow.
 READ_TIMEOUT_S: t.Final = 1.0
 MAX_ANSWER_BYTES: t.Final = 4 * 1024 * 1024
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -12,6 +12,7 @@
 from .errors import UnreadableRecord
 from .failurerate import FailureRate
 from .incarnations import box_id_of
+from .interfaces import MAX_KEY_BYTES
 from .interfaces import Config
 from .interfaces import Queue
 from .interfaces import Record
@@ -230,8 +231,12 @@
         self._records.mark_dropped(job)
 
     def record_interference(self) -> None:
-        """Mark the learned interference of images to be written, for a successor."""
-        self._interference_rows.update(self.interference.take_changed_rows())
+        """Mark the learned interference of images to be written, for a successor. That
+        of an image whose name is too long for a key is not: it will be learned anew."""
+        longest = self.parameters.record_bytes - MAX_KEY_BYTES - 1
+        for image, row in self.interference.take_changed_rows(longest).items():
+            if len((INTERFERENCE_KEY + image).encode()) <= MAX_KEY_BYTES:
+                self._interference_rows[image] = row
 
     def record_time(self, now: float) -> None:
         """Mark the shard time to be written, from which a successor goes on."""
