--- a/features/loss_judge.py
+++ b/features/loss_judge.py
@@ -84,9 +84,10 @@
         self._answered = set()
         self._store_away_at = None
         self._store_back_at = -math.inf
-        # Boxes whose tasks must go on, and the leader that sees to it.
+        # Boxes whose tasks must go on, and the leader and the witnesses that see to it.
         self._kept = set()
         self._keeper = None
+        self._witnesses = ()
         self.waits = []
         self.suspected = 0
         self.take_overs = self.excluded = 0
@@ -146,6 +147,7 @@
         if world.parameters.orphan_s < world.parameters.lease_s:
             return
         self._keeper = leader
+        self._witnesses = self._read_panel().members
         self._kept = {
             name
             for name, box in world.boxes.items()
@@ -240,14 +242,13 @@
         if leader is None:
             return
         away_s = world.now - self._store_away_at
-        members = self._read_panel().members
-        reached = sum(map(self._answers, members))
+        reached = sum(map(self._answers, self._witnesses))
         if (
             away_s > HARMLESS_OUTAGE_S
             or world.leader is not leader
             or leader.stopped
             or leader.frozen
-            or reached * 2 <= len(members)
+            or reached * 2 <= len(self._witnesses)
             or (not world.store_down and world.now > self._store_back_at + RECOVERY_S)
         ):
             self._keeper = None
--- a/features/random_losses.py
+++ b/features/random_losses.py
@@ -16,7 +16,10 @@
 LONG_DURATIONS = SchedulerParameters(lease_s=6.0, orphan_s=8.0, keep_s=600.0)
 # The first hall is never lost with a leader.
 HALLS = ("h1", "h2", "h3")
-LEADER_LOSSES = ("kill", "kill", "freeze", "store", "hall", "island", "hand over")
+LEADER_LOSSES = (
+    *("kill", "kill", "freeze", "suspend", "store", "hall", "island", "island"),
+    "hand over",
+)
 PAUSES_S = (0.05, 0.5, 0.9, 0.9, 2.5)
 GAPS_S = (0.0, 0.3, 0.5, 1.0, 2.0, 4.0, 10.0, 10.0)
 OUTAGES_S = (3.0, 8.0, 8.0, 13.0, 14.0, 30.0, 60.0)
@@ -82,6 +85,8 @@
         self._end_disturbances()
         while self.judge.pending and not self._rough:
             self._advance(TICK_INTERVAL_S)
+        for process in world.processes:
+            process.resume()
         # All appends have been answered.
         self._advance(MAX_ARRIVAL_S + MAX_ANSWER_S)
         world.settle(300.0)
@@ -207,6 +212,9 @@
             self._advance(OFFSETS_S[-1])
         if not orderly:
             self._advance(draw.choice(PAUSES_S))
+        if draw.random() < 0.1:
+            # It wakes just as its successor takes over.
+            before.resume()
         if world.leader is before:
             self._take_over(orderly)
 
@@ -238,6 +246,8 @@
             leader.without_store = True
         elif kind == "freeze":
             leader.frozen = True
+        elif kind == "suspend":
+            leader.suspend()
         else:
             world.kill()
         return False
@@ -264,7 +274,9 @@
             world.add_box()
         if draw.random() < 0.5:
             lost = True
-            self._end_leader(draw.choice(("kill", "freeze", "hall", "island")))
+            self._end_leader(
+                draw.choice(("kill", "freeze", "suspend", "hall", "island"))
+            )
         self._advance(outage_s - lost_at)
         self._bring_store_back()
         if lost:
