A submission that comes after its cancel is refused

Cause: the leader kept nothing of a cancel of an unknown job, and the time of a request was counted from when it was read, not from when it arrived.

Why the fix works: such a cancel is kept for 60 s, and in the store, so that successors know it; the submission is answered 503, which says that it is not taken and never runs. Queries answer as for an unknown job. For requests read within 0.5 s of a standstill of over 0.8 s, their time counts from its beginning; a POST without time left is answered 503 and goes nowhere.

--- a/features/native_whole_path.feature
+++ b/features/native_whole_path.feature
@@ -44,6 +44,12 @@
     Then no request was cut off and no answer was late or of unknown outcome
     And the leader was stopped as planned, and all jobs that were accepted complete
 
+  Scenario: A job that its client cancelled elsewhere while a node stood still never runs
+    Given 3 nodes on the platform with 2 boxes
+    When a job reaches a node that stands still for 4.5 seconds, and is cancelled at another meanwhile
+    Then the cancel is answered 410 and the job 503, and it is unknown at every node
+    And none of its tasks has started
+
   Scenario: Answers to appends are lost
     Given 2 nodes on the platform with 2 boxes
     When the answers to the next 3 appends are lost and a job is submitted
--- a/features/steps/native_steps.py
+++ b/features/steps/native_steps.py
@@ -199,6 +199,44 @@
     assert (status, json.loads(content)) == (200, {"pending": 0})
 
 
+@when(
+    "a job reaches a node that stands still for {seconds:g} seconds, and is cancelled at "
+    "another meanwhile"
+)
+def cancelled_while_still(context, seconds):
+    cluster = context.cluster
+    leader = cluster.leader()
+    still, other = (name for name in cluster.fronts if name != leader)
+    body = {"spec": "100", "steps": [{"count": 2, "cpu": 100, "mem_mb": 10}]}
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        cluster.kill(still, signal.SIGSTOP)
+        path = f"/jobs/{JOB}"
+        sent = pool.submit(cluster.call, "POST", cluster.fronts[still], path, body)
+        time.sleep(3.0)
+        context.cancelled = cluster.call("DELETE", cluster.fronts[other], path)[0]
+        time.sleep(seconds - 3.0)
+        cluster.kill(still, signal.SIGCONT)
+        context.answer = sent.result()
+    time.sleep(2.0)
+
+
+@then("the cancel is answered 410 and the job 503, and it is unknown at every node")
+def unknown_job(context):
+    cluster = context.cluster
+    answers = context.cancelled, context.answer.status
+    assert answers == (410, 503), (answers, context.answer)
+    for name, front in cluster.fronts.items():
+        status = cluster.call("GET", front, f"/jobs/{JOB}")[0]
+        assert status == 410, (name, status)
+
+
+@then("none of its tasks has started")
+def none_started(context):
+    lines = [line for n in context.cluster.nodes() for line in context.cluster.log(n)]
+    taken = [line for line in lines if line["event"] == "job_taken"]
+    assert not taken, taken
+
+
 @when("the store stops answering and a job is submitted")
 def store_stops_answering(context):
     cluster = context.cluster
--- a/src/granitetrestle/forwarding.py
+++ b/src/granitetrestle/forwarding.py
@@ -169,6 +169,9 @@
         while pending.answer is None and not self._closed:
             target = leader()
             now = time.monotonic()
+            if now - started > left_s:
+                # The process stood still; the timeout takes effect at the next wait.
+                return None
             pending.changed = anyio.Event()
             if target is not None and target.node == self._node:
                 attempts.append(target)
--- a/src/granitetrestle/jobcalls.py
+++ b/src/granitetrestle/jobcalls.py
@@ -16,6 +16,7 @@
     "JobAccepted",
     "JobCall",
     "JobOutcome",
+    "JobRefused",
     "JobState",
     "NoSuchJob",
     "PendingCall",
@@ -75,7 +76,13 @@
     """No job of that id is known."""
 
 
-JobOutcome: t.TypeAlias = JobAccepted | Cancelled | JobState | WaitingCount | NoSuchJob
+class JobRefused(t.NamedTuple):
+    """The job was cancelled before it came, so it is not taken and never runs."""
+
+
+JobOutcome: t.TypeAlias = (
+    JobAccepted | JobRefused | Cancelled | JobState | WaitingCount | NoSuchJob
+)
 
 
 class PendingCall:
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -8,7 +8,6 @@
 import anyio
 import anyio.abc
 
-from . import steadyclock
 from .forwarding import ClientAnswer
 from .forwarding import ClientCall
 from .forwarding import Deposed
@@ -37,13 +36,12 @@
 from .session import Session
 from .session import Sources
 from .shardstate import SchedulerParameters
+from .standstills import Standstills
 from .statedigest import EpochClaim
 from .succession import take_over
 
 __all__ = ["Node", "NodeParameters", "Responder"]
 
-# Shorter suspensions can't be told from the delay between reading the two clocks.
-MIN_LOGGED_SUSPENSION_S: t.Final = 0.1
 TICK_INTERVAL_S: t.Final = 0.1
 # The leader writes a heartbeat to the store. Once it has been unchanged for the timeout,
 # a process that lacks a stable majority may take over too.
@@ -107,6 +105,7 @@
         self._peers = peers
         peers.on_not_opened = self._peer_not_opened
         self._log = log
+        self._standstills = Standstills(log)
         self._metrics = metrics
         self._registry = Registry(sources.store)
         jitter = (sum(map(ord, parameters.incarnation)) % 100) / 100.0
@@ -159,6 +158,11 @@
         known = bool(self._leader()) or self._leaderless_s() < LEADERLESS_TIMEOUT_S
         return self._registration.done and known and not self._stopping
 
+    @property
+    def held_up_s(self) -> float:
+        """For how long a request that is read now may have waited to be read."""
+        return self._standstills.held_up_s()
+
     @property
     def idle(self) -> bool:
         """Whether no client waits for an answer."""
@@ -281,17 +285,10 @@
                 await anyio.sleep(ANSWER_RETRY_INTERVAL_S)
 
     async def _tick_loop(self, tasks: anyio.abc.TaskGroup) -> None:
-        suspended = steadyclock.suspended_s()
-        last = time.monotonic()
+        self._standstills.start()
         while True:
             now = time.monotonic()
-            if steadyclock.suspended_s() - suspended > MIN_LOGGED_SUSPENSION_S:
-                slept_s = steadyclock.suspended_s() - suspended
-                self._log.event("was_suspended", seconds=round(slept_s, 2))
-            suspended = steadyclock.suspended_s()
-            if now - last > TICK_INTERVAL_S * 8:
-                self._log.event("stood_still", seconds=round(now - last, 2))
-            last = now
+            self._standstills.tick()
             self._leader_changed()
             self._send_reports(self._reports.due(self._own_state(), now))
             self._peers.close_unused({*self._membership.targets, self._known_leader})
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -9,6 +9,7 @@
 from ..forwarding import ClientCall
 from ..forwarding import Deposed
 from ..interfaces import Config
+from ..jobcalls import JobRefused
 from ..jobcalls import SubmitJob
 from ..jobrecords import DEFAULT_MAX_RECORD_BYTES
 from ..jobrecords import longest_submission_record
@@ -74,6 +75,8 @@
         if isinstance(decoded, front.UnknownQueue):
             return ClientAnswer(404)
         outcome = await session.call(request, decoded)
+        if isinstance(outcome, JobRefused):
+            return ClientAnswer(503, why="cancelled before it came")
         answer = front.encode_outcome(outcome)
         return ClientAnswer(answer.status, answer.body)
 
@@ -135,6 +138,7 @@
 
 async def _serve(node: Node, scope: Scope, receive: Receive) -> ClientAnswer:
     started_at = time.monotonic()
+    held_up_s = node.held_up_s
     body = await _body(receive)
     if body is None:
         return ClientAnswer(413)
@@ -142,7 +146,12 @@
     host = headers.get(b"host", b"").decode("latin-1")
     call = ClientCall(scope["method"], host, scope["path"], body)
     left_s = _deadline_s(headers) - ANSWER_SLACK_S - (time.monotonic() - started_at)
-    answer = await node.serve(call, max(left_s, ANSWER_SLACK_S))
+    left_s -= held_up_s
+    if held_up_s and left_s <= 0 and call.method == "POST":
+        # Its client has left, and may have cancelled the job at another machine.
+        answer = _retry_later(f"waited here for up to {held_up_s:.1f} s")
+    else:
+        answer = await node.serve(call, max(left_s, ANSWER_SLACK_S))
     took_s = time.monotonic() - started_at
     node.metrics.record_answer(call.method, answer.status, took_s)
     if answer.status >= 400 and answer.status not in (404, 410):
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -33,6 +33,7 @@
 from .jobcalls import JobAccepted
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
+from .jobcalls import JobRefused
 from .jobcalls import JobState
 from .jobcalls import NoSuchJob
 from .jobcalls import SubmitJob
@@ -224,6 +225,8 @@
         answer = AnswerCall(request, JobAccepted())
         if submission.job in self._state.workflows:
             return [answer]
+        if submission.job in self._state.early_cancels:
+            return [AnswerCall(request, JobRefused())]
         workflow = self._state.add(submission, now)
         self._dispatcher.record_submission(workflow)
         self._state.enqueue_ready_steps(workflow, now)
@@ -234,6 +237,7 @@
     def _cancel(self, request: str, call: CancelJob, now: float) -> list[Decision]:
         workflow = self._state.workflows.get(call.job)
         if workflow is None:
+            self._state.early_cancels.add(call.job, now)
             return [AnswerCall(request, NoSuchJob())]
         effects: list[Decision] = []
         if not workflow.terminal:
@@ -277,6 +281,7 @@
 
     def _sweep(self, now: float) -> None:
         keep = self._state.parameters.keep_s
+        self._state.early_cancels.discard_expired(now)
         if self._state.workflows:
             self._state.record_time(now)
         for job, workflow in list(self._state.workflows.items()):
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -9,6 +9,7 @@
 from .boxes import BoxView
 from .boxindex import BoxIndex
 from .boxindex import EligibleBoxes
+from .earlycancels import EarlyCancels
 from .errors import UnreadableRecord
 from .failurerate import FailureRate
 from .incarnations import box_id_of
@@ -188,6 +189,7 @@
         self.failure_rate = FailureRate()
         self.loads = StepLoads(trend=self.is_enabled(Mechanism.LOAD_TREND))
         self._time = ShardTime()
+        self.early_cancels = EarlyCancels(self._time)
         self._time_record: Record | None = None
         self._records = JobRecords(self._time, parameters.record_bytes)
         self._interference_rows: dict[str, bytes] = {}
@@ -249,6 +251,7 @@
         return bool(
             self._records.waiting
             or self._interference_rows
+            or self.early_cancels.waiting
             or leases.waiting
             or self.witnesses.waiting
             or self._time_record
@@ -260,6 +263,7 @@
         records = self.withdrawn_leases.pop_records()
         records += self.witnesses.pop_records()
         records += self._records.pop_records()
+        records += self.early_cancels.pop_records()
         for image, value in self._interference_rows.items():
             records.append(Record(INTERFERENCE_KEY + image, value))
         self._interference_rows.clear()
@@ -275,6 +279,7 @@
         yield from self._records.checkpoints.restore(
             records, restored.workflows, restored.unreadable
         )
+        self.early_cancels.restore(records, now)
         self.workflows.update(restored.workflows)
         for group in restored.groups:
             self._records.add_stored_group(group)
