Jobs of a removed route keep what it allowed

Cause: what a job may do is looked up under the name of its queue, and a queue that is not configured means the defaults: 3 attempts, and no advice.

Evidence: removed_routes.feature on the code before: 6 of 7 scenarios fail, the job with run 3 for 2 and for 5 attempts, and a start without a ticket.

Why the fix works: a leader keeps a removed queue while it has jobs that have not ended.

Run: removed_routes (7 scenarios), native_policy, native_records, native_parts, own_limits: pass.

--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -281,6 +281,7 @@
         repeat_count=raw.repeat_count,
         start_at_ms=raw.start_at_ms,
         interval_ms=raw.interval_ms,
+        max_attempts=queue.max_attempts,
     )
 
 
--- a/src/granitetrestle/progress.py
+++ b/src/granitetrestle/progress.py
@@ -67,8 +67,12 @@
         return effects
 
     def _max_attempts(self, workflow: Workflow) -> int:
-        queue = self._state.queues.get(workflow.submission.queue)
-        return queue.max_attempts if queue is not None else DEFAULT_MAX_ATTEMPTS
+        submission = workflow.submission
+        queue = self._state.queues.get(submission.queue)
+        if queue is not None:
+            return queue.max_attempts
+        # No leader since the take-over has read a configuration with the queue.
+        return submission.max_attempts or DEFAULT_MAX_ATTEMPTS
 
     def _done(self, task: Task, row: EndedRun, now: float) -> list[Decision]:
         workflow = task.workflow
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -388,8 +388,14 @@
     def apply_queues(self, queues: t.Iterable[Queue]) -> None:
         """Replace the configured queues. Their objectives and priorities also hold for
         jobs that are known already: a successor restores all jobs before it reads its
-        first configuration."""
-        self.queues = {queue.name: queue for queue in queues}
+        first configuration. A queue that is removed stays as it was while it has jobs."""
+        used = {
+            workflow.submission.queue
+            for workflow in self.workflows.values()
+            if not workflow.terminal
+        }
+        kept = {name: queue for name, queue in self.queues.items() if name in used}
+        self.queues = {**kept, **{queue.name: queue for queue in queues}}
         for workflow in self.workflows.values():
             if not workflow.terminal:
                 self._set_due(workflow)
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -87,6 +87,8 @@
     :param start_at_ms: wall time of the first occurrence, in milliseconds since 1970.
     :param interval_ms: time from one occurrence to the next.
     :param accepted_ms: when the leader accepted it, in shard time.
+    :param max_attempts: failed runs of a task before the job fails, as its queue was
+        configured when it was accepted; 0 if an older version accepted it.
     """
 
     job: str
@@ -98,6 +100,7 @@
     start_at_ms: int = 0
     interval_ms: int = 0
     accepted_ms: int = UNKNOWN_TIME
+    max_attempts: int = 0
 
 
 class Task:
