--- a/features/random_losses.py
+++ b/features/random_losses.py
@@ -28,6 +28,8 @@
 # Boxes that are never lost, and that every leader reaches unless it is cut off.
 SPARE_BOXES = 4
 LONG_RUNNING = Step(count=2, cpu=900, memory_mb=10, long_running=True)
+# On as many boxes; fewer than the spare ones, since the scheduler keeps one box empty.
+SPREAD = Step(count=3, cpu=500, memory_mb=10, long_running=True, per_box=1)
 SHORT = Step(count=2, cpu=200, memory_mb=10)
 SHARES = (0.0, 0.1, 0.25)
 
@@ -65,8 +67,8 @@
         """
         world, draw = self.world, self._draw
         self._advance(0.3)
-        for _ in range(draw.randint(1, 3)):
-            world.submit((LONG_RUNNING,))
+        for _ in range(draw.randint(1, 4)):
+            world.submit((draw.choice((LONG_RUNNING, SPREAD)),))
         self._advance(draw.choice((1.0, 2.0, 4.0)))
         if not self._rough or draw.random() < 0.5:
             # Added only now, they hold none of these tasks yet.
@@ -237,7 +239,9 @@
                 hall = draw.choice(HALLS[1:])
                 others = [name for name in others if world.entries[name].hall == hall]
             else:
+                busy = [name for name in others if world.boxes[name].running]
                 others = draw.sample(others, draw.randint(0, len(others)))
+                others = sorted({*others, *draw.sample(busy, min(len(busy), 1))})
             for incarnation in others:
                 self.judge.box_lost(incarnation, self._long_running_on(incarnation))
             self._island.update(others)
