Log which tasks take the room that long-running tasks wait for

Long-running tasks of lost boxes wait for up to 12 s after their leases have ended, lasting_waits saying cpu with roomy_s_ago of 0.02 to 2 s: room appears and is gone before the pass comes to the step. No line told what was placed there.

lasting_room_taken counts it for the steps of lasting_waits, at most six, at the interval of its reports: the starts that filled a box on which such a step had room at the start of the pass, by kind of work, how many of these boxes were reserved, and for the last one its task, rule and wait. Outside these steps it costs nothing; for each of them a pass reads the boxes that changed, as the search does.

--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -30,6 +30,8 @@
 from .packing import Packer
 from .packing import best_box
 from .packing import fewest_best_effort
+from .roomtakers import RoomTakers
+from .roomtakers import StartRule
 from .shardstate import ShardState
 from .shardstate import WaitingStep
 from .startlimits import StartLimits
@@ -80,6 +82,9 @@
         indexed = state.is_enabled(Mechanism.INDEX)
         self._search: BoxSearch = IndexedSearch() if indexed else PlainSearch()
         self._order = _waiting_order(state)
+        self._room_takers = RoomTakers(state, self._headroom)
+        # By which rule the steps are visited now.
+        self._rule: StartRule = "order"
         self._suspect_placement = SuspectPlacement()
         self._best_effort_placed_at = 0.0
         # Limits of the current pass.
@@ -94,6 +99,11 @@
         """The boxes that are reserved from long-running tasks."""
         return self._headroom
 
+    @property
+    def room_takers(self) -> RoomTakers:
+        """The tasks that took room that long-running tasks wait for."""
+        return self._room_takers
+
     def record_submission(self, workflow: Workflow) -> None:
         """Record a job that was submitted, or was read from a predecessor's records."""
         self._order.record_submission(workflow)
@@ -118,10 +128,13 @@
         self._unplaceable.clear()
         self._limits = limits
         self._order.start_pass(now)
+        self._room_takers.start_pass()
         order = sorted(
             waiting.items(), key=lambda item: self._order.sort_key(item[1], now)
         )
+        self._rule = "head_start"
         effects = self._place_aged(now, wall_ms, limits.total)
+        self._rule = "order"
         self._cut_short = False
         for key, entry in order:
             left = limits.total - len(effects)
@@ -139,6 +152,7 @@
             if not entry.tasks:
                 del waiting[key]
         self._cut_short = self._cut_short or limits.path_exhausted
+        self._room_takers.end_pass()
         return effects
 
     def _place_aged(self, now: float, wall_ms: int, max_starts: int) -> list[Decision]:
@@ -408,6 +422,7 @@
         task.stop_sent_at = 0.0
         task.set_pace(FULL_PACE, now)
         box.place(task)
+        self._room_takers.record_start(task, box, self._rule)
         self._limits.record_start(box.entry.hall)
         task.workflow.begun = True
         self._order.record_start(task)
--- a/src/granitetrestle/longrunningwaits.py
+++ b/src/granitetrestle/longrunningwaits.py
@@ -13,6 +13,7 @@
 from .boxsearch import is_eligible
 from .decisions import LogEvent
 from .headroom import Headroom
+from .roomtakers import RoomTakers
 from .shardstate import ShardState
 from .shardstate import WaitingStep
 from .workflows import Task
@@ -92,12 +93,15 @@
     def report(
         self,
         headroom: Headroom,
+        room_takers: RoomTakers,
         max_starts: int,
         inherited_leases_end: t.Callable[[str], float],
         now: float,
     ) -> t.Iterator[LogEvent]:
-        """Report every few seconds why long-running tasks have waited for long.
+        """Report every few seconds why long-running tasks have waited for long, and which
+        tasks took room from them since the last report.
 
+        :param room_takers: records which tasks take room.
         :param max_starts: limit of starts in the pass.
         :param inherited_leases_end: maps the incarnation of a box to the time when the
             last lease that a predecessor may have given it ends.
@@ -116,11 +120,14 @@
             and now - _waits_since(entry) > REPORT_THRESHOLD_S
         ]
         waits.sort(key=_waits_since)
-        for entry in waits[: max(1, min(MAX_REPORTS, MAX_BOXES_EXAMINED // boxes))]:
+        yield from room_takers.report(now)
+        del waits[max(1, min(MAX_REPORTS, MAX_BOXES_EXAMINED // boxes)) :]
+        room_takers.watch(waits)
+        for entry in waits:
             cause, inputs = self._explain(entry, headroom, now)
             causes[cause] += len(entry.tasks)
             inputs["most_starts"] = max_starts
-            yield LogEvent("lasting_waits", _step_name(entry), inputs)
+            yield LogEvent("lasting_waits", entry.name, inputs)
         lease_waits = [
             *self._silent_boxes(now),
             *self._unlisted_boxes(inherited_leases_end, now),
@@ -272,7 +279,3 @@
 def _seconds_since(at: float, now: float) -> float | None:
     """Return the seconds since a time, or ``None`` if ``at`` is not set."""
     return round(now - at, 2) if at > 0.0 else None
-
-
-def _step_name(entry: WaitingStep) -> str:
-    return f"{entry.workflow.submission.job}.{entry.occurrence}.{entry.step}"
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -262,6 +262,7 @@
             self._state.record_interference()
         effects += self._long_running_waits.report(
             self._dispatcher.headroom,
+            self._dispatcher.room_takers,
             limits.total,
             self._fleet.leases.inherited.end,
             now,
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -154,6 +154,11 @@
         self.suspects = False
         self.eligible: EligibleBoxes | None = None
 
+    @property
+    def name(self) -> str:
+        """The name that logs show."""
+        return f"{self.workflow.submission.job}.{self.occurrence}.{self.step}"
+
 
 class ShardState:
     """Jobs, boxes and configuration of one shard."""
--- a/src/granitetrestle/waitingorder.py
+++ b/src/granitetrestle/waitingorder.py
@@ -9,14 +9,24 @@
 from .jobsizes import JobSizes
 from .jobsizes import SizeClass
 from .shardstate import WaitingStep
+from .workflows import Step
 from .workflows import Task
 from .workflows import Workflow
 
-__all__ = ["ByArrival", "ByUrgency", "WaitingOrder", "count_waiting_tasks"]
+__all__ = [
+    "ByArrival",
+    "ByUrgency",
+    "WaitingOrder",
+    "count_waiting_tasks",
+    "kind_of_work",
+    "lateness_name",
+]
 
 IN_TIME: t.Final = 0
 LATE: t.Final = 1
 TOO_LATE: t.Final = 2
+# The names that logs show.
+LATENESS_NAMES: t.Final = ("in_time", "late", "too_late")
 
 # Priority, lateness, whether its size class is served enough, and the remaining
 # criterion: the time of arrival, the latest start in time, or the work left over the
@@ -128,18 +138,25 @@
     return LATE if now <= entry.latest_useful_start else TOO_LATE
 
 
+def lateness_name(entry: WaitingStep, now: float) -> str:
+    """Return the lateness of a waiting step as logs show it."""
+    return LATENESS_NAMES[_lateness(entry, now)]
+
+
+def kind_of_work(step: Step) -> str:
+    """Return the class of work of a step as logs and figures show it."""
+    if step.best_effort:
+        return "fills"
+    return "lasting" if step.long_running else "short"
+
+
 def count_waiting_tasks(entries: t.Iterable[WaitingStep], now: float) -> dict[str, int]:
     """Return how many tasks wait: by class of work, by lateness, and those suspected of
     crashing boxes."""
     kinds = ("short", "fills", "lasting", "late", "too_late", "suspected")
     waiting = dict.fromkeys(kinds, 0)
     for entry in entries:
-        kind = "short"
-        if entry.spec.best_effort:
-            kind = "fills"
-        elif entry.spec.long_running:
-            kind = "lasting"
-        waiting[kind] += len(entry.tasks)
+        waiting[kind_of_work(entry.spec)] += len(entry.tasks)
         if entry.suspects:
             tasks = entry.tasks.values()
             waiting["suspected"] += sum(task.suspicion > 0 for task in tasks)
