--- a/features/room_for_due_tasks.feature
+++ b/features/room_for_due_tasks.feature
@@ -4,3 +4,24 @@
     Given a box of 64 cores, full, and two long-running tasks of 40 cores that wait for 5 seconds
     When room for one of them frees
     Then 2.5 seconds later the log says of the other that its room was taken, and by which task
+
+  Scenario: A long-running task whose lease has ended uses reserved room at once
+    Given three boxes of 64 cores, one of them reserved for short tasks, the others with two long-running tasks each
+    When one of these two boxes is lost until its lease has ended
+    Then 0.2 seconds later its tasks run again
+
+  Scenario: A long-running task that waits under its second leader uses reserved room at once
+    Given three boxes of 64 cores, one of them reserved for short tasks, the others with two long-running tasks each
+    When one of these two boxes is lost until its lease has ended, and another leader takes over
+    Then 0.2 seconds later its tasks run again
+
+  Scenario: A long-running task that has just ended leaves reserved room to short tasks
+    Given three boxes of 64 cores, one of them reserved for short tasks, the others with two long-running tasks each
+    When one of these two boxes is evacuated
+    Then 1.5 seconds later its tasks wait, and 4.5 seconds later they run again
+
+  Scenario: A long-running task whose lease has ended takes room that short tasks use in turn
+    Given two boxes of 64 cores, one with a long-running task of 40 cores, the other with as much room
+    When short tasks of 30 cores use that room in turn, and the first box is lost until its lease has ended
+    Then 1.3 seconds later its task runs on the other box
+    And short tasks use the room in turn again once that task is cancelled
