Place long-running tasks that are due first, on any box with room

Cause: a waiting task was judged by the lateness of its job. A job that was accepted long ago is too late for good, so that its tasks came after all others, new submissions of long-running jobs included, and reserved boxes opened to it only once they had had room for 1.8 s, which short tasks kept using up.

A long-running task now has a due time of its own: 4.2 s after its last run, so that it runs within 6 s. The last run of a task on a lost box ended when the box was lost, not when its lease was over; the time is stored with the task, so that it goes on through changes of leader (older versions ignore the field). Due tasks are placed ahead of the pass, the one that has not run for longest first, and may use any box with room. Each is due only until it starts, so that no more room is taken from short work than was lost.

--- a/features/room_for_due_tasks.feature
+++ b/features/room_for_due_tasks.feature
@@ -25,3 +25,8 @@
     When short tasks of 30 cores use that room in turn, and the first box is lost until its lease has ended
     Then 1.3 seconds later its task runs on the other box
     And short tasks use the room in turn again once that task is cancelled
+
+  Scenario: Of two long-running tasks that are due, the one runs first that has not run for longer
+    Given a box of 64 cores, full, and a task of 40 cores that has not run for 9 seconds, and one for 6 that waits as long
+    When room for one of them frees
+    Then the one that has not run for 9 seconds starts
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -1,7 +1,8 @@
 """Placement passes: assign waiting tasks to boxes.
 
 A pass visits the waiting steps in the order of :mod:`.waitingorder`. Ahead of it, the
-steps that have waited longest get a few starts, so that no step starves."""
+long-running tasks that are due are placed, and the steps that have waited longest get a
+few starts, so that no step starves."""
 
 import heapq
 import typing as t
@@ -19,9 +20,11 @@
 from .decisions import Decision
 from .decisions import LogEvent
 from .decisions import StartTask
+from .duetasks import due_steps
 from .headroom import Headroom
 from .headroom import NoHeadroom
 from .headroom import ReservedBoxes
+from .headroom import waiting_short_cpu
 from .interfaces import Advice
 from .interfaces import AdviceUnavailable
 from .mechanisms import Mechanism
@@ -121,7 +124,7 @@
         if self._headroom.needs_update(now):
             pools = self._state.index.pools.items()
             boxes = {service: list(pool.boxes.values()) for service, pool in pools}
-            self._headroom.update(boxes, self._waiting_short_cpu(), now)
+            self._headroom.update(boxes, waiting_short_cpu(self._state), now)
         best_effort_due = now - self._best_effort_placed_at >= BEST_EFFORT_INTERVAL_S
         if best_effort_due:
             self._best_effort_placed_at = now
@@ -132,8 +135,10 @@
         order = sorted(
             waiting.items(), key=lambda item: self._order.sort_key(item[1], now)
         )
+        self._rule = "due"
+        effects = self._place_due(now, wall_ms, limits.total)
         self._rule = "head_start"
-        effects = self._place_aged(now, wall_ms, limits.total)
+        effects += self._place_aged(now, wall_ms, limits.total - len(effects))
         self._rule = "order"
         self._cut_short = False
         for key, entry in order:
@@ -155,6 +160,19 @@
         self._room_takers.end_pass()
         return effects
 
+    def _place_due(self, now: float, wall_ms: int, max_starts: int) -> list[Decision]:
+        """Start the long-running tasks that are due, ahead of others."""
+        effects: list[Decision] = []
+        for entry, tasks in due_steps(self._state.waiting.values(), now):
+            left = max_starts - len(effects)
+            if left <= 0:
+                break
+            pool = self._state.index.pool(self._state.service_of(entry.workflow))
+            due = entry.workflow.due_at_ms(entry.occurrence) <= wall_ms
+            if due and _has_boxes(pool, entry.spec):
+                effects += self._place_step(entry, pool, now, left, tasks)
+        return effects
+
     def _place_aged(self, now: float, wall_ms: int, max_starts: int) -> list[Decision]:
         """Start one task each of the steps that have waited longest, ahead of others.
         Without this, work that can still be in time keeps them waiting for ever where
@@ -180,26 +198,24 @@
                 effects += self._place_step(entry, pool, now, 1)
         return effects
 
-    def _waiting_short_cpu(self) -> dict[str, int]:
-        """Return service -> thousandths of a core that waiting short tasks reserve."""
-        short: dict[str, int] = {}
-        for entry in self._state.waiting.values():
-            step = entry.spec
-            if not step.long_running and not step.best_effort:
-                service = self._state.service_of(entry.workflow)
-                need = len(entry.tasks) * step.cpu
-                short[service] = short.get(service, 0) + need
-        return short
-
     def _place_step(
-        self, entry: WaitingStep, pool: Pool, now: float, limit: int
+        self,
+        entry: WaitingStep,
+        pool: Pool,
+        now: float,
+        limit: int,
+        due: list[Task] | None = None,
     ) -> list[Decision]:
+        """Start tasks of a step for which a box is found.
+
+        :param due: long-running tasks that are due, if only they are to be started.
+        """
         step = entry.spec
         entry.last_visited_at = now
         if self._needs_advice(entry) and now > entry.advice_until:
             return self._ask_advice(entry, pool, now)
         if step.gang:
-            return self._place_gang(entry, step, pool, now)
+            return self._place_gang(entry, step, pool, due is not None, now)
         placement_key = (
             step.image,
             step.cpu,
@@ -211,15 +227,17 @@
             now if entry.found_waiting_at is None else entry.found_waiting_at
         )
         effects: list[Decision] = []
-        tasks = list(entry.tasks.values())
+        tasks = list(entry.tasks.values()) if due is None else due
         if entry.suspects:
+            entry.suspects = any(task.suspicion for task in entry.tasks.values())
             suspects = [task for task in tasks if task.suspicion]
-            entry.suspects = bool(suspects)
-            effects += self._place_suspects(entry, suspects[:limit], pool, now)
+            effects += self._place_suspects(
+                entry, suspects[:limit], pool, due is not None, now
+            )
             tasks = [task for task in tasks if not task.suspicion]
         if not tasks:
             return effects
-        search = self._begin_search(entry, pool, now)
+        search = self._begin_search(entry, pool, due is not None, now)
         for task in tasks[: limit - len(effects)]:
             box = None
             if placement_key not in self._unplaceable:
@@ -274,7 +292,12 @@
         return self._start(task, box, now)
 
     def _place_suspects(
-        self, entry: WaitingStep, suspects: list[Task], pool: Pool, now: float
+        self,
+        entry: WaitingStep,
+        suspects: list[Task],
+        pool: Pool,
+        due: bool,
+        now: float,
     ) -> list[Decision]:
         """Start tasks under which boxes have crashed, each on the box where another
         crash is the strongest evidence. If placed like other tasks, they take down
@@ -286,8 +309,8 @@
         placement.start_pass(pool.boxes.values(), now)
         ranking = self.packer.ranking(suspects[0], self._state.interference, now)
         for task in suspects:
-            search = self._begin_search(entry, pool, now)
-            boxes = self._allowed_boxes(entry, search.eligible(), now)
+            search = self._begin_search(entry, pool, due, now)
+            boxes = self._allowed_boxes(entry, search.eligible(), due, now)
             boxes = prefer_data_rack(entry.spec, boxes)
             bearable = [box for box in boxes if ranking.rank(box) is not None]
             if not bearable:
@@ -300,11 +323,13 @@
             self._state.index.refresh(now)
         return effects
 
-    def _begin_search(self, entry: WaitingStep, pool: Pool, now: float) -> StepSearch:
+    def _begin_search(
+        self, entry: WaitingStep, pool: Pool, due: bool, now: float
+    ) -> StepSearch:
         task = next(iter(entry.tasks.values()))
 
         def narrow(boxes: list[BoxView]) -> list[BoxView]:
-            return self._allowed_boxes(entry, boxes, now)
+            return self._allowed_boxes(entry, boxes, due, now)
 
         ranking = self.packer.ranking(task, self._state.interference, now)
         return self._search.begin(entry, pool, ranking, narrow, self._can_send)
@@ -313,12 +338,16 @@
         return self._limits.allows(box.entry.hall)
 
     def _allowed_boxes(
-        self, entry: WaitingStep, boxes: t.Collection[BoxView], now: float
+        self,
+        entry: WaitingStep,
+        boxes: t.Collection[BoxView],
+        due: bool,
+        now: float,
     ) -> list[BoxView]:
         """Return those of ``boxes``, which all have room, that the step may use."""
         boxes = self._with_ticket(entry, boxes)
         if entry.spec.long_running:
-            boxes = self._headroom.allowed_boxes(entry, boxes, now)
+            boxes = self._headroom.allowed_boxes(entry, boxes, due, now)
         return boxes
 
     def _needs_advice(self, entry: WaitingStep) -> bool:
@@ -381,13 +410,13 @@
         return [LogEvent("advised", name, inputs)]
 
     def _place_gang(
-        self, entry: WaitingStep, step: Step, pool: Pool, now: float
+        self, entry: WaitingStep, step: Step, pool: Pool, due: bool, now: float
     ) -> list[Decision]:
         """Place all members of a gang or none; they share one run number."""
         members = entry.workflow.step_tasks(entry.occurrence, entry.step)
         if any(task.state != PENDING for task in members):
             return []
-        search = self._begin_search(entry, pool, now)
+        search = self._begin_search(entry, pool, due, now)
         chosen: list[tuple[Task, BoxView]] = []
         for task in members:
             box = search.best()
--- a/src/granitetrestle/headroom.py
+++ b/src/granitetrestle/headroom.py
@@ -8,9 +8,10 @@
 import typing as t
 
 from .boxes import BoxView
+from .shardstate import ShardState
 from .shardstate import WaitingStep
 
-__all__ = ["Headroom", "ReservedBoxes", "NoHeadroom"]
+__all__ = ["Headroom", "ReservedBoxes", "NoHeadroom", "waiting_short_cpu"]
 
 # Share of a pool that is reserved before any short task was observed, and its maximum.
 INITIAL_RESERVED_SHARE: t.Final = 0.08
@@ -52,10 +53,13 @@
 
     @abc.abstractmethod
     def allowed_boxes(
-        self, entry: WaitingStep, boxes: list[BoxView], now: float
+        self, entry: WaitingStep, boxes: list[BoxView], due: bool, now: float
     ) -> list[BoxView]:
         """Return those of ``boxes``, which all have room, that a long-running step may
-        use."""
+        use.
+
+        :param due: whether the tasks to place are due; see :mod:`.duetasks`.
+        """
 
     @abc.abstractmethod
     def is_reserved(self, box: BoxView) -> bool:
@@ -78,7 +82,7 @@
         """Do nothing."""
 
     def allowed_boxes(
-        self, entry: WaitingStep, boxes: list[BoxView], now: float
+        self, entry: WaitingStep, boxes: list[BoxView], due: bool, now: float
     ) -> list[BoxView]:
         """Return all."""
         return boxes
@@ -138,13 +142,15 @@
             reserved_cpu -= box.entry.cpu - box.cpu_used + box.short_cpu
 
     def allowed_boxes(
-        self, entry: WaitingStep, boxes: list[BoxView], now: float
+        self, entry: WaitingStep, boxes: list[BoxView], due: bool, now: float
     ) -> list[BoxView]:
-        """Leave reserved boxes out, unless only they have room and it was free for
-        long: accounts are promised that the task starts then."""
+        """Leave reserved boxes out, unless only they have room and the tasks are due or
+        it was free for long: accounts are promised that the task starts then."""
         unreserved = [box for box in boxes if box.incarnation not in self._reserved]
         if unreserved:
             return unreserved
+        if due:
+            return boxes
         if not boxes:
             return []
         if now - entry.room_seen_at > MAX_OCCUPIED_GAP_S:
@@ -157,5 +163,17 @@
         return box.incarnation in self._reserved
 
 
+def waiting_short_cpu(state: ShardState) -> dict[str, int]:
+    """Return service -> thousandths of a core that waiting short tasks reserve."""
+    short: dict[str, int] = {}
+    for entry in state.waiting.values():
+        step = entry.spec
+        if not step.long_running and not step.best_effort:
+            service = state.service_of(entry.workflow)
+            need = len(entry.tasks) * step.cpu
+            short[service] = short.get(service, 0) + need
+    return short
+
+
 def _long_running_share(box: BoxView) -> tuple[float, str]:
     return ((box.cpu_used - box.short_cpu) / max(1, box.entry.cpu), box.incarnation)
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -83,10 +83,13 @@
 
     :param likely_crashes: as :attr:`.Task.likely_crashes`.
     :param proven: as :attr:`.Task.proven`.
+    :param idle_since_ms: as :attr:`.Task.idle_since`, in shard time, for long-running
+        tasks; not known of those that wait since then.
     """
 
     likely_crashes: int = 0
     proven: bool = False
+    idle_since_ms: int = UNKNOWN_TIME
 
 
 class JobRow(msgspec.Struct, frozen=True, array_like=True):
@@ -133,8 +136,11 @@
         task.suspicion,
         UNKNOWN_TIME if since is None else time.at(since),
     )
-    if task.likely_crashes or task.proven:
-        return ObservedRow(*row, task.likely_crashes, task.proven)
+    idle_since_ms = UNKNOWN_TIME
+    if task.spec.long_running and task.idle_since and task.idle_since != since:
+        idle_since_ms = time.at(task.idle_since)
+    if task.likely_crashes or task.proven or idle_since_ms != UNKNOWN_TIME:
+        return ObservedRow(*row, task.likely_crashes, task.proven, idle_since_ms)
     return TaskRow(*row)
 
 
@@ -408,6 +414,9 @@
         task.state = STARTING
     task.box = row.box if task.placed else ""
     task.started_at = since = time.steady(row.since_ms, now)
+    task.idle_since = since
+    if row.idle_since_ms != UNKNOWN_TIME:
+        task.idle_since = time.steady(row.idle_since_ms, now)
     if task.placed:
         task.inherited = row.since_ms != UNKNOWN_TIME
         task.proven = row.proven
--- a/src/granitetrestle/losttasks.py
+++ b/src/granitetrestle/losttasks.py
@@ -40,17 +40,17 @@
             # box it starts on would be started again without end.
             blamed = self._blame(box, now)
         effects: list[Decision] = []
+        lost_at = _lost_at(box, now)
         for task in list(box.tasks.values()):
             suspected = task in blamed.tasks
             effects.append(run_lost_event(box, task, suspected, now))
             given_up = is_given_up(task, suspected and blamed.alone)
-            effects += self._progress.requeue_lost(task, given_up, now)
+            effects += self._progress.requeue_lost(task, given_up, lost_at, now)
         return effects
 
     def _blame(self, box: BoxView, now: float) -> BlamedTasks:
         """Count the loss of a box against the tasks that may have crashed it."""
-        # Without any answer it may have been lost before this leader first polled it.
-        lost_at = box.lost_at or box.clock_at or box.silent_since or now
+        lost_at = _lost_at(box, now)
         candidates = may_have_crashed(box, lost_at)
         if not any(has_just_started(task, lost_at) for task in candidates):
             self._losses.record_unexplained(now)
@@ -74,5 +74,10 @@
         blame([task for task in there if not ran_under_predecessor(task, took_over_at)])
         for task in there:
             given_up = is_given_up(task, alone=False)
-            effects += self._progress.requeue_lost(task, given_up, now)
+            effects += self._progress.requeue_lost(task, given_up, took_over_at, now)
         return effects
+
+
+def _lost_at(box: BoxView, now: float) -> float:
+    # Without any answer it may have been lost before this leader first polled it.
+    return box.lost_at or box.clock_at or box.silent_since or now
--- a/src/granitetrestle/progress.py
+++ b/src/granitetrestle/progress.py
@@ -105,6 +105,10 @@
 
     def requeue(self, task: Task, now: float) -> None:
         """Remove a task from its box and enqueue it again."""
+        self._requeue(task, now if task.running_since else task.idle_since, now)
+
+    def _requeue(self, task: Task, idle_since: float, now: float) -> None:
+        task.idle_since = idle_since
         clear_suspicion(task, now)
         self._state.free(task)
         task.state = PENDING
@@ -112,13 +116,18 @@
         self._state.mark_task_changed(task)
         self._state.enqueue(task, now)
 
-    def requeue_lost(self, task: Task, given_up: bool, now: float) -> list[Decision]:
+    def requeue_lost(
+        self, task: Task, given_up: bool, lost_at: float, now: float
+    ) -> list[Decision]:
         """Requeue a task of a lost box, or fail its job.
 
         :param given_up: whether the task has crashed too many boxes to be tried again.
+        :param lost_at: when the box was lost, at the latest.
         """
         box = task.box
-        self.requeue(task, now)
+        # What a predecessor started has run, unless its start was lost with the box.
+        ran = task.running_since or task.inherited
+        self._requeue(task, lost_at if ran else task.idle_since, now)
         if not given_up or task.workflow.terminal:
             return []
         why = {"task": task.name, "suspicion": task.suspicion, "box": box}
--- a/src/granitetrestle/roomtakers.py
+++ b/src/granitetrestle/roomtakers.py
@@ -22,8 +22,8 @@
 __all__ = ["RoomTakers"]
 
 # What makes a task start: the order of the pass, or that its step was tried ahead of
-# all others.
-StartRule: t.TypeAlias = t.Literal["order", "head_start"]
+# others, as its task is due or the step has waited for long.
+StartRule: t.TypeAlias = t.Literal["order", "head_start", "due"]
 
 
 class _Start(t.NamedTuple):
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -1,6 +1,7 @@
 """State of the scheduler of one shard: jobs, boxes, configuration, and the changes that
 are not written yet. The parts of the scheduler share it."""
 
+import math
 import types
 import typing as t
 
@@ -98,6 +99,7 @@
     :ivar last_visited_at: when a placement pass last visited it.
     :ivar found_waiting_at: when a pass first visited it, or last started a task of it.
     :ivar waits_since: when it was enqueued, or a task of it was last started.
+    :ivar idle_since: since when none of its tasks has been without a run for longer.
     :ivar head_start_tried_at: when a pass last tried to place it ahead of all others.
     :ivar suspects: whether one of its tasks may be suspected; see :mod:`.crashloops`.
     :ivar eligible: boxes where its tasks had room; see :mod:`.boxsearch`.
@@ -109,6 +111,7 @@
         "eligible",
         "found_waiting_at",
         "head_start_tried_at",
+        "idle_since",
         "last_visited_at",
         "latest_start",
         "latest_useful_start",
@@ -149,6 +152,7 @@
         self.room_seen_at = -1e9
         self.last_visited_at = -1e9
         self.waits_since = 0.0
+        self.idle_since = math.inf
         self.head_start_tried_at = -1e9
         self.spec = workflow.submission.steps[step]
         self.suspects = False
@@ -347,6 +351,8 @@
             else:
                 # It waited under a predecessor already.
                 entry.waits_since = min(entry.waits_since, since)
+            task.idle_since = task.idle_since or now
+            entry.idle_since = min(entry.idle_since, task.idle_since)
         entry.tasks[task.name] = task
         entry.suspects = entry.suspects or task.suspicion > 0
 
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -114,6 +114,8 @@
     :ivar proven: whether the store says that its run was observed running for long.
     :ivar likely_crashes: how many of these boxes it had provably just started on, while
         no other boxes were lost.
+    :ivar idle_since: since when no run of it runs: when its last one ended, at the
+        latest, or before the first when it was enqueued; 0 before that.
     :ivar done_at: time at which it was done, in seconds on the steady clock.
     """
 
@@ -124,6 +126,7 @@
         "confirmed_at",
         "done_at",
         "failed_runs",
+        "idle_since",
         "index",
         "inherited",
         "likely_crashes",
@@ -175,6 +178,7 @@
         self.paced_at = 0.0
         self.slow_since = 0.0
         self.ticket = ""
+        self.idle_since = 0.0
         self.done_at = 0.0
         self._times: TaskTimes | None = None
 
