--- a/features/room_for_due_tasks.feature
+++ b/features/room_for_due_tasks.feature
@@ -30,3 +30,13 @@
     Given a box of 64 cores, full, and a task of 40 cores that has not run for 9 seconds, and one for 6 that waits as long
     When room for one of them frees
     Then the one that has not run for 9 seconds starts
+
+  Scenario: A long-running task whose start is withdrawn is due as before
+    Given three boxes of 64 cores, one of them reserved for short tasks, the others with two long-running tasks each
+    When one of these two boxes is lost until its lease has ended, and the next starts are withdrawn
+    Then 0.2 seconds later its tasks run again
+
+  Scenario: The log doesn't count tasks that leave room
+    Given a box of 64 cores with 40 cores left, and two long-running tasks of 30 cores that wait as they start only together
+    When short tasks of 5 cores start there for 3 seconds
+    Then the log says of no task that it took room
--- a/features/steps/due_steps.py
+++ b/features/steps/due_steps.py
@@ -7,7 +7,9 @@
 from room_steps import CONFIG
 from room_steps import SchedulerHarness
 
+from granitetrestle.decisions import StartTask
 from granitetrestle.interfaces import BoxNoAnswer
+from granitetrestle.interfaces import CommandNotSent
 from granitetrestle.interfaces import PollResult
 from granitetrestle.interfaces import RunningTask
 from granitetrestle.jobcalls import CancelJob
@@ -272,3 +274,58 @@
 def longer_starts(context):
     harness = context.harness
     assert (harness.placed("longer"), harness.placed("shorter")) == (1, 0)
+
+
+@when(
+    "one of these two boxes is lost until its lease has ended, and the next starts are"
+    " withdrawn"
+)
+def starts_withdrawn(context):
+    harness = context.harness
+    box_lost(context)
+    decisions = harness.scheduler.decide(harness.now, int(harness.now * 1000))
+    starts = [entry for entry in decisions if isinstance(entry, StartTask)]
+    assert len(starts) == 2, decisions
+    for start in starts:
+        harness.apply(
+            harness.scheduler.handle_start_outcome(
+                start.incarnation,
+                start.task,
+                start.run,
+                CommandNotSent("the box refuses connections"),
+                harness.now,
+            )
+        )
+    assert harness.placed("job") == 2
+
+
+@given(
+    "a box of 64 cores with 40 cores left, and two long-running tasks of 30 cores that"
+    " wait as they start only together"
+)
+def start_together(context):
+    harness = context.harness = SchedulerHarness(1, NO_HEADROOM)
+    harness.submit("first", msgspec.structs.replace(LARGE, cpu=24_000))
+    step = msgspec.structs.replace(LARGE, cpu=30_000, count=2, gang=True)
+    harness.submit("both", step)
+    harness.wait(5.0)
+    assert harness.placed("both") == 0
+
+
+@when("short tasks of 5 cores start there for {seconds:g} seconds")
+def short_tasks_start(context, seconds):
+    harness = context.harness
+    harness.log_events.clear()
+    step = Step(count=1, cpu=5_000, memory_mb=100, estimate_ms=100)
+    for number in range(round(seconds / 0.1)):
+        workflow = harness.submit(f"short{number}", step)
+        harness.wait(0.1)
+        (task,) = workflow.tasks.values()
+        assert task.placed
+        harness.end(task, "done")
+
+
+@then("the log says of no task that it took room")
+def no_taker_logged(context):
+    events = [event.event for event in context.harness.log_events]
+    assert "lasting_waits" in events and "lasting_room_taken" not in events, events
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -20,6 +20,7 @@
 from native_mutants import NATIVE_MUTANTS
 from older_mutants import OLDER_MUTANTS
 from recovery_mutants import RECOVERY_MUTANTS
+from room_mutants import ROOM_MUTANTS
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TIMEOUT_S = 240
@@ -32,6 +33,7 @@
     *LIFE_MUTANTS,
     *LEASE_MUTANTS,
     *LOAD_MUTANTS,
+    *ROOM_MUTANTS,
 )
 
 
