Deeply nested data is refused as malformed

Cause: the decoder raises RecursionError, which no caller caught. A forwarded call is decoded in the leader's task group, so that the process ends, and its sender forwards the call to the next leader.

Why the fix works: DECODE_ERRORS holds what msgspec raises for data that it can't decode, RecursionError included, and is caught wherever data of others is decoded; a client's body is then answered 400, as any that is malformed. The other places were found by looking for the same `except`.

--- a/features/steps/account_figure_steps.py
+++ b/features/steps/account_figure_steps.py
@@ -2,21 +2,35 @@
 
 import random
 
+import anyio
 import msgspec
 from behave import given
 from behave import then
 from behave import when
 from long_record_steps import Leader
 
+from granitetrestle.calls import Reply
 from granitetrestle.decisions import PaceTask
 from granitetrestle.decisions import StartTask
+from granitetrestle.errors import GranitetrestleError
+from granitetrestle.errors import InvalidInput
+from granitetrestle.errors import MalformedDirective
+from granitetrestle.errors import MalformedEntry
+from granitetrestle.interfaces import BoxNoAnswer
 from granitetrestle.interfaces import PollResult
+from granitetrestle.interfaces import Record
 from granitetrestle.interfaces import RunningTask
+from granitetrestle.interfaces import StoreUnavailable
 from granitetrestle.jobcalls import SubmitJob
+from granitetrestle.platform import front
+from granitetrestle.platform.boxes import PlatformBoxes
+from granitetrestle.platform.boxes import decode_entry
 from granitetrestle.platform.front import MAX_NUMBER
+from granitetrestle.platform.store import PlatformStore
 from granitetrestle.scheduler import Scheduler
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
+from granitetrestle_standins.shardworld import CONFIG
 
 SERVING = Step(
     count=1,
@@ -176,3 +190,66 @@
     scheduler = Scheduler(leader.world.parameters, 0.0)
     assert not scheduler.restore(leader.topic.records(), 0.0)
     assert len(scheduler.state.workflows) == leader.accepted
+
+
+NESTED = b'{"unknown":' + b"[" * 20_000 + b"]" * 20_000 + b"}"
+
+
+class NestedAnswers:
+    """Answers each call with nested data."""
+
+    async def call(self, *args, **kwargs):
+        """See :meth:`.Caller.call`."""
+        return Reply(200, (), NESTED)
+
+    async def call_party(self, *args, **kwargs):
+        """See :meth:`.Caller.call_party`."""
+        return Reply(200, (), NESTED)
+
+
+def send_job():
+    index = front.QueueIndex(CONFIG)
+    queue = CONFIG.queues[0]
+    path = f"{queue.prefix}{'a' * 16}"
+    return front.decode_call(index, "POST", queue.host, path, NESTED)
+
+
+DECODERS = {
+    "a client's job": send_job,
+    "the operator's configuration": lambda: front.decode_directive(
+        Record("config", NESTED)
+    ),
+    "the operator's directive": lambda: front.decode_directive(
+        Record("evacuate/hall", NESTED)
+    ),
+    "a box's entry": lambda: decode_entry(Record("id", NESTED)),
+    "a box's answer to a poll": lambda: anyio.run(
+        PlatformBoxes(NestedAnswers()).poll, "id", "127.0.0.1:1", 1, 0, None, 0
+    ),
+    "the store's answer to an append": lambda: anyio.run(
+        PlatformStore("127.0.0.1:1", NestedAnswers()).append, "t", [], None, 1.0
+    ),
+    "the store's page": lambda: anyio.run(
+        PlatformStore("127.0.0.1:1", NestedAnswers()).newest_page, "t", None, 1.0
+    ),
+}
+
+
+@when("{what} has an unknown field that is nested 20000 deep")
+def nested(context, what):
+    try:
+        context.verdict = DECODERS[what]()
+    except GranitetrestleError as error:
+        context.verdict = error
+
+
+@then("it is refused as malformed")
+def refused_as_malformed(context):
+    refusals = (
+        InvalidInput,
+        MalformedDirective,
+        MalformedEntry,
+        BoxNoAnswer,
+        StoreUnavailable,
+    )
+    assert isinstance(context.verdict, refusals), context.verdict
--- a/features/steps/native_steps.py
+++ b/features/steps/native_steps.py
@@ -189,6 +189,9 @@
     assert post({"steps": [{**step, "count": -1}]}) == 400
     assert post({"steps": [{**step, "depends_on": [0]}]}) == 400
     assert post({"steps": [step], "spec": "x" * 4001}) == 400
+    # As deep as the limit of a body allows.
+    nested = b"[" * 2000 + b"]" * 2000
+    assert post(b'{"steps":[{"count":1}],"unknown":%s}' % nested) == 400
     assert post({"steps": [step]}, path="/jobs/not-an-id") == 400
     assert post({"steps": [step]}, path=f"/other/{JOB}") == 404
     assert post({"steps": [step]}, host="other.example") == 404
--- a/src/granitetrestle/api.py
+++ b/src/granitetrestle/api.py
@@ -21,6 +21,7 @@
 from .callpath import error_body
 from .calls import CallFailure
 from .engine import Engine
+from .errors import DECODE_ERRORS
 from .errors import AccessDenied
 from .errors import ConflictError
 from .errors import GranitetrestleError
@@ -203,7 +204,7 @@
                 raise InvalidInput(f"the body exceeds {MAX_BODY_BYTES} bytes")
         try:
             return msgspec.json.decode(data, type=body_type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise InvalidInput(f"bad body: {error}") from error
 
     async def _table(self, request: Request) -> Response:
--- a/src/granitetrestle/boxlink.py
+++ b/src/granitetrestle/boxlink.py
@@ -10,6 +10,7 @@
 from .calls import Caller
 from .calls import CallFailure
 from .calls import Reply
+from .errors import DECODE_ERRORS
 from .events import BoxAnswered
 from .events import BoxFailed
 from .events import BoxInfo
@@ -135,7 +136,7 @@
         return None
     try:
         return msgspec.json.decode(reply.body, type=body_type)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/granitetrestle/client.py
+++ b/src/granitetrestle/client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from . import errors
+from .errors import DECODE_ERRORS
 from .errors import GranitetrestleError
 from .errors import UnreachableError
 
@@ -84,7 +85,7 @@
     def _decode(response: httpcore.Response) -> t.Any:
         try:
             answer = msgspec.json.decode(response.content)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise UnreachableError(
                 f"the answer (status {response.status}) is not JSON"
             ) from error
--- a/src/granitetrestle/errors.py
+++ b/src/granitetrestle/errors.py
@@ -5,7 +5,10 @@
 
 import typing as t
 
+import msgspec
+
 __all__ = [
+    "DECODE_ERRORS",
     "AccessDenied",
     "CallerGone",
     "ConflictError",
@@ -28,6 +31,11 @@
 ]
 
 
+# What msgspec raises for data that it can't decode; the last one if that is nested too
+# deeply, also in a field that is not read.
+DECODE_ERRORS: t.Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
+
 class GranitetrestleError(Exception):
     """Base of the package's exceptions.
 
--- a/src/granitetrestle/loglink.py
+++ b/src/granitetrestle/loglink.py
@@ -12,6 +12,7 @@
 from .calls import Caller
 from .calls import CallFailure
 from .calls import Reply
+from .errors import DECODE_ERRORS
 from .errors import FrameError
 from .errors import LogGapError
 from .errors import LogUnavailable
@@ -124,7 +125,7 @@
 def _decode(body: bytes, body_type: type[T]) -> T:
     try:
         return msgspec.json.decode(body, type=body_type)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise LogUnavailable(f"the log's answer is malformed: {error}") from error
 
 
--- a/src/granitetrestle/messages.py
+++ b/src/granitetrestle/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .errors import DECODE_ERRORS
 from .errors import FrameError
 from .records import Beat
 
@@ -290,5 +291,5 @@
     """
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise FrameError(f"not an envelope: {error}") from error
--- a/src/granitetrestle/platform/advice.py
+++ b/src/granitetrestle/platform/advice.py
@@ -6,6 +6,7 @@
 
 from ..calls import Caller
 from ..calls import CallFailure
+from ..errors import DECODE_ERRORS
 from ..incarnations import box_id_of
 from ..interfaces import Advice
 from ..interfaces import AdviceUnavailable
@@ -51,7 +52,7 @@
             return AdviceUnavailable(str(reply.status))
         try:
             answer = _answers.decode(reply.body)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return AdviceUnavailable(f"malformed answer: {error}")
         tickets = {
             by_id[row[0]]: row[1]
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -10,6 +10,7 @@
 from ..calls import Reply
 from ..calls import Request
 from ..calls import is_address
+from ..errors import DECODE_ERRORS
 from ..errors import MalformedEntry
 from ..incarnations import box_id_of
 from ..incarnations import incarnation_name
@@ -112,7 +113,7 @@
         return None
     try:
         raw = _entries.decode(record.value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedEntry(record.key, str(error)) from error
     if not is_address(raw.address):
         raise MalformedEntry(record.key, f"address {raw.address!r} is not IP:PORT")
@@ -172,7 +173,7 @@
             return None
         try:
             born = _identities.decode(reply.body).born
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             return None
         box_id = box_id_of(self._incarnation)
         if born is None and self._incarnation != incarnation_name(box_id, None):
@@ -222,7 +223,7 @@
             return _refusal_outcome(reply)
         try:
             return _decode_poll(reply.body)
-        except (msgspec.DecodeError, IndexError, ValueError, TypeError) as error:
+        except (*DECODE_ERRORS, IndexError, ValueError, TypeError) as error:
             return BoxNoAnswer(f"malformed answer: {error}")
 
     async def start(
@@ -274,7 +275,7 @@
             return CommandAccepted(
                 _command_answers.decode(reply.body or b"{}").clock_ms
             )
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return BoxNoAnswer(f"malformed answer: {error}")
 
 
@@ -303,7 +304,7 @@
     """
     try:
         born = _identities.decode(other_reply.body).born
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return BoxNoAnswer(f"malformed answer: {error}")
     if born is None:
         return BoxNoAnswer("the answer lacks the time when the box was born")
@@ -334,7 +335,7 @@
         return CommandRejected("unhealthy")
     try:
         answer = _command_answers.decode(reply.body or b"{}")
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return CommandRejected("malformed")
     return CommandRejected(answer.reason, answer.clock_ms)
 
--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..errors import DECODE_ERRORS
 from ..errors import InvalidInput
 from ..errors import MalformedDirective
 from ..interfaces import Config
@@ -159,7 +160,7 @@
     if key == CONFIG_KEY and value is not None:
         try:
             return decode_config(value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise MalformedDirective(key, str(error)) from error
     if not key.startswith(EVACUATE_PREFIX):
         return None
@@ -170,7 +171,7 @@
         return HallDirective(hall, False)
     try:
         _hall_directives.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedDirective(key, str(error), hall) from error
     return HallDirective(hall, True)
 
@@ -255,7 +256,7 @@
 def _submission(job: str, queue: Queue, body: bytes) -> Submission:
     try:
         raw = _jobs.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise InvalidInput(f"not a job: {error}") from error
     if len(raw.spec.encode()) > MAX_SPEC_BYTES:
         raise InvalidInput(f"spec has more than {MAX_SPEC_BYTES} bytes")
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -11,6 +11,7 @@
 from ..calls import Caller
 from ..calls import CallFailure
 from ..calls import Reply
+from ..errors import DECODE_ERRORS
 from ..errors import UnstorableRecord
 from ..interfaces import MAX_KEY_BYTES
 from ..interfaces import Appended
@@ -108,7 +109,7 @@
             return AppendRefused(reason)
         try:
             answer = _append_answers.decode(reply.body or b"{}")
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             return StoreUnavailable("malformed answer")
         if reply.status == OK:
             return Appended(answer.end)
@@ -156,7 +157,7 @@
             return StoreUnavailable(str(reply.status), not_applied=True)
         try:
             page = _pages.decode(reply.body)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             return StoreUnavailable("malformed answer")
         records = tuple(Record(item.key, item.value) for item in page.items)
         return NewestPage(records, page.end, page.more)
--- a/src/granitetrestle/records.py
+++ b/src/granitetrestle/records.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .errors import DECODE_ERRORS
 from .errors import FrameError
 
 __all__ = [
@@ -251,5 +252,5 @@
     """
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise FrameError(f"not a batch: {error}") from error
