A job is known under the prefix of its own queue alone

Cause: both calls name the job by its id alone.

Why the fix works: the leader compares host and path with those of the job's own queue and answers 410 if they differ. It does not ask which queue the request belongs to now: a longer prefix may have been added, and a queue may be gone, and an accepted job must not become unknown by either.

--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -209,6 +209,7 @@
 
     def __init__(self, config: Config) -> None:
         self._by_host: dict[str, list[Queue]] = {}
+        self._by_name = {queue.name: queue for queue in config.queues}
         for queue in config.queues:
             self._by_host.setdefault(queue.host, []).append(queue)
         for queues in self._by_host.values():
@@ -217,12 +218,24 @@
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path`` at ``host``."""
-        name = host.split(":", 1)[0].lower()
-        for queue in self._by_host.get(name, ()):
+        for queue in self._by_host.get(_host_name(host), ()):
             if path.startswith(queue.prefix):
                 return queue
         return None
 
+    def may_name(self, queue: str, host: str, path: str) -> bool:
+        """Return whether a request for ``path`` at ``host`` may be about a job of a
+        queue. One with a longer prefix may have been added since the job was accepted,
+        and of a queue that is not configured any more nothing is known."""
+        known = self._by_name.get(queue)
+        if known is None:
+            return True
+        return known.host == _host_name(host) and path.startswith(known.prefix)
+
+
+def _host_name(host: str) -> str:
+    return host.split(":", 1)[0].lower()
+
 
 def decode_call(
     index: QueueIndex, method: str, host: str, path: str, body: bytes
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -9,6 +9,8 @@
 from ..forwarding import ClientCall
 from ..forwarding import Deposed
 from ..interfaces import Config
+from ..jobcalls import CancelJob
+from ..jobcalls import GetState
 from ..jobcalls import JobRefused
 from ..jobcalls import SubmitJob
 from ..jobrecords import DEFAULT_MAX_RECORD_BYTES
@@ -74,12 +76,31 @@
             return _retry_later("store away", session.retry_after_s)
         if isinstance(decoded, front.UnknownQueue):
             return ClientAnswer(404)
+        if self._is_of_other_queue(session, config, call, decoded):
+            return ClientAnswer(410)
         outcome = await session.call(request, decoded)
         if isinstance(outcome, JobRefused):
             return ClientAnswer(503, why="cancelled before it came")
         answer = front.encode_outcome(outcome)
         return ClientAnswer(answer.status, answer.body)
 
+    def _is_of_other_queue(
+        self,
+        session: Session,
+        config: Config,
+        call: ClientCall,
+        decoded: front.DecodedCall,
+    ) -> bool:
+        """Return whether a call names a job under the prefix of another queue, where
+        there is no such job."""
+        if not isinstance(decoded, CancelJob | GetState):
+            return False
+        workflow = session.scheduler.state.workflows.get(decoded.job)
+        if workflow is None:
+            return False
+        queue = workflow.submission.queue
+        return not self._index(config).may_name(queue, call.host, call.path)
+
     def _check_size(self, decoded: front.DecodedCall) -> None:
         """Reject a job that the store would not take, at whatever time it is accepted.
 
