--- a/features/steps/native_steps.py
+++ b/features/steps/native_steps.py
@@ -119,9 +119,9 @@
 
 
 @when("the leader gets SIGTERM while jobs are submitted on open connections")
-def stop_leader(context):
+def stop_leader(context, later=()):
     cluster = context.cluster
-    leader = cluster.leader()
+    leader = context.stopped = cluster.leader()
     step = [{"count": 1, "cpu": 100, "mem_mb": 10}]
     context.jobs = [f"{number:016x}" for number in range(40)]
     context.answers = []
@@ -138,9 +138,20 @@
         parts = [pool.submit(submit_jobs, context.jobs[i::4]) for i in range(4)]
         time.sleep(0.15)
         cluster.kill(leader, signal.SIGTERM)
+        for number in later:
+            time.sleep(0.02)
+            cluster.kill(leader, number)
         for part in parts:
             part.result()
-    cluster.processes[leader].wait(6)
+    context.exit_code = cluster.processes[leader].wait(6)
+
+
+@when(
+    "the leader gets SIGTERM, and SIGHUP and SIGTERM again, while jobs are submitted on "
+    "open connections"
+)
+def stop_leader_with_more_signals(context):
+    stop_leader(context, (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP))
 
 
 @then("no request was cut off and no answer was late or of unknown outcome")
@@ -148,6 +159,14 @@
     assert context.answers == [200] * 40, context.answers
 
 
+@then("the leader was stopped as planned, and all jobs that were accepted complete")
+def stopped_as_planned(context):
+    assert context.exit_code == 0, context.exit_code
+    events = [line["event"] for line in context.cluster.log(context.stopped)]
+    assert events[-1] == "stopped" and events.count("reload") == 2, events[-10:]
+    all_complete(context)
+
+
 @then("all jobs that were accepted complete")
 def all_complete(context):
     cluster = context.cluster
@@ -170,6 +189,9 @@
     assert post({"steps": [{**step, "count": -1}]}) == 400
     assert post({"steps": [{**step, "depends_on": [0]}]}) == 400
     assert post({"steps": [step], "spec": "x" * 4001}) == 400
+    # As deep as the limit of a body allows.
+    nested = b"[" * 2000 + b"]" * 2000
+    assert post(b'{"steps":[{"count":1}],"unknown":%s}' % nested) == 400
     assert post({"steps": [step]}, path="/jobs/not-an-id") == 400
     assert post({"steps": [step]}, path=f"/other/{JOB}") == 404
     assert post({"steps": [step]}, host="other.example") == 404
@@ -180,6 +202,44 @@
     assert (status, json.loads(content)) == (200, {"pending": 0})
 
 
+@when(
+    "a job reaches a node that stands still for {seconds:g} seconds, and is cancelled at "
+    "another meanwhile"
+)
+def cancelled_while_still(context, seconds):
+    cluster = context.cluster
+    leader = cluster.leader()
+    still, other = (name for name in cluster.fronts if name != leader)
+    body = {"spec": "100", "steps": [{"count": 2, "cpu": 100, "mem_mb": 10}]}
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        cluster.kill(still, signal.SIGSTOP)
+        path = f"/jobs/{JOB}"
+        sent = pool.submit(cluster.call, "POST", cluster.fronts[still], path, body)
+        time.sleep(3.0)
+        context.cancelled = cluster.call("DELETE", cluster.fronts[other], path)[0]
+        time.sleep(seconds - 3.0)
+        cluster.kill(still, signal.SIGCONT)
+        context.answer = sent.result()
+    time.sleep(2.0)
+
+
+@then("the cancel is answered 410 and the job 503, and it is unknown at every node")
+def unknown_job(context):
+    cluster = context.cluster
+    answers = context.cancelled, context.answer.status
+    assert answers == (410, 503), (answers, context.answer)
+    for name, front in cluster.fronts.items():
+        status = cluster.call("GET", front, f"/jobs/{JOB}")[0]
+        assert status == 410, (name, status)
+
+
+@then("none of its tasks has started")
+def none_started(context):
+    lines = [line for n in context.cluster.nodes() for line in context.cluster.log(n)]
+    taken = [line for line in lines if line["event"] == "job_taken"]
+    assert not taken, taken
+
+
 @when("the store stops answering and a job is submitted")
 def store_stops_answering(context):
     cluster = context.cluster
--- a/src/granitetrestle/errors.py
+++ b/src/granitetrestle/errors.py
@@ -5,7 +5,10 @@
 
 import typing as t
 
+import msgspec
+
 __all__ = [
+    "DECODE_ERRORS",
     "AccessDenied",
     "CallerGone",
     "ConflictError",
@@ -24,9 +27,15 @@
     "UnknownMechanism",
     "UnreachableError",
     "UnreadableRecord",
+    "UnstorableRecord",
 ]
 
 
+# What msgspec raises for data that it can't decode; the last one if that is nested too
+# deeply, also in a field that is not read.
+DECODE_ERRORS: t.Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
+
 class GranitetrestleError(Exception):
     """Base of the package's exceptions.
 
@@ -213,6 +222,12 @@
         self.key = key
 
 
+class UnstorableRecord(GranitetrestleError):
+    """A record can't be put into the store's format, whatever is tried."""
+
+    code = "unstorable_record"
+
+
 class FrameError(GranitetrestleError):
     """A message between processes can't be decoded; it is dropped whole."""
 
--- a/src/granitetrestle/interfaces.py
+++ b/src/granitetrestle/interfaces.py
@@ -13,6 +13,7 @@
     "Advice",
     "AdviceUnavailable",
     "Advisor",
+    "AppendRefused",
     "Appended",
     "BoxCalls",
     "BoxEntry",
@@ -22,6 +23,7 @@
     "EndedRun",
     "Fenced",
     "HallDirective",
+    "MAX_KEY_BYTES",
     "PollResult",
     "PollOutcome",
     "NewestRecords",
@@ -44,12 +46,22 @@
 ]
 
 
+# Upper limit of the bytes of a record's key in the store.
+MAX_KEY_BYTES: t.Final = 255
+
+
 class Record(t.NamedTuple):
     """The newest value under a key; ``None`` deletes the key."""
 
     key: str
     value: bytes | None
 
+    @property
+    def size(self) -> int:
+        """Its bytes in the store, as the limit for one record counts them: the length
+        of the key, the key and the value."""
+        return 1 + len(self.key.encode()) + len(self.value or b"")
+
 
 class Writer(t.NamedTuple):
     """Identifies one append of one epoch, so that the store can answer a repeat like
@@ -81,6 +93,16 @@
     wanted: int
 
 
+class AppendRefused(t.NamedTuple):
+    """The store will never take these records, as one of them is too long. Nothing was
+    done, so the sequence number is free for another append.
+
+    :param reason: short text for logs.
+    """
+
+    reason: str
+
+
 class StoreUnavailable(t.NamedTuple):
     """The call was not applied, or its fate is unknown; it may be repeated.
 
@@ -143,7 +165,7 @@
         records: t.Sequence[Record],
         writer: Writer | None,
         timeout_s: float,
-    ) -> Appended | Fenced | NumberTaken | StoreUnavailable:
+    ) -> Appended | Fenced | NumberTaken | AppendRefused | StoreUnavailable:
         """Append all records or none.
 
         :param writer: fences older epochs; ``None`` for an unfenced topic. An append
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -9,13 +9,15 @@
 from ..forwarding import ClientCall
 from ..forwarding import Deposed
 from ..interfaces import Config
+from ..jobcalls import CancelJob
+from ..jobcalls import GetState
+from ..jobcalls import JobRefused
 from ..jobcalls import SubmitJob
-from ..jobrecords import submission_record
+from ..jobrecords import DEFAULT_MAX_RECORD_BYTES
+from ..jobrecords import longest_submission_record
 from ..node import Node
 from ..session import Session
 from . import front
-from .store import LENGTH_PREFIX_BYTES
-from .store import encode_record
 
 __all__ = ["FrontResponder", "Ports", "make_app"]
 
@@ -25,8 +27,6 @@
 # Subtracted from a client's deadline, so that the answer arrives in time.
 ANSWER_SLACK_S: t.Final = 0.05
 MAX_BODY_BYTES: t.Final = 1024 * 1024
-# Used where the settings name no limit.
-DEFAULT_MAX_RECORD_BYTES: t.Final = 262_144
 RETRY_AFTER_S: t.Final = 1
 
 Scope: t.TypeAlias = t.MutableMapping[str, t.Any]
@@ -76,20 +76,40 @@
             return _retry_later("store away", session.retry_after_s)
         if isinstance(decoded, front.UnknownQueue):
             return ClientAnswer(404)
+        if self._is_of_other_queue(session, config, call, decoded):
+            return ClientAnswer(410)
         outcome = await session.call(request, decoded)
+        if isinstance(outcome, JobRefused):
+            return ClientAnswer(503, why="cancelled before it came")
         answer = front.encode_outcome(outcome)
         return ClientAnswer(answer.status, answer.body)
 
+    def _is_of_other_queue(
+        self,
+        session: Session,
+        config: Config,
+        call: ClientCall,
+        decoded: front.DecodedCall,
+    ) -> bool:
+        """Return whether a call names a job under the prefix of another queue, where
+        there is no such job."""
+        if not isinstance(decoded, CancelJob | GetState):
+            return False
+        workflow = session.scheduler.state.workflows.get(decoded.job)
+        if workflow is None:
+            return False
+        queue = workflow.submission.queue
+        return not self._index(config).may_name(queue, call.host, call.path)
+
     def _check_size(self, decoded: front.DecodedCall) -> None:
-        """Reject a job that the store would not take: this leader, and each successor
-        that the job is submitted to, would retry its append for ever.
+        """Reject a job that the store would not take, at whatever time it is accepted.
 
         :raises InvalidInput: if the job's record is too long for the store.
         """
         if not isinstance(decoded, SubmitJob):
             return
-        record = encode_record(submission_record(decoded.submission))
-        if len(record) - LENGTH_PREFIX_BYTES > self._record_bytes:
+        record = longest_submission_record(decoded.submission)
+        if record.size > self._record_bytes:
             raise InvalidInput(
                 f"the job's record has more than {self._record_bytes} bytes"
             )
@@ -139,6 +159,7 @@
 
 async def _serve(node: Node, scope: Scope, receive: Receive) -> ClientAnswer:
     started_at = time.monotonic()
+    held_up_s = node.held_up_s
     body = await _body(receive)
     if body is None:
         return ClientAnswer(413)
@@ -146,7 +167,12 @@
     host = headers.get(b"host", b"").decode("latin-1")
     call = ClientCall(scope["method"], host, scope["path"], body)
     left_s = _deadline_s(headers) - ANSWER_SLACK_S - (time.monotonic() - started_at)
-    answer = await node.serve(call, max(left_s, ANSWER_SLACK_S))
+    left_s -= held_up_s
+    if held_up_s and left_s <= 0 and call.method == "POST":
+        # Its client has left, and may have cancelled the job at another machine.
+        answer = _retry_later(f"waited here for up to {held_up_s:.1f} s")
+    else:
+        answer = await node.serve(call, max(left_s, ANSWER_SLACK_S))
     took_s = time.monotonic() - started_at
     node.metrics.record_answer(call.method, answer.status, took_s)
     if answer.status >= 400 and answer.status not in (404, 410):
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -1,6 +1,7 @@
 """State of the scheduler of one shard: jobs, boxes, configuration, and the changes that
 are not written yet. The parts of the scheduler share it."""
 
+import math
 import types
 import typing as t
 
@@ -9,13 +10,16 @@
 from .boxes import BoxView
 from .boxindex import BoxIndex
 from .boxindex import EligibleBoxes
+from .earlycancels import EarlyCancels
 from .errors import UnreadableRecord
 from .failurerate import FailureRate
 from .incarnations import box_id_of
+from .interfaces import MAX_KEY_BYTES
 from .interfaces import Config
 from .interfaces import Queue
 from .interfaces import Record
 from .interference import Interference
+from .jobrecords import DEFAULT_MAX_RECORD_BYTES
 from .jobrecords import INTERFERENCE_KEY
 from .jobrecords import JobRecords
 from .jobrecords import Restored
@@ -57,6 +61,7 @@
     :param keep_s: how long the state of an ended job can be queried.
     :param connections: maximum number of open connections of a process.
     :param call_bytes: maximum size of a call to the store.
+    :param record_bytes: maximum size of a record in the store.
     :param off: disabled mechanisms.
     :param hall: data hall of this process.
     :param areas: data hall -> its area.
@@ -69,6 +74,7 @@
     keep_s: float = 120.0
     connections: int = 3900
     call_bytes: int = 2_097_152
+    record_bytes: int = DEFAULT_MAX_RECORD_BYTES
     off: frozenset[Mechanism] = frozenset()
     hall: str = ""
     areas: t.Mapping[str, str] = types.MappingProxyType({})
@@ -100,6 +106,7 @@
     :ivar last_visited_at: when a placement pass last visited it.
     :ivar found_waiting_at: when a pass first visited it, or last started a task of it.
     :ivar waits_since: when it was enqueued, or a task of it was last started.
+    :ivar idle_since: since when none of its tasks has been without a run for longer.
     :ivar head_start_tried_at: when a pass last tried to place it ahead of all others.
     :ivar suspects: whether one of its tasks may be suspected; see :mod:`.crashloops`.
     :ivar eligible: boxes where its tasks had room; see :mod:`.boxsearch`.
@@ -111,6 +118,7 @@
         "eligible",
         "found_waiting_at",
         "head_start_tried_at",
+        "idle_since",
         "last_visited_at",
         "latest_start",
         "latest_useful_start",
@@ -151,11 +159,17 @@
         self.room_seen_at = -1e9
         self.last_visited_at = -1e9
         self.waits_since = 0.0
+        self.idle_since = math.inf
         self.head_start_tried_at = -1e9
         self.spec = workflow.submission.steps[step]
         self.suspects = False
         self.eligible: EligibleBoxes | None = None
 
+    @property
+    def name(self) -> str:
+        """The name that logs show."""
+        return f"{self.workflow.submission.job}.{self.occurrence}.{self.step}"
+
 
 class ShardState:
     """Jobs, boxes and configuration of one shard."""
@@ -184,10 +198,16 @@
         self.failure_rate = FailureRate()
         self.loads = StepLoads(trend=self.is_enabled(Mechanism.LOAD_TREND))
         self._time = ShardTime()
+        self.early_cancels = EarlyCancels(self._time)
         self._time_record: Record | None = None
-        self._records = JobRecords(self._time)
+        self._records = JobRecords(self._time, parameters.record_bytes)
         self._interference_rows: dict[str, bytes] = {}
 
+    @property
+    def checkpoints_too_long(self) -> int:
+        """See :attr:`.LongCheckpoints.too_long`."""
+        return self._records.checkpoints.too_long
+
     def is_enabled(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
         return mechanism not in self.parameters.off
@@ -222,8 +242,12 @@
         self._records.mark_dropped(job)
 
     def record_interference(self) -> None:
-        """Mark the learned interference of images to be written, for a successor."""
-        self._interference_rows.update(self.interference.take_changed_rows())
+        """Mark the learned interference of images to be written, for a successor. That
+        of an image whose name is too long for a key is not: it will be learned anew."""
+        longest = self.parameters.record_bytes - MAX_KEY_BYTES - 1
+        for image, row in self.interference.take_changed_rows(longest).items():
+            if len((INTERFERENCE_KEY + image).encode()) <= MAX_KEY_BYTES:
+                self._interference_rows[image] = row
 
     def record_time(self, now: float) -> None:
         """Mark the shard time to be written, from which a successor goes on."""
@@ -236,6 +260,7 @@
         return bool(
             self._records.waiting
             or self._interference_rows
+            or self.early_cancels.waiting
             or leases.waiting
             or self.witnesses.waiting
             or self._time_record
@@ -247,6 +272,7 @@
         records = self.withdrawn_leases.pop_records()
         records += self.witnesses.pop_records()
         records += self._records.pop_records()
+        records += self.early_cancels.pop_records()
         for image, value in self._interference_rows.items():
             records.append(Record(INTERFERENCE_KEY + image, value))
         self._interference_rows.clear()
@@ -257,7 +283,12 @@
 
     def restore(self, records: t.Iterable[Record], now: float) -> SlicedWork[Restored]:
         """Restore a predecessor's records, a part at each step."""
+        records = tuple(records)
         restored = yield from restore_jobs(records, self._time, now)
+        yield from self._records.checkpoints.restore(
+            records, restored.workflows, restored.unreadable
+        )
+        self.early_cancels.restore(records, now)
         self.workflows.update(restored.workflows)
         for group in restored.groups:
             self._records.add_stored_group(group)
@@ -351,6 +382,8 @@
             else:
                 # It waited under a predecessor already.
                 entry.waits_since = min(entry.waits_since, since)
+            task.idle_since = task.idle_since or now
+            entry.idle_since = min(entry.idle_since, task.idle_since)
         entry.tasks[task.name] = task
         entry.suspects = entry.suspects or task.suspicion > 0
 
@@ -366,8 +399,14 @@
     def apply_queues(self, queues: t.Iterable[Queue]) -> None:
         """Replace the configured queues. Their objectives and priorities also hold for
         jobs that are known already: a successor restores all jobs before it reads its
-        first configuration."""
-        self.queues = {queue.name: queue for queue in queues}
+        first configuration. A queue that is removed stays as it was while it has jobs."""
+        used = {
+            workflow.submission.queue
+            for workflow in self.workflows.values()
+            if not workflow.terminal
+        }
+        kept = {name: queue for name, queue in self.queues.items() if name in used}
+        self.queues = {**kept, **{queue.name: queue for queue in queues}}
         for workflow in self.workflows.values():
             if not workflow.terminal:
                 self._set_due(workflow)
