A claim without an append does not hide what the leader before said of its leases

Callers saw long-running services down for 15 to 16 s after their box and leader were lost, if the successor was lost as well before it had written anything, or two processes took over at once.

Cause: a mark speaks only for the time up to the next claim, as the process that claims may have renewed leases without writing. So one that claims and dies hides the mark, and the next one has to assume 8 s and a lease. The same class as the fault before: a wait whose length rests on what a lost process might have done.

Now a leader grants and renews no lease before its first append has succeeded (some 15 ms after the take-over), and its claim says so in a field that older versions ignore. A successor reads the records between the newest mark and its claim; if all are claims of that kind, of epochs up to the newest known one, the mark still holds.

The scenario on the time of a claim now also asks that no lease is granted before the first append.

--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -250,6 +250,7 @@
             )
             self._retry_after = SteadyRetries()
 
+        has_appended = True
         config = CONFIG
         fresh = True
 
@@ -451,6 +452,8 @@
             )
             self.append_requests = 0
 
+        has_appended = True
+
         class status:
             confirmed_at = steadyclock.now()
             waiting_since = None
--- a/features/steps/witness_rule_steps.py
+++ b/features/steps/witness_rule_steps.py
@@ -162,9 +162,12 @@
     context.claim = anyio.run(take_over, context.store, 1, "incarnation")
 
 
-@then("its leases end a fixed time after the claim was sent")
-def leases_from_claim(context):
-    async def age_s():
+@then(
+    "it counts as confirmed when the claim was sent, and grants no lease before its first "
+    "append"
+)
+def confirmed_by_claim(context):
+    async def ages_s():
         journal = Journal(
             context.store,
             JOBS_TOPIC,
@@ -177,11 +180,12 @@
             claimed_at=context.claim.sent_at,
         )
         lease = JournalLeaderLease(journal, 8.0, LoopLag(steadyclock.now), panel)
-        return lease.renewal_age_s()
+        return lease.age_s(), lease.renewal_age_s()
 
     panel = Witnesses()
     panel.confirm(panel.change(["b1", "b2", "b3"]))
-    assert anyio.run(age_s) >= context.store.seconds
+    age_s, renewal_age_s = anyio.run(ages_s)
+    assert age_s >= context.store.seconds and renewal_age_s is None
 
 
 @given(
@@ -229,7 +233,7 @@
     context.inherited.record_witnesses(context.stored_panel, TAKEN_OVER_AT)
 
 
-@then("it waits for {what}")
+@then("the successor waits for {what}")
 def waits_for(context, what):
     wait_s = {
         "one lease": PARAMETERS.lease_bound_s,
--- a/features/witness_rules.feature
+++ b/features/witness_rules.feature
@@ -40,12 +40,12 @@
   Scenario: A claim proves that its process led when it was sent, not when it was answered
     Given a store that answers an append after 0.3 s
     When a process claims an epoch there
-    Then its leases end a fixed time after the claim was sent
+    Then it counts as confirmed when the claim was sent, and grants no lease before its first append
 
   Scenario Outline: A successor relies on a panel only if its predecessor <did>
     Given a successor whose predecessor followed panel <panel>, while the store holds panel 2
     When a majority of the store's panel has answered the successor
-    Then it waits for <wait>
+    Then the successor waits for <wait>
 
     Examples:
       | did                 | panel | wait            |
@@ -57,7 +57,7 @@
   Scenario Outline: Leases of leaders before the predecessor, which followed <what>
     Given a successor whose predecessor followed panel <panel>, which <covers> leases of up to <lease> s of leaders before it, for 12 s more
     When a majority of the store's panel has answered the successor
-    Then it waits for <wait>
+    Then the successor waits for <wait>
     And its own mark says that panel 2 <own> earlier leases
 
     Examples:
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -137,7 +137,7 @@
         # End offset of the topic by the newest answer; nobody else writes to it.
         self._end = end
         self._leader_mark = leader_mark
-        self._resignation_kept = False
+        self._resignation_kept = self._has_appended = False
         self._digest_tracker = DigestTracker()
         self._batch_bytes = min(MAX_BATCH_BYTES, call_bytes) - DIGEST_BYTES
         self._held: list[t.Any] = []
@@ -164,6 +164,11 @@
         """How long ago the newest append that succeeded was sent."""
         return self._clock() - self._confirmed_at
 
+    @property
+    def has_appended(self) -> bool:
+        """Whether an append has succeeded."""
+        return self._has_appended
+
     @property
     def end(self) -> int | None:
         """End offset of the topic by the newest answer."""
@@ -273,6 +278,7 @@
                 duration_s - self._mean_append_s
             )
             self._confirmed_at, self._answered_at = settled.sent_at, self._clock()
+            self._has_appended = True
             self._success.set()
             self._success = anyio.Event()
             if mark is not None and mark.resigned:
--- a/src/granitetrestle/leaderlease.py
+++ b/src/granitetrestle/leaderlease.py
@@ -80,8 +80,13 @@
     def renewal_age_s(self) -> float | None:
         """See :meth:`LeaderLease.renewal_age_s`.
 
+        A successor passes over a claim that no append follows, as if its process had
+        never led.
+
         Successors that reach no majority of the witnesses, and older versions, rely on
         the limit of the time without the store."""
+        if not self._journal.has_appended:
+            return None
         return renewal_age_s(
             self.age_s(), self._orphan_s, self._witnesses.proved_at, self._journal.now()
         )
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -56,7 +56,6 @@
 from .slices import in_slices
 from .statedigest import EpochClaim
 from .statedigest import LeaderMark
-from .statedigest import read_leader_mark
 from .succession import JOBS_TOPIC
 from .succession import StateReader
 from .takeoverread import read_topics
@@ -248,7 +247,7 @@
         records, end = len(state.records), state.end
         with freeze_allocations():
             self._journal.start_from(state.records)
-            mark = read_leader_mark(state.records, self._claim)
+            mark = await self._state_reader.read_leader_mark(state.records)
             restoring = self._scheduler.restore_in_slices(
                 state.records, now, mark, self._state_reader.records_lost
             )
--- a/src/granitetrestle/statedigest.py
+++ b/src/granitetrestle/statedigest.py
@@ -8,8 +8,8 @@
 process or incarnation has claimed the epoch.
 
 The digest also carries a :class:`LeaderMark`. It speaks for the time up to the claim only
-if the claim is the next record after the append: otherwise another process has claimed
-an epoch in between, and may have renewed leases without writing anything."""
+if nothing but claims follows the append, of processes that grant no lease before their own
+first append: any other one may have renewed leases without writing anything."""
 
 import enum
 import math
@@ -30,6 +30,7 @@
     "EpochClaim",
     "LeaderMark",
     "Verdict",
+    "claims_to_read",
     "read_leader_mark",
     "verify_read",
 ]
@@ -47,6 +48,9 @@
 # A topic without a digest that ends below this offset may hold nothing but epoch
 # claims: at the first start all processes try to take over, some of them several times.
 MAX_RECORDS_OF_CLAIMS: t.Final = 64
+# More claims in a row are not read: of processes that can't finish a take-over, another
+# one tries each second or so.
+MAX_CLAIMS_READ: t.Final = 16
 
 
 class StateDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -105,10 +109,13 @@
     """Stored form of an epoch claim.
 
     :param by: the incarnation of the process that claimed the epoch.
+    :param leases_after_append: whether it grants no lease before its first append of its
+        own has succeeded; older versions do not say that.
     """
 
     epoch: int
     by: str
+    leases_after_append: bool = False
 
 
 class EpochClaim(t.NamedTuple):
@@ -130,7 +137,7 @@
     @staticmethod
     def record(epoch: int, by: str) -> Record:
         """Return the record with which a process claims an epoch."""
-        return Record(EPOCH_CLAIM_KEY, _encode(_EpochClaimant(epoch, by)))
+        return Record(EPOCH_CLAIM_KEY, _encode(_EpochClaimant(epoch, by, True)))
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -252,7 +259,7 @@
     """
     values = {record.key: record.value for record in read.records}
     claimant = _decode_claimant(values.get(EPOCH_CLAIM_KEY))
-    if claimant != _EpochClaimant(claim.epoch, claim.by):
+    if claimant is None or (claimant.epoch, claimant.by) != (claim.epoch, claim.by):
         return _foreign_claim(claimant, claim)
     actual = DigestTracker(read.records).digest
     if DIGEST_KEY not in values:
@@ -269,22 +276,34 @@
     return IncompleteRead(Verdict.DIGEST_MISMATCH, f"{actual}, not {expected}")
 
 
+def claims_to_read(records: t.Iterable[Record], claim: EpochClaim) -> int | None:
+    """Return the offset from which on there may be nothing but claims, if the claim is
+    not the next record after the newest mark; ``None`` if they need not be read.
+
+    :param claim: the claim of this process's epoch, made before the read.
+    """
+    stored = _read_digest(records)
+    if stored is None or not 1 < claim.end - stored.end <= MAX_CLAIMS_READ:
+        return None
+    return stored.end
+
+
 def read_leader_mark(
-    records: t.Iterable[Record], claim: EpochClaim
+    records: t.Iterable[Record], claim: EpochClaim, later: t.Sequence[Record] = ()
 ) -> LeaderMark | None:
-    """Return the mark of the leader before this process, or ``None`` if there is no
-    proof that it was the last one to lead.
+    """Return the mark of the newest leader before this process that may have granted
+    leases, or ``None`` if there is no proof of which one that is.
 
     :param claim: the claim of this process's epoch, made before the read.
+    :param later: the topic's records from :func:`claims_to_read` to the claim.
     """
-    value = next((r.value for r in records if r.key == DIGEST_KEY), None)
-    try:
-        stored = _digest_decoder.decode(value or b"")
-    except msgspec.DecodeError:
+    stored = _read_digest(records)
+    if stored is None or not stored.lease_ms:
         return None
-    if not stored.epoch or not stored.lease_ms or stored.end + 1 != claim.end:
-        return None
-    if stored.epoch < claim.newest_known:
+    newest_epoch: int | None = stored.epoch
+    if stored.end + 1 != claim.end:
+        newest_epoch = _newest_claimed(later, claim, claim.end - stored.end)
+    if newest_epoch is None or newest_epoch < claim.newest_known:
         # A leader of a version that claims its epoch without a record came after it.
         return None
     of_boxes = stored.inherited_ms_of
@@ -302,6 +321,35 @@
     )
 
 
+def _read_digest(records: t.Iterable[Record]) -> _StoredDigest | None:
+    """Return the digest among some records, if it has a mark."""
+    value = next((r.value for r in records if r.key == DIGEST_KEY), None)
+    try:
+        stored = _digest_decoder.decode(value or b"")
+    except msgspec.DecodeError:
+        return None
+    return stored if stored.epoch else None
+
+
+def _newest_claimed(
+    records: t.Sequence[Record], claim: EpochClaim, count: int
+) -> int | None:
+    """Return the newest epoch that was claimed before this process's one, or ``None``
+    unless all records are claims of processes that have granted no lease.
+
+    :param count: how many records there are.
+    """
+    if len(records) != count or any(r.key != EPOCH_CLAIM_KEY for r in records):
+        return None
+    claimants = [_decode_claimant(record.value) for record in records]
+    own, earlier = claimants[-1], [c for c in claimants[:-1] if c is not None]
+    if own is None or (own.epoch, own.by) != (claim.epoch, claim.by):
+        return None
+    if len(earlier) < count - 1 or not all(c.leases_after_append for c in earlier):
+        return None
+    return max(c.epoch for c in earlier)
+
+
 def _decode_claimant(value: bytes | None) -> _EpochClaimant | None:
     try:
         return _claimant_decoder.decode(value) if value else None
--- a/src/granitetrestle/succession.py
+++ b/src/granitetrestle/succession.py
@@ -15,6 +15,8 @@
 from .interfaces import NewestRecords
 from .interfaces import NewestUnavailable
 from .interfaces import NumberTaken
+from .interfaces import Record
+from .interfaces import Records
 from .interfaces import Store
 from .interfaces import StoreUnavailable
 from .interfaces import Writer
@@ -22,7 +24,10 @@
 from .nodelog import NodeLog
 from .statedigest import EpochClaim
 from .statedigest import IncompleteRead
+from .statedigest import LeaderMark
 from .statedigest import Verdict
+from .statedigest import claims_to_read
+from .statedigest import read_leader_mark
 from .statedigest import verify_read
 
 __all__ = ["JOBS_TOPIC", "StateUnavailable", "StateReader", "take_over"]
@@ -114,6 +119,21 @@
                 return read
             await anyio.sleep(READ_RETRY_INTERVAL_S)
 
+    async def read_leader_mark(self, records: t.Sequence[Record]) -> LeaderMark | None:
+        """Return the mark of the leader before this one, as :func:`.read_leader_mark`.
+
+        :param records: the predecessor's records.
+        """
+        later: tuple[Record, ...] = ()
+        start = claims_to_read(records, self._claim)
+        if start is not None:
+            outcome = await self._store.read(JOBS_TOPIC, start, 0.0)
+            if isinstance(outcome, Records):
+                later = outcome.records[: self._claim.end - start]
+            inputs = {"claims": self._claim.end - start, "read": len(later)}
+            self._log.event("claims_read", epoch=self._claim.epoch, **inputs)
+        return read_leader_mark(records, self._claim, later)
+
     def _is_lost(self, fault: IncompleteRead, now: float) -> bool:
         """Return whether the missing records have been missing for too long."""
         if fault != self._fault:
--- a/src/granitetrestle_standins/shardprocess.py
+++ b/src/granitetrestle_standins/shardprocess.py
@@ -20,6 +20,7 @@
 from granitetrestle.interfaces import HallDirective
 from granitetrestle.interfaces import PollOutcome
 from granitetrestle.interfaces import PollResult
+from granitetrestle.interfaces import Record
 from granitetrestle.interfaces import Records
 from granitetrestle.interfaces import Writer
 from granitetrestle.leaderlease import renewal_age_s
@@ -27,6 +28,7 @@
 from granitetrestle.shardstate import SchedulerParameters
 from granitetrestle.statedigest import DigestTracker
 from granitetrestle.statedigest import EpochClaim
+from granitetrestle.statedigest import claims_to_read
 from granitetrestle.statedigest import read_leader_mark
 from granitetrestle_standins.nativestore import StoreModel
 
@@ -116,7 +118,12 @@
         self._end = appended.end
         newest_records = world.store.newest(JOBS_TOPIC).records
         self.digests = DigestTracker(newest_records)
-        mark = read_leader_mark(newest_records, EpochClaim(epoch, by, self._end))
+        claim = EpochClaim(epoch, by, self._end)
+        later: tuple[Record, ...] = ()
+        if (start := claims_to_read(newest_records, claim)) is not None:
+            read = world.store.read(JOBS_TOPIC, start)
+            later = read.records if isinstance(read, Records) else ()
+        mark = read_leader_mark(newest_records, claim, later)
         self.scheduler.restore(newest_records, world.now, mark)
         self.directives_offset = -1
         self.read_directives()
@@ -130,6 +137,8 @@
     @property
     def renewal_age_s(self) -> float | None:
         """How old the proof is on which it may renew leases."""
+        if self.sequence == 1:
+            return None
         # Confirmations and witnesses are timed by a clock that goes on in a suspension.
         now = self.world.now
         return renewal_age_s(
