Before its first append a leader renews on the word of the witnesses

Such a leader renews now as long as a majority of the panel that it found accepts its polls. A successor that passes over its claim uses the mark before it for the bound by the witnesses alone, not for what that one said of itself, nor for the end of its process; without a panel it passes over nothing.

--- a/features/claims_without_appends.feature
+++ b/features/claims_without_appends.feature
@@ -1,6 +1,6 @@
 Feature: A process that claims an epoch and writes nothing does not prolong waits for leases
-  It grants no lease before its first append, and its claim says so. A successor reads the
-  claims that follow the newest mark, and passes over those.
+  It grants no lease before its first append but on the word of the witnesses, and its claim
+  says so. A successor reads the claims that follow the newest mark, and passes over those.
 
   Background:
     Given a shard of 8 boxes in 3 data halls, with the durations of deployments
@@ -32,7 +32,20 @@
       | it can't be read                              | the claim of epoch 5, which is not read | not proved |
       | a process of a newer epoch is known           | the claim of epoch 5, and 7 is known to have led | not proved |
 
-  Scenario: A leader renews no lease before its first append
-    Given a shard of 8 boxes in 3 data halls, with the durations of deployments
-    When a long-running task runs, its box is reached by a new leader alone that can't write
+  Scenario: A leader renews no lease before its first append without a majority of witnesses
+    When a long-running task runs, and a new leader that can't write reaches its box alone
     Then the task's lease is not renewed
+
+  Scenario Outline: No work is lost if the store is away for <seconds> s from the claim on
+    When a long-running task runs, and the store is away for <seconds> s after a take-over
+    Then the task has run without a break
+
+    Examples:
+      | seconds |
+      | 6       |
+      | 12      |
+
+  Scenario: What a leader said of itself does not count for a process that led after it
+    Given a topic with the mark of epoch 1, then the claim of epoch 5, then the claim of epoch 9
+    When the process of epoch 9 takes over
+    Then it waits for 8 s and a lease, whatever is proved of the process of epoch 1
--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -263,7 +263,8 @@
         lease_ends = now - proof_age_s + parameters.lease_bound_s
         box.lease_ends = max(box.lease_ends, lease_ends)
         box.renewals += 1
-        elapsed_s = now - box.clock_at
+        # The clock of the box may be that much slower.
+        elapsed_s = (now - box.clock_at) * (1.0 - parameters.clock_slack)
         left_s = parameters.lease_s - proof_age_s
         return box.clock_ms + int((elapsed_s + left_s) * 1000)
 
--- a/src/granitetrestle/inheritedleases.py
+++ b/src/granitetrestle/inheritedleases.py
@@ -91,6 +91,11 @@
 
     def record_predecessor(self, mark: LeaderMark | None) -> None:
         """Apply the mark of the leader before this one, if that is proved."""
+        if mark is not None and mark.passed_over:
+            # Nothing is known of the processes that led since, but that they granted
+            # leases no longer than this one does, as far as the panel let them.
+            lease_bound_s = max(mark.lease_bound_s, self._parameters.lease_bound_s)
+            mark = mark._replace(epoch=0, resigned=False, lease_bound_s=lease_bound_s)
         self._predecessor = mark
         if mark is None:
             return
--- a/src/granitetrestle/leaderlease.py
+++ b/src/granitetrestle/leaderlease.py
@@ -80,16 +80,18 @@
     def renewal_age_s(self) -> float | None:
         """See :meth:`LeaderLease.renewal_age_s`.
 
-        A successor passes over a claim that no append follows, as if its process had
-        never led.
+        Before the first append only witnesses count: a successor passes over a claim that
+        no append follows, and knows nothing of its process but that they limit it.
 
         Successors that reach no majority of the witnesses, and older versions, rely on
         the limit of the time without the store."""
+        age_s = self.age_s()
+        proved_at = self._witnesses.proved_at
         if not self._journal.has_appended:
-            return None
-        return renewal_age_s(
-            self.age_s(), self._orphan_s, self._witnesses.proved_at, self._journal.now()
-        )
+            if proved_at is None:
+                return None
+            return max(self._journal.now() - proved_at, age_s - self._orphan_s)
+        return renewal_age_s(age_s, self._orphan_s, proved_at, self._journal.now())
 
     def is_valid(self) -> bool:
         """See :meth:`LeaderLease.is_valid`.
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -184,7 +184,9 @@
     def _enqueue_doubtful(self, now: float) -> None:
         """Enqueue jobs whose progress could not be read, once every lease of a
         predecessor has expired: an earlier start might be a second run of a task."""
-        if self._doubtful and now > self._fleet.leases.inherited.latest_end:
+        inherited = self._fleet.leases.inherited
+        latest_end = max(inherited.latest_end, inherited.latest_recorded_end)
+        if self._doubtful and now > latest_end:
             for workflow in self._doubtful:
                 if not workflow.terminal:
                     self._state.enqueue_ready_steps(workflow, now)
--- a/src/granitetrestle/statedigest.py
+++ b/src/granitetrestle/statedigest.py
@@ -8,8 +8,9 @@
 process or incarnation has claimed the epoch.
 
 The digest also carries a :class:`LeaderMark`. It speaks for the time up to the claim only
-if nothing but claims follows the append, of processes that grant no lease before their own
-first append: any other one may have renewed leases without writing anything."""
+if nothing but claims follows the append, of processes that renew no lease before their own
+first append but on the word of the witnesses that it names: any other one may have renewed
+leases without writing anything."""
 
 import enum
 import math
@@ -91,6 +92,8 @@
         may still run there, for all boxes where one may; ``None`` if they are not named.
     :param panel: version of the panel of witnesses that limits this leader's leases; 0
         if none does, as in a mark of an older version.
+    :param passed_over: whether later processes have claimed an epoch and written nothing;
+        the panel limits their leases too, but nothing else that the mark says does.
     :param panel_covers_earlier: whether that panel limits every lease of an earlier
         leader that may still run, too, and none of them is longer.
     """
@@ -103,19 +106,20 @@
     inherited_s_of: t.Mapping[str, float] | None = None
     panel: int = 0
     panel_covers_earlier: bool = False
+    passed_over: bool = False
 
 
 class _EpochClaimant(msgspec.Struct, frozen=True, array_like=True):
     """Stored form of an epoch claim.
 
     :param by: the incarnation of the process that claimed the epoch.
-    :param leases_after_append: whether it grants no lease before its first append of its
-        own has succeeded; older versions do not say that.
+    :param witnessed: whether it grants no lease before its own first append has succeeded,
+        unless a majority of the witnesses accepts its polls; older versions do not say so.
     """
 
     epoch: int
     by: str
-    leases_after_append: bool = False
+    witnessed: bool = False
 
 
 class EpochClaim(t.NamedTuple):
@@ -301,7 +305,10 @@
     if stored is None or not stored.lease_ms:
         return None
     newest_epoch: int | None = stored.epoch
-    if stored.end + 1 != claim.end:
+    passed_over = stored.end + 1 != claim.end
+    if passed_over and not stored.panel:
+        return None
+    if passed_over:
         newest_epoch = _newest_claimed(later, claim, claim.end - stored.end)
     if newest_epoch is None or newest_epoch < claim.newest_known:
         # A leader of a version that claims its epoch without a record came after it.
@@ -318,6 +325,7 @@
         else {name: left_ms / 1000.0 for name, left_ms in of_boxes.items()},
         stored.panel,
         stored.panel_covers_earlier,
+        passed_over,
     )
 
 
@@ -345,7 +353,7 @@
     own, earlier = claimants[-1], [c for c in claimants[:-1] if c is not None]
     if own is None or (own.epoch, own.by) != (claim.epoch, claim.by):
         return None
-    if len(earlier) < count - 1 or not all(c.leases_after_append for c in earlier):
+    if len(earlier) < count - 1 or not all(c.witnessed for c in earlier):
         return None
     return max(c.epoch for c in earlier)
 
