Scenarios for what proofs rest on, found open by a review

Mutants that nothing caught: an append that counts from its answer, starts that are anchored at their sending, a change of the panel that is never released, and a bound of witnesses that cuts a lease which the successor renewed itself. Two leaders lost in a row are played with leases of 6 and 10 s as well, whose lengths in whole milliseconds differ from the exact ones. A step of witnesses.feature is named anew, since another file's pattern took it too. A mark no longer asks whether tasks may run anywhere before it says that the panel bounds leases of earlier leaders: it bounds leases, wherever tasks run, and nothing failed either way.

--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -50,10 +50,10 @@
     world.take_over()
 
 
-@given("a shard of {boxes:d} boxes among models, whose leases last 6 s")
-def shard_of_long_leases(context, boxes):
+@given("a shard of {boxes:d} boxes among models, whose leases last {lease:g} s")
+def shard_of_long_leases(context, boxes, lease):
     world = context.world = ShardWorld(7, boxes)
-    world.parameters = SchedulerParameters(lease_s=6.0, keep_s=600.0)
+    world.parameters = SchedulerParameters(lease_s=lease, keep_s=600.0)
     for box in world.boxes.values():
         box._hold_max_s = world.parameters.lease_s
     world.hand_over()
--- a/features/steps/witness_panel_steps.py
+++ b/features/steps/witness_panel_steps.py
@@ -378,3 +378,36 @@
     assert not context.broken, context.broken
     # In most of them the successor reaches a box on which the task runs again.
     assert context.moved >= 100, context.moved
+
+
+@when(
+    "a box with a record of its lease is renewed by a successor, and lost before a majority "
+    "of the witnesses answers"
+)
+def renewed_before_majority(context):
+    world = context.world
+    box = lasting_task(context).box
+    cut_off(world, [box], 4.5)
+    world.advance(4.4)
+    world.kill()
+    world.advance(0.2)
+    cut_off(world, world.entries.keys() - {box}, 1.2)
+    world.take_over()
+    world.advance(0.8)
+    cut_off(world, [box])
+    leases = world.leader.scheduler.state.boxes[box]
+    assert leases.renewals, "it was not renewed"
+    context.granted = leases.lease_ends
+    world.advance(2.0)
+    assert world.leader.scheduler.fleet.leases.inherited.proof == "witnesses"
+    context.left = leases.lease_ends
+
+
+@then(
+    "no task has run on two boxes, and the lease counts for as long as the successor "
+    "granted it"
+)
+def granted_counts(context):
+    assert context.left >= context.granted, (context.left, context.granted)
+    # The world checks at each step that no task runs on two boxes.
+    context.world.advance(10.0)
--- a/features/steps/witness_poll_steps.py
+++ b/features/steps/witness_poll_steps.py
@@ -15,10 +15,13 @@
 
 from granitetrestle import steadyclock
 from granitetrestle.boxes import BoxView
+from granitetrestle.decisions import StartTask
+from granitetrestle.interfaces import Appended
 from granitetrestle.interfaces import BoxNoAnswer
 from granitetrestle.interfaces import BoxReplaced
 from granitetrestle.interfaces import CommandRejected
 from granitetrestle.interfaces import StoreUnavailable
+from granitetrestle.journal import Journal
 from granitetrestle.nodelog import NodeLog
 from granitetrestle.nodemetrics import NodeMetrics
 from granitetrestle.pollbudget import PollBudget
@@ -200,6 +203,8 @@
         async with context.world.session(1) as session:
             await anyio.sleep(seconds)
             context.load = session.load(time.monotonic())
+            # What was durable has been released.
+            assert not session.scheduler.state.witnesses.changing
 
     anyio.run(script)
     context.chosen = context.world.lines("witnesses_chosen")
@@ -264,3 +269,82 @@
     ]
     assert bool(waits) == bool(context.panel)
     assert all(wait_ms <= wait * 1000.0 for wait_ms in waits), waits
+
+
+class ManualStore:
+    """Answers an append late, or only its second attempt; time is set by hand."""
+
+    def __init__(self, attempts):
+        self._attempts = attempts
+        self.now = 100.0
+        self.sent = []
+
+    async def append(self, topic, records, writer, timeout_s):
+        """See :class:`.Store`."""
+        self.sent.append(self.now)
+        if len(self.sent) < self._attempts:
+            self.now += 0.5
+            await anyio.sleep_forever()
+        self.now += 2.0
+        return Appended(len(records))
+
+
+@given("a store that answers the {which} attempt of an append 2 s after it was sent")
+def manual_store(context, which):
+    context.store = ManualStore({"first": 1, "second": 2}[which])
+
+
+@when("a leader appends")
+def leader_appends(context):
+    store = context.store
+
+    async def script():
+        context.journal = journal = Journal(
+            store, "t", 1, list, lambda held: None, lambda: store.now, lambda *_: None
+        )
+        store.now += 1.0
+        async with anyio.create_task_group() as tasks:
+            journal.request_append()
+            tasks.start_soon(journal.run)
+            with anyio.fail_after(5.0):
+                await journal.confirm()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(script)
+
+
+@then("its proof is from when that attempt was sent")
+def proof_from_attempt(context):
+    status, store = context.journal.status, context.store
+    assert status.confirmed_at == store.sent[-1], (status, store.sent)
+    assert status.answered_at >= store.sent[-1] + 2.0, status
+
+
+@given("a leader whose proof is {age:g} s old")
+def leader_of_proof(context, age):
+    context.scheduler = RecordingScheduler(1, ["b0"])
+    context.scheduler.ages = []
+    context.calls, context.proof_age_s = Boxes(0.0), age
+
+
+@when("it polls a box, and starts a task there")
+def polls_and_starts(context):
+    scheduler, ages = context.scheduler, context.scheduler.ages
+    plan_poll, renew = scheduler.plan_poll, scheduler.renew
+    scheduler.plan_poll = lambda *given: (ages.append(given[-1]), plan_poll(*given))[1]
+    scheduler.renew = lambda *given: (ages.append(given[-1]), renew(*given))[1]
+    lease = FixedLeaderLease()
+    lease.renewal_age_s = lambda: context.proof_age_s
+
+    async def script():
+        poller = make_poller("b0", context.calls, scheduler, PollBudget(0))
+        poller._leader_lease = lease
+        await poller._poll_once(long_poll=False)
+        await poller.execute(StartTask("b0", "1.0.0.0", 1, "s", "", ""))
+
+    anyio.run(script)
+
+
+@then("both leases are anchored at that proof")
+def both_anchored(context):
+    assert context.scheduler.ages == [context.proof_age_s] * 2, context.scheduler.ages
--- a/features/steps/witness_steps.py
+++ b/features/steps/witness_steps.py
@@ -286,7 +286,7 @@
         successor.now += float(re.fullmatch(r"nothing happens for ([\d.]+) s", what)[1])
 
 
-@then("it waits for {wait:g} s more, on the proof {proof}")
+@then("the inherited leases end in {wait:g} s, on the proof {proof}")
 def successor_waits(context, wait, proof):
     successor = context.successor
     inherited = successor.leases.inherited
--- a/features/witness_panels.feature
+++ b/features/witness_panels.feature
@@ -130,3 +130,22 @@
     Given a shard of 6 boxes among models
     When the panel is changed by an append that the store does or does not keep, while a successor takes over
     Then no task ever ran on two boxes at any of these times
+
+  Scenario Outline: Two leaders that are lost in a row cost one wait, with the durations of deployments
+    Marks hold lengths of leases in whole milliseconds.
+    Given a shard of 6 boxes among models, whose leases last <lease> s
+    When a long-running task's box is lost, and at once the leader is killed
+    And its successor reaches no box, and is killed 0.3 s later
+    Then it runs on another box within <bound> seconds of when its box became silent
+
+    Examples:
+      | lease | bound |
+      | 6     | 8.8   |
+      | 10    | 13    |
+
+  Scenario: What the witnesses bound is no bound for a lease that the successor has renewed itself
+    A box with a record answers the successor, is renewed, and is lost again before a majority
+    of the witnesses answers.
+    Given a shard of 8 boxes in 3 halls among models
+    When a box with a record of its lease is renewed by a successor, and lost before a majority of the witnesses answers
+    Then no task has run on two boxes, and the lease counts for as long as the successor granted it
--- a/features/witnesses.feature
+++ b/features/witnesses.feature
@@ -96,7 +96,7 @@
     names no panel.
     Given 7 boxes, 5 of them on panel <stored> in the store, and a predecessor whose mark <mark>
     When <what> 1 s after the successor took over
-    Then it waits for <wait> s more, on the proof <proof>
+    Then the inherited leases end in <wait> s, on the proof <proof>
 
     Examples:
       | stored | mark           | what                                           | wait  | proof     |
@@ -118,7 +118,7 @@
     Given 7 boxes, 5 of them on panel 7 in the store, and a predecessor whose mark names panel 7
     When <first> 1 s after the successor took over
     And <second> 1 s later
-    Then it waits for 5.48 s more, on the proof <proof>
+    Then the inherited leases end in 5.48 s, on the proof <proof>
 
     Examples:
       | first                         | second                        | proof         |
@@ -234,3 +234,18 @@
       | boxes | least |
       | 2     | 3.4   |
       | 4     | 4.3   |
+
+  Scenario Outline: An append proves what was so when it was sent, not when it was answered
+    Given a store that answers the <which> attempt of an append 2 s after it was sent
+    When a leader appends
+    Then its proof is from when that attempt was sent
+
+    Examples:
+      | which  |
+      | first  |
+      | second |
+
+  Scenario: Polls and starts rest on the same proof
+    Given a leader whose proof is 1.7 s old
+    When it polls a box, and starts a task there
+    Then both leases are anchored at that proof
--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -168,7 +168,7 @@
             inherited_s = max(named.values(), default=0.0)
         panel = self._state.witnesses.panel
         version = panel.version if panel.members else 0
-        covers = not anywhere and self._inherited.is_covered(version, now)
+        covers = self._inherited.is_covered(version, now)
         mark = LeaderMark(epoch, end, self._resigned, inherited_s, lease_bound_s, named)
         return mark._replace(
             panel=version, panel_covers_earlier=bool(version) and covers
