Jobs that no box can run don't hold up others of the same size

Cause: a pass remembers that a task found no box, and skips the search for others, by image, cpu, memory, labels and whether it fills. What it found also depends on the GPU, the service, the tickets of a step under advice, and the rack of its data.

Evidence: hopeless_jobs.feature on the code before: all 4 scenarios fail, one for each of these; no task of the ordinary job starts in 0.5 s.

Why the fix works: the key holds all that decides which boxes a search finds; a step under advice has a key of its own.

--- a/src/granitetrestle/boxsearch.py
+++ b/src/granitetrestle/boxsearch.py
@@ -20,14 +20,18 @@
 __all__ = [
     "BoxSearch",
     "IndexedSearch",
+    "PlacementKey",
     "PlainSearch",
     "StepSearch",
+    "placement_key",
     "prefer_data_rack",
     "is_eligible",
 ]
 
 Narrowing: t.TypeAlias = t.Callable[[list[BoxView]], list[BoxView]]
 Reachability: t.TypeAlias = t.Callable[[BoxView], bool]
+# What a step needs of a box; see :func:`placement_key`.
+PlacementKey: t.TypeAlias = tuple[t.Any, ...]
 
 
 def is_eligible(step: Step, task: Task, box: BoxView) -> bool:
@@ -79,6 +83,27 @@
         """
 
 
+def placement_key(entry: WaitingStep, service: str, advised: bool) -> PlacementKey:
+    """Return what decides which boxes a search finds for a waiting step.
+
+    :param advised: whether advice names the boxes that may run it, so that what it finds
+        says nothing about other steps.
+    """
+    step = entry.spec
+    job = entry.workflow.submission.job
+    return (
+        service,
+        step.image,
+        step.cpu,
+        step.memory_mb,
+        step.gpu,
+        step.required_labels,
+        step.affinity,
+        step.best_effort,
+        (job, entry.occurrence, entry.step) if advised else None,
+    )
+
+
 def prefer_data_rack(step: Step, boxes: list[BoxView]) -> list[BoxView]:
     """Return the boxes in the rack that holds the data, or all if there are none."""
     if not step.affinity:
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -11,9 +11,11 @@
 from .boxindex import Pool
 from .boxsearch import BoxSearch
 from .boxsearch import IndexedSearch
+from .boxsearch import PlacementKey
 from .boxsearch import PlainSearch
 from .boxsearch import StepSearch
 from .boxsearch import is_eligible
+from .boxsearch import placement_key
 from .boxsearch import prefer_data_rack
 from .crashloops import SuspectPlacement
 from .decisions import AskAdvice
@@ -70,9 +72,6 @@
 MAX_AGED_STARTS_SHARE: t.Final = 0.25
 MAX_AGED_TRIES: t.Final = 4
 
-# The requirements of a task that decide which boxes can run it.
-PlacementKey: t.TypeAlias = tuple[t.Any, ...]
-
 
 class Dispatcher:
     """Places the waiting tasks of a :class:`~.shardstate.ShardState`."""
@@ -216,13 +215,8 @@
             return self._ask_advice(entry, pool, now)
         if step.gang:
             return self._place_gang(entry, step, pool, due is not None, now)
-        placement_key = (
-            step.image,
-            step.cpu,
-            step.memory_mb,
-            step.required_labels,
-            step.best_effort,
-        )
+        service = self._state.service_of(entry.workflow)
+        key = placement_key(entry, service, self._needs_advice(entry))
         entry.found_waiting_at = (
             now if entry.found_waiting_at is None else entry.found_waiting_at
         )
@@ -240,7 +234,7 @@
         search = self._begin_search(entry, pool, due is not None, now)
         for task in tasks[: limit - len(effects)]:
             box = None
-            if placement_key not in self._unplaceable:
+            if key not in self._unplaceable:
                 box = search.best()
             if box is None and self._is_starved(entry, step, now):
                 box = fewest_best_effort(self._with_ticket(entry, search.eligible()))
@@ -263,7 +257,7 @@
                 # Long-running steps are searched each time, since the headroom records
                 # how long there has been room for them.
                 if not step.per_box and not step.long_running:
-                    self._unplaceable.add(placement_key)
+                    self._unplaceable.add(key)
                 break
             effects.append(self._start_waiting(entry, task, box, now))
         self._state.index.refresh(now)
