--- a/features/steps/early_cancel_steps.py
+++ b/features/steps/early_cancel_steps.py
@@ -54,7 +54,7 @@
     leader.scheduler = Scheduler(leader.world.parameters, 0.0)
     leader.now = 0.0
     leader.scheduler.restore(leader.topic.records(), 0.0)
-    context.answers.append(outcome(leader.scheduler, CancelJob(JOB), 1.0))
+    context.answers.append(outcome(leader.scheduler, GetState(JOB), 1.0))
     context.outcome = outcome(leader.scheduler, submission(), 1.1)
 
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -20,6 +20,7 @@
 from native_mutants import NATIVE_MUTANTS
 from older_mutants import OLDER_MUTANTS
 from recovery_mutants import RECOVERY_MUTANTS
+from review_mutants import REVIEW_MUTANTS
 from room_mutants import ROOM_MUTANTS
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -34,6 +35,7 @@
     *LEASE_MUTANTS,
     *LOAD_MUTANTS,
     *ROOM_MUTANTS,
+    *REVIEW_MUTANTS,
 )
 
 
