--- a/features/steps/witness_rule_steps.py
+++ b/features/steps/witness_rule_steps.py
@@ -229,7 +229,7 @@
     context.inherited.record_witnesses(context.stored_panel, TAKEN_OVER_AT)
 
 
-@then("it waits for {what}")
+@then("the successor counts on {what}")
 def waits_for(context, what):
     wait_s = {
         "one lease": PARAMETERS.lease_bound_s,
--- a/features/witness_rules.feature
+++ b/features/witness_rules.feature
@@ -45,7 +45,7 @@
   Scenario Outline: A successor relies on a panel only if its predecessor <did>
     Given a successor whose predecessor followed panel <panel>, while the store holds panel 2
     When a majority of the store's panel has answered the successor
-    Then it waits for <wait>
+    Then the successor counts on <wait>
 
     Examples:
       | did                 | panel | wait            |
@@ -57,7 +57,7 @@
   Scenario Outline: Leases of leaders before the predecessor, which followed <what>
     Given a successor whose predecessor followed panel <panel>, which <covers> leases of up to <lease> s of leaders before it, for 12 s more
     When a majority of the store's panel has answered the successor
-    Then it waits for <wait>
+    Then the successor counts on <wait>
     And its own mark says that panel 2 <own> earlier leases
 
     Examples:
