--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..errors import DECODE_ERRORS
 from ..errors import InvalidInput
 from ..errors import MalformedDirective
 from ..interfaces import Config
@@ -159,7 +160,7 @@
     if key == CONFIG_KEY and value is not None:
         try:
             return decode_config(value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             raise MalformedDirective(key, str(error)) from error
     if not key.startswith(EVACUATE_PREFIX):
         return None
@@ -170,7 +171,7 @@
         return HallDirective(hall, False)
     try:
         _hall_directives.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedDirective(key, str(error), hall) from error
     return HallDirective(hall, True)
 
@@ -208,6 +209,7 @@
 
     def __init__(self, config: Config) -> None:
         self._by_host: dict[str, list[Queue]] = {}
+        self._by_name = {queue.name: queue for queue in config.queues}
         for queue in config.queues:
             self._by_host.setdefault(queue.host, []).append(queue)
         for queues in self._by_host.values():
@@ -216,12 +218,24 @@
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path`` at ``host``."""
-        name = host.split(":", 1)[0].lower()
-        for queue in self._by_host.get(name, ()):
+        for queue in self._by_host.get(_host_name(host), ()):
             if path.startswith(queue.prefix):
                 return queue
         return None
 
+    def may_name(self, queue: str, host: str, path: str) -> bool:
+        """Return whether a request for ``path`` at ``host`` may be about a job of a
+        queue. One with a longer prefix may have been added since the job was accepted,
+        and of a queue that is not configured any more nothing is known."""
+        known = self._by_name.get(queue)
+        if known is None:
+            return True
+        return known.host == _host_name(host) and path.startswith(known.prefix)
+
+
+def _host_name(host: str) -> str:
+    return host.split(":", 1)[0].lower()
+
 
 def decode_call(
     index: QueueIndex, method: str, host: str, path: str, body: bytes
@@ -255,7 +269,7 @@
 def _submission(job: str, queue: Queue, body: bytes) -> Submission:
     try:
         raw = _jobs.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise InvalidInput(f"not a job: {error}") from error
     if len(raw.spec.encode()) > MAX_SPEC_BYTES:
         raise InvalidInput(f"spec has more than {MAX_SPEC_BYTES} bytes")
@@ -281,6 +295,7 @@
         repeat_count=raw.repeat_count,
         start_at_ms=raw.start_at_ms,
         interval_ms=raw.interval_ms,
+        max_attempts=queue.max_attempts,
     )
 
 
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -87,6 +87,8 @@
     :param start_at_ms: wall time of the first occurrence, in milliseconds since 1970.
     :param interval_ms: time from one occurrence to the next.
     :param accepted_ms: when the leader accepted it, in shard time.
+    :param max_attempts: failed runs of a task before the job fails, as its queue was
+        configured when it was accepted; 0 if an older version accepted it.
     """
 
     job: str
@@ -98,6 +100,7 @@
     start_at_ms: int = 0
     interval_ms: int = 0
     accepted_ms: int = UNKNOWN_TIME
+    max_attempts: int = 0
 
 
 class Task:
@@ -114,6 +117,8 @@
     :ivar proven: whether the store says that its run was observed running for long.
     :ivar likely_crashes: how many of these boxes it had provably just started on, while
         no other boxes were lost.
+    :ivar idle_since: since when no run of it runs: when its last one ended, at the
+        latest, or before the first when it was enqueued; 0 before that.
     :ivar done_at: time at which it was done, in seconds on the steady clock.
     """
 
@@ -124,6 +129,7 @@
         "confirmed_at",
         "done_at",
         "failed_runs",
+        "idle_since",
         "index",
         "inherited",
         "likely_crashes",
@@ -175,6 +181,7 @@
         self.paced_at = 0.0
         self.slow_since = 0.0
         self.ticket = ""
+        self.idle_since = 0.0
         self.done_at = 0.0
         self._times: TaskTimes | None = None
 
