Series of changes of leader: also without witnesses

Shards of fewer than three boxes and marks of older versions have no panel, so each seed now runs with and without witnesses; the scenario on a poll that is never sent too, where with witnesses the leader goes on renewing. Nothing that was run before is left out.

--- a/features/lease_waits_random.feature
+++ b/features/lease_waits_random.feature
@@ -49,8 +49,13 @@
     When a series of changes of leader runs from seed 761
     Then no promise was broken
 
-  Scenario: A poll that renews nothing and is never sent does not shorten the lease before
-    Given a shard of 3 boxes among models
+  Scenario Outline: A poll that renews nothing and is never sent does not shorten the lease before, <which> witnesses
+    Given a shard of 3 boxes among models, <which> witnesses
     When the box of a long-running task accepts no connection just as its leader, without the store, may no longer renew its lease
     And the store is back for that leader
     Then no task ever ran on two boxes
+
+    Examples:
+      | which   |
+      | with    |
+      | without |
--- a/features/loss_judge.py
+++ b/features/loss_judge.py
@@ -83,6 +83,7 @@
         self._reachable_since = {}
         self._answered = set()
         self._store_away_at = None
+        self._took_over_at = world.now
         self._store_back_at = -math.inf
         # Boxes whose tasks must go on, and the leader and the witnesses that see to it.
         self._kept = set()
@@ -121,6 +122,7 @@
         gone_s = now - before.confirmed_at
         wrote = before.sequence > 1
         panel = self.read_panel()
+        self._took_over_at = now
         term = self._term
         stated_end = term.end + gone_s + REWRITE_INTERVAL_S if wrote else math.inf
         unproved = now + self._unproved_s
@@ -151,6 +153,9 @@
         leader = world.leader
         # It may have been away until a moment ago, too.
         self._store_away_at = leader.confirmed_at
+        if self._store_away_at < self._took_over_at + RECOVERY_S:
+            # Leases of the leader before it may be about to end.
+            return
         boxes = leader.scheduler.state.boxes
         if world.parameters.orphan_s < world.parameters.lease_s:
             return
--- a/features/random_series.py
+++ b/features/random_series.py
@@ -27,18 +27,31 @@
 SHORT = Step(count=2, cpu=200, memory_mb=10)
 
 
+class WorldWithoutWitnesses(ShardWorld):
+    """A shard whose leaders follow no panel of witnesses, like those of shards with fewer
+    than three boxes, and of older versions."""
+
+    def _create_process(self, epoch):
+        process = super()._create_process(epoch)
+        process.scheduler.fleet.leases.update_panel = lambda now: []
+        return process
+
+
 class RandomSeries:
     """One seed: a series of changes of leader, and then time until all jobs have ended.
 
     In one of four seeds the store is also unavailable at times, calls are delayed and
     lost, and polls take long; there only the promises of the world are judged.
+
+    :param witnesses: whether leaders follow a panel of witnesses.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, witnesses=True):
         self._draw = draw = random.Random(f"series {seed}")
         boxes = draw.randint(2, 6)
         self._rough = draw.random() < 0.25
-        self.world = ShardWorld(
+        world = ShardWorld if witnesses else WorldWithoutWitnesses
+        self.world = world(
             seed,
             boxes,
             ("h1", "h2"),
--- a/features/steps/lease_series_steps.py
+++ b/features/steps/lease_series_steps.py
@@ -1,10 +1,13 @@
 """Steps of the scenarios about random series of changes of leader."""
 
+from behave import given
 from behave import when
 
 from granitetrestle_standins.shardprocess import TICK_INTERVAL_S
+from granitetrestle_standins.shardworld import ShardWorld
 from lasting_task import lasting_task
 from random_series import RandomSeries
+from random_series import WorldWithoutWitnesses
 
 # Time between two polls of a box that answers when a run ends, or after a while.
 LONG_POLL_S = 1.1
@@ -12,9 +15,10 @@
 
 @when("a series of changes of leader runs from seed {seed:d}")
 def random_series(context, seed):
-    context.shard = RandomSeries(seed)
-    # Raises when a promise is broken.
-    context.shard.run()
+    for witnesses in (True, False):
+        context.shard = RandomSeries(seed, witnesses)
+        # Raises when a promise is broken.
+        context.shard.run()
 
 
 @when("a series of changes of leader runs from each of the seeds {seeds}")
@@ -23,6 +27,12 @@
         random_series(context, int(seed))
 
 
+@given("a shard of {boxes:d} boxes among models, {which} witnesses")
+def shard_of(context, boxes, which):
+    world = ShardWorld if which == "with" else WorldWithoutWitnesses
+    context.world = world(7, boxes)
+
+
 def next_poll(world, leader, incarnation):
     """Advance until a box is polled, as rarely as with long polls."""
     last = leader.polled_at[incarnation]
