--- a/tools/lease_mutants.py
+++ b/tools/lease_mutants.py
@@ -189,7 +189,7 @@
                 "                self._accepted_at[member] = max(earlier, sent_at)\n",
             ),
         ),
-        "lost_leaders",
+        "witness_rules",
     ),
     Mutant(
         "witnesses: one that has answered a successor is enough",
