Mutants for claims that no append follows

Six mutants of what a successor concludes from such claims; one survived at first, as the record that is no claim could not be decoded as one either. The record of the scenario has the value of a claim now, and all six are killed by claims_without_appends and witness_rules. The mutant that let any mark count is adapted to the new text.

--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -49,7 +49,8 @@
                 claim = Record(EPOCH_CLAIM_KEY, value)
             store.append(TOPIC, (claim,), None)
     if records.endswith("and a record"):
-        store.append(TOPIC, (Record("t/job", b"x"),), None)
+        claim = EpochClaim.record(6, "life-6")
+        store.append(TOPIC, (claim._replace(key="t/job"),), None)
     appended = store.append(TOPIC, (EpochClaim.record(9, "life-9"),), None)
     known = 7 if "7 is known" in records else 1
     context.claim = EpochClaim(9, "life-9", appended.end, known)
--- a/tools/lease_mutants.py
+++ b/tools/lease_mutants.py
@@ -43,12 +43,11 @@
         (
             (
                 "statedigest.py",
-                "if not stored.epoch or not stored.lease_ms "
-                "or stored.end + 1 != claim.end:",
-                "if not stored.epoch or not stored.lease_ms:",
+                "passed_over = stored.end + 1 != claim.end\n",
+                "passed_over = False\n",
             ),
         ),
-        "lease_waits_random",
+        "claims_without_appends",
     ),
     Mutant(
         "leases: a mark leaves out what leaders before may have granted",
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 
+from claim_mutants import CLAIM_MUTANTS
 from known_red import PASSED
 from known_red import read_list
 from known_red import read_report
@@ -33,6 +34,7 @@
     *RECOVERY_MUTANTS,
     *LIFE_MUTANTS,
     *LEASE_MUTANTS,
+    *CLAIM_MUTANTS,
     *LOAD_MUTANTS,
     *ROOM_MUTANTS,
     *REVIEW_MUTANTS,
