No data hall has a majority of the witnesses, if there are more than two

With 20, 3 and 3 boxes in three halls, 9 of 15 witnesses were in the largest: where it was lost together with the leader, no majority answered the successor, which waited 8 s and a lease. A panel is now cut to less than half in each hall, here 5, 3 and 3, and one that withstands the loss of a hall replaces one that does not. With two halls it can't be. Found by a review (panels of uneven halls, worked out from choose_members).

--- a/features/witnesses.feature
+++ b/features/witnesses.feature
@@ -91,6 +91,20 @@
       | 300   | 3     | 15      | 5    |
       | 300   | 4     | 15      | 4    |
 
+  Scenario Outline: No data hall has a majority of the witnesses, if there are more than two
+    When witnesses are chosen among halls of <boxes> boxes
+    Then there are <members> witnesses, at most <most> in one hall
+
+    Examples:
+      | boxes    | members | most |
+      | 20, 3, 3 | 11      | 5    |
+      | 12, 2, 1 | 5       | 2    |
+      | 9, 1, 1  | 3       | 1    |
+      | 4, 4, 1  | 9       | 4    |
+      | 20, 1, 0 | 15      | 14   |
+      | 10, 10   | 15      | 8    |
+      | 5, 5, 5  | 15      | 5    |
+
   Scenario Outline: A successor relies on the panel that its predecessor's last words name
     Leases of 6 s, which a leader without the store renews for 8 s. A mark of an older version
     names no panel.
--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -358,15 +358,16 @@
     members: t.Collection[str],
     boxes: t.Mapping[str, BoxView],
 ) -> bool:
-    """Return whether a panel withstands the loss of more boxes than another, or has a
-    smaller share in the data hall with the most of it."""
-    if len(chosen) != len(members):
-        return len(chosen) > len(members)
-    largest, before = (
-        max(_count_by_hall(names, boxes).values(), default=0)
-        for names in (chosen, members)
-    )
-    return largest < before
+    """Return whether a panel withstands the loss of a data hall while another does not,
+    or of more boxes, or has a smaller share in one hall."""
+    return _resilience(chosen, boxes) > _resilience(members, boxes)
+
+
+def _resilience(
+    members: t.Collection[str], boxes: t.Mapping[str, BoxView]
+) -> tuple[bool, int, int]:
+    largest = max(_count_by_hall(members, boxes).values(), default=0)
+    return 2 * largest < len(members), len(members), -largest
 
 
 def _long_silent(box: BoxView, now: float) -> bool:
--- a/src/granitetrestle/witnesses.py
+++ b/src/granitetrestle/witnesses.py
@@ -11,6 +11,7 @@
 changed one has no answer, the store may hold either, and a leader needs a majority of
 both."""
 
+import collections
 import itertools
 import math
 import typing as t
@@ -24,7 +25,7 @@
 __all__ = ["PANEL_KEY", "Panel", "Witnesses", "choose_members"]
 
 PANEL_KEY: t.Final = "w/panel"
-# A majority remains if a data hall of three is lost, and two more boxes. Each member
+# A majority remains if one of three even data halls is lost, and two more boxes. Each member
 # costs some 15 bytes in a record that is written when one is lost.
 MAX_MEMBERS: t.Final = 15
 # With fewer, the loss of one box leaves no majority.
@@ -181,7 +182,8 @@
 
 
 def choose_members(boxes: t.Iterable[BoxView], kept: t.Collection[str]) -> list[str]:
-    """Choose an odd number of boxes, spread evenly over the data halls.
+    """Choose an odd number of boxes, spread evenly over the data halls. If there are more
+    than two, no hall has a majority of them.
 
     :param boxes: the boxes that may be members.
     :param kept: members that remain if possible. Next come boxes that run tasks, as
@@ -202,8 +204,16 @@
     in_turn = itertools.chain.from_iterable(
         itertools.zip_longest(*(halls[hall] for hall in sorted(halls)))
     )
-    members = [box.incarnation for box in in_turn if box is not None][:MAX_MEMBERS]
-    if len(members) % 2 == 0:
+    chosen = [box for box in in_turn if box is not None][:MAX_MEMBERS]
+    by_hall = collections.Counter(box.entry.hall for box in chosen)
+    largest = max(by_hall, key=by_hall.__getitem__, default="")
+    others = len(chosen) - by_hall[largest]
+    if len(halls) > 2 and by_hall[largest] >= others > 1:
+        # The others are a majority of an odd number that has one less in this hall.
+        surplus = [box for box in chosen if box.entry.hall == largest][others - 1 :]
+        chosen = [box for box in chosen if box not in surplus]
+    if len(chosen) % 2 == 0:
         # Of an even number, one less can be lost than of the odd one below.
-        del members[-1:]
+        del chosen[-1:]
+    members = [box.incarnation for box in chosen]
     return members if len(members) >= MIN_MEMBERS else []
