--- a/src/granitetrestle/boxleases.py
+++ b/src/granitetrestle/boxleases.py
@@ -23,9 +23,9 @@
 # is known. Two polls and their timeouts fit in. Without this limit, the work of a box
 # that is silent for longer than a lease is lost, and done twice.
 SILENCE_LIMIT_S: t.Final = 1.2
-# Members of the panel of witnesses are looked at this often, and all boxes if the panel
-# could be better.
+# How often the members of the panel of witnesses are looked at.
 PANEL_CHECK_INTERVAL_S: t.Final = 0.25
+# How often the panel is compared with the best one, for which all boxes are looked at.
 PANEL_REVIEW_INTERVAL_S: t.Final = 2.0
 # The panel is not changed again sooner: boxes that are lost together are replaced at
 # once.
@@ -33,8 +33,6 @@
 # A successor changes the panel of the leader before it only once that one is excluded,
 # or after this time, as then a majority of the panel may be lost.
 INHERITED_PANEL_TIMEOUT_S: t.Final = 3.0
-
-
 # Accounts are promised that a long-running task runs again soon after its box is lost,
 # and that takes a lease. Shorter ones lose the work of boxes that are cut off for some
 # seconds, or that a successor reaches late.
--- a/src/granitetrestle/fleet.py
+++ b/src/granitetrestle/fleet.py
@@ -186,7 +186,7 @@
 
     def _reclaim_earlier(self, box: BoxView, now: float) -> list[Decision]:
         """Requeue tasks that a predecessor had placed on other incarnations of a box which
-        now answers: those ended before it started. As witnesses they count as well."""
+        now answers: those ended before it started, and as witnesses accept nothing."""
         effects: list[Decision] = []
         for incarnation in self._state.inherited_incarnations.get(box.entry.box_id, ()):
             if incarnation != box.incarnation and incarnation in self._state.inherited:
--- a/src/granitetrestle/witnesses.py
+++ b/src/granitetrestle/witnesses.py
@@ -1,5 +1,5 @@
-"""Witnesses: boxes that tell a leader that no successor leads, and a successor that no
-earlier leader can learn that any more.
+"""Witnesses: boxes from which a leader learns that no successor leads. From their answers
+a successor learns that no earlier leader can renew leases on their word any more.
 
 A leader that the store does not confirm can't tell whether the store is away or whether
 it has been replaced. So it also asks a panel of boxes: each rejects polls of an epoch
