Model: a leader that wrote nothing is passed over

Its successor relies on the mark of the newest leader that has written, so the judge of losses expects the shorter wait there too.

--- a/features/loss_judge.py
+++ b/features/loss_judge.py
@@ -80,6 +80,8 @@
         self._unproved_s = world.parameters.orphan_s + self._bound_s
         self._term = _Term(world.now + self._unproved_s, math.inf, False, Panel())
         self._lost = []
+        # The newest leader that has written, and its term.
+        self._newest_writer = None
         self._reachable_since = {}
         self._answered = set()
         self._store_away_at = None
@@ -119,11 +121,14 @@
     def leader_changed(self, before, orderly):
         """Apply that a leader has just taken over from ``before``."""
         now = self._world.now
-        gone_s = now - before.confirmed_at
-        wrote = before.sequence > 1
         panel = self.read_panel()
         self._took_over_at = now
-        term = self._term
+        if before.sequence > 1:
+            self._newest_writer = before, self._term
+        # One that wrote nothing has granted no lease, and is passed over.
+        before, term = self._newest_writer or (before, self._term)
+        gone_s = now - before.confirmed_at
+        wrote = before.sequence > 1
         stated_end = term.end + gone_s + REWRITE_INTERVAL_S if wrote else math.inf
         unproved = now + self._unproved_s
         proved = wrote and bool(panel.members)
