--- a/tools/lease_mutants.py
+++ b/tools/lease_mutants.py
@@ -43,12 +43,11 @@
         (
             (
                 "statedigest.py",
-                "if not stored.epoch or not stored.lease_ms "
-                "or stored.end + 1 != claim.end:",
-                "if not stored.epoch or not stored.lease_ms:",
+                "    if stored.end + 1 != claim.end:\n",
+                "    if False:\n",
             ),
         ),
-        "lease_waits_random",
+        "claims_without_appends",
     ),
     Mutant(
         "leases: a mark leaves out what leaders before may have granted",
@@ -324,4 +323,15 @@
         ),
         "witnesses",
     ),
+    Mutant(
+        "witnesses: a leader grants leases before its first append",
+        (
+            (
+                "leaderlease.py",
+                "        if not self._journal.has_appended:\n            return None\n",
+                "",
+            ),
+        ),
+        "witness_rules",
+    ),
 )
