--- a/features/box_crashes.feature
+++ b/features/box_crashes.feature
@@ -228,6 +228,10 @@
     When random work and faults run on a shard whose boxes restart from seed 50651
     Then no promise was broken
 
+  Scenario: A job that did nothing wrong is not given up as boxes restart
+    When random work and faults run on a shard whose boxes restart from seed 940059
+    Then no promise was broken
+
   Scenario: A job that did nothing wrong is not given up as boxes are lost in waves
     A third to a half of the boxes crash together, again and again. Two waves, each just
     after a start of a task, would otherwise give its job up, as no other task has just
--- a/features/lease_waits_random.feature
+++ b/features/lease_waits_random.feature
@@ -59,3 +59,7 @@
       | which   |
       | with    |
       | without |
+
+  Scenario: A long-running task does not wait 0.31 s longer than a lease after a hand-over
+    When a series of changes of leader runs from each of the seeds 62152, 85782
+    Then no promise was broken
--- a/features/native_decider.feature
+++ b/features/native_decider.feature
@@ -270,3 +270,11 @@
     Given a shard of 4 boxes among models
     When a step of 4 long-running tasks runs on as many boxes, and all their entries but one are removed, though the boxes keep answering
     Then at least 3 of the tasks run at any time in the next 10 seconds, and all leave these boxes that have room elsewhere
+
+  Scenario: A box without capacity gets no task while it shrinks and grows
+    When random work and faults run on a shard whose boxes shrink and grow from seed 300235
+    Then no promise was broken
+
+  Scenario: A job ends though the boxes of its shard shrink and grow
+    When random work and faults run on a shard whose boxes shrink and grow from seed 301296
+    Then no promise was broken
