--- a/tools/lease_mutants.py
+++ b/tools/lease_mutants.py
@@ -58,7 +58,7 @@
                 "named = {name: 0.0 for name, ends_at in ends}",
             ),
         ),
-        "lease_waits_random",
+        "inherited_leases",
     ),
     Mutant(
         "leases: a mark names no box where earlier leases run longer",
@@ -69,7 +69,7 @@
                 "for name, left_s in ()}",
             ),
         ),
-        "lease_waits_random",
+        "inherited_leases",
     ),
     Mutant(
         "leases: what a mark says of one box holds for all",
