Appends are as long as the link carries soon, and get the time that it needs

Cause: a batch of up to 1.5 MB had 1.2 s, whatever the link, and up to three attempts at the same bytes shared it. No attempt came through; after 0.9 s the leader counted as without the store and was replaced by one that met the same batch.

Change: AppendPace knows the bandwidth from the settings (limits.link_mbps, which was not read) and learns it from appends. On links of 200 Mbit/s and more all times are as before.

A store that falls silent is noticed after 0.5 s at 2 and at 200 Mbit/s. A link taken for four times what it carries is learnt.

--- /dev/null
+++ b/features/thin_links.feature
@@ -0,0 +1,34 @@
+Feature: A thin link delays a leader and stops none
+  Whatever has a size and a fixed timeout fails at every attempt once the link needs longer
+  for it, and for each successor in the same way: on links of 2 Mbit/s nobody led any more
+  once the jobs filled a page of half a megabyte, and tasks whose checkpoints had grown to
+  40,000 characters were not started again after their box was lost.
+
+  Scenario Outline: What a leader decides reaches the store, and confirms it meanwhile
+    Given a store behind a link of <mbps> Mbit/s
+    When a leader writes <count> records of <size> bytes at once
+    Then they are in the store within <seconds> seconds, each appended once
+    And it was confirmed at least every <pause> seconds, and never counted as without the store
+
+    Examples:
+      | mbps | count | size   | seconds | pause |
+      | 2    | 16    | 38000  | 3.5     | 0.8   |
+      | 2    | 1     | 262000 | 2.0     | 2.0   |
+      | 10   | 40    | 38000  | 2.0     | 0.8   |
+      | 200  | 100   | 38000  | 1.0     | 0.8   |
+
+  Scenario: A squeezed link is learnt from the appends
+    Given a store behind a link of 2 Mbit/s, taken for one of 8
+    When a leader writes 16 records of 38000 bytes at once, two times
+    Then they are in the store within 8 seconds the first time
+    And the second time within 4 seconds, each appended once
+
+  Scenario Outline: A store that falls silent is noticed as soon on every link
+    Given a store behind a link of <mbps> Mbit/s
+    When it falls silent and a leader writes a record of 300 bytes
+    Then the leader counts as without the store after 0.5 to 0.65 seconds
+
+    Examples:
+      | mbps |
+      | 2    |
+      | 200  |
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -3,7 +3,8 @@
 
 An append without an answer is repeated under the same sequence number until the store
 answers; only a newer epoch ends that. A repeat does not cancel the attempt before it,
-which a slow store answers first.
+which a slow store answers first. A long append is repeated later than a short one: the
+attempts would share the link, and none of them would get through.
 
 An append that the store refuses for good is split, down to the record that it does not
 take. That one is left out: no successor could write it either, and all else would wait
@@ -14,6 +15,8 @@
 
 import anyio
 
+from .appendpace import DEFAULT_LINK_BYTES_PER_S
+from .appendpace import AppendPace
 from .interfaces import Appended
 from .interfaces import AppendRefused
 from .interfaces import Fenced
@@ -38,14 +41,15 @@
 REPEAT_DELAY_FACTOR: t.Final = 8.0
 MIN_REPEAT_DELAY_S: t.Final = 0.1
 APPEND_TIMEOUT_S: t.Final = 1.2
+# What the link needs for the bytes of an append comes on top, times these factors: other
+# calls share the link. The first is for what counts as late, the second for the timeout.
+TRANSFER_FACTOR: t.Final = 2.0
+TIMEOUT_TRANSFER_FACTOR: t.Final = 4.0
 MAX_CONCURRENT_ATTEMPTS: t.Final = 3
 RETRY_INTERVAL_S: t.Final = 0.08
 MAX_BATCH_BYTES: t.Final = 1_500_000
 # The length in front of each record of a call.
 RECORD_PREFIX_BYTES: t.Final = 4
-INITIAL_APPEND_DURATION_S: t.Final = 0.012
-APPEND_DURATION_SMOOTHING_FACTOR: t.Final = 0.1
-
 
 _Outcome: t.TypeAlias = Appended | Fenced | NumberTaken | AppendRefused
 
@@ -55,7 +59,9 @@
 
     :param confirmed_at: when the newest append that succeeded was sent.
     :param answered_at: when it was answered.
-    :param waiting_since: when the pending append was first sent, if there is one.
+    :param waiting_since: when the pending append could have been answered, by the time
+        that its bytes need on the link; in the future while they are under way, ``None``
+        if there is no append.
     """
 
     confirmed_at: float
@@ -102,6 +108,7 @@
     :param end: end offset of the topic when this epoch was claimed, if that is known.
     :param call_bytes: size limit of the store for one call. A larger batch would be
         refused and repeated forever.
+    :param link_bytes_per_s: bandwidth of the link to the store, as far as it is known.
     :param leader_mark: returns what the leader states about leases with an append, from
         the end offset of the topic after it.
     :param claimed_at: when the claim of this epoch was sent. Another process may have
@@ -123,6 +130,7 @@
         call_bytes: int = MAX_BATCH_BYTES,
         leader_mark: t.Callable[[int], LeaderMark] | None = None,
         claimed_at: float = math.inf,
+        link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -139,7 +147,8 @@
         self._leader_mark = leader_mark
         self._resignation_kept = self._has_appended = False
         self._digest_tracker = DigestTracker()
-        self._batch_bytes = min(MAX_BATCH_BYTES, call_bytes) - DIGEST_BYTES
+        max_batch_bytes = min(MAX_BATCH_BYTES, call_bytes) - DIGEST_BYTES
+        self._pace = AppendPace(max_batch_bytes, link_bytes_per_s)
         self._held: list[t.Any] = []
         # Numbers of the batch that was begun last, and of the last one that is complete.
         self._begun = self._completed = 0
@@ -150,7 +159,6 @@
         self._answered_at = clock()
         self._confirmed_at = min(claimed_at, self._answered_at)
         self._waiting_since: float | None = None
-        self._mean_append_s = INITIAL_APPEND_DURATION_S
         self.appends = 0
         self.repeats = 0
 
@@ -230,7 +238,7 @@
             records = self._prepare()
             held, self._held = self._held, []
             if records or held or append_requested or self._confirm_due():
-                for batch in _split_batches(records, self._batch_bytes):
+                for batch in _split_batches(records, self._pace):
                     outcome = await self._append_acceptable(batch)
                     if not isinstance(outcome, Appended):
                         return outcome
@@ -268,15 +276,13 @@
         records = self._digest_tracker.with_digest(batch, mark)
         self._sequence += 1
         writer = Writer(self._epoch, self._sequence)
-        started_at = self._waiting_since = self._clock()
-        settled = await self._append_until_answered(records, writer)
+        size = sum(record.size + RECORD_PREFIX_BYTES for record in records)
+        transfer_s = TRANSFER_FACTOR * self._pace.transfer_s(size)
+        self._waiting_since = self._clock() + transfer_s
+        settled = await self._append_until_answered(records, writer, size)
         if isinstance(settled.outcome, Appended):
             if not self._is_kept(writer, len(records), settled.outcome.end):
                 return NumberTaken(self._sequence)
-            duration_s = self._clock() - started_at
-            self._mean_append_s += APPEND_DURATION_SMOOTHING_FACTOR * (
-                duration_s - self._mean_append_s
-            )
             self._confirmed_at, self._answered_at = settled.sent_at, self._clock()
             self._has_appended = True
             self._success.set()
@@ -304,15 +310,20 @@
         return True
 
     async def _append_until_answered(
-        self, records: t.Sequence[Record], writer: Writer
+        self, records: t.Sequence[Record], writer: Writer, size: int
     ) -> "_Settled":
-        """Repeat the append until the store answers."""
+        """Repeat the append until the store answers.
+
+        :param size: its bytes.
+        """
         settled: list[_Settled] = []
         started_at = self._clock()
         repeat_delay_s = max(
-            MIN_REPEAT_DELAY_S, REPEAT_DELAY_FACTOR * self._mean_append_s
+            MIN_REPEAT_DELAY_S, REPEAT_DELAY_FACTOR * self._pace.short_s
         )
+        repeat_delay_s += TRANSFER_FACTOR * self._pace.transfer_s(size)
         open_attempts = 0
+        first_attempt = self.appends + 1
         attempt_ended = anyio.Event()
 
         async def attempt() -> None:
@@ -320,12 +331,15 @@
             open_attempts += 1
             sent_at = self._clock()
             self.appends += 1
-            outcome = await self._store.append(
-                self._topic, records, writer, APPEND_TIMEOUT_S
-            )
+            first = self.appends == first_attempt
+            transfer_s = TIMEOUT_TRANSFER_FACTOR * self._pace.transfer_s(size)
+            timeout_s = APPEND_TIMEOUT_S + transfer_s
+            outcome = await self._store.append(self._topic, records, writer, timeout_s)
             open_attempts -= 1
             if not isinstance(outcome, StoreUnavailable):
                 settled.append(_Settled(outcome, sent_at))
+                if first:
+                    self._pace.record_answered(size, self._clock() - sent_at)
             else:
                 self._on_unanswered(outcome.reason, self._clock() - started_at)
                 await anyio.sleep(RETRY_INTERVAL_S)
@@ -340,8 +354,11 @@
                     await attempt_ended.wait()
                 attempt_ended = anyio.Event()
                 if not settled and open_attempts:
+                    self._pace.record_late(size)
                     self._on_unanswered("no answer yet", self._clock() - started_at)
-                repeat_delay_s = min(APPEND_TIMEOUT_S, repeat_delay_s * 2)
+                repeat_delay_s = min(
+                    max(APPEND_TIMEOUT_S, repeat_delay_s), repeat_delay_s * 2
+                )
             attempts.cancel_scope.cancel()
         return settled[0]
 
@@ -356,13 +373,13 @@
     sent_at: float
 
 
-def _split_batches(records: list[Record], max_bytes: int) -> t.Iterator[list[Record]]:
-    """Split records into batches of up to ``max_bytes``; yields at least one batch."""
+def _split_batches(records: list[Record], pace: AppendPace) -> t.Iterator[list[Record]]:
+    """Split records into batches that the link carries soon; yields at least one."""
     batch: list[Record] = []
     size = 0
     for record in records:
         length = record.size + RECORD_PREFIX_BYTES
-        if batch and size + length > max_bytes:
+        if batch and size + length > pace.batch_bytes:
             yield batch
             batch, size = [], 0
         batch.append(record)
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -95,6 +95,7 @@
             connections=settings.max_files - RESERVED_FILES,
             call_bytes=settings.call_bytes,
             record_bytes=settings.record_bytes,
+            link_bytes_per_s=settings.link_bytes_per_s,
             off=off,
             hall=settings.hall,
             areas=settings.areas,
--- a/src/granitetrestle/platform/settings.py
+++ b/src/granitetrestle/platform/settings.py
@@ -4,6 +4,7 @@
 import pathlib
 import typing as t
 
+from ..appendpace import DEFAULT_LINK_BYTES_PER_S
 from ..errors import SettingsError
 from ..settings import Address
 
@@ -12,6 +13,8 @@
 BOOT_VARIABLE: t.Final = "GRANITETRESTLE_BOOT"
 # Lists mechanisms to switch off, for measurements.
 OFF_VARIABLE: t.Final = "GRANITETRESTLE_SWITCHED_OFF"
+# One megabit per second, in bytes per second.
+MBPS: t.Final = 125_000.0
 
 
 class PlatformSettings(t.NamedTuple):
@@ -27,6 +30,7 @@
     :param advice: address of the service that says what boxes may run a step, if any.
     :param max_files: maximum of open descriptors.
     :param writes_per_s: maximum of appends to the store per second, by all processes.
+    :param link_bytes_per_s: bandwidth of the link of its machine.
     """
 
     node: str
@@ -45,6 +49,7 @@
     grace_s: float
     drain_s: float
     config_apply_s: float
+    link_bytes_per_s: float
     memory_mb: int
     max_files: int
     cores: float
@@ -95,6 +100,8 @@
             grace_s=self._number("bounds.grace_s", 6.0),
             drain_s=self._number("bounds.drain_ms", 2000) / 1000.0,
             config_apply_s=self._number("bounds.config_apply_ms", 2000) / 1000.0,
+            link_bytes_per_s=self._number("limits.link_mbps", 0.0) * MBPS
+            or DEFAULT_LINK_BYTES_PER_S,
             memory_mb=int(self._number("limits.memory_mb", 300)),
             max_files=int(self._number("limits.max_fds", 4100)),
             cores=self._number("limits.cpu_share", 1.0)
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -112,6 +112,7 @@
             parameters.call_bytes,
             self._leader_mark,
             claim.sent_at,
+            parameters.link_bytes_per_s,
         )
         self._state_reader = StateReader(sources.store, claim, log)
         self._lag = LoopLag(steadyclock.now)
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .appendpace import DEFAULT_LINK_BYTES_PER_S
 from .boxes import BoxView
 from .boxindex import BoxIndex
 from .boxindex import EligibleBoxes
@@ -62,6 +63,7 @@
     :param connections: maximum number of open connections of a process.
     :param call_bytes: maximum size of a call to the store.
     :param record_bytes: maximum size of a record in the store.
+    :param link_bytes_per_s: bandwidth of the link of this process.
     :param off: disabled mechanisms.
     :param hall: data hall of this process.
     :param areas: data hall -> its area.
@@ -75,6 +77,7 @@
     connections: int = 3900
     call_bytes: int = 2_097_152
     record_bytes: int = DEFAULT_MAX_RECORD_BYTES
+    link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
     off: frozenset[Mechanism] = frozenset()
     hall: str = ""
     areas: t.Mapping[str, str] = types.MappingProxyType({})
