An answer that arrives slowly is not given up, as long as it arrives

Cause: a page had 2 s in all, of which none was over when the bytes of the first one had come. The same for whatever else has a size and a fixed time: polls (each answer holds the checkpoints of all tasks), starts that carry a checkpoint, the identity request before them, reads of the configuration.

Change: such calls count their timeout from the newest part of the answer, up to the time that an eighth of the link needs for it. Requests with a body get the time for that. What never begins or stops is given up as before.

Evidence: thin_links.feature, on: with 0.6 MB at 2 Mbit/s the take-over fails, a box with 4 checkpoints of 80,000 characters is silent, a start with 200,000 is never carried out.

--- a/features/thin_links.feature
+++ b/features/thin_links.feature
@@ -4,6 +4,22 @@
   once the jobs filled a page of half a megabyte, and tasks whose checkpoints had grown to
   40,000 characters were not started again after their box was lost.
 
+  Scenario Outline: A process takes over though a page takes longer than its timeout
+    Given a store with <mb> MB of submissions behind a link of <mbps> Mbit/s
+    When a process takes over through the link
+    Then it leads with all jobs after at most <seconds> seconds
+
+    Examples:
+      | mb  | mbps | seconds |
+      | 0.6 | 2    | 4.5     |
+      | 1.2 | 10   | 2.5     |
+      | 3   | 200  | 2.5     |
+
+  Scenario: An answer that stops is given up as soon as one that never comes
+    Given a store with 0.6 MB of submissions behind a link of 2 Mbit/s
+    When a process takes over through the link, which carries nothing after 1 second
+    Then it gives up 4 to 5 seconds after that
+
   Scenario Outline: What a leader decides reaches the store, and confirms it meanwhile
     Given a store behind a link of <mbps> Mbit/s
     When a leader writes <count> records of <size> bytes at once
@@ -32,3 +48,23 @@
       | mbps |
       | 2    |
       | 200  |
+
+  Scenario: A box whose answer is long is not taken for silent
+    Given a box behind a link of 2 Mbit/s whose tasks have 4 checkpoints of 80000 characters
+    When it is polled
+    Then all checkpoints are known
+
+  Scenario: A start with a long checkpoint is not given up on its way
+    Given a box behind a link of 2 Mbit/s whose tasks have 4 checkpoints of 80000 characters
+    When a task with a checkpoint of 200000 characters starts there
+    Then the box has carried out the start
+
+  Scenario: A box that never answers is silent as soon as on any link
+    Given a box behind a link of 2 Mbit/s that never answers
+    When it is polled
+    Then it is silent after 0.7 to 0.8 seconds
+
+  Scenario: A configuration that the link carries in more than a second stays in force
+    Given a store behind a link of 2 Mbit/s
+    When the configuration has 400000 bytes
+    Then it is read within 3 seconds
--- a/src/granitetrestle/calls.py
+++ b/src/granitetrestle/calls.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from .appendpace import DEFAULT_LINK_BYTES_PER_S
 from .connection import Connection
 from .connection import ConnectionLost
 from .connection import Response
@@ -24,6 +25,8 @@
 # No limit in practice: more than a process usually has descriptors for.
 DEFAULT_MAX_OPEN = 1_000_000
 DEFAULT_TIMEOUT_S = 2.0
+# An answer that takes more time than this share of the link would is given up.
+MIN_ANSWER_LINK_SHARE = 0.125
 REQUEST_ID = "x-request-id"
 REFUSED_HEADER = b"x-refused"
 
@@ -115,9 +118,15 @@
 
     :param max_open: maximum of open connections. Without a limit a process that calls
         thousands of boxes runs out of descriptors, and all its calls fail.
+    :param link_bytes_per_s: bandwidth of the link of this process.
     """
 
-    def __init__(self, max_open: int = DEFAULT_MAX_OPEN) -> None:
+    def __init__(
+        self,
+        max_open: int = DEFAULT_MAX_OPEN,
+        link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S,
+    ) -> None:
+        self._min_bytes_per_s = MIN_ANSWER_LINK_SHARE * link_bytes_per_s
         self._idle: dict[str, list[_Idle]] = {}
         self._max_open = max_open
         self._opening = 0
@@ -139,10 +148,13 @@
         method: str = "POST",
         limit: int = DEFAULT_MAX_ANSWER_BYTES,
         new: bool = False,
+        by_progress: bool = False,
     ) -> Reply | CallFailure:
         """Send one request to an address and read the whole answer.
 
         :param timeout_s: seconds after which the connection is closed.
+        :param by_progress: count the timeout from the newest part of the answer, while
+            it takes no more time than ``MIN_ANSWER_LINK_SHARE`` of the link would.
         :param limit: maximum length of the answer, in bytes.
         :param fresh: use a new connection, or one that was in use less than
             ``MAX_FRESH_IDLE_S`` ago.
@@ -152,9 +164,8 @@
         max_age_s = MAX_FRESH_IDLE_S if fresh else MAX_IDLE_S
         pooled = None if new else self._take_idle(address, max_age_s)
         request = Request(path, tuple(headers), body, method)
-        return await self._call(
-            _Exchange(address, address, request, limit), pooled, timeout_s
-        )
+        exchange = _Exchange(address, address, request, limit, timeout_s, by_progress)
+        return await self._call(exchange, pooled)
 
     async def call_party(
         self,
@@ -165,6 +176,7 @@
         limit: int = DEFAULT_MAX_ANSWER_BYTES,
         no_side_effects: bool = False,
         answer_identifies: bool = False,
+        by_progress: bool = False,
     ) -> Reply | CallFailure:
         """Send one request to a party, and to no other process at its address.
 
@@ -172,22 +184,36 @@
             that it reaches; if its answer identifies the sender too, no identity
             request goes before it.
         :param answer_identifies: whether the answer identifies its sender.
+        :param by_progress: as for :meth:`call`; also for the identity request.
         :returns: as :meth:`call`; the failure has the other process's answer, if any.
         """
         key = f"{address} {party.name}"
         verify_first = not (no_side_effects and answer_identifies)
         exchange = _Exchange(
-            key, address, request, limit, party, verify_first, answer_identifies
+            key,
+            address,
+            request,
+            limit,
+            timeout_s,
+            by_progress,
+            party,
+            verify_first,
+            answer_identifies,
         )
-        return await self._call(exchange, self._take_idle(key, MAX_IDLE_S), timeout_s)
+        return await self._call(exchange, self._take_idle(key, MAX_IDLE_S))
 
     async def _call(
-        self, exchange: "_Exchange", pooled: Connection | None, timeout_s: float
+        self, exchange: "_Exchange", pooled: Connection | None
     ) -> Reply | CallFailure:
         connection = pooled
         done = sent = False
         try:
-            with anyio.move_on_after(timeout_s):
+            with anyio.move_on_after(exchange.timeout_s) as scope:
+                extend = None
+                if exchange.by_progress:
+                    extend = _ProgressTimeout(
+                        scope, exchange.timeout_s, self._min_bytes_per_s
+                    )
                 if connection is None:
                     if not self._make_room():
                         return CallFailure(Proof(False, "too many connections"))
@@ -195,12 +221,12 @@
                     if isinstance(opened, CallFailure):
                         return opened
                     connection = opened
-                    failure = await exchange.verify_party(connection)
+                    failure = await exchange.verify_party(connection, extend)
                     if failure is not None:
                         return failure
                 sent = True
                 verified = connection is pooled or exchange.verify_first
-                outcome = await exchange.run(connection, verified)
+                outcome = await exchange.run(connection, verified, extend)
                 done = isinstance(outcome, Reply)
                 return outcome
             # All open connections may be dead, without a reset, while new ones work.
@@ -282,11 +308,34 @@
         return CallFailure(Proof(False, f"not connected: {error!r}"))
 
 
+class _ProgressTimeout:
+    """Extends the timeout of a call while parts of its answer arrive. A fixed timeout
+    fails every attempt at an answer that the link can't carry within it."""
+
+    def __init__(
+        self, scope: anyio.CancelScope, timeout_s: float, min_bytes_per_s: float
+    ) -> None:
+        self._scope = scope
+        self._timeout_s = timeout_s
+        self._min_bytes_per_s = min_bytes_per_s
+        self._started = anyio.current_time()
+        self._received = 0
+
+    def __call__(self, size: int) -> None:
+        """Record a part of the answer."""
+        self._received += size
+        longest_s = self._timeout_s + self._received / self._min_bytes_per_s
+        self._scope.deadline = min(
+            anyio.current_time() + self._timeout_s, self._started + longest_s
+        )
+
+
 class _Exchange(t.NamedTuple):
     """One request over one connection.
 
     :param key: pool key of the connection.
     :param limit: maximum length of the answer, in bytes.
+    :param by_progress: whether parts of the answer extend the timeout.
     :param verify_first: whether a new connection needs an identity request first.
     :param answer_identifies: whether the request's answer identifies its sender.
     """
@@ -295,11 +344,15 @@
     address: str
     request: Request
     limit: int
+    timeout_s: float
+    by_progress: bool
     party: Party | None = None
     verify_first: bool = False
     answer_identifies: bool = False
 
-    async def verify_party(self, connection: Connection) -> CallFailure | None:
+    async def verify_party(
+        self, connection: Connection, on_part: "_ProgressTimeout | None"
+    ) -> CallFailure | None:
         """Send the identity request over a new connection, if needed.
 
         :returns: a failure, or ``None`` if the request may be sent.
@@ -307,7 +360,7 @@
         if self.party is None or not self.verify_first:
             return None
         identity_request = _encode_request(self.address, self.party.identity_request())
-        reply = await _send(connection, identity_request)
+        reply = await _send(connection, identity_request, on_part)
         if isinstance(reply, CallFailure):
             return CallFailure(
                 Proof(False, f"no answer to the identity request: {reply.proof.detail}")
@@ -318,12 +371,18 @@
             Proof(False, "another process answers at the address"), other_reply=reply
         )
 
-    async def run(self, connection: Connection, verified: bool) -> Reply | CallFailure:
+    async def run(
+        self,
+        connection: Connection,
+        verified: bool,
+        on_part: "_ProgressTimeout | None",
+    ) -> Reply | CallFailure:
         """Send the request and return the whole answer.
 
         :param verified: whether the party has identified itself over the connection.
         """
-        reply = await _send(connection, _encode_request(self.address, self.request))
+        request = _encode_request(self.address, self.request)
+        reply = await _send(connection, request, on_part)
         if (
             self.party is None
             or not self.answer_identifies
@@ -348,12 +407,16 @@
     return b"".join((*lines, b"\r\n", request.body))
 
 
-async def _send(connection: Connection, request: bytes) -> Reply | CallFailure:
+async def _send(
+    connection: Connection,
+    request: bytes,
+    on_part: _ProgressTimeout | None,
+) -> Reply | CallFailure:
     # No byte of the request has been sent over a connection that closed while idle.
     if not connection.idle:
         return CallFailure(Proof(False, "the connection was closed while idle"))
     try:
-        response: Response = await connection.exchange(request)
+        response: Response = await connection.exchange(request, on_part)
     except ConnectionLost as error:
         return CallFailure(Proof(True, str(error)))
     reply = Reply(*response)
--- a/src/granitetrestle/connection.py
+++ b/src/granitetrestle/connection.py
@@ -45,6 +45,7 @@
         self._body: list[bytes] = []
         self._size = 0
         self._keep_alive = True
+        self._on_part: t.Callable[[int], None] | None = None
         self._parser: t.Any = None
         self.idle = False
 
@@ -68,6 +69,8 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"malformed answer: {error}")
+        if self._pending is not None and self._on_part is not None:
+            self._on_part(len(data))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; called by the parser."""
@@ -98,15 +101,19 @@
             pending.set_exception(ConnectionLost(reason))
         self.close()
 
-    async def exchange(self, request: bytes) -> Response:
+    async def exchange(
+        self, request: bytes, on_part: t.Callable[[int], None] | None = None
+    ) -> Response:
         """Send a request and return the whole answer.
 
+        :param on_part: called with the size of each part of the answer but the last.
         :raises ConnectionLost: if the connection fails before the answer is complete.
         """
         if not self.idle or self._transport is None or self._transport.is_closing():
             raise ConnectionLost("the connection is not open")
         self.idle = False
         self._headers, self._body, self._size = [], [], 0
+        self._on_part = on_part
         self._parser = httptools.HttpResponseParser(self)
         self._pending = asyncio.get_running_loop().create_future()
         self._transport.write(request)
--- a/src/granitetrestle/interfaces.py
+++ b/src/granitetrestle/interfaces.py
@@ -181,6 +181,7 @@
         are no snapshot; :mod:`.newestread` reads all of them.
 
         :param after: last key of the previous page; ``None`` for the first page.
+        :param timeout_s: seconds without any progress of the answer.
         """
 
     @abc.abstractmethod
--- a/src/granitetrestle/newestread.py
+++ b/src/granitetrestle/newestread.py
@@ -17,8 +17,7 @@
 
 __all__ = ["NewestReader", "read_newest"]
 
-# A page has up to one megabyte, which the slowest links (10 Mbit/s) carry in one
-# second.
+# A page that makes no progress for this long has failed.
 PAGE_TIMEOUT_S: t.Final = 5.0
 PAGE_RETRY_INTERVAL_S: t.Final = 0.1
 # Failed attempts in a row at one page, after which this process gives up: another one
@@ -51,7 +50,7 @@
     async def read_pages(self, timeout_s: float) -> NewestRecords | NewestUnavailable:
         """Read up to the last page, or to one that fails.
 
-        :param timeout_s: timeout of each page.
+        :param timeout_s: seconds without progress after which a page has failed.
         """
         while True:
             page = await self._store.newest_page(self._topic, self._after, timeout_s)
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..appendpace import DEFAULT_LINK_BYTES_PER_S
 from ..calls import Caller
 from ..calls import CallFailure
 from ..calls import Party
@@ -34,6 +35,8 @@
 # A box answers within about 3 ms; over a slow link between halls, or when the box that
 # runs this process is busy, it takes longer.
 COMMAND_TIMEOUT_S: t.Final = 0.4
+# A command with a long checkpoint gets the time that this share of the link needs for it.
+COMMAND_LINK_SHARE: t.Final = 0.125
 # Added to the time that a long poll may wait.
 POLL_TIMEOUT_S: t.Final = 0.7
 OK: t.Final = 200
@@ -185,10 +188,15 @@
     """Calls boxes over HTTP.
 
     Each call reaches only the incarnation that it is for.
+
+    :param link_bytes_per_s: bandwidth of the link of this process.
     """
 
-    def __init__(self, caller: Caller) -> None:
+    def __init__(
+        self, caller: Caller, link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
+    ) -> None:
         self._caller = caller
+        self._command_bytes_per_s = COMMAND_LINK_SHARE * link_bytes_per_s
 
     async def poll(
         self,
@@ -216,6 +224,7 @@
             limit=MAX_ANSWER_BYTES,
             no_side_effects=not acknowledged and lease_ends_ms is None,
             answer_identifies=True,
+            by_progress=True,
         )
         if isinstance(reply, CallFailure):
             return _failure_outcome(reply)
@@ -264,8 +273,14 @@
     ) -> CommandOutcome:
         party = _Incarnation(command.incarnation, token)
         request = Request(path, party.headers, _encode(body))
+        transfer_s = len(request.body) / self._command_bytes_per_s
         reply = await self._caller.call_party(
-            party, command.address, request, COMMAND_TIMEOUT_S, limit=MAX_ANSWER_BYTES
+            party,
+            command.address,
+            request,
+            COMMAND_TIMEOUT_S + transfer_s,
+            limit=MAX_ANSWER_BYTES,
+            by_progress=True,
         )
         if isinstance(reply, CallFailure):
             return _failure_outcome(reply)
--- a/src/granitetrestle/platform/process.py
+++ b/src/granitetrestle/platform/process.py
@@ -63,7 +63,7 @@
         advisor = PlatformAdvisor(str(settings.advice), caller)
     return Sources(
         store=PlatformStore(str(settings.store), caller),
-        boxes=PlatformBoxes(caller),
+        boxes=PlatformBoxes(caller, settings.link_bytes_per_s),
         config_topic=CONFIG_TOPIC,
         box_topic=BOX_TOPIC,
         decode_operator=front.decode_directive,
@@ -134,7 +134,10 @@
     metrics: NodeMetrics,
     signals: StopSignals,
 ) -> None:
-    caller = Caller(int((settings.max_files - RESERVED_FILES) * CALL_CONNECTIONS_SHARE))
+    caller = Caller(
+        int((settings.max_files - RESERVED_FILES) * CALL_CONNECTIONS_SHARE),
+        settings.link_bytes_per_s,
+    )
     node = _node(settings, off, caller, log, metrics)
     stopping = False
     ready = settings.ready.port if settings.ready is not None else 0
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -204,6 +204,7 @@
             method=method,
             limit=MAX_ANSWER_BYTES,
             new=new,
+            by_progress=True,
         )
         if isinstance(reply, CallFailure):
             proof = reply.proof
--- a/src/granitetrestle/succession.py
+++ b/src/granitetrestle/succession.py
@@ -34,13 +34,12 @@
 
 JOBS_TOPIC: t.Final = "keyed.jobs"
 CLAIM_TIMEOUT_S: t.Final = 1.0
-# A page has up to one megabyte, which the slowest links (10 Mbit/s) carry in one
-# second.
+# A page that makes no progress for this long has failed.
 PAGE_TIMEOUT_S: t.Final = 2.0
 # Wait before a failed page, or an incomplete read, is read again.
 READ_RETRY_INTERVAL_S: t.Final = 0.1
-# After this many failed attempts at one page, or this time without a new page, this
-# process gives up: another one may have a better connection to the store.
+# After this many failed attempts at one page, or this time since it last made progress,
+# this process gives up: another one may have a better connection to the store.
 MAX_PAGE_ATTEMPTS: t.Final = 20
 PAGE_PROGRESS_TIMEOUT_S: t.Final = 4.0
 # Records that are missing for this long count as lost: a longer wait would leave the
@@ -157,6 +156,9 @@
             now = time.monotonic()
             if outcome.pages > pages:
                 pages, attempts, since = outcome.pages, 0, now
+            if not attempts:
+                # The first attempt may have made progress until a timeout ago.
+                since = max(since, now - PAGE_TIMEOUT_S)
             attempts += 1
             if attempts >= MAX_PAGE_ATTEMPTS or now - since > PAGE_PROGRESS_TIMEOUT_S:
                 return StateUnavailable(*outcome)
