A change of a task does not write the checkpoints of all tasks of its group

What callers saw: behind the appends that a thin link could not carry were 600,000 bytes for the loss of one box: the checkpoints of 16 tasks, of which 4 ran there.

Cause: the record of a group holds all its rows, and where it is too long, each checkpoint above 8,000 characters was written anew if it had grown since. Those of running tasks grow all the time, and no start needs them: the box lists them.

Change: a group is split into rows and single checkpoints above 32 KB, not only above the limit of the store. The checkpoint of a task that runs stays as it is stored until the task waits or starts again. A loss of box and leader at once costs the progress since then, as it did for every group that had not changed meanwhile. Older builds read all of it.

--- a/features/long_records.feature
+++ b/features/long_records.feature
@@ -12,6 +12,21 @@
     When all their boxes are lost, and one of the tasks changes
     Then less than 10000 bytes are written for that
 
+  Scenario: The loss of a box writes the checkpoints of its tasks, and no others
+    At each change of a task, those of all tasks of its group were written: on a thin link
+    the leader was without the store for seconds, was replaced, and so was each successor.
+    Given 16 long-running tasks whose checkpoints have 40000 characters each
+    When one of their boxes is lost
+    Then less than 200000 bytes are written for that
+    And a successor knows the checkpoints of the 4 tasks that ran there
+
+  Scenario: A checkpoint that was stored stays so while its task runs on
+    Given 16 long-running tasks whose checkpoints have 40000 characters each
+    When one of their boxes is lost, and its tasks run on with longer checkpoints
+    And another box is lost
+    Then less than 200000 bytes are written for that
+    And a successor knows an earlier checkpoint of each task that was started again
+
   Scenario: A checkpoint that shrinks is in its task's record again, and no other is left
     Given 16 long-running tasks whose checkpoints have 40000 characters each
     When all their boxes are lost, and checkpoints of 100 characters follow
--- a/features/steps/long_record_steps.py
+++ b/features/steps/long_record_steps.py
@@ -1,6 +1,7 @@
 """Steps for records whose length depends on what client accounts send."""
 
 import collections
+import unittest.mock
 
 from behave import given
 from behave import then
@@ -99,6 +100,16 @@
         self.scheduler.fleet.update_boxes({}, self.now)
         self.topic.write(self.scheduler.take_writes())
 
+    def lose_one(self):
+        """Lose a box with tasks; returns their names, and the bytes written."""
+        incarnation = next(name for name, runs in self.runs.items() if runs)
+        lost = set(self.runs.pop(incarnation))
+        self.now += 0.01
+        self.scheduler.fleet.handle_poll_outcome(
+            incarnation, self.now, self.now, BoxReplaced()
+        )
+        return lost, self.topic.write(self.scheduler.take_writes())
+
     def tasks(self):
         """Return the tasks of the job."""
         return list(self.scheduler.state.workflows[JOB].tasks.values())
@@ -114,9 +125,14 @@
     "16 long-running tasks whose checkpoints have {size:d} characters each",
 )
 def tasks_with_checkpoints(context, size):
-    leader = context.leader = Leader(4)
+    leader = context.leader = Leader(5)
     step = Step(
-        count=TASKS, cpu=100, memory_mb=1, checkpointing=True, long_running=True
+        count=TASKS,
+        cpu=100,
+        memory_mb=1,
+        checkpointing=True,
+        per_box=4,
+        long_running=True,
     )
     leader.scheduler.handle_call(
         "r", SubmitJob(Submission(JOB, "q", "pool", "", (step,))), 0.1
@@ -160,6 +176,48 @@
     assert not wrong, wrong
 
 
+@when("one of their boxes is lost")
+def one_box_lost(context):
+    context.lost, context.written = context.leader.lose_one()
+    assert len(context.lost) == 4, context.lost
+
+
+@then("a successor knows the checkpoints of the 4 tasks that ran there")
+def knows_those_lost(context):
+    tasks = successor(context).state.workflows[JOB].tasks.values()
+    known = {t.name for t in tasks if t.checkpoint == t.name + context.checkpoint}
+    assert known >= context.lost, known
+
+
+@when("one of their boxes is lost, and its tasks run on with longer checkpoints")
+def run_on(context):
+    leader = context.leader
+    context.restarted, _ = leader.lose_one()
+    for _ in range(20):
+        leader.decide()
+    context.earlier = context.checkpoint
+    context.checkpoint += "." * 1000
+    for incarnation in list(leader.runs):
+        leader.poll(incarnation, context.checkpoint)
+    running = {name for runs in leader.runs.values() for name in runs}
+    assert len(running) == TASKS, running
+
+
+@when("another box is lost")
+def another_box_lost(context):
+    context.lost, context.written = context.leader.lose_one()
+
+
+@then("a successor knows an earlier checkpoint of each task that was started again")
+def knows_earlier(context):
+    tasks = successor(context).state.workflows[JOB].tasks
+    for task in tasks.values():
+        if task.name in context.lost:
+            assert task.checkpoint == task.name + context.checkpoint
+        elif task.name in context.restarted:
+            assert task.checkpoint == task.name + context.earlier
+
+
 @when("all their boxes are lost, and one of the tasks changes")
 def one_changes(context):
     leader = context.leader
@@ -201,7 +259,8 @@
     topic = context.leader.topic
     records = tuple(r for r in topic.records() if r.key.startswith(OLDER_KINDS))
     parameters = context.leader.world.parameters._replace(record_bytes=10**9)
-    older = Scheduler(parameters, 0.0)
+    with unittest.mock.patch("granitetrestle.jobrecords.MAX_GROUP_BYTES", 10**9):
+        older = Scheduler(parameters, 0.0)
     assert not older.restore(records, 0.0)
     return older
 
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -6,8 +6,9 @@
 rows.
 
 The store takes no record above a limit, and checkpoints may have any length. Where the
-rows of a group are too long for one record, its long checkpoints get records of their
-own; see :mod:`.longcheckpoints`."""
+rows of a group would make a long record, its long checkpoints get records of their own;
+see :mod:`.longcheckpoints`. Those of tasks that run are not written again with each
+change of another task: boxes list them, and a start needs those of tasks that wait."""
 
 import collections
 import typing as t
@@ -52,6 +53,8 @@
 # records for a job: a page of the store has 500 records, and a successor reads all
 # pages.
 GROUP_TASKS: t.Final = 16
+# Above this, the long checkpoints of a group get records of their own.
+MAX_GROUP_BYTES: t.Final = 32_768
 # Used where the settings name no limit.
 DEFAULT_MAX_RECORD_BYTES: t.Final = 262_144
 TERMINAL_STATES: t.Final = frozenset({"completed", "failed", "cancelled"})
@@ -74,10 +77,6 @@
         place = f"{self.occurrence}.{self.step}.{self.number}"
         return f"{GROUP_KEY}{self.job}/{place}"
 
-    def task(self, index: int) -> str:
-        """Return the name of one of the tasks."""
-        return f"{self.job}.{self.occurrence}.{self.step}.{index}"
-
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
     """A task that was started; the fields after the state are only set until it is
@@ -189,7 +188,7 @@
         self, time: ShardTime, record_bytes: int = DEFAULT_MAX_RECORD_BYTES
     ) -> None:
         self._time = time
-        self._record_bytes = record_bytes
+        self._group_bytes = min(record_bytes, MAX_GROUP_BYTES)
         self._checkpoints = LongCheckpoints(record_bytes)
         self._accepted: dict[str, Workflow] = {}
         self._groups: dict[GroupId, Workflow] = {}
@@ -274,30 +273,46 @@
         The records may be split over two appends. So a checkpoint gets a record of its
         own before the group's record is without it, and loses it after that holds it.
         """
-        rows = _rows(group, workflow, self._time)
+        tasks = _begun_tasks(group, workflow)
+        rows = [_task_row(task, self._time) for task in tasks]
         record = Record(group.key, _encode(rows))
-        fits = record.size <= self._record_bytes
-        if fits and group.job not in self._checkpoints:
-            return [record]
-        tasks = {row.index: group.task(row.index) for row in rows}
-        if fits:
-            return [record, *self._checkpoints.drop(tasks.values())]
-        longest = self._record_bytes // (2 * GROUP_TASKS)
-        long = {
-            row.index: row.checkpoint
-            for row in rows
-            if len(row.checkpoint.encode()) > longest
-        }
-        shortened = [
-            msgspec.structs.replace(row, checkpoint="") if row.index in long else row
-            for row in rows
-        ]
-        records = self._checkpoints.put({tasks[n]: text for n, text in long.items()})
-        records.append(Record(group.key, _encode(shortened)))
-        records += self._checkpoints.drop(
-            task for index, task in tasks.items() if index not in long
-        )
-        return records
+        fits = record.size <= self._group_bytes
+        dropped: list[Task] = []
+        records: list[Record] = []
+        if not fits:
+            rows, separate, dropped = self._separate(rows, tasks)
+            records = self._checkpoints.put(separate)
+            record = Record(group.key, _encode(rows))
+        elif group.job in self._checkpoints:
+            dropped = tasks
+        for task, row in zip(tasks, rows, strict=True):
+            task.row_checkpoint = row.checkpoint
+        records.append(record)
+        return records + self._checkpoints.drop(task.name for task in dropped)
+
+    def _separate(
+        self, rows: list[TaskRow], tasks: list[Task]
+    ) -> tuple[list[TaskRow], dict[str, str], list[Task]]:
+        """Return the rows of a group without long checkpoints, the checkpoints that get
+        records of their own, by task, and the tasks that need no such record."""
+        longest = self._group_bytes // (2 * GROUP_TASKS)
+        shortened: list[TaskRow] = []
+        separate: dict[str, str] = {}
+        unneeded: list[Task] = []
+        for task, row in zip(tasks, rows, strict=True):
+            text = row.checkpoint
+            if not _is_longer(text, longest):
+                unneeded.append(task)
+            elif task.state in (RUNNING, STOPPING) and not _is_longer(
+                task.row_checkpoint, longest
+            ):
+                # What is stored of it stays.
+                text = task.row_checkpoint
+            else:
+                separate[task.name] = text
+                text = ""
+            shortened.append(msgspec.structs.replace(row, checkpoint=text))
+        return shortened, separate, unneeded
 
     def _drop_details(self, job: str) -> list[Record]:
         keys = [SUBMISSION_KEY + job, PROGRESS_KEY + job]
@@ -306,14 +321,19 @@
         return dropped + self._checkpoints.drop_job(job)
 
 
-def _rows(group: GroupId, workflow: Workflow, time: ShardTime) -> list[TaskRow]:
+def _begun_tasks(group: GroupId, workflow: Workflow) -> list[Task]:
+    """Return the tasks of a group that were started."""
     first = group.number * GROUP_TASKS
     count = workflow.submission.steps[group.step].count
     tasks = (
         workflow.tasks[(group.occurrence, group.step, index)]
         for index in range(first, min(first + GROUP_TASKS, count))
     )
-    return [_task_row(task, time) for task in tasks if task.run]
+    return [task for task in tasks if task.run]
+
+
+def _is_longer(text: str, size: int) -> bool:
+    return len(text.encode()) > size
 
 
 class Restored(t.NamedTuple):
@@ -468,7 +488,7 @@
 def _restore_task(task: Task, row: ObservedRow, time: ShardTime, now: float) -> None:
     task.run = row.run
     task.failed_runs = frozenset(row.failed_runs)
-    task.checkpoint = row.checkpoint
+    task.checkpoint = task.row_checkpoint = row.checkpoint
     task.suspicion = row.suspicion
     task.likely_crashes = row.likely_crashes
     task.workflow.begun = True
--- a/src/granitetrestle/longcheckpoints.py
+++ b/src/granitetrestle/longcheckpoints.py
@@ -1,7 +1,7 @@
 """Checkpoints that have a record of their own.
 
 The store takes no record above a limit, and a checkpoint may have any length. So where
-the rows of a group of tasks are too long for one record, the long checkpoints are stored
+the rows of a group of tasks would make a long record, the long checkpoints are stored
 one by one, under keys that older versions ignore: these read the rows as before, and go
 on from the checkpoints that boxes list.
 
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -117,6 +117,8 @@
     :ivar proven: whether the store says that its run was observed running for long.
     :ivar likely_crashes: how many of these boxes it had provably just started on, while
         no other boxes were lost.
+    :ivar row_checkpoint: the checkpoint in its record in the store, which may be an
+        earlier one.
     :ivar idle_since: since when no run of it runs: when its last one ended, at the
         latest, or before the first when it was enqueued; 0 before that.
     :ivar done_at: time at which it was done, in seconds on the steady clock.
@@ -138,6 +140,7 @@
         "pace",
         "paced_at",
         "proven",
+        "row_checkpoint",
         "run",
         "running_since",
         "sent",
@@ -174,6 +177,7 @@
         self.likely_crashes = 0
         self.proven = False
         self.checkpoint = ""
+        self.row_checkpoint = ""
         self.started_at = 0.0
         self.confirmed_at = 0.0
         self.stop_sent_at = 0.0
