A leader that was replaced leaves its successor time to take over

What callers saw: after a take-over on a thin link a second one, and a third: two processes replaced each other while each of them read the state, 6 s without a leader.

Cause: a leader that the store fences knows no leader then, and counted the time since the last report of one from when its own epoch began. So it was due again at once.

Change: it counts from when it learned that it was replaced.

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -31,6 +31,12 @@
     Given a process that the store names as the last leader
     Then it takes over without waiting for a report of that leader
 
+  Scenario: A leader that was replaced leaves its successor time to take over
+    It tried again at once, while its successor read the state, and replaced it in turn.
+    Given a leader that hears from the store that another process has taken over
+    Then it doesn't try to take over within 0.7 seconds
+    And it does after 6 seconds if nobody reports as the leader
+
   Scenario: A silent leader is replaced by the first of its successors
     Given two successors of a leader that became silent
     Then the first is due at once and the second only after the first had time to take over
--- a/features/steps/leadership_steps.py
+++ b/features/steps/leadership_steps.py
@@ -179,3 +179,25 @@
     assert leadership.rank_successors(1.4) == ("n2",), "the ready one goes first"
     assert leadership.rank_successors(9.0) == (), "no peer reports any more"
     assert leadership.unready_successors(9.0) == (), "no peer reports any more"
+
+
+@given("a leader that hears from the store that another process has taken over")
+def superseded(context):
+    leadership = context.leadership = Leadership("n1", 0.0, 0.5)
+    leadership.record_take_over(5, 10.0)
+    for tick in range(20):
+        leadership.record_report(status("n2", 5, "n1"), 16.0 + tick * 0.4)
+    context.superseded_at = 24.0
+    leadership.record_deposed(context.superseded_at)
+
+
+@then("it doesn't try to take over within {seconds:g} seconds")
+def leaves_alone(context, seconds):
+    at = context.superseded_at
+    assert not context.leadership.is_take_over_due(at + 0.1)
+    assert not context.leadership.is_take_over_due(at + seconds)
+
+
+@then("it does after {seconds:g} seconds if nobody reports as the leader")
+def tries_again(context, seconds):
+    assert context.leadership.is_take_over_due(context.superseded_at + seconds)
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -204,10 +204,16 @@
         self._led_in_earlier_incarnation = False
         self._attempt_pending = False
 
-    def record_deposed(self) -> None:
-        """Record that this process no longer leads; the new leader is not known yet."""
+    def record_deposed(self, superseded_at: float | None = None) -> None:
+        """Record that this process no longer leads; the new leader is not known yet.
+
+        :param superseded_at: when it learned that another process has taken over, if so.
+            That one is left undisturbed as if it had reported then.
+        """
         if self._leader == self._node:
             self._leader = ""
+            if superseded_at is not None:
+                self._leader_reported_at = superseded_at
 
     def record_report(self, status: NodeStatus, now: float) -> None:
         """Record a report of another process."""
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -439,7 +439,9 @@
         self._session = None
         self._session_scope = None
         self._serving = False
-        self._leadership.record_deposed()
+        self._leadership.record_deposed(
+            time.monotonic() if session.superseded else None
+        )
         self._leader_changed()
 
     def _begin_serving(self) -> None:
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -139,6 +139,7 @@
         # Whether the predecessor's state is restored, so that this session decides.
         self._deciding = False
         self._over = False
+        self._superseded = False
         # Newest epoch that other processes are known to follow.
         self._newest_epoch = claim.epoch
 
@@ -192,6 +193,11 @@
         """Whether the store knows that this leader has resigned."""
         return self._journal.resignation_kept
 
+    @property
+    def superseded(self) -> bool:
+        """Whether this session has ended because another process has taken over."""
+        return self._superseded
+
     @property
     def store_unavailable(self) -> bool:
         """Whether an append has waited too long for the store."""
@@ -280,7 +286,7 @@
 
     def _step_down(self, where: str, met: str = "Fenced") -> None:
         if not self._over:
-            self._over = True
+            self._over = self._superseded = True
             self._log.event(
                 "stepped_down", epoch=self._epoch, met_newer_epoch=where, met=met
             )
