Calls are not forwarded to a leader that takes over, and few at a time to one that serves

Cause: the processes forwarded every call to the process that took over, and again each 0.6 s, though it can answer none: 200 of the 250 KB that its link carries in a second, beside the pages that it read (a trial that counted them). Once it served, the store's answer to its first append, 49 bytes, came 1.3 s later behind calls: it counted as without the store and was replaced by one that met the same.

Change: a status report says whether the leader still takes over; relays pass it on. Calls wait meanwhile: 0.9 s if nobody may have accepted them, then they are refused with a time to retry; else until the leader serves. And each process has no more under way to the leader than its part of what the link carries in 0.25 s; the others wait their turn as long. The field is new and at the end of the report; older builds ignore it and do as before.

--- a/features/steps/answering_steps.py
+++ b/features/steps/answering_steps.py
@@ -11,6 +11,7 @@
 from granitetrestle.forwarding import ClientCall
 from granitetrestle.forwarding import Forwarding
 from granitetrestle.forwarding import Target
+from granitetrestle.forwardwindow import ForwardWindow
 from granitetrestle.messages import CallAnswered
 
 REFUSED, OUTCOME_UNKNOWN = 503, 504
@@ -21,7 +22,7 @@
 
     def __init__(self):
         self.forwarding = Forwarding(
-            "me", "127.0.0.1:1", self.send, self.answer_locally
+            "me", "127.0.0.1:1", self.send, self.answer_locally, ForwardWindow(1e9)
         )
         self.target = Target("leader", 1)
         self.answers = False
--- a/features/steps/part_steps.py
+++ b/features/steps/part_steps.py
@@ -20,6 +20,7 @@
 from granitetrestle.forwarding import Deposed
 from granitetrestle.forwarding import Forwarding
 from granitetrestle.forwarding import Target
+from granitetrestle.forwardwindow import ForwardWindow
 from granitetrestle.interfaces import Config
 from granitetrestle.interfaces import Queue
 from granitetrestle.interfaces import Record
@@ -191,7 +192,9 @@
     def __init__(self):
         self.sent = []
         self.leader = None
-        self.forwarding = Forwarding("me", "127.0.0.1:1", self.send, self.here)
+        self.forwarding = Forwarding(
+            "me", "127.0.0.1:1", self.send, self.here, ForwardWindow(1e9)
+        )
 
     def send(self, node, message):
         self.sent.append((node, message))
--- a/src/granitetrestle/forwarding.py
+++ b/src/granitetrestle/forwarding.py
@@ -10,6 +10,7 @@
 import anyio
 
 from .answering import AnswerWatch
+from .forwardwindow import ForwardWindow
 from .messages import CallAnswered
 from .messages import CallForwarded
 from .messages import Message
@@ -17,7 +18,8 @@
 __all__ = ["ClientAnswer", "ClientCall", "Deposed", "Forwarding", "Target"]
 
 # A handover takes some 0.2 s and a take-over after a kill about a second. A client that
-# would wait longer is refused and retries.
+# would wait longer is refused and retries: for a leader, until one that takes over
+# answers, or until it is its turn.
 LEADER_WAIT_TIMEOUT_S: t.Final = 0.9
 RETRY_AFTER_S: t.Final = 1
 # A request without an answer is sent again: messages may be lost.
@@ -59,10 +61,14 @@
 
 
 class Target(t.NamedTuple):
-    """A leader in one epoch."""
+    """A leader in one epoch.
+
+    :param taking_over: whether it answers no requests yet.
+    """
 
     node: str
     epoch: int
+    taking_over: bool = False
 
 
 class _PendingCall:
@@ -84,6 +90,7 @@
     :param address: IP:PORT at which peers reach this process.
     :param send: sends a message to a process; returns whether it was queued.
     :param answer_locally: answers a request as the leader.
+    :param window: limits the requests that are under way to the leader.
     """
 
     def __init__(
@@ -92,6 +99,7 @@
         address: str,
         send: t.Callable[[str, Message], bool],
         answer_locally: t.Callable[[ClientCall], t.Awaitable[ClientAnswer]],
+        window: ForwardWindow,
     ) -> None:
         self._node = node
         self._address = address
@@ -102,6 +110,7 @@
         self._numbers = itertools.count(secrets.randbits(REQUEST_NUMBER_BITS))
         self._pending: dict[int, _PendingCall] = {}
         self._answers = AnswerWatch()
+        self._window = window
         self._closed = False
 
     @property
@@ -122,6 +131,7 @@
     def record_answer(self, message: CallAnswered) -> None:
         """Record a leader's answer."""
         self._answers.record_answer(message.number)
+        self._window.leave(message.number)
         pending = self._pending.get(message.number)
         if pending is not None and pending.answer is None:
             pending.answer = ClientAnswer(
@@ -149,6 +159,7 @@
         finally:
             del self._pending[number]
             self._answers.remove(number)
+            self._window.leave(number)
         if not attempts:
             return _refusal()
         return ClientAnswer(
@@ -164,8 +175,8 @@
         leader: t.Callable[[], Target | None],
         attempts: list[Target],
     ) -> ClientAnswer | None:
-        started = time.monotonic()
-        unreached_since: float | None = None
+        started = waiting_since = time.monotonic()
+        waits_for: Target | None = None
         while pending.answer is None and not self._closed:
             target = leader()
             now = time.monotonic()
@@ -173,36 +184,41 @@
                 # The process stood still; the timeout takes effect at the next wait.
                 return None
             pending.changed = anyio.Event()
-            if target is not None and target.node == self._node:
-                attempts.append(target)
-                try:
-                    return await self._answer_locally(call)
-                except Deposed:
-                    await anyio.sleep(RETRY_PAUSE_S)
-                    continue
-            if (
-                target is not None
-                and not attempts
-                and self._answers.should_refuse(target)
+            if target != waits_for:
+                waits_for, waiting_since = target, now
+            waits_for_turn = target is not None
+            pause_s = LEADER_WAIT_TIMEOUT_S / 3
+            if target is not None and not target.taking_over:
+                if target.node == self._node:
+                    attempts.append(target)
+                    try:
+                        return await self._answer_locally(call)
+                    except Deposed:
+                        await anyio.sleep(RETRY_PAUSE_S)
+                        continue
+                if not attempts and self._answers.should_refuse(target):
+                    after_s = self._answers.next_retry_after_s()
+                    return ClientAnswer(
+                        SERVICE_UNAVAILABLE,
+                        b"",
+                        after_s,
+                        "the leader answers no requests",
+                    )
+                size = len(call.body)
+                if self._window.enter(number, target, size, pending.changed.set):
+                    if self._forward(number, call, target, left_s - (now - started)):
+                        attempts.append(target)
+                        waiting_since = now
+                        await _wait_for_change(pending, RESEND_INTERVAL_S)
+                        continue
+                    # Only the connection to it is still being opened.
+                    waits_for_turn, pause_s = False, RETRY_PAUSE_S
+            # One that was sent before may have been accepted: only a leader knows.
+            if now - waiting_since > LEADER_WAIT_TIMEOUT_S and not (
+                attempts and waits_for_turn
             ):
-                after_s = self._answers.next_retry_after_s()
-                return ClientAnswer(
-                    SERVICE_UNAVAILABLE, b"", after_s, "the leader answers no requests"
-                )
-            if target is not None and self._forward(
-                number, call, target, left_s - (now - started)
-            ):
-                attempts.append(target)
-                unreached_since = None
-                await _wait_for_change(pending, RESEND_INTERVAL_S)
-                continue
-            unreached_since = unreached_since or now
-            if now - unreached_since > LEADER_WAIT_TIMEOUT_S:
                 return None
-            # With a target, only the connection to it is still being opened.
-            await _wait_for_change(
-                pending, RETRY_PAUSE_S if target else LEADER_WAIT_TIMEOUT_S / 3
-            )
+            await _wait_for_change(pending, pause_s)
         return pending.answer
 
     def _forward(
--- a/src/granitetrestle/leadership.py
+++ b/src/granitetrestle/leadership.py
@@ -98,6 +98,7 @@
         self._cut_off = False
         self._epoch = 0
         self._leader = ""
+        self._leader_taking_over = False
         self._leader_reported_at = now
         self._leader_store_lost_at: float | None = None
         self._leading_since = now
@@ -121,6 +122,11 @@
         """The leader in that epoch; empty if not known."""
         return self._leader
 
+    @property
+    def leader_taking_over(self) -> bool:
+        """Whether the leader has reported that it answers no requests yet."""
+        return self._leader_taking_over
+
     @property
     def newest_leader_report(self) -> tuple[int, float]:
         """The newest known epoch, and when its leader is last known to have
@@ -199,6 +205,7 @@
         self._epoch = epoch
         self._leading_since = now
         self._leader = node
+        self._leader_taking_over = False
         self._leader_reported_at = now
         self._leader_store_lost_at = None
         self._led_in_earlier_incarnation = False
@@ -223,10 +230,18 @@
             self.record_leader(status.epoch, status.node, now)
             if status.node == self._leader and status.epoch == self._epoch:
                 self._record_leader_report(status, now)
-        elif status.epoch > self._epoch:
-            self.record_leader(status.epoch, status.leader, now)
-        elif (status.epoch, status.leader) == (self._epoch, self._leader):
-            self._record_reported_age(status.leader_age_ms, now)
+        else:
+            if status.epoch > self._epoch:
+                self.record_leader(status.epoch, status.leader, now)
+            elif (status.epoch, status.leader) == (self._epoch, self._leader):
+                self._record_reported_age(status.leader_age_ms, now)
+            if (status.epoch, status.leader) == (self._epoch, self._leader):
+                self._record_relayed_state(status)
+
+    def _record_relayed_state(self, status: NodeStatus) -> None:
+        """Record what a relay says of the leader; relays hear it themselves."""
+        if not self._relaying:
+            self._leader_taking_over = status.leader_taking_over
 
     def _record_reported_age(self, age_ms: int | None, now: float) -> None:
         """Record how long ago a peer had heard the leader; ``None`` may mean long ago.
@@ -241,6 +256,7 @@
 
     def _record_leader_report(self, status: NodeStatus, now: float) -> None:
         self._leader_reported_at = now
+        self._leader_taking_over = status.taking_over
         self._successors = status.successors
         if status.store_ok:
             self._leader_store_lost_at = None
--- a/src/granitetrestle/messages.py
+++ b/src/granitetrestle/messages.py
@@ -188,6 +188,8 @@
         the subscription expires.
     :param asks_members: whether the receiver shall answer with the relays.
     :param members: the relays, if they were asked for.
+    :param leader_taking_over: whether the leader answers no requests yet, as far as the
+        sender knows.
     """
 
     node: str
@@ -205,6 +207,7 @@
     subscribes: bool = False
     asks_members: bool = False
     members: tuple[Member, ...] = ()
+    leader_taking_over: bool = False
 
     @property
     def member(self) -> Member:
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -13,6 +13,7 @@
 from .forwarding import Deposed
 from .forwarding import Forwarding
 from .forwarding import Target
+from .forwardwindow import ForwardWindow
 from .handover import ask_to_take_over
 from .interfaces import StoreUnavailable
 from .leaderprocesses import LeaderProcesses
@@ -120,6 +121,7 @@
         self._serving = False
         self._stopping = False
         self._known_leader = ""
+        self._known_target: Target | None = None
         self._leaderless_since = time.monotonic()
         self._leader_check_at = 0.0
         # Newest epoch the store refused; without it, attempts would start below it again.
@@ -139,7 +141,13 @@
         self._taking_over = False
         self._requests = itertools.count(1)
         self._forwarding = Forwarding(
-            parameters.node, parameters.address, self._send, self._answer_locally
+            parameters.node,
+            parameters.address,
+            self._send,
+            self._answer_locally,
+            ForwardWindow(
+                parameters.scheduler.link_bytes_per_s, lambda: len(self._membership)
+            ),
         )
 
     @property
@@ -181,8 +189,14 @@
         return self._leadership.leader
 
     def _target(self) -> Target | None:
+        """Return the leader, which may be taking over, or ``None`` if none is known."""
+        if self._session is not None and not self._session.over and not self._serving:
+            return Target(self._parameters.node, self._session.epoch, taking_over=True)
         leader = self._leader()
-        return Target(leader, self._leadership.epoch) if leader else None
+        if not leader:
+            return None
+        taking_over = self._session is None and self._leadership.leader_taking_over
+        return Target(leader, self._leadership.epoch, taking_over)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -254,7 +268,10 @@
                     self._reports.record_unsent(node)
 
     def _leader_changed(self) -> None:
-        leader = self._leader()
+        leader, target = self._leader(), self._target()
+        if target != self._known_target:
+            self._known_target = target
+            self._forwarding.leader_changed()
         if leader == self._known_leader:
             return
         self._known_leader = leader
@@ -264,7 +281,6 @@
         else:
             self._leaderless_since = time.monotonic()
             self._log.event("leader_lost", epoch=self._leadership.epoch)
-        self._forwarding.leader_changed()
 
     async def _answer_forwarded(self, sender: str, message: CallForwarded) -> None:
         call = ClientCall(message.method, message.host, message.path, message.body)
--- a/src/granitetrestle/reports.py
+++ b/src/granitetrestle/reports.py
@@ -133,7 +133,8 @@
         if expired and relaying:
             reports.append(Report(expired, self._status(own, now, True, True)))
         interval_s = SUBSCRIBE_INTERVAL_S
-        if own.leading:
+        if own.leading or self.leadership.leader == self._me.node:
+            # One that takes over is silent for the others after the same time.
             interval_s = LEADER_REPORT_INTERVAL_S
         elif relaying:
             interval_s = RELAY_REPORT_INTERVAL_S
@@ -201,4 +202,5 @@
             subscribes=subscribes,
             asks_members=asks_members,
             members=self.membership.roster() if members else (),
+            leader_taking_over=leadership.leader_taking_over,
         )
