--- a/Makefile
+++ b/Makefile
@@ -15,9 +15,9 @@
 demo: setup
 	$(BIN)/granitetrestle-demo
 
-# REPORT=FILE also writes what each scenario came to, as JSON.
+# REPORT=FILE also writes what each scenario came to, as JSON. LANES=N runs N files at a time.
 test: setup
-	$(BIN)/python -m behave --format progress --no-capture $(if $(REPORT),--format json --outfile /dev/stdout --outfile $(REPORT))
+	$(BIN)/python tools/run_features.py $(if $(LANES),--lanes $(LANES)) $(if $(REPORT),--report $(REPORT))
 
 check: setup
 	$(BIN)/ruff format --check src features tools
