A job at which leaders fail is set aside, and an error ends no process

The state of the store makes each leader decide the same, and an exception ended the whole process.

Change: an unexpected error ends the leadership alone. The leader writes to the store which jobs the innermost frame of the error was about (failed/EPOCH in keyed.nodes, which older builds ignore). A job that two leaders have named is restored as failed by the next one, without a decision about it: what runs of it is stopped as unknown, its records go, and a submission that was never kept is refused. More than 16 such jobs mean that the cause is not in the jobs, and none is set aside. After 30 s of leading the failures are cleared. A forwarded call that raises is answered with 500 and logged.

node.py and jobrecords.py are split on the way: claiming.py claims epochs, jobrestore.py restores, nodeparameters.py and waitingload.py hold what they say.

Evidence: failing_leaders.feature.

--- /dev/null
+++ b/features/failing_leaders.feature
@@ -0,0 +1,43 @@
+Feature: What one leader fails at doesn't end each leader after it
+  A filling task without cpu, a long checkpoint, a long name of an image, nested JSON: each
+  ended whoever led by an error that nobody had foreseen, and its successors after it.
+
+  Scenario Outline: A job at which two leaders fail is set aside, and all others are served
+    Given a process alone, and a job at which a leader fails when it <does>
+    When jobs are submitted one after the other, and that one among them
+    Then the process goes on, and all other jobs are completed
+    And that job is <known>, after 2 or 3 failures of leaders
+
+    Examples:
+      | does                         | known   |
+      | places its tasks             | refused |
+      | sees its task on a box       | failed  |
+      | restores its progress        | failed  |
+      | accepts it                   | refused |
+
+  Scenario: Nothing is left of a job that was set aside but that it failed
+    Given a process alone, and a job at which a leader fails when it sees its task on a box
+    When jobs are submitted one after the other, and that one among them
+    Then no box runs a task of that job, and the store holds only its state
+
+  Scenario: A single failure sets nothing aside
+    Given a process alone, and a job at which a leader fails once when it places its tasks
+    When jobs are submitted one after the other, and that one among them
+    Then the process goes on, and all jobs are completed
+
+  Scenario: Failures are cleared once a leader has led for long
+    Given a process alone, and a job at which a leader fails once when it places its tasks
+    When jobs are submitted one after the other, and that one among them
+    And the leader has led for longer than failures count
+    Then the store holds no failure
+
+  Scenario: Failures that have no job in common set nothing aside
+    Given 30 leaders that failed at a job each, and 20 at the same 17 jobs
+    Then no job is set aside
+    Given 2 leaders that failed at the same job
+    Then just that job is set aside
+
+  Scenario: A forwarded call that raises an error is answered, and the leader goes on
+    Given a leader whose answers raise an error
+    When a request with 2 seconds left is forwarded to it
+    Then it is answered with 500, and the error is in the log
--- a/features/steps/early_cancel_steps.py
+++ b/features/steps/early_cancel_steps.py
@@ -61,7 +61,7 @@
 @then("both have answered that there is no such job, and the successor refuses it")
 def refused(context):
     assert context.answers == [NoSuchJob(), NoSuchJob()], context.answers
-    assert context.outcome == JobRefused(), context.outcome
+    assert context.outcome == JobRefused("cancelled before it came"), context.outcome
 
 
 @then("no successor knows it, and nothing is started")
@@ -74,7 +74,9 @@
     restored = Scheduler(leader.world.parameters, 0.0)
     restored.restore(leader.topic.records(), 0.0)
     assert not restored.state.workflows
-    assert outcome(restored, submission(), 0.1) == JobRefused()
+    assert outcome(restored, submission(), 0.1) == JobRefused(
+        "cancelled before it came"
+    )
 
 
 @when("{seconds:d} seconds pass, and the job comes")
--- a/src/granitetrestle/jobcalls.py
+++ b/src/granitetrestle/jobcalls.py
@@ -77,7 +77,12 @@
 
 
 class JobRefused(t.NamedTuple):
-    """The job was cancelled before it came, so it is not taken and never runs."""
+    """The job is not taken and never runs.
+
+    :param reason: short text for logs.
+    """
+
+    reason: str
 
 
 JobOutcome: t.TypeAlias = (
@@ -86,10 +91,14 @@
 
 
 class PendingCall:
-    """A request that waits for the outcome of its call."""
+    """A request that waits for the outcome of its call.
+
+    :param job: the job that it submits, if it does.
+    """
 
-    __slots__ = ("changed", "outcome")
+    __slots__ = ("changed", "job", "outcome")
 
-    def __init__(self) -> None:
+    def __init__(self, job: str = "") -> None:
+        self.job = job
         self.changed = anyio.Event()
         self.outcome: JobOutcome | None = None
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -1,4 +1,4 @@
-"""Storage format of jobs, from which a successor restores them.
+"""Storage format of jobs, from which a successor restores them; see :mod:`.jobrestore`.
 
 The amount written is proportional to what changed: the progress of a job is stored in
 groups of tasks, of which only changed ones are written, and of an ended job only its
@@ -10,38 +10,36 @@
 see :mod:`.longcheckpoints`. Those of tasks that run are not written again with each
 change of another task: boxes list them, and a start needs those of tasks that wait."""
 
-import collections
 import typing as t
 
 import msgspec
 
-from .errors import UnreadableRecord
 from .interfaces import Record
 from .longcheckpoints import LongCheckpoints
 from .shardtime import MAX_SHARD_TIME_MS
-from .shardtime import SHARD_TIME_KEY
 from .shardtime import UNKNOWN_TIME
 from .shardtime import ShardTime
-from .shardtime import decode_shard_time
-from .slices import SlicedWork
-from .withdrawnleases import LEASE_KEY
-from .withdrawnleases import decode_lease_left
-from .witnesses import PANEL_KEY
 from .workflows import DONE
 from .workflows import RUNNING
-from .workflows import STARTING
 from .workflows import STOPPING
 from .workflows import Submission
 from .workflows import Task
 from .workflows import Workflow
-from .workflows import WorkflowState
 
 __all__ = [
     "DEFAULT_MAX_RECORD_BYTES",
+    "ENDED_KEY",
+    "GROUP_KEY",
+    "INTERFERENCE_KEY",
+    "PROGRESS_KEY",
+    "SUBMISSION_KEY",
+    "EndedRow",
+    "GroupId",
     "JobRecords",
-    "Restored",
+    "JobRow",
+    "job_of_key",
+    "ObservedRow",
     "longest_submission_record",
-    "restore_jobs",
 ]
 
 SUBMISSION_KEY: t.Final = "s/"
@@ -57,7 +55,6 @@
 MAX_GROUP_BYTES: t.Final = 32_768
 # Used where the settings name no limit.
 DEFAULT_MAX_RECORD_BYTES: t.Final = 262_144
-TERMINAL_STATES: t.Final = frozenset({"completed", "failed", "cancelled"})
 
 
 class GroupId(t.NamedTuple):
@@ -133,10 +130,6 @@
 
 
 _encode = msgspec.msgpack.Encoder().encode
-_submissions = msgspec.msgpack.Decoder(Submission)
-_job_rows = msgspec.msgpack.Decoder(JobRow)
-_task_rows = msgspec.msgpack.Decoder(list[ObservedRow])
-_ended_rows = msgspec.msgpack.Decoder(EndedRow)
 
 
 def _task_row(task: Task, time: ShardTime) -> TaskRow:
@@ -171,6 +164,15 @@
     return Record(SUBMISSION_KEY + submission.job, _encode(submission))
 
 
+def job_of_key(key: str) -> str:
+    """Return the job that a record says something of which a successor must know, or an
+    empty string. A checkpoint only saves work."""
+    kind, _, rest = key.partition("/")
+    if f"{kind}/" not in (SUBMISSION_KEY, PROGRESS_KEY, GROUP_KEY, ENDED_KEY):
+        return ""
+    return rest.partition("/")[0]
+
+
 def longest_submission_record(submission: Submission) -> Record:
     """Return the record that a job would have if it were accepted at the time whose
     stored form is longest."""
@@ -334,182 +336,3 @@
 
 def _is_longer(text: str, size: int) -> bool:
     return len(text.encode()) > size
-
-
-class Restored(t.NamedTuple):
-    """The state that a predecessor wrote.
-
-    :param interference: image -> encoded interference model of it.
-    :param leases_left: incarnations of boxes whose leases it no longer renewed -> how
-        long the last one may run, or ``None`` if the record does not say it.
-    :param groups: the groups in the store.
-    :param in_old_format: jobs stored in the format of an older version.
-    :param with_unreadable_progress: jobs with a progress record that can't be read.
-    :param panel: encoded panel of witnesses, if there is one.
-    """
-
-    workflows: dict[str, Workflow]
-    interference: dict[str, bytes]
-    leases_left: dict[str, float | None]
-    groups: list[GroupId]
-    in_old_format: list[Workflow]
-    with_unreadable_progress: list[Workflow]
-    unreadable: list[UnreadableRecord]
-    panel: bytes | None = None
-
-
-def restore_jobs(
-    records: t.Iterable[Record], time: ShardTime, now: float
-) -> SlicedWork[Restored]:
-    """Restore jobs and the shard time from ``records``, one job in each step. Records
-    that can't be read are listed in ``unreadable`` and the rest is restored."""
-    by_kind: dict[str, dict[str, bytes]] = collections.defaultdict(dict)
-    for record in records:
-        if record.value is not None:
-            by_kind[record.key[:2]][record.key[2:]] = record.value
-    leases_left = {
-        incarnation: decode_lease_left(value)
-        for incarnation, value in by_kind[LEASE_KEY].items()
-    }
-    panel = by_kind[PANEL_KEY[:2]].get(PANEL_KEY[2:])
-    learned = by_kind[INTERFERENCE_KEY]
-    restored = Restored({}, learned, leases_left, [], [], [], [], panel)
-    for job, value in by_kind[SUBMISSION_KEY].items():
-        submission = _read(_submissions, SUBMISSION_KEY + job, value, restored)
-        if submission is not None:
-            restored.workflows[job] = Workflow(submission, now)
-        yield
-    ended_ms: dict[str, int] = {}
-    for job, value in by_kind[ENDED_KEY].items():
-        ended = _read(_ended_rows, ENDED_KEY + job, value, restored)
-        if ended is not None:
-            restored.workflows[job] = _retired(job, ended, now)
-            ended_ms[job] = ended.ended_ms
-        yield
-    time.restore(_latest_time(by_kind[SHARD_TIME_KEY], ended_ms, restored), now)
-    for job, workflow in restored.workflows.items():
-        accepted_ms = workflow.submission.accepted_ms
-        workflow.accepted_at = workflow.due_at = time.steady(accepted_ms, now)
-        if job in ended_ms:
-            workflow.ended_at = time.steady(ended_ms[job], now)
-        yield
-    for job, value in by_kind[PROGRESS_KEY].items():
-        _restore_state(job, value, restored, time, now)
-        yield
-    for place, value in by_kind[GROUP_KEY].items():
-        _restore_group(place, value, restored, time, now)
-        yield
-    return restored
-
-
-Row = t.TypeVar("Row")
-
-
-def _read(
-    decoder: "msgspec.msgpack.Decoder[Row]", key: str, value: bytes, restored: Restored
-) -> Row | None:
-    try:
-        return decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        restored.unreadable.append(UnreadableRecord(key, str(error)))
-        return None
-
-
-def _latest_time(
-    records: t.Mapping[str, bytes], ended_ms: t.Mapping[str, int], restored: Restored
-) -> int:
-    """Return the latest shard time that a predecessor recorded."""
-    latest_ms = max(ended_ms.values(), default=0)
-    for workflow in restored.workflows.values():
-        latest_ms = max(latest_ms, workflow.submission.accepted_ms)
-    for key, value in records.items():
-        try:
-            latest_ms = max(latest_ms, decode_shard_time(value))
-        except msgspec.DecodeError as error:
-            restored.unreadable.append(
-                UnreadableRecord(SHARD_TIME_KEY + key, str(error))
-            )
-    return max(0, latest_ms)
-
-
-def _retired(job: str, row: EndedRow, now: float) -> Workflow:
-    workflow = Workflow(Submission(job, row.queue, "", "", ()), now)
-    workflow.end(t.cast(WorkflowState, row.state), now)
-    workflow.retire()
-    return workflow
-
-
-def _restore_state(
-    job: str, value: bytes, restored: Restored, time: ShardTime, now: float
-) -> None:
-    workflow = restored.workflows.get(job)
-    if workflow is None or workflow.retired:
-        return
-    row = _read(_job_rows, PROGRESS_KEY + job, value, restored)
-    if row is None:
-        restored.with_unreadable_progress.append(workflow)
-        return
-    if row.state in TERMINAL_STATES:
-        workflow.end(t.cast(WorkflowState, row.state), now)
-    for occurrence, step, index, run, state, box, failed, checkpoint in row.tasks:
-        task = workflow.tasks.get((occurrence, step, index))
-        if task is not None:
-            task_row = ObservedRow(index, run, state, box, tuple(failed), checkpoint)
-            _restore_task(task, task_row, time, now)
-    if row.tasks:
-        restored.in_old_format.append(workflow)
-
-
-def _restore_group(
-    place: str, value: bytes, restored: Restored, time: ShardTime, now: float
-) -> None:
-    job, _, numbers = place.partition("/")
-    workflow = restored.workflows.get(job)
-    if workflow is None or workflow.retired:
-        return
-    try:
-        occurrence, step, number = map(int, numbers.split("."))
-    except ValueError:
-        restored.unreadable.append(
-            UnreadableRecord(GROUP_KEY + place, "no group number")
-        )
-        return
-    restored.groups.append(GroupId(job, occurrence, step, number))
-    rows = _read(_task_rows, GROUP_KEY + place, value, restored)
-    if rows is None:
-        restored.with_unreadable_progress.append(workflow)
-        return
-    for row in rows:
-        task = workflow.tasks.get((occurrence, step, row.index))
-        if task is not None:
-            _restore_task(task, row, time, now)
-
-
-def _restore_task(task: Task, row: ObservedRow, time: ShardTime, now: float) -> None:
-    task.run = row.run
-    task.failed_runs = frozenset(row.failed_runs)
-    task.checkpoint = task.row_checkpoint = row.checkpoint
-    task.suspicion = row.suspicion
-    task.likely_crashes = row.likely_crashes
-    task.workflow.begun = True
-    if row.state == DONE:
-        task.workflow.mark_done(task, now)
-        return
-    task.state = row.state
-    if task.workflow.terminal and task.placed:
-        # The job's end was written but the task's was not, so its stop may never have
-        # been sent.
-        task.state = STOPPING
-    elif task.state == RUNNING:
-        # The first poll shows whether it still runs, and counts it as running then.
-        task.state = STARTING
-    task.box = row.box if task.placed else ""
-    task.started_at = since = time.steady(row.since_ms, now)
-    task.idle_since = since
-    if row.idle_since_ms != UNKNOWN_TIME:
-        task.idle_since = time.steady(row.idle_since_ms, now)
-    if task.placed:
-        task.inherited = row.since_ms != UNKNOWN_TIME
-        task.proven = row.proven
-    else:
-        task.times.enter("room", since)
--- /dev/null
+++ b/src/granitetrestle/jobrestore.py
@@ -0,0 +1,252 @@
+"""Restores jobs from the records that a predecessor wrote; see :mod:`.jobrecords`."""
+
+import collections
+import typing as t
+
+import msgspec
+
+from .errors import UnreadableRecord
+from .interfaces import Record
+from .jobrecords import ENDED_KEY
+from .jobrecords import GROUP_KEY
+from .jobrecords import INTERFERENCE_KEY
+from .jobrecords import PROGRESS_KEY
+from .jobrecords import SUBMISSION_KEY
+from .jobrecords import EndedRow
+from .jobrecords import GroupId
+from .jobrecords import JobRow
+from .jobrecords import ObservedRow
+from .shardtime import SHARD_TIME_KEY
+from .shardtime import UNKNOWN_TIME
+from .shardtime import ShardTime
+from .shardtime import decode_shard_time
+from .slices import SlicedWork
+from .withdrawnleases import LEASE_KEY
+from .withdrawnleases import decode_lease_left
+from .witnesses import PANEL_KEY
+from .workflows import DONE
+from .workflows import RUNNING
+from .workflows import STARTING
+from .workflows import STOPPING
+from .workflows import Submission
+from .workflows import Task
+from .workflows import Workflow
+from .workflows import WorkflowState
+
+__all__ = ["Restored", "restore_jobs"]
+
+TERMINAL_STATES: t.Final = frozenset({"completed", "failed", "cancelled"})
+
+_submissions = msgspec.msgpack.Decoder(Submission)
+_job_rows = msgspec.msgpack.Decoder(JobRow)
+_task_rows = msgspec.msgpack.Decoder(list[ObservedRow])
+_ended_rows = msgspec.msgpack.Decoder(EndedRow)
+
+
+class Restored(t.NamedTuple):
+    """The state that a predecessor wrote.
+
+    :param interference: image -> encoded interference model of it.
+    :param leases_left: incarnations of boxes whose leases it no longer renewed -> how
+        long the last one may run, or ``None`` if the record does not say it.
+    :param groups: the groups in the store.
+    :param in_old_format: jobs stored in the format of an older version.
+    :param with_unreadable_progress: jobs with a progress record that can't be read.
+    :param panel: encoded panel of witnesses, if there is one.
+    :param set_aside: jobs that had not ended and are ended as failed, without any task.
+    """
+
+    workflows: dict[str, Workflow]
+    interference: dict[str, bytes]
+    leases_left: dict[str, float | None]
+    groups: list[GroupId]
+    in_old_format: list[Workflow]
+    with_unreadable_progress: list[Workflow]
+    unreadable: list[UnreadableRecord]
+    panel: bytes | None = None
+    set_aside: tuple[Workflow, ...] = ()
+
+
+def restore_jobs(
+    records: t.Iterable[Record],
+    time: ShardTime,
+    now: float,
+    set_aside: t.Collection[str] = (),
+) -> SlicedWork[Restored]:
+    """Restore jobs and the shard time from ``records``, one job in each step. Records
+    that can't be read are listed in ``unreadable`` and the rest is restored.
+
+    :param set_aside: jobs to end as failed, and to restore nothing else of.
+    """
+    by_kind: dict[str, dict[str, bytes]] = collections.defaultdict(dict)
+    for record in records:
+        if record.value is not None:
+            by_kind[record.key[:2]][record.key[2:]] = record.value
+    leases_left = {
+        incarnation: decode_lease_left(value)
+        for incarnation, value in by_kind[LEASE_KEY].items()
+    }
+    panel = by_kind[PANEL_KEY[:2]].get(PANEL_KEY[2:])
+    learned = by_kind[INTERFERENCE_KEY]
+    restored = Restored({}, learned, leases_left, [], [], [], [], panel)
+    for job, value in by_kind[SUBMISSION_KEY].items():
+        submission = _read(_submissions, SUBMISSION_KEY + job, value, restored)
+        if submission is not None:
+            restored = _add_job(submission, restored, job in set_aside, now)
+        yield
+    ended_ms: dict[str, int] = {}
+    for job, value in by_kind[ENDED_KEY].items():
+        ended = _read(_ended_rows, ENDED_KEY + job, value, restored)
+        if ended is not None:
+            restored.workflows[job] = _retired(job, ended, now)
+            ended_ms[job] = ended.ended_ms
+        yield
+    time.restore(_latest_time(by_kind[SHARD_TIME_KEY], ended_ms, restored), now)
+    for job, workflow in restored.workflows.items():
+        accepted_ms = workflow.submission.accepted_ms
+        workflow.accepted_at = workflow.due_at = time.steady(accepted_ms, now)
+        if job in ended_ms:
+            workflow.ended_at = time.steady(ended_ms[job], now)
+        yield
+    for job, value in by_kind[PROGRESS_KEY].items():
+        _restore_state(job, value, restored, time, now)
+        yield
+    for place, value in by_kind[GROUP_KEY].items():
+        group = _parse_place(place, restored)
+        if group is not None and group.job in set_aside:
+            restored.groups.append(group)
+        elif group is not None:
+            _restore_group(group, value, restored, time, now)
+        yield
+    return restored
+
+
+def _add_job(
+    submission: Submission, restored: Restored, set_aside: bool, now: float
+) -> Restored:
+    """Return what is restored, with a job as it was submitted, or ended as failed."""
+    job = submission.job
+    if not set_aside:
+        restored.workflows[job] = Workflow(submission, now)
+        return restored
+    failed = _retired(job, EndedRow("failed", submission.queue), now)
+    restored.workflows[job] = failed
+    return restored._replace(set_aside=(*restored.set_aside, failed))
+
+
+Row = t.TypeVar("Row")
+
+
+def _read(
+    decoder: "msgspec.msgpack.Decoder[Row]", key: str, value: bytes, restored: Restored
+) -> Row | None:
+    try:
+        return decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        restored.unreadable.append(UnreadableRecord(key, str(error)))
+        return None
+
+
+def _latest_time(
+    records: t.Mapping[str, bytes], ended_ms: t.Mapping[str, int], restored: Restored
+) -> int:
+    """Return the latest shard time that a predecessor recorded."""
+    latest_ms = max(ended_ms.values(), default=0)
+    for workflow in restored.workflows.values():
+        latest_ms = max(latest_ms, workflow.submission.accepted_ms)
+    for key, value in records.items():
+        try:
+            latest_ms = max(latest_ms, decode_shard_time(value))
+        except msgspec.DecodeError as error:
+            restored.unreadable.append(
+                UnreadableRecord(SHARD_TIME_KEY + key, str(error))
+            )
+    return max(0, latest_ms)
+
+
+def _retired(job: str, row: EndedRow, now: float) -> Workflow:
+    workflow = Workflow(Submission(job, row.queue, "", "", ()), now)
+    workflow.end(t.cast(WorkflowState, row.state), now)
+    workflow.retire()
+    return workflow
+
+
+def _restore_state(
+    job: str, value: bytes, restored: Restored, time: ShardTime, now: float
+) -> None:
+    workflow = restored.workflows.get(job)
+    if workflow is None or workflow.retired:
+        return
+    row = _read(_job_rows, PROGRESS_KEY + job, value, restored)
+    if row is None:
+        restored.with_unreadable_progress.append(workflow)
+        return
+    if row.state in TERMINAL_STATES:
+        workflow.end(t.cast(WorkflowState, row.state), now)
+    for occurrence, step, index, run, state, box, failed, checkpoint in row.tasks:
+        task = workflow.tasks.get((occurrence, step, index))
+        if task is not None:
+            task_row = ObservedRow(index, run, state, box, tuple(failed), checkpoint)
+            _restore_task(task, task_row, time, now)
+    if row.tasks:
+        restored.in_old_format.append(workflow)
+
+
+def _parse_place(place: str, restored: Restored) -> GroupId | None:
+    """Return the group that a key names after its prefix, or ``None``."""
+    job, _, numbers = place.partition("/")
+    try:
+        occurrence, step, number = map(int, numbers.split("."))
+    except ValueError:
+        if job in restored.workflows:
+            error = UnreadableRecord(GROUP_KEY + place, "no group number")
+            restored.unreadable.append(error)
+        return None
+    return GroupId(job, occurrence, step, number)
+
+
+def _restore_group(
+    group: GroupId, value: bytes, restored: Restored, time: ShardTime, now: float
+) -> None:
+    workflow = restored.workflows.get(group.job)
+    if workflow is None or workflow.retired:
+        return
+    restored.groups.append(group)
+    rows = _read(_task_rows, group.key, value, restored)
+    if rows is None:
+        restored.with_unreadable_progress.append(workflow)
+        return
+    for row in rows:
+        task = workflow.tasks.get((group.occurrence, group.step, row.index))
+        if task is not None:
+            _restore_task(task, row, time, now)
+
+
+def _restore_task(task: Task, row: ObservedRow, time: ShardTime, now: float) -> None:
+    task.run = row.run
+    task.failed_runs = frozenset(row.failed_runs)
+    task.checkpoint = task.row_checkpoint = row.checkpoint
+    task.suspicion = row.suspicion
+    task.likely_crashes = row.likely_crashes
+    task.workflow.begun = True
+    if row.state == DONE:
+        task.workflow.mark_done(task, now)
+        return
+    task.state = row.state
+    if task.workflow.terminal and task.placed:
+        # The job's end was written but the task's was not, so its stop may never have
+        # been sent.
+        task.state = STOPPING
+    elif task.state == RUNNING:
+        # The first poll shows whether it still runs, and counts it as running then.
+        task.state = STARTING
+    task.box = row.box if task.placed else ""
+    task.started_at = since = time.steady(row.since_ms, now)
+    task.idle_since = since
+    if row.idle_since_ms != UNKNOWN_TIME:
+        task.idle_since = time.steady(row.idle_since_ms, now)
+    if task.placed:
+        task.inherited = row.since_ms != UNKNOWN_TIME
+        task.proven = row.proven
+    else:
+        task.times.enter("room", since)
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -8,6 +8,7 @@
 import anyio
 import anyio.abc
 
+from .claiming import EpochClaimer
 from .forwarding import ClientAnswer
 from .forwarding import ClientCall
 from .forwarding import Deposed
@@ -15,9 +16,11 @@
 from .forwarding import Target
 from .forwardwindow import ForwardWindow
 from .handover import ask_to_take_over
-from .interfaces import StoreUnavailable
+from .leaderfailures import LeaderFailure
+from .leaderfailures import describe_failure
+from .leaderfailures import format_trace
+from .leaderfailures import jobs_to_set_aside
 from .leaderprocesses import LeaderProcesses
-from .leadership import next_epoch
 from .messages import CallAnswered
 from .messages import CallForwarded
 from .messages import LeaderResigned
@@ -26,6 +29,8 @@
 from .messages import NodeStatus
 from .nodelog import NodeLog
 from .nodemetrics import NodeMetrics
+from .nodeparameters import NodeParameters
+from .nodeparameters import Responder
 from .peerlink import PeerLink
 from .registration import Registration
 from .registry import HeartbeatWatch
@@ -36,58 +41,25 @@
 from .reports import Reports
 from .session import Session
 from .session import Sources
-from .shardstate import SchedulerParameters
 from .standby import Standby
 from .standstills import Standstills
-from .statedigest import EpochClaim
 from .succession import JOBS_TOPIC
-from .succession import take_over
 
 __all__ = ["Node", "NodeParameters", "Responder"]
 
 TICK_INTERVAL_S: t.Final = 0.1
-# The leader writes a heartbeat to the store. Once it has been unchanged for the timeout,
-# a process that lacks a stable majority may take over too.
+# How often the leader writes a heartbeat to the store; see :mod:`.claiming`.
 HEARTBEAT_INTERVAL_S: t.Final = 1.0
-HEARTBEAT_TIMEOUT_S: t.Final = 1.4
 # How long a leader that hands over waits for its last append.
 DRAIN_TIMEOUT_S: t.Final = 0.3
 # A process without a known leader for this long is not ready for new connections.
 LEADERLESS_TIMEOUT_S: t.Final = 1.5
-MAX_CLAIM_ATTEMPTS: t.Final = 5
-# Minimum; a process without a majority checks when the last heartbeat read times out.
-LEADER_CHECK_INTERVAL_S: t.Final = 0.2
+# How long a leader must have led before it clears the failures of earlier ones.
+FAILURES_CLEARED_AFTER_S: t.Final = 30.0
 # The connection to the sender of a request opens only with the first answer to it.
 ANSWER_SEND_TIMEOUT_S: t.Final = 1.0
 ANSWER_RETRY_INTERVAL_S: t.Final = 0.01
-
-
-class Responder(t.Protocol):
-    """Answers clients' requests through a session."""
-
-    async def answer(
-        self, session: Session, request: str, call: ClientCall
-    ) -> ClientAnswer:
-        """Return the answer.
-
-        :raises Deposed: if the session ended before the answer.
-        """
-
-
-class NodeParameters(t.NamedTuple):
-    """Start parameters of a process.
-
-    :param address: IP:PORT at which peers reach it.
-    :param cores: processor cores of its box that it may use.
-    """
-
-    node: str
-    incarnation: str
-    hall: str
-    ip: str
-    address: str
-    cores: float
-    scheduler: SchedulerParameters
+INTERNAL_ERROR: t.Final = 500
 
 
 class Node:
@@ -125,20 +97,28 @@
         self._known_leader = ""
         self._known_target: Target | None = None
         self._leaderless_since = time.monotonic()
-        self._leader_check_at = 0.0
-        # Newest epoch the store refused; without it, attempts would start below it again.
-        self._refused_epoch = 0
-        self._heartbeat_watch = HeartbeatWatch()
+        heartbeat_watch = HeartbeatWatch()
         self._registration = Registration(
             self._registry,
             me,
             self._membership,
             self._leadership,
-            self._heartbeat_watch,
+            heartbeat_watch,
             log,
         )
         self._standby = Standby(sources.store, JOBS_TOPIC, log)
         self._leader_processes = LeaderProcesses(me, parameters.incarnation)
+        self._claimer = EpochClaimer(
+            parameters.ip,
+            parameters.incarnation,
+            sources.store,
+            self._registry,
+            self._registration,
+            self._leadership,
+            heartbeat_watch,
+            self._leader_processes,
+            log,
+        )
         # Whether the store is asked for the leader, and whether an epoch is being claimed.
         self._attempting = False
         self._taking_over = False
@@ -295,6 +275,10 @@
             except Deposed:
                 # The sender forwards to the next leader; a refusal would end that.
                 return
+            except Exception as error:
+                inputs = {"method": call.method, "path": call.path}
+                self._log.event("call_failed", **inputs, trace=format_trace(error))
+                answer = ClientAnswer(INTERNAL_ERROR, why=repr(error))
         if answer is None:
             # The sender has answered its client at the deadline.
             return
@@ -386,9 +370,7 @@
     async def _attempt_take_over(self, now: float, tasks: anyio.abc.TaskGroup) -> None:
         try:
             if self._leadership.lacks_stable_majority(now):
-                if now < self._leader_check_at:
-                    return
-                if await self._is_leader_alive_in_store(now):
+                if not await self._claimer.is_leader_lost(now):
                     return
                 # Another process may have started to take over meanwhile.
                 now = time.monotonic()
@@ -398,69 +380,56 @@
             self._leadership.record_attempt(now)
             self._report_now()
             self._log.event("taking_over", **self._leadership.take_over_inputs(now))
-            await self._claim_epoch(tasks)
+            await self._take_over(tasks)
         finally:
             self._attempting = self._taking_over = False
 
-    async def _is_leader_alive_in_store(self, now: float) -> bool:
-        """Return ``False`` only if the store shows that the leader's heartbeat stopped."""
-        known = await self._registry.read()
-        if isinstance(known, StoreUnavailable):
-            self._leader_check_at = now + LEADER_CHECK_INTERVAL_S
-            return True
-        left_s = (
-            HEARTBEAT_TIMEOUT_S
-            + self._leadership.stagger_s(now)
-            - self._heartbeat_watch.age_s(known)
+    async def _take_over(self, tasks: anyio.abc.TaskGroup) -> None:
+        claimed = await self._claimer.claim(lambda: self._stopping)
+        if claimed is None:
+            return
+        claim = claimed.claim
+        self._leadership.record_take_over(claim.epoch, time.monotonic())
+        self._session = Session(
+            self._sources,
+            claim,
+            self._parameters.scheduler,
+            self._log,
+            self._metrics,
+            self._leader_processes.ended_epochs,
+            self._standby.take(),
+            jobs_to_set_aside(claimed.failures),
         )
-        self._leader_check_at = time.monotonic() + max(LEADER_CHECK_INTERVAL_S, left_s)
-        return left_s > 0.0
+        tasks.start_soon(self._lead, self._session, claimed.failures)
 
-    async def _claim_epoch(self, tasks: anyio.abc.TaskGroup) -> None:
-        known = await self._registry.read()
-        if isinstance(known, StoreUnavailable):
-            self._log.event("take_over_failed", reason=known.reason)
-            return
-        epoch_before = self._leadership.epoch
-        self._registration.apply(known)
-        self._leader_processes.record_registry(known.leader)
-        if self._leadership.epoch > epoch_before:
-            # Another process has taken over first and will report, now that it is known.
-            return
-        newest_known = max(known.leader.epoch, self._leadership.epoch)
-        previous = max(newest_known, self._refused_epoch)
-        for _ in range(MAX_CLAIM_ATTEMPTS):
-            if self._stopping:
-                return
-            epoch = next_epoch(previous, self._parameters.ip)
-            incarnation = self._parameters.incarnation
-            outcome = await take_over(self._sources.store, epoch, incarnation)
-            if isinstance(outcome, StoreUnavailable):
-                self._log.event("take_over_failed", reason=outcome.reason)
-                return
-            if isinstance(outcome, EpochClaim):
-                self._leadership.record_take_over(epoch, time.monotonic())
-                self._session = Session(
-                    self._sources,
-                    outcome._replace(newest_known=newest_known),
-                    self._parameters.scheduler,
-                    self._log,
-                    self._metrics,
-                    self._leader_processes.ended_epochs,
-                    self._standby.take(),
-                )
-                tasks.start_soon(self._lead, self._session)
-                return
-            previous = self._refused_epoch = epoch
-        self._log.event("take_over_failed", reason="fenced", epoch=previous)
+    async def _lead(
+        self, session: Session, failures: t.Sequence[LeaderFailure]
+    ) -> None:
+        """Lead until the session ends. An unexpected error ends it, but not the process.
 
-    async def _lead(self, session: Session) -> None:
+        :param failures: the failures of earlier leaders.
+        """
         with anyio.CancelScope() as scope:
             self._session_scope = scope
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._heartbeat_loop, session.epoch)
-                await session.run(self._begin_serving)
-                tasks.cancel_scope.cancel()
+            try:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._heartbeat_loop, session.epoch)
+                    if failures:
+                        tasks.start_soon(self._clear_failures, failures)
+                    await session.run(self._begin_serving)
+                    tasks.cancel_scope.cancel()
+            except Exception as error:
+                failure = describe_failure(session.epoch, error)
+                self._log.event(
+                    "leading_failed",
+                    epoch=failure.epoch,
+                    jobs=failure.jobs,
+                    reason=failure.reason,
+                    trace=format_trace(error),
+                )
+                # The next leader reads it, which may be this process.
+                self._serving = False
+                await self._registry.record_failure(failure)
         self._session = None
         self._session_scope = None
         self._serving = False
@@ -469,6 +438,12 @@
         )
         self._leader_changed()
 
+    async def _clear_failures(self, failures: t.Sequence[LeaderFailure]) -> None:
+        """Clear the failures of earlier leaders once this one has led for long."""
+        await anyio.sleep(FAILURES_CLEARED_AFTER_S)
+        if await self._registry.clear_failures(failures):
+            self._log.event("failures_cleared", failures=len(failures))
+
     def _begin_serving(self) -> None:
         self._serving = True
         self._report_now()
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -80,7 +80,7 @@
             return ClientAnswer(410)
         outcome = await session.call(request, decoded)
         if isinstance(outcome, JobRefused):
-            return ClientAnswer(503, why="cancelled before it came")
+            return ClientAnswer(503, why=outcome.reason)
         answer = front.encode_outcome(outcome)
         return ClientAnswer(answer.status, answer.body)
 
--- a/src/granitetrestle/registry.py
+++ b/src/granitetrestle/registry.py
@@ -1,5 +1,5 @@
-"""Registry of processes and of the leader, kept in the store. It is read at the start
-and when a process hears no peer."""
+"""Registry of processes, of the leader and of leaders that have failed, kept in the store.
+It is read at the start, at a take-over and when a process hears no peer."""
 
 import time
 import typing as t
@@ -12,6 +12,7 @@
 from .interfaces import Record
 from .interfaces import Store
 from .interfaces import StoreUnavailable
+from .leaderfailures import LeaderFailure
 from .newestread import NewestReader
 
 __all__ = ["HeartbeatWatch", "RegistryEntries", "LeaderEntry", "NodeEntry", "Registry"]
@@ -19,6 +20,8 @@
 NODES_TOPIC: t.Final = "keyed.nodes"
 LEADER_KEY: t.Final = "leader"
 NODE_KEY: t.Final = "node/"
+# Older versions ignore these records.
+FAILURE_KEY: t.Final = "failed/"
 WRITE_TIMEOUT_S: t.Final = 0.6
 READ_TIMEOUT_S: t.Final = 1.0
 
@@ -51,11 +54,13 @@
     """The entries that the store shows.
 
     :param unreadable: keys of entries that can't be read, which are skipped.
+    :param failures: failures of leaders that nobody has cleared.
     """
 
     nodes: dict[str, NodeEntry]
     leader: LeaderEntry
     unreadable: tuple[str, ...] = ()
+    failures: tuple[LeaderFailure, ...] = ()
 
 
 class HeartbeatWatch:
@@ -78,6 +83,7 @@
 _encode = msgspec.msgpack.Encoder().encode
 _nodes = msgspec.msgpack.Decoder(NodeEntry)
 _leaders = msgspec.msgpack.Decoder(LeaderEntry)
+_failures = msgspec.msgpack.Decoder(LeaderFailure)
 
 
 def _node_entry(value: bytes) -> NodeEntry:
@@ -102,6 +108,7 @@
             return StoreUnavailable(outcome.reason)
         nodes: dict[str, NodeEntry] = {}
         leader = LeaderEntry()
+        failures: list[LeaderFailure] = []
         unreadable: list[str] = []
         for key, value in outcome.records:
             try:
@@ -109,9 +116,11 @@
                     leader = _leaders.decode(value)
                 elif value and key.startswith(NODE_KEY):
                     nodes[key.removeprefix(NODE_KEY)] = _node_entry(value)
+                elif value and key.startswith(FAILURE_KEY):
+                    failures.append(_failures.decode(value))
             except (msgspec.DecodeError, UnicodeDecodeError):
                 unreadable.append(key)
-        return RegistryEntries(nodes, leader, tuple(unreadable))
+        return RegistryEntries(nodes, leader, tuple(unreadable), tuple(failures))
 
     async def register(self, node: str, entry: NodeEntry) -> bool:
         """Write the entry of a process; returns whether the store accepted it."""
@@ -121,7 +130,22 @@
         """Write a heartbeat of a leader; returns whether the store accepted it."""
         return await self._write(LEADER_KEY, _encode(entry))
 
+    async def record_failure(self, failure: LeaderFailure) -> bool:
+        """Write the failure of a leader; returns whether the store accepted it."""
+        return await self._write(_failure_key(failure), _encode(failure))
+
+    async def clear_failures(self, failures: t.Iterable[LeaderFailure]) -> bool:
+        """Remove failures of leaders; returns whether the store accepted it."""
+        cleared = [Record(_failure_key(failure), None) for failure in failures]
+        return await self._append(cleared)
+
     async def _write(self, key: str, value: bytes) -> bool:
-        records = (Record(key, value),)
+        return await self._append([Record(key, value)])
+
+    async def _append(self, records: t.Sequence[Record]) -> bool:
         outcome = await self._store.append(NODES_TOPIC, records, None, WRITE_TIMEOUT_S)
         return isinstance(outcome, Appended)
+
+
+def _failure_key(failure: LeaderFailure) -> str:
+    return f"{FAILURE_KEY}{failure.epoch}"
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -160,10 +160,15 @@
             if not workflow.terminal and workflow not in self._doubtful:
                 self._state.enqueue_ready_steps(workflow, now)
             yield
-        return [
+        events: list[Decision] = [
             LogEvent("record_unreadable", error.key, {"error": error.message})
             for error in restored.unreadable
         ]
+        for workflow in restored.set_aside:
+            submission = workflow.submission
+            inputs = {"queue": submission.queue, "state": workflow.state}
+            events.append(LogEvent("job_set_aside", submission.job, inputs))
+        return events
 
     def stop_starting(self) -> None:
         """Start and move no more tasks, since this leader is about to resign."""
@@ -228,7 +233,9 @@
         if submission.job in self._state.workflows:
             return [answer]
         if submission.job in self._state.early_cancels:
-            return [AnswerCall(request, JobRefused())]
+            return [AnswerCall(request, JobRefused("cancelled before it came"))]
+        if submission.job in self._state.set_aside:
+            return [AnswerCall(request, JobRefused("leaders have failed at it"))]
         workflow = self._state.add(submission, now)
         self._dispatcher.record_submission(workflow)
         self._state.enqueue_ready_steps(workflow, now)
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -42,7 +42,6 @@
 from .jobcalls import PendingCall
 from .journal import Journal
 from .leaderlease import JournalLeaderLease
-from .longrunningwaits import WaitCause
 from .looplag import LoopLag
 from .mechanisms import Mechanism
 from .nodelog import NodeLog
@@ -61,7 +60,7 @@
 from .succession import JOBS_TOPIC
 from .succession import StateReader
 from .takeoverread import read_topics
-from .waitingorder import count_waiting_tasks
+from .waitingload import waiting_load
 
 __all__ = ["Session", "Sources"]
 
@@ -79,6 +78,7 @@
     :param claim: claim of the epoch that this session leads in.
     :param ended_epochs: epochs whose leader's process has ended; may grow meanwhile.
     :param copy: a copy of the predecessor's records, if this process kept one.
+    :param set_aside: jobs at which earlier leaders have failed.
     """
 
     def __init__(
@@ -90,6 +90,7 @@
         metrics: NodeMetrics,
         ended_epochs: t.Collection[int] = (),
         copy: RecordsCopy | None = None,
+        set_aside: frozenset[str] = frozenset(),
     ) -> None:
         self._sources = sources
         self._ended_epochs = ended_epochs
@@ -99,6 +100,7 @@
         self._log = log
         self._metrics = metrics
         self._scheduler = Scheduler(parameters, time.monotonic())
+        self._scheduler.state.set_aside = set_aside
         self._append_log = AppendLog(claim.epoch, log, metrics)
         self._journal = Journal(
             sources.store,
@@ -144,6 +146,8 @@
         self._deciding = False
         self._over = False
         self._superseded = False
+        # The error of a decision that was made for a caller.
+        self._error: Exception | None = None
         # Newest epoch that other processes are known to follow.
         self._newest_epoch = claim.epoch
 
@@ -154,24 +158,15 @@
 
     def load(self, now: float) -> dict[str, float]:
         """Return the lengths of queues, and how far behind this process is."""
-        entries = self._scheduler.state.waiting.values()
-        waiting = count_waiting_tasks(entries, now)
-        causes = self._scheduler.long_running_waits.causes
         return {
-            **{f"tasks_waiting_{kind}": float(n) for kind, n in waiting.items()},
-            **{
-                f"tasks_waiting_long_{cause}": float(causes.get(cause, 0))
-                for cause in WaitCause
-            },
+            **waiting_load(self._scheduler, now),
             "orders_waiting": float(self._paths.waiting),
             "orders_at_once": float(self._paths.size),
             **self._paths.load(),
             "loop_lag_s": round(self._lag.lag_s, 3),
             "looks_waiting": float(self._budget.long_polls),
             "looks_to_begin": float(self._budget.contact_window.waiting),
-            "halls_evacuated": float(len(self._scheduler.state.evacuated_halls)),
             "orders_unreadable": float(self._operator_feed.unreadable),
-            "checkpoints_too_long": float(self._scheduler.state.checkpoints_too_long),
             "log_end": float(self._journal.end or 0),
             "right_age_s": round(self._leader_lease.age_s(), 3),
             **self._scheduler.state.witnesses.load(steadyclock.now()),
@@ -224,7 +219,8 @@
         return known and not self._over
 
     async def run(self, ready: t.Callable[[], None]) -> None:
-        """Decide until deposed or cancelled.
+        """Decide until deposed or cancelled. An unexpected error ends the session: its
+        state may be half changed, and the next leader restores it from the store.
 
         :param ready: called once clients can be served.
         """
@@ -244,6 +240,8 @@
             unfreeze_allocations()
             for caller in self._callers.values():
                 caller.changed.set()
+        if self._error is not None:
+            raise self._error
 
     async def _take_over(self) -> bool:
         """Restore the predecessor's state; no other process can write meanwhile."""
@@ -404,7 +402,9 @@
             raise Deposed
         caller = self._callers[request] = PendingCall()
         try:
-            self._apply(self._scheduler.handle_call(request, call, time.monotonic()))
+            self._decide_for_caller(
+                lambda: self._scheduler.handle_call(request, call, time.monotonic())
+            )
             while caller.outcome is None and not self._over:
                 await caller.changed.wait()
         finally:
@@ -413,6 +413,15 @@
             raise Deposed
         return caller.outcome
 
+    def _decide_for_caller(self, decide: t.Callable[[], list[Decision]]) -> None:
+        """Decide outside this session's own tasks: :meth:`run` raises an error of it."""
+        try:
+            self._apply(decide())
+        except Exception as error:
+            self._error, self._over = error, True
+            if self._tasks is not None:
+                self._tasks.cancel_scope.cancel()
+
     def observe_epoch(self, epoch: int) -> None:
         """Record that other processes follow an epoch. If it is newer, the store must
         confirm the leader lease before anything else is sent."""
@@ -454,7 +463,9 @@
     def record_process_end(self, epoch: int) -> None:
         """Apply the proof that the process which led in ``epoch`` has ended."""
         leases = self._scheduler.fleet.leases
-        self._apply(leases.record_process_end(epoch, time.monotonic()))
+        self._decide_for_caller(
+            lambda: leases.record_process_end(epoch, time.monotonic())
+        )
 
     def _leader_mark(self, end: int) -> LeaderMark:
         return self._scheduler.leader_mark(self._epoch, end, time.monotonic())
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -23,8 +23,8 @@
 from .jobrecords import DEFAULT_MAX_RECORD_BYTES
 from .jobrecords import INTERFERENCE_KEY
 from .jobrecords import JobRecords
-from .jobrecords import Restored
-from .jobrecords import restore_jobs
+from .jobrestore import Restored
+from .jobrestore import restore_jobs
 from .mechanisms import Mechanism
 from .pacing import StepLoads
 from .shardtime import ShardTime
@@ -190,6 +190,9 @@
         self.withdrawn_leases = WithdrawnLeases()
         self.witnesses = Witnesses()
         self.config: Config | None = None
+        # Jobs that are ended as failed without a decision about them; see
+        # :mod:`.leaderfailures`.
+        self.set_aside: frozenset[str] = frozenset()
         # Data halls whose boxes get no new tasks; see :mod:`.evacuation`.
         self.evacuated_halls: set[str] = set()
         self.queues: dict[str, Queue] = {}
@@ -287,7 +290,7 @@
     def restore(self, records: t.Iterable[Record], now: float) -> SlicedWork[Restored]:
         """Restore a predecessor's records, a part at each step."""
         records = tuple(records)
-        restored = yield from restore_jobs(records, self._time, now)
+        restored = yield from restore_jobs(records, self._time, now, self.set_aside)
         yield from self._records.checkpoints.restore(
             records, restored.workflows, restored.unreadable
         )
@@ -295,6 +298,8 @@
         self.workflows.update(restored.workflows)
         for group in restored.groups:
             self._records.add_stored_group(group)
+        for workflow in restored.set_aside:
+            self._records.mark_retired(workflow)
         for workflow in restored.in_old_format:
             for task in workflow.tasks.values():
                 if task.run:
