A job of which the store refuses a record is ended, and starts nothing unknown

What callers could see: nothing so far; a record that the store refuses for good was left out, and what it says was carried out all the same. A successor that did not know of a start would have started the task again.

Cause: the effects of a batch were released whole, also those of a record that was left out.

Change: starts of that job are not sent, its submission is not answered as accepted, and it is ended as failed; its last state is a record of a few bytes. Checkpoints are excepted: without one only work is lost.

Evidence: failing_leaders.feature, "A job whose records the store refuses": before, its tasks ran (released with the batch); now none has run, and a successor knows it as failed.

--- a/features/failing_leaders.feature
+++ b/features/failing_leaders.feature
@@ -37,6 +37,13 @@
     Given 2 leaders that failed at the same job
     Then just that job is set aside
 
+  Scenario: A job whose records the store refuses is ended, and starts nothing
+    Its tasks were started although a successor knew nothing of that.
+    Given a leader on a store that takes no record of the tasks of one job
+    When that job and 3 others are submitted
+    Then the others are completed, and that job is known as failed, also to a successor
+    And no task of that job has run
+
   Scenario: A forwarded call that raises an error is answered, and the leader goes on
     Given a leader whose answers raise an error
     When a request with 2 seconds left is forwarded to it
--- a/src/granitetrestle/appendlog.py
+++ b/src/granitetrestle/appendlog.py
@@ -2,6 +2,7 @@
 
 import time
 
+from .jobrecords import job_of_key
 from .journal import NotKept
 from .journal import RefusedRecord
 from .nodelog import NodeLog
@@ -18,6 +19,13 @@
         self._log = log
         self._metrics = metrics
         self._store_lost_at: float | None = None
+        self._unrecorded_jobs: set[str] = set()
+
+    def pop_unrecorded_jobs(self) -> set[str]:
+        """Return the jobs of which the store has refused a record since the last
+        call."""
+        jobs, self._unrecorded_jobs = self._unrecorded_jobs, set()
+        return jobs
 
     def unanswered(self, reason: str, waiting_s: float) -> None:
         """Record that an append is repeated."""
@@ -42,6 +50,9 @@
     def refused(self, record: RefusedRecord) -> None:
         """Record that a record is left out."""
         self._event("record_refused", **record._asdict())
+        job = job_of_key(record.key)
+        if job:
+            self._unrecorded_jobs.add(job)
 
     def _event(self, event: str, **inputs: object) -> None:
         self._log.event(event, epoch=self._epoch, **inputs)
--- a/src/granitetrestle/longcheckpoints.py
+++ b/src/granitetrestle/longcheckpoints.py
@@ -17,6 +17,7 @@
 from .slices import SlicedWork
 from .workflows import DONE
 from .workflows import Workflow
+from .workflows import job_of
 from .workflows import parse_task_name
 
 __all__ = ["CHECKPOINT_KEY", "LongCheckpoints"]
@@ -34,10 +35,6 @@
 _checkpoint_rows = msgspec.msgpack.Decoder(_CheckpointRow)
 
 
-def _job_of(task: str) -> str:
-    return task.partition(".")[0]
-
-
 class LongCheckpoints:
     """The records of single checkpoints in the store.
 
@@ -65,7 +62,7 @@
         """Return the records of those checkpoints, by task, that are not stored yet."""
         records = []
         for task, checkpoint in checkpoints.items():
-            stored = self._stored.setdefault(_job_of(task), {})
+            stored = self._stored.setdefault(job_of(task), {})
             if stored.get(task) == checkpoint:
                 continue
             record = Record(CHECKPOINT_KEY + task, _encode(_CheckpointRow(checkpoint)))
@@ -82,7 +79,7 @@
         return [
             Record(CHECKPOINT_KEY + task, None)
             for task in tasks
-            if self._stored.get(_job_of(task), {}).pop(task, None) is not None
+            if self._stored.get(job_of(task), {}).pop(task, None) is not None
         ]
 
     def drop_job(self, job: str) -> list[Record]:
@@ -111,7 +108,7 @@
                 continue
             name = key.removeprefix(CHECKPOINT_KEY)
             named = parse_task_name(name)
-            workflow = workflows.get(_job_of(name))
+            workflow = workflows.get(job_of(name))
             if named is None or workflow is None or workflow.retired:
                 # Older versions leave it in the store when they remove a job.
                 self._unneeded.append(name)
@@ -121,7 +118,7 @@
             except (msgspec.DecodeError, UnicodeDecodeError) as error:
                 unreadable.append(UnreadableRecord(key, str(error)))
                 checkpoint = ""
-            self._stored.setdefault(_job_of(name), {})[name] = checkpoint
+            self._stored.setdefault(job_of(name), {})[name] = checkpoint
             task = workflow.tasks.get(named[1])
             if task is not None and task.state != DONE and not task.checkpoint:
                 task.checkpoint = checkpoint
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -253,6 +253,14 @@
             effects = self._progress.end(workflow, "cancelled", now, {"by": request})
         return [*effects, AnswerCall(request, Cancelled())]
 
+    def fail_unrecorded(self, job: str, now: float) -> list[Decision]:
+        """End a job of which the store refuses a record."""
+        workflow = self._state.workflows.get(job)
+        if workflow is None or workflow.terminal:
+            return []
+        inputs = {"why": "the store refuses its records"}
+        return self._progress.end(workflow, "failed", now, inputs)
+
     def decide(
         self, now: float, wall_ms: int, limits: StartLimits | None = None
     ) -> list[Decision]:
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -37,9 +37,12 @@
 from .interfaces import AdviceUnavailable
 from .interfaces import Config
 from .interfaces import Record
+from .jobcalls import JobAccepted
 from .jobcalls import JobCall
 from .jobcalls import JobOutcome
+from .jobcalls import JobRefused
 from .jobcalls import PendingCall
+from .jobcalls import SubmitJob
 from .journal import Journal
 from .leaderlease import JournalLeaderLease
 from .looplag import LoopLag
@@ -61,6 +64,7 @@
 from .succession import StateReader
 from .takeoverread import read_topics
 from .waitingload import waiting_load
+from .workflows import job_of
 
 __all__ = ["Session", "Sources"]
 
@@ -366,10 +370,17 @@
         self._apply(self._scheduler.apply_advice(asked, advice, time.monotonic()))
 
     def _apply_durable(self, held: list[t.Any]) -> None:
+        """Carry out decisions whose records are in the store. A job of which one is not
+        is ended: a successor would not know what was decided about it."""
         self._append_log.answered()
+        unrecorded = self._append_log.pop_unrecorded_jobs()
         for decision in held:
             if isinstance(decision, AnswerCall):
-                self._answer(decision)
+                self._answer(decision, unrecorded)
+            elif (
+                isinstance(decision, StartTask) and job_of(decision.task) in unrecorded
+            ):
+                continue
             elif isinstance(decision, StartTask | StopTask):
                 self._send_command(decision)
             elif isinstance(decision, ResumeLeases):
@@ -380,6 +391,8 @@
                 poller = self._pollers.get(decision.incarnation)
                 if poller is not None:
                     poller.mark_ends_durable(decision.number)
+        for job in unrecorded:
+            self._apply(self._scheduler.fail_unrecorded(job, time.monotonic()))
 
     def _send_command(self, decision: StartTask | StopTask | PaceTask) -> None:
         poller = self._pollers.get(decision.incarnation)
@@ -387,10 +400,12 @@
             return
         self._tasks.start_soon(poller.execute, decision)
 
-    def _answer(self, decision: AnswerCall) -> None:
+    def _answer(self, decision: AnswerCall, unrecorded: t.Collection[str]) -> None:
         caller = self._callers.get(decision.request)
         if caller is not None:
             caller.outcome = decision.outcome
+            if caller.job in unrecorded and isinstance(decision.outcome, JobAccepted):
+                caller.outcome = JobRefused("the store refuses its record")
             caller.changed.set()
 
     async def call(self, request: str, call: JobCall) -> JobOutcome:
@@ -400,7 +415,8 @@
         """
         if self._over:
             raise Deposed
-        caller = self._callers[request] = PendingCall()
+        job = call.submission.job if isinstance(call, SubmitJob) else ""
+        caller = self._callers[request] = PendingCall(job)
         try:
             self._decide_for_caller(
                 lambda: self._scheduler.handle_call(request, call, time.monotonic())
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -21,6 +21,7 @@
     "Task",
     "Workflow",
     "WorkflowState",
+    "job_of",
     "parse_task_name",
 ]
 
@@ -352,6 +353,11 @@
         self.unfinished.clear()
 
 
+def job_of(task: str) -> str:
+    """Return the job of a task, by its name."""
+    return task.partition(".")[0]
+
+
 def parse_task_name(name: str) -> tuple[str, tuple[int, int, int]] | None:
     """Split a task's name into its job and its occurrence, step and index; return
     ``None`` if it is not a task's name."""
