--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test check setup soak slopes idle bench recovery mutants deciding takeover
+.PHONY: demo test check setup soak slopes idle bench recovery mutants deciding takeover thinlinks
 
 setup: $(VENV)/ready
 
@@ -49,3 +49,6 @@
 
 takeover: setup
 	$(BIN)/python -m granitetrestle_bench.takeover
+
+thinlinks: setup
+	$(BIN)/python -m granitetrestle_bench.thinlinks
--- a/features/steps/thin_link_steps.py
+++ b/features/steps/thin_link_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import random
 import time
 
 import anyio
@@ -18,116 +17,43 @@
 from granitetrestle.interfaces import Record
 from granitetrestle.interfaces import Records
 from granitetrestle.interfaces import TaskCommand
-from granitetrestle.interfaces import Writer
-from granitetrestle.jobrecords import JobRecords
-from granitetrestle.journal import Journal
 from granitetrestle.nodemetrics import NodeMetrics
 from granitetrestle.platform.boxes import PlatformBoxes
 from granitetrestle.platform.boxes import decode_entry
 from granitetrestle.platform.front import decode_directive
 from granitetrestle.platform.store import BOX_TOPIC
 from granitetrestle.platform.store import CONFIG_TOPIC
-from granitetrestle.platform.store import PlatformStore
 from granitetrestle.session import STORE_UNAVAILABLE_AFTER_S
 from granitetrestle.session import Session
 from granitetrestle.session import Sources
 from granitetrestle.shardstate import SchedulerParameters
-from granitetrestle.shardtime import ShardTime
-from granitetrestle.statedigest import DIGEST_KEY
-from granitetrestle.statedigest import DigestTracker
 from granitetrestle.succession import JOBS_TOPIC
 from granitetrestle.succession import take_over
-from granitetrestle.workflows import Step
-from granitetrestle.workflows import Submission
-from granitetrestle.workflows import Workflow
 from granitetrestle_standins.nativecluster import free_port
-from granitetrestle_standins.nativeplatform import PlatformApp
-from granitetrestle_standins.serving import serve
-from granitetrestle_standins.storereadings import PLAIN
 from granitetrestle_standins.thinlink import ThinLink
+from granitetrestle_standins.thinrig import MBPS
+from granitetrestle_standins.thinrig import ThinRig
+from granitetrestle_standins.thinrig import Writing
 
 IP = "127.0.0.1"
-# One megabit per second, in bytes per second.
-MBPS = 125_000.0
-SPEC_CHARACTERS = 4000
 LIMIT_S = 30.0
 TASK = "00000000000000d1.0.0.0"
 
 
-class Rig:
-    """A store, and a link in front of it."""
-
-    def __init__(self, mbps, known_mbps=None):
-        self.bytes_per_s = mbps * MBPS
-        self.known_bytes_per_s = (known_mbps or mbps) * MBPS
-        self.port, self.link_port = free_port(), free_port()
-        self.app = PlatformApp(
-            IP, self.port, PLAIN._replace(page_size=500), [], random.Random(1)
-        )
-        self.model = self.app.store.model
-        self.appends = 0
-
-    def store(self, address):
-        """Return a client of the store at an address."""
-        return PlatformStore(address, Caller(link_bytes_per_s=self.known_bytes_per_s))
-
-    def run(self, script):
-        """Run an async function with the store's address and the link."""
-
-        async def main():
-            link = ThinLink(self.bytes_per_s)
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.serve)
-                tasks.start_soon(link.forward, (IP, self.link_port), (IP, self.port))
-                await self.wait_open()
-                with anyio.fail_after(LIMIT_S):
-                    await script(f"{IP}:{self.link_port}", link)
-                tasks.cancel_scope.cancel()
-
-        anyio.run(main)
-
-    async def serve(self):
-        await serve(self.app, IP, self.port)
-
-    async def wait_open(self):
-        for port in (self.port, self.link_port):
-            while True:
-                try:
-                    _, writer = await asyncio.open_connection(IP, port)
-                except OSError:
-                    await anyio.sleep(0.01)
-                else:
-                    writer.close()
-                    break
-
-    def fill(self, megabytes):
-        """Write submissions as a predecessor would have; returns their number."""
-        records = JobRecords(ShardTime())
-        count = round(megabytes * 1e6 / SPEC_CHARACTERS)
-        for number in range(count):
-            spec = "x" * SPEC_CHARACTERS
-            steps = (Step(1, 100),)
-            submission = Submission(f"{number:016x}", "q", "pool", spec, steps)
-            records.add_job(Workflow(submission, 0.0))
-        written = DigestTracker().with_digest(records.pop_records())
-        self.model.append(JOBS_TOPIC, written, None)
-        return count
-
-
 @given("a store with {megabytes:g} MB of submissions behind a link of {mbps:g} Mbit/s")
 def filled_store(context, megabytes, mbps):
-    context.rig = Rig(mbps)
+    context.rig = ThinRig(mbps)
     context.jobs = context.rig.fill(megabytes)
 
 
 @given("a store behind a link of {mbps:d} Mbit/s")
 def empty_store(context, mbps):
-    context.rig = Rig(mbps)
+    context.rig = ThinRig(mbps)
 
 
 @given("a store behind a link of {mbps:d} Mbit/s, taken for one of {known:d}")
 def misjudged_link(context, mbps, known):
-    context.rig = Rig(mbps, known)
+    context.rig = ThinRig(mbps, known)
 
 
 def take_over_through_link(context, stops_after_s=None):
@@ -192,61 +118,6 @@
     assert least <= took_s <= most, took_s
 
 
-class Writing:
-    """A leader's journal that writes records through the link.
-
-    :ivar longest_pause_s: longest time without a new confirmation.
-    :ivar overdue_s: longest time that an append counted as waiting for the store.
-    """
-
-    def __init__(self, rig, address):
-        self.rig = rig
-        self.store = rig.store(address)
-        self.pending = []
-        self.overdue_s = 0.0
-        self.longest_pause_s = 0.0
-        rig.model.append(JOBS_TOPIC, (), Writer(1, 1))
-        self.journal = Journal(
-            self.store,
-            JOBS_TOPIC,
-            1,
-            self.take,
-            lambda held: None,
-            time.monotonic,
-            lambda reason, waiting_s: None,
-            link_bytes_per_s=rig.known_bytes_per_s,
-        )
-
-    def take(self):
-        records, self.pending = self.pending, []
-        return records
-
-    async def watch(self):
-        confirmed_at, at = self.journal.status.confirmed_at, time.monotonic()
-        while True:
-            await anyio.sleep(0.01)
-            status, now = self.journal.status, time.monotonic()
-            if status.waiting_since is not None:
-                self.overdue_s = max(self.overdue_s, now - status.waiting_since)
-            self.longest_pause_s = max(self.longest_pause_s, now - at)
-            if status.confirmed_at != confirmed_at:
-                confirmed_at, at = status.confirmed_at, now
-
-    async def write(self, records):
-        """Write records; returns how long it took until they are in the store."""
-        began = time.monotonic()
-        self.pending = list(records)
-        self.journal.request_batch()
-        while not self.has(records):
-            await anyio.sleep(0.01)
-        return time.monotonic() - began
-
-    def has(self, records):
-        topic = self.rig.model.topics.get(JOBS_TOPIC, [])
-        stored = {record.key for record in topic if record.key != DIGEST_KEY}
-        return stored >= {record.key for record in records}
-
-
 def records_of(name, count, size):
     return [Record(f"{name}/{number}", bytes(size)) for number in range(count)]
 
