--- a/features/steps/standby_steps.py
+++ b/features/steps/standby_steps.py
@@ -114,6 +114,22 @@
     model.append(JOBS_TOPIC, DigestTracker(known).with_digest(later), None)
 
 
+def session_with_copy(context, claim):
+    """Return a session of the process with the copy, which logs to the context."""
+    store = context.following.store
+    sources = Sources(
+        store, SilentBoxes(), CONFIG_TOPIC, BOX_TOPIC, decode_directive, decode_entry
+    )
+    return Session(
+        sources,
+        claim,
+        SchedulerParameters(),
+        context.log,
+        NodeMetrics(),
+        copy=context.copy,
+    )
+
+
 @when("{count:d} records follow and one is deleted, and the process takes over")
 def later_and_take_over(context, count):
     write_later(context, count)
@@ -125,20 +141,10 @@
 
         store.read = read
     context.log = RecordingLog()
-    sources = Sources(
-        store, SilentBoxes(), CONFIG_TOPIC, BOX_TOPIC, decode_directive, decode_entry
-    )
 
     async def run():
         claim = await take_over(store, 1, "this incarnation")
-        session = Session(
-            sources,
-            claim,
-            SchedulerParameters(),
-            context.log,
-            NodeMetrics(),
-            copy=context.copy,
-        )
+        session = session_with_copy(context, claim)
         with anyio.fail_after(10.0):
             async with anyio.create_task_group() as tasks:
 
@@ -176,22 +182,7 @@
     async def run():
         claim = await take_over(store, 1, "this incarnation")
         await take_over(store, 2, "another incarnation")
-        sources = Sources(
-            store,
-            SilentBoxes(),
-            CONFIG_TOPIC,
-            BOX_TOPIC,
-            decode_directive,
-            decode_entry,
-        )
-        session = Session(
-            sources,
-            claim,
-            SchedulerParameters(),
-            context.log,
-            NodeMetrics(),
-            copy=context.copy,
-        )
+        session = session_with_copy(context, claim)
         context.led = False
 
         def lead():
