--- a/features/steps/long_record_steps.py
+++ b/features/steps/long_record_steps.py
@@ -100,9 +100,12 @@
         self.scheduler.fleet.update_boxes({}, self.now)
         self.topic.write(self.scheduler.take_writes())
 
-    def lose_one(self):
-        """Lose a box with tasks; returns their names, and the bytes written."""
-        incarnation = next(name for name, runs in self.runs.items() if runs)
+    def lose_one(self, keep=frozenset()):
+        """Lose a box with tasks, but none of ``keep``; returns their names, and the bytes
+        written."""
+        incarnation = next(
+            name for name, runs in self.runs.items() if runs and not keep & set(runs)
+        )
         lost = set(self.runs.pop(incarnation))
         self.now += 0.01
         self.scheduler.fleet.handle_poll_outcome(
@@ -205,7 +208,7 @@
 
 @when("another box is lost")
 def another_box_lost(context):
-    context.lost, context.written = context.leader.lose_one()
+    context.lost, context.written = context.leader.lose_one(keep=context.restarted)
 
 
 @then("a successor knows an earlier checkpoint of each task that was started again")
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -21,6 +21,7 @@
 from native_mutants import NATIVE_MUTANTS
 from older_mutants import OLDER_MUTANTS
 from recovery_mutants import RECOVERY_MUTANTS
+from repeat_mutants import REPEAT_MUTANTS
 from review_mutants import REVIEW_MUTANTS
 from room_mutants import ROOM_MUTANTS
 
@@ -38,6 +39,7 @@
     *LOAD_MUTANTS,
     *ROOM_MUTANTS,
     *REVIEW_MUTANTS,
+    *REPEAT_MUTANTS,
 )
 
 
--- a/tools/native_mutants.py
+++ b/tools/native_mutants.py
@@ -194,7 +194,7 @@
     ),
     Mutant(
         "native: a successor does not know which runs were observed",
-        (("jobrecords.py", "task.proven = row.proven", "task.proven = False"),),
+        (("jobrestore.py", "task.proven = row.proven", "task.proven = False"),),
         "box_crashes",
     ),
     Mutant(
@@ -297,15 +297,15 @@
         (
             (
                 "journal.py",
-                "records, writer, APPEND_TIMEOUT_S\n",
-                "records, writer, repeat_delay_s\n",
+                "records, writer, timeout_s)",
+                "records, writer, repeat_delay_s)",
             ),
         ),
         "native_parts",
     ),
     Mutant(
         "native: a request is kept until its deadline without a decider",
-        (("forwarding.py", "now - unreached_since > LEADER_WAIT_TIMEOUT_S", "False"),),
+        (("forwarding.py", "now - waiting_since > LEADER_WAIT_TIMEOUT_S", "False"),),
         "native_parts",
     ),
     Mutant(
@@ -317,7 +317,7 @@
         "native: a successor counts ended jobs from its take-over",
         (
             (
-                "jobrecords.py",
+                "jobrestore.py",
                 "workflow.ended_at = time.steady(ended_ms[job], now)",
                 "pass",
             ),
@@ -342,7 +342,7 @@
     ),
     Mutant(
         "native: a successor counts jobs from its take-over",
-        (("jobrecords.py", "time.steady(accepted_ms, now)", "now"),),
+        (("jobrestore.py", "time.steady(accepted_ms, now)", "now"),),
         "waits_through_hand_overs",
     ),
     Mutant(
--- a/tools/recovery_mutants.py
+++ b/tools/recovery_mutants.py
@@ -248,7 +248,7 @@
         "native: limits: tries to take over begin below the epoch that was refused",
         (
             (
-                "node.py",
+                "claiming.py",
                 "max(newest_known, self._refused_epoch)",
                 "newest_known",
             ),
--- a/tools/review_mutants.py
+++ b/tools/review_mutants.py
@@ -7,7 +7,7 @@
 REVIEW_MUTANTS = (
     Mutant(
         "records: long checkpoints stay in the record of their group",
-        (("jobrecords.py", "if len(row.checkpoint.encode()) > longest", "if False"),),
+        (("jobrecords.py", "        if not fits:\n", "        if False:\n"),),
         "long_records",
     ),
     Mutant(
--- a/tools/room_mutants.py
+++ b/tools/room_mutants.py
@@ -68,7 +68,7 @@
         "room: a successor counts the idle time anew",
         (
             (
-                "jobrecords.py",
+                "jobrestore.py",
                 "task.idle_since = time.steady(row.idle_since_ms, now)",
                 "pass",
             ),
