The project's own interface, too, waits for answers that arrive slowly

The same cause on the other path: a page of the log, the list of boxes and a box's report had 2 s in all, so that a report of 800 KB could not be had over a link of 2 Mbit/s, by any owner of the shard.

thin_links.feature has two rows that fail without the change (LogUnavailable, BoxFailed).

--- a/features/steps/thin_link_steps.py
+++ b/features/steps/thin_link_steps.py
@@ -10,13 +10,18 @@
 from behave import when
 from page_steps import RecordingLog
 
+from granitetrestle.boxlink import BoxLink
 from granitetrestle.calls import Caller
+from granitetrestle.events import BoxAnswered
+from granitetrestle.events import CommandBox
 from granitetrestle.interfaces import BoxNoAnswer
 from granitetrestle.interfaces import CommandAccepted
 from granitetrestle.interfaces import PollResult
 from granitetrestle.interfaces import Record
 from granitetrestle.interfaces import Records
 from granitetrestle.interfaces import TaskCommand
+from granitetrestle.loglink import LogClient
+from granitetrestle.loglink import LogPage
 from granitetrestle.nodemetrics import NodeMetrics
 from granitetrestle.platform.boxes import PlatformBoxes
 from granitetrestle.platform.boxes import decode_entry
@@ -337,3 +342,56 @@
 def config_read(context, seconds):
     assert isinstance(context.outcome, Records), context.outcome
     assert context.took_s <= seconds, context.took_s
+
+
+class LongAnswers(LongBox):
+    """Answers as the log and as a box of the project's own interface."""
+
+    async def answer(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        length = int(head.lower().partition("content-length: ")[2].split("\r\n")[0])
+        await reader.readexactly(length)
+        if "/exchange" in head:
+            tasks = [
+                {"task": f"t{number}", "attempt": 1, "epoch": 1, "state": "running"}
+                | {"checkpoint": text}
+                for number, text in enumerate(self.checkpoints)
+            ]
+            content = json.dumps({"results": [], "tasks": tasks}).encode()
+        else:
+            content = json.dumps(
+                {"first": 0, "next": 0, "pad": self.checkpoints}
+            ).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(content))
+        writer.write(content)
+        await writer.drain()
+
+
+@given(
+    "a server behind a link of {mbps:d} Mbit/s that answers with {count:d} texts of "
+    "{size:d} characters"
+)
+def long_answers(context, mbps, count, size):
+    context.rate = mbps * MBPS
+    context.box = LongAnswers([f"{number}" * size for number in range(count)])
+
+
+@when("{what} is read from it")
+def read_from_it(context, what):
+    async def read(boxes, address):
+        caller = Caller(link_bytes_per_s=context.rate)
+        if what == "a box's report":
+            return await BoxLink(address, caller).exchange(CommandBox("b", address, ()))
+        return await LogClient(address, caller).read("s", 0, 0.0)
+
+    call_box(context, read)
+
+
+@then("all texts are known")
+def texts_known(context):
+    if isinstance(context.outcome, LogPage):
+        assert context.took_s > 2.0, context.took_s
+        return
+    assert isinstance(context.outcome, BoxAnswered), context.outcome
+    known = [task.checkpoint for task in context.outcome.report.tasks]
+    assert known == context.box.checkpoints
--- a/features/thin_links.feature
+++ b/features/thin_links.feature
@@ -68,3 +68,13 @@
     Given a store behind a link of 2 Mbit/s
     When the configuration has 400000 bytes
     Then it is read within 3 seconds
+
+  Scenario Outline: The project's own interface waits for <what> that arrives slowly
+    Given a server behind a link of 2 Mbit/s that answers with 4 texts of 200000 characters
+    When <what> is read from it
+    Then all texts are known
+
+    Examples:
+      | what              |
+      | a page of the log |
+      | a box's report    |
--- a/src/granitetrestle/boxlink.py
+++ b/src/granitetrestle/boxlink.py
@@ -104,6 +104,7 @@
             f"/v1/boxes?hall={hall}",
             timeout_s=LIST_TIMEOUT_S,
             method="GET",
+            by_progress=True,
         )
         boxes = _decode(reply, list[WireBox])
         if boxes is None:
@@ -123,6 +124,7 @@
             "/v1/exchange",
             body=msgspec.json.encode(body),
             timeout_s=EXCHANGE_TIMEOUT_S,
+            by_progress=True,
         )
         report = _decode(reply, WireReport)
         if report is not None:
--- a/src/granitetrestle/loglink.py
+++ b/src/granitetrestle/loglink.py
@@ -87,6 +87,7 @@
             timeout_s=timeout_s,
             method=method,
             limit=MAX_PAGE_BYTES,
+            by_progress=True,
         )
         if isinstance(reply, CallFailure):
             raise LogUnavailable(f"the log did not answer: {reply.proof.detail}")
