--- a/features/forward_window.feature
+++ b/features/forward_window.feature
@@ -43,3 +43,8 @@
     Then both know that it serves nobody yet
     When it reports that it leads
     Then both know that it serves
+
+  Scenario: A report of an older build doesn't say whether the leader takes over
+    Given a report in the form of an older build, and one of this build
+    Then the first is read, and its leader counts as one that serves
+    And an older build reads the second without the new field
--- a/features/steps/forward_window_steps.py
+++ b/features/steps/forward_window_steps.py
@@ -3,6 +3,7 @@
 import time
 
 import anyio
+import msgspec
 from behave import given
 from behave import then
 from behave import when
@@ -15,6 +16,9 @@
 from granitetrestle.forwardwindow import ForwardWindow
 from granitetrestle.leadership import Leadership
 from granitetrestle.messages import CallAnswered
+from granitetrestle.messages import Envelope
+from granitetrestle.messages import decode_envelope
+from granitetrestle.messages import encode_envelope
 
 ACCEPTED, REFUSED = 200, 503
 MBPS = 125_000.0
@@ -242,3 +246,41 @@
 def both_know(context):
     for process in (context.relay, context.other):
         assert (process.leader, process.leader_taking_over) == ("n2", False)
+
+
+@given("a report in the form of an older build, and one of this build")
+def older_report(context):
+    report = replace(status("n1", 5, "n1"), leader_taking_over=True)
+    context.report = encode_envelope(Envelope("n1", "n1-1", report))
+    sender, incarnation, (tag, *fields), trace = msgspec.msgpack.decode(context.report)
+    # The new field is the last one.
+    older = [sender, incarnation, [tag, *fields[:-1]], trace]
+    context.older = msgspec.msgpack.encode(older)
+
+
+@then("the first is read, and its leader counts as one that serves")
+def older_is_read(context):
+    message = decode_envelope(context.older).message
+    assert (message.node, message.leader_taking_over) == ("n1", False), message
+
+
+class _OlderStatus(msgspec.Struct, frozen=True, tag="NodeStatus", array_like=True):
+    """The fields that older builds know."""
+
+    node: str
+    address: str
+    hall: str
+    epoch: int
+    leader: str
+
+
+class _OlderEnvelope(msgspec.Struct, frozen=True, array_like=True):
+    sender: str
+    incarnation: str
+    message: _OlderStatus
+
+
+@then("an older build reads the second without the new field")
+def read_by_older(context):
+    older = msgspec.msgpack.decode(context.report, type=_OlderEnvelope)
+    assert older.message.leader == "n1", older
