--- a/tools/repeat_mutants.py
+++ b/tools/repeat_mutants.py
@@ -207,6 +207,12 @@
                 "isinstance(decision, StartTask) and job_of(decision.task) in unrecorded",
                 "isinstance(decision, StartTask) and False",
             ),
+            # An end of the job in the same turn withdraws the start as well.
+            (
+                "session.py",
+                "        for job in unrecorded:\n",
+                "        for job in ():\n",
+            ),
         ),
         "failing_leaders",
     ),
