--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -34,6 +34,7 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 HEARTBEAT_S = 1.5
 STOP_S = 0.05
+STORE_ANSWER_S = 0.004
 PAGE_RECORDS = 500
 PAGE_BYTES = 1_000_000
 BOUNDS = {
@@ -158,8 +159,12 @@
     """The platform's store in its log form, keyed topics with one partition in use."""
 
     def __init__(self, ip, record):
-        self.server = HttpServer(ip, STORE_PORT, self._handle)
-        self.address = f"{ip}:{STORE_PORT}"
+        self._ip = ip
+        self._servers = []
+        # Numbers of the nodes that are cut off from the store.
+        self.cut = set()
+        # Called with node, topic and epoch when an epoch is claimed.
+        self.on_claim = lambda node, topic, epoch: None
         self._record = record
         self.topics = collections.defaultdict(Topic)
         self._second, self._writes, self._reads = 0, 0, 0
@@ -167,6 +172,35 @@
         self.trouble = ""
         self._draw = random.Random(0)
 
+    async def listen(self, node):
+        """Open the path of one node to the store; returns its address. While the node is
+        cut off, calls and answers are held up on it."""
+
+        async def handle(method, path, query, headers, body, alive):
+            if not await self._passes(node, alive):
+                return None
+            query["node"] = node
+            answer = await self._handle(method, path, query, headers, body, alive)
+            if answer is None or not await self._passes(node, alive):
+                return None
+            return answer
+
+        server = HttpServer(self._ip, STORE_PORT + 10 + node, handle)
+        self._servers.append(server)
+        await server.start()
+        return f"{self._ip}:{server.port}"
+
+    async def _passes(self, node, alive):
+        while node in self.cut:
+            await asyncio.sleep(0.005)
+            if not alive():
+                return False
+        return True
+
+    def kill(self):
+        for server in self._servers:
+            server.kill()
+
     def put(self, topic, key, value):
         """A record of the operator or of a runner."""
         data = None if value is None else json.dumps(value).encode()
@@ -200,6 +234,7 @@
                 return None
         if self._over_rate(path == "/api/log-append"):
             return 429, b""
+        await asyncio.sleep(STORE_ANSWER_S)
         if path == "/api/log-append":
             return await self._append(name, query, body)
         if path == "/api/log-read":
@@ -230,6 +265,7 @@
                 if epoch > topic.epoch:
                     topic.epoch, topic.last = epoch, None
                     topic.answers.clear()
+                    self.on_claim(query.get("node"), name, epoch)
                 if seq in topic.answers:
                     return 200, topic.answers[seq]
                 if topic.last is not None and seq != topic.last + 1:
@@ -328,12 +364,14 @@
         self.rig.record(self.name, "up", id=self.id)
         self.write_entry()
 
-    def write_entry(self, state="ready"):
+    def write_entry(self, state="ready", cpu=None, **more):
         self.rig.store.put("keyed.servers", self.id, {
+            **more,
             "service": "pool", "address": self.address, "zone": self.zone,
             "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
             "call_seq": 1, "machine": f"m-{self.number}",
-            "capacity": {"cpu": self.cpu, "mem_mb": self.mem_mb, "gpu": 0},
+            "capacity": {"cpu": self.cpu if cpu is None else cpu, "mem_mb": self.mem_mb,
+                         "gpu": 0},
             "labels": [self.kind, self.rack],
         })
 
@@ -601,7 +639,7 @@
             "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
             "bounds": BOUNDS, "orders": "call",
             "advice": f"{self.rig.platform_ip}:{ADVICE_PORT}",
-            "platform": {"address": self.rig.store.address, "form": "log",
+            "platform": {"address": self.store, "form": "log",
                          "writes_per_s": 800, "reads_per_s": 2000, "parts": 24,
                          "append_ms": 1.0, "part_mb_per_s": 20.0,
                          "read_mb_per_s": 80.0, "record_bytes": 262144,
@@ -689,7 +727,8 @@
 
     async def start(self, route=None, advice=None):
         self.loop = asyncio.get_running_loop()
-        await self.store.server.start()
+        for node in self.nodes:
+            node.store = await self.store.listen(node.number)
         queue = {"name": "q", "host": HOST, "path_prefix": PREFIX, "service": "pool",
                  "priority": 0, "max_attempts": 3, "extension": 1.5,
                  "target_latency_ms": 1000, **(route or {})}
@@ -883,7 +922,7 @@
                 node.process.wait(5)
         for runner in self.runners:
             runner.server.kill()
-        self.store.server.kill()
+        self.store.kill()
         self._lock.close()
 
 
