--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -78,6 +78,12 @@
         self.ip, self.port, self._handle = ip, port, handle
         self._server = None
         self._writers = set()
+        self._silenced = set()
+
+    def silence(self):
+        """Let the connections that are open now say nothing any more, without a reset;
+        new ones work."""
+        self._silenced |= self._writers
 
     async def start(self):
         self._server = await asyncio.start_server(
@@ -114,9 +120,15 @@
                 def alive():
                     return not (reader.at_eof() or writer.transport.is_closing())
 
+                if writer in self._silenced:
+                    await reader.read()
+                    return
                 answer = await self._handle(method, path, query, headers, body, alive)
                 if answer is None:
                     return
+                if writer in self._silenced:
+                    await reader.read()
+                    return
                 status, content = answer
                 writer.write(
                     b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n"
@@ -128,6 +140,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self._silenced.discard(writer)
             with contextlib.suppress(Exception):
                 writer.close()
 
