--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,6 +11,8 @@
 sys.path.insert(0, str(HERE.parent / "rig-2"))
 import rig as r  # noqa: E402
 
+# Without the disruption if it is 0.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DECIDE_MS = float(os.environ.get("DECIDE_MS", "100"))
 EACH_MS = float(os.environ.get("EACH_MS", "20"))
 VALID_MS = 5000
@@ -42,7 +44,7 @@
 
     began = due = time.monotonic()
     while (at := time.monotonic() - began) < TRAFFIC_S:
-        burst = rig.trouble and BURST_AT_S <= at < BURST_AT_S + BURST_S
+        burst = TROUBLE and BURST_AT_S <= at < BURST_AT_S + BURST_S
         clients.append(asyncio.create_task(hand_in()))
         due += 1 / (RATE * (BURST_X if burst else 1.0))
         await asyncio.sleep(max(0.0, due - time.monotonic()))
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -696,7 +696,6 @@
     """A whole deployment."""
 
     def __init__(self, case, seed=0, nodes=3):
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.draw = random.Random(seed)
         self.case = pathlib.Path(case)
         self.record = Record(self.case / "record.txt")
