One call to the advice service is open at a time, and it is not given up before its turn

Cause: each waiting step asked every 1.5 s whether its last call was answered or not, each call was given up after 5 s, and nothing counted what was open. The service handles one call of a process at a time, in turn, and also those that were given up: with some ten steps each call was given up at about its turn.

Change: AdvicePace lets one call be open, gives it a multiple of what the route's decide_ms and each_ms say (times how much longer answers took lately), and twice as long after each call that was given up, since the service handles that one first. AdviceRequests chooses the step when the service is free: every second time the one that is placed first, else from queue to queue the one that has waited longest. A call names boxes with room, as many as the tasks need by the learnt share of rejections (24 before). StepAdvice adds answers up, so that a further call adds boxes. A ticket that a box refuses is dropped. New log inputs and figures tell a slow, a refusing and a silent service apart.

Why it works: a waiting step adds no call; calls that are open never exceed what the service handles next, so each call's wait is that of one call, whatever the number of steps.

Why not retried less often: the same collapse follows with more steps.

Tests: advice_calls.feature, a model of the service in virtual time. "Advice is asked for the boxes of h2" needs no expiry any more: closed boxes have no room.

--- a/features/steps/hopeless_steps.py
+++ b/features/steps/hopeless_steps.py
@@ -67,7 +67,8 @@
     for number in range(count):
         submit(leader, f"{number:016x}", STEP, "asks")
     asked = set()
-    for _ in range(3):
+    # One step is asked about at a time.
+    for _ in range(count + 2):
         leader.now += 0.1
         leader.scheduler.evacuation.record_read(leader.now)
         for decision in leader.scheduler.decide(leader.now, 0):
--- a/features/steps/life_steps.py
+++ b/features/steps/life_steps.py
@@ -187,7 +187,7 @@
 @when("it is asked about the incarnations {first} and {second}")
 def asked_about(context, first, second):
     advisor = PlatformAdvisor("address", context.service)
-    context.advice = anyio.run(advisor.advise, "job.0.0", (first, second))
+    context.advice = anyio.run(advisor.advise, "job.0.0", (first, second), 1.0)
 
 
 @then(
--- a/src/granitetrestle/boxes.py
+++ b/src/granitetrestle/boxes.py
@@ -211,6 +211,16 @@
             and step.gpu <= self.entry.gpu - self.gpu_used
         )
 
+    def count_room(self, step: Step) -> int:
+        """Return for how many more tasks of ``step`` there is room, as :meth:`fits`."""
+        free = [
+            (0 if step.best_effort else step.cpu, self.cpu_free),
+            (step.memory_mb, self.entry.memory_mb - self.memory_used),
+            (step.gpu, self.entry.gpu - self.gpu_used),
+            (1, step.per_box or step.count),
+        ]
+        return min(left // need for need, left in free if need)
+
     def place(self, task: Task) -> None:
         """Reserve the resources of a task."""
         self.tasks[task.name] = task
--- a/src/granitetrestle/calls.py
+++ b/src/granitetrestle/calls.py
@@ -149,10 +149,13 @@
         limit: int = DEFAULT_MAX_ANSWER_BYTES,
         new: bool = False,
         by_progress: bool = False,
+        connect_timeout_s: float | None = None,
     ) -> Reply | CallFailure:
         """Send one request to an address and read the whole answer.
 
         :param timeout_s: seconds after which the connection is closed.
+        :param connect_timeout_s: seconds after which an attempt to connect is given up,
+            if sooner.
         :param by_progress: count the timeout from the newest part of the answer, while
             it takes no more time than ``MIN_ANSWER_LINK_SHARE`` of the link would.
         :param limit: maximum length of the answer, in bytes.
@@ -165,7 +168,7 @@
         pooled = None if new else self._take_idle(address, max_age_s)
         request = Request(path, tuple(headers), body, method)
         exchange = _Exchange(address, address, request, limit, timeout_s, by_progress)
-        return await self._call(exchange, pooled)
+        return await self._call(exchange, pooled, connect_timeout_s)
 
     async def call_party(
         self,
@@ -203,7 +206,10 @@
         return await self._call(exchange, self._take_idle(key, MAX_IDLE_S))
 
     async def _call(
-        self, exchange: "_Exchange", pooled: Connection | None
+        self,
+        exchange: "_Exchange",
+        pooled: Connection | None,
+        connect_timeout_s: float | None = None,
     ) -> Reply | CallFailure:
         connection = pooled
         done = sent = False
@@ -217,7 +223,11 @@
                 if connection is None:
                     if not self._make_room():
                         return CallFailure(Proof(False, "too many connections"))
-                    opened = await self._open(exchange.address, exchange.limit)
+                    opened = None
+                    with anyio.move_on_after(connect_timeout_s):
+                        opened = await self._open(exchange.address, exchange.limit)
+                    if opened is None:
+                        return CallFailure(Proof(False, "not connected in time"))
                     if isinstance(opened, CallFailure):
                         return opened
                     connection = opened
--- a/src/granitetrestle/decisions.py
+++ b/src/granitetrestle/decisions.py
@@ -87,12 +87,16 @@
 
 
 class AskAdvice(t.NamedTuple):
-    """Ask the advisor which boxes may run a step of a job."""
+    """Ask the advisor which boxes may run a step of a job.
+
+    :param timeout_s: seconds after which the call is given up.
+    """
 
     job: str
     occurrence: int
     step: int
     incarnations: tuple[str, ...]
+    timeout_s: float
 
 
 class StartPolling(t.NamedTuple):
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -7,6 +7,9 @@
 import heapq
 import typing as t
 
+from .advicecandidates import Candidates
+from .advicecandidates import advice_candidates
+from .advicerequests import AdviceRequests
 from .boxes import BoxView
 from .boxindex import Pool
 from .boxsearch import BoxSearch
@@ -52,12 +55,6 @@
 
 __all__ = ["Dispatcher"]
 
-# The advice service needs time for each box named, and its calls queue: only the boxes
-# with the most free processor time are named, and a step asks again after an interval.
-MAX_ADVICE_BOXES: t.Final = 24
-ADVICE_RETRY_INTERVAL_S: t.Final = 1.5
-# Starts are made in this share of an advice's validity; the rest is for their delivery.
-ADVICE_VALIDITY_FACTOR: t.Final = 0.8
 # Best-effort tasks are placed less often than others: the figures that decide where
 # they may run come only twice a second from each box.
 BEST_EFFORT_INTERVAL_S: t.Final = 0.08
@@ -85,6 +82,7 @@
         self._search: BoxSearch = IndexedSearch() if indexed else PlainSearch()
         self._order = _waiting_order(state)
         self._room_takers = RoomTakers(state, self._headroom)
+        self._advice = AdviceRequests(lambda: state.queues, self._advice_candidates)
         # By which rule the steps are visited now.
         self._rule: StartRule = "order"
         self._suspect_placement = SuspectPlacement(state.losses)
@@ -106,6 +104,11 @@
         """The tasks that took room that long-running tasks wait for."""
         return self._room_takers
 
+    @property
+    def advice(self) -> AdviceRequests:
+        """The steps that wait for advice."""
+        return self._advice
+
     def record_submission(self, workflow: Workflow) -> None:
         """Record a job that was submitted, or was read from a predecessor's records."""
         self._order.record_submission(workflow)
@@ -130,6 +133,7 @@
         self._unplaceable.clear()
         self._limits = limits
         self._order.start_pass(now)
+        self._advice.start_pass()
         self._room_takers.start_pass()
         order = sorted(
             waiting.items(), key=lambda item: self._order.sort_key(item[1], now)
@@ -157,7 +161,7 @@
                 del waiting[key]
         self._cut_short = self._cut_short or limits.path_exhausted
         self._room_takers.end_pass()
-        return effects
+        return effects + self._advice.ask(now)
 
     def _place_due(self, now: float, wall_ms: int, max_starts: int) -> list[Decision]:
         """Start the long-running tasks that are due, ahead of others."""
@@ -205,14 +209,31 @@
         limit: int,
         due: list[Task] | None = None,
     ) -> list[Decision]:
-        """Start tasks of a step for which a box is found.
+        """Start tasks of a step for which a box is found; what is left of a step that
+        needs advice waits for more of it.
 
         :param due: long-running tasks that are due, if only they are to be started.
         """
-        step = entry.spec
         entry.last_visited_at = now
-        if self._needs_advice(entry) and now > entry.advice_until:
-            return self._ask_advice(entry, pool, now)
+        if not self._needs_advice(entry):
+            return self._place_tasks(entry, pool, now, limit, due)
+        entry.advice.expire(now)
+        effects: list[Decision] = []
+        if entry.advice.has_tickets:
+            effects = self._place_tasks(entry, pool, now, limit, due)
+        if entry.tasks:
+            self._advice.add(entry)
+        return effects
+
+    def _place_tasks(
+        self,
+        entry: WaitingStep,
+        pool: Pool,
+        now: float,
+        limit: int,
+        due: list[Task] | None,
+    ) -> list[Decision]:
+        step = entry.spec
         if step.gang:
             return self._place_gang(entry, step, pool, due is not None, now)
         service = self._state.service_of(entry.workflow)
@@ -282,7 +303,7 @@
     ) -> StartTask:
         del entry.tasks[task.name]
         entry.found_waiting_at = entry.waits_since = now
-        task.ticket = entry.tickets.get(box.incarnation, "")
+        task.ticket = entry.advice.ticket(box.incarnation)
         return self._start(task, box, now)
 
     def _place_suspects(
@@ -354,7 +375,7 @@
         """Return the ``boxes`` that advice allows, or all if the step needs none."""
         if not self._needs_advice(entry):
             return list(boxes)
-        return [box for box in boxes if box.incarnation in entry.tickets]
+        return [box for box in boxes if entry.advice.has_ticket(box.incarnation)]
 
     def _is_starved(self, entry: WaitingStep, step: Step, now: float) -> bool:
         """Return whether a best-effort job has had no task running for too long."""
@@ -366,42 +387,22 @@
             return False
         return not any(task.placed for task in entry.workflow.tasks.values())
 
-    def _ask_advice(self, entry: WaitingStep, pool: Pool, now: float) -> list[Decision]:
-        if now - entry.asked_at < ADVICE_RETRY_INTERVAL_S:
-            return []
-        entry.asked_at = now
-        candidates = list(pool.boxes.values())
-        if entry.spec.long_running:
-            candidates += pool.quarantined.values()
-        # Boxes that advice has rejected for a step stay rejected. Without leaving them
-        # out, the same boxes are asked about for ever if advice rejects all of those
-        # with the most free processor time, as can happen among idle boxes.
-        boxes = [box for box in candidates if box.incarnation not in entry.unfit]
-        if not boxes:
-            entry.unfit.clear()
-            boxes = candidates
-        by_free_cpu = sorted(boxes, key=lambda box: (-box.cpu_free, box.incarnation))
-        incarnations = tuple(box.incarnation for box in by_free_cpu[:MAX_ADVICE_BOXES])
-        job = entry.workflow.submission.job
-        return [AskAdvice(job, entry.occurrence, entry.step, incarnations)]
+    def _advice_candidates(self, entry: WaitingStep, now: float) -> Candidates:
+        """Return the boxes that the advisor may be asked about for a step."""
+        pool = self._state.index.pool(self._state.service_of(entry.workflow))
+        search = self._begin_search(entry, pool, False, now)
+        task = next(iter(entry.tasks.values()))
+        ranking = self.packer.ranking(task, self._state.interference, now)
+        return advice_candidates(
+            task, search.eligible(), pool, ranking, self._headroom, now
+        )
 
     def apply_advice(
         self, asked: AskAdvice, advice: Advice | AdviceUnavailable, now: float
     ) -> list[Decision]:
         """Apply the answer to a question which boxes may run a step."""
-        name = f"{asked.job}.{asked.occurrence}.{asked.step}"
-        if isinstance(advice, AdviceUnavailable):
-            return [LogEvent("advice_failed", name, {"reason": advice.reason})]
         entry = self._state.waiting.get((asked.job, asked.occurrence, asked.step))
-        if entry is not None:
-            entry.tickets = advice.tickets
-            entry.unfit.update(asked.incarnations)
-            entry.unfit.difference_update(advice.tickets)
-            # A start must reach its box while the advice is valid.
-            valid_s = advice.valid_s * ADVICE_VALIDITY_FACTOR if advice.tickets else 0.0
-            entry.advice_until = now + valid_s
-        inputs = {"asked": len(asked.incarnations), "good": len(advice.tickets)}
-        return [LogEvent("advised", name, inputs)]
+        return self._advice.apply(entry, asked, advice, now)
 
     def _place_gang(
         self, entry: WaitingStep, step: Step, pool: Pool, due: bool, now: float
@@ -433,7 +434,7 @@
         entry.tasks.clear()
         for task, box in chosen:
             task.run, task.checkpoint = run, checkpoint
-            task.ticket = entry.tickets.get(box.incarnation, "")
+            task.ticket = entry.advice.ticket(box.incarnation)
         starts: list[Decision] = [self._start(task, box, now) for task, box in chosen]
         if suspected:
             for box in {box.incarnation: box for _, box in chosen}.values():
--- a/src/granitetrestle/evacuation.py
+++ b/src/granitetrestle/evacuation.py
@@ -104,14 +104,7 @@
         if not directive.evacuated:
             return [LogEvent("hall_restored", directive.hall, inputs)]
         incarnations = frozenset(box.incarnation for box in boxes)
-        self._expire_advice(incarnations, now)
         return [
             LogEvent("hall_evacuated", directive.hall, inputs),
             WithdrawStarts(incarnations),
         ]
-
-    def _expire_advice(self, closed: frozenset[str], now: float) -> None:
-        """Expire advice that names closed boxes, so that its steps ask again."""
-        for entry in self._state.waiting.values():
-            if not closed.isdisjoint(entry.tickets):
-                entry.advice_until = min(entry.advice_until, now)
--- a/src/granitetrestle/interfaces.py
+++ b/src/granitetrestle/interfaces.py
@@ -229,6 +229,8 @@
     :param max_attempts: failed runs of a task before its job fails.
     :param advised: whether the advisor must name the boxes that may run a step.
     :param advice_valid_ms: how long its answer is valid.
+    :param advice_decide_ms: how long an answer takes, beside the time for each box.
+    :param advice_each_ms: how long it takes for each box that the question names.
     """
 
     name: str
@@ -241,6 +243,8 @@
     target_ms: float
     advised: bool = False
     advice_valid_ms: float = 0.0
+    advice_decide_ms: float = 0.0
+    advice_each_ms: float = 0.0
 
 
 class Config(t.NamedTuple):
@@ -385,9 +389,13 @@
 
 
 class AdviceUnavailable(t.NamedTuple):
-    """No advice was given; the call may be repeated."""
+    """No advice was given; the call may be repeated.
+
+    :param timed_out: whether the call was given up while it may still be answered.
+    """
 
     reason: str
+    timed_out: bool = False
 
 
 class Advisor(abc.ABC):
@@ -395,9 +403,12 @@
 
     @abc.abstractmethod
     async def advise(
-        self, step: str, incarnations: t.Sequence[str]
+        self, step: str, incarnations: t.Sequence[str], timeout_s: float
     ) -> Advice | AdviceUnavailable:
-        """Return which of ``incarnations`` may run ``step``."""
+        """Return which of ``incarnations`` may run ``step``.
+
+        :param timeout_s: seconds after which the call is given up.
+        """
 
 
 class BoxCalls(abc.ABC):
--- a/src/granitetrestle/longrunningwaits.py
+++ b/src/granitetrestle/longrunningwaits.py
@@ -146,10 +146,10 @@
         """Return how many boxes each cause excludes that no earlier cause excluded."""
         counts = dict.fromkeys(EXCLUSION_CAUSES, 0)
         service = self._state.service_of(entry.workflow)
-        tickets = entry.tickets if self._needs_advice(entry) else None
+        advised = self._needs_advice(entry)
         for box in self._state.boxes.values():
             if box.entry.service == service:
-                counts[_exclusion_cause(entry, box, tickets, headroom, now)] += 1
+                counts[_exclusion_cause(entry, box, advised, headroom, now)] += 1
         return counts
 
     def _explain(
@@ -178,8 +178,8 @@
             "roomy_s_ago": _seconds_since(entry.room_seen_at, now),
         }
         if self._needs_advice(entry):
-            inputs["asked_s_ago"] = _seconds_since(entry.asked_at, now)
-            inputs["advice_left_s"] = round(entry.advice_until - now, 2)
+            inputs["asked_s_ago"] = _seconds_since(entry.advice.asked_at, now)
+            inputs["advice_left_s"] = round(entry.advice.left_s(now), 2)
         return cause, inputs
 
     def _silent_boxes(self, now: float) -> t.Iterator[LogEvent]:
@@ -240,18 +240,18 @@
 def _exclusion_cause(
     entry: WaitingStep,
     box: BoxView,
-    tickets: t.Collection[str] | None,
+    advised: bool,
     headroom: Headroom,
     now: float,
 ) -> WaitCause:
     """Return the first cause that excludes a box for a step.
 
-    :param tickets: the boxes that advice names, if the step needs it.
+    :param advised: whether advice names the boxes that may run the step.
     """
     step = entry.spec
     if not box.reachable:
         return WaitCause.NO_BOX
-    if tickets is not None and box.incarnation not in tickets:
+    if advised and not entry.advice.has_ticket(box.incarnation):
         return WaitCause.ADVICE
     if not box.entry.labels.issuperset(step.required_labels):
         return WaitCause.LABELS
--- a/src/granitetrestle/platform/advice.py
+++ b/src/granitetrestle/platform/advice.py
@@ -14,8 +14,8 @@
 
 __all__ = ["PlatformAdvisor"]
 
-# The service takes time for each box named, and handles calls one after the other.
-ADVICE_TIMEOUT_S: t.Final = 5.0
+# A service that works accepts connections at once, however long its answers take.
+CONNECT_TIMEOUT_S: t.Final = 1.0
 OK: t.Final = 200
 
 
@@ -37,17 +37,24 @@
         self._caller = caller
 
     async def advise(
-        self, step: str, incarnations: t.Sequence[str]
+        self, step: str, incarnations: t.Sequence[str], timeout_s: float
     ) -> Advice | AdviceUnavailable:
         """See :meth:`.interfaces.Advisor.advise`."""
         by_id = {box_id_of(incarnation): incarnation for incarnation in incarnations}
         body = msgspec.json.encode({"step": step, "workers": list(by_id)})
         headers = ((b"content-type", b"application/json"),)
         reply = await self._caller.call(
-            self._address, "/api/advise", headers, body, ADVICE_TIMEOUT_S
+            self._address,
+            "/api/advise",
+            headers,
+            body,
+            timeout_s,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
         )
         if isinstance(reply, CallFailure):
-            return AdviceUnavailable(reply.proof.detail)
+            # A call that was not sent needs no time at the service.
+            timed_out = reply.timed_out and reply.proof.may_have_run
+            return AdviceUnavailable(reply.proof.detail, timed_out)
         if reply.status != OK:
             return AdviceUnavailable(str(reply.status))
         try:
--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -201,6 +201,8 @@
         target_ms=route.target_latency_ms,
         advised=route.advice is not None,
         advice_valid_ms=route.advice.valid_ms if route.advice else 0.0,
+        advice_decide_ms=route.advice.decide_ms if route.advice else 0.0,
+        advice_each_ms=route.advice.each_ms if route.advice else 0.0,
     )
 
 
--- a/src/granitetrestle/scheduler.py
+++ b/src/granitetrestle/scheduler.py
@@ -412,6 +412,10 @@
             return []
         inputs = {"run": task.run, "box": incarnation, "reason": outcome.reason}
         self._progress.requeue(task, now)
+        if outcome.reason == "ticket":
+            waiting = self._state.find_waiting(task)
+            if waiting is not None:
+                waiting.advice.discard_ticket(incarnation)
         box = self._state.boxes.get(incarnation)
         if box is not None:
             unwell = outcome.reason == "unhealthy"
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -367,7 +367,9 @@
         advice: Advice | AdviceUnavailable = AdviceUnavailable("no advisor is set")
         if self._sources.advisor is not None:
             step = f"{asked.job}.{asked.occurrence}.{asked.step}"
-            advice = await self._sources.advisor.advise(step, asked.incarnations)
+            advice = await self._sources.advisor.advise(
+                step, asked.incarnations, asked.timeout_s
+            )
         self._apply(self._scheduler.apply_advice(asked, advice, time.monotonic()))
 
     def _apply_durable(self, held: list[t.Any]) -> None:
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -32,6 +32,7 @@
 from .pacing import StepLoads
 from .shardtime import ShardTime
 from .slices import SlicedWork
+from .stepadvice import StepAdvice
 from .withdrawnleases import WithdrawnLeases
 from .witnesses import PANEL_KEY
 from .witnesses import Witnesses
@@ -103,8 +104,7 @@
 class WaitingStep:
     """Tasks of one step that wait for a box.
 
-    :ivar tickets: for a queue under advice, box that may run the step -> its ticket.
-    :ivar unfit: boxes that the advisor was asked about and that may not run the step.
+    :ivar advice: for a queue under advice, which boxes may run the step.
     :ivar room_since: since when there has been room for one of its long-running tasks,
         except for short gaps.
     :ivar room_seen_at: when there last was such room.
@@ -120,8 +120,7 @@
     """
 
     __slots__ = (
-        "advice_until",
-        "asked_at",
+        "advice",
         "eligible",
         "found_waiting_at",
         "head_start_tried_at",
@@ -137,8 +136,6 @@
         "step",
         "suspects",
         "tasks",
-        "tickets",
-        "unfit",
         "waits_since",
         "workflow",
     )
@@ -157,10 +154,7 @@
         self.priority = priority
         self.latest_start = self.latest_useful_start = latest_start
         self.tasks: dict[str, Task] = {}
-        self.tickets: dict[str, str] = {}
-        self.unfit: set[str] = set()
-        self.advice_until = 0.0
-        self.asked_at = -1e9
+        self.advice = StepAdvice()
         self.found_waiting_at: float | None = None
         self.room_since = 0.0
         self.room_seen_at = -1e9
@@ -352,6 +346,11 @@
             return None
         return self.workflows[parsed[0]].tasks.get(parsed[1])
 
+    def find_waiting(self, task: Task) -> WaitingStep | None:
+        """Return the step of a task, if tasks of it wait for a box."""
+        job = task.workflow.submission.job
+        return self.waiting.get((job, task.occurrence, task.step))
+
     def is_held_back(self, task: str) -> bool:
         """Return whether the job of a task is held back."""
         workflow = self.workflows.get(job_of(task))
--- a/src/granitetrestle/waitingload.py
+++ b/src/granitetrestle/waitingload.py
@@ -21,6 +21,7 @@
             f"tasks_waiting_long_{cause}": float(causes.get(cause, 0))
             for cause in WaitCause
         },
+        **scheduler.dispatcher.advice.load(),
         "halls_evacuated": float(len(state.evacuated_halls)),
         "checkpoints_too_long": float(state.checkpoints_too_long),
     }
--- a/tools/recovery_mutants.py
+++ b/tools/recovery_mutants.py
@@ -257,9 +257,46 @@
     ),
     Mutant(
         "native: limits: advice is asked about the same boxes for ever",
-        (("dispatch.py", "if box.incarnation not in entry.unfit]", "]"),),
+        (
+            (
+                "stepadvice.py",
+                "not in self._tickets and incarnation not in self._rejected",
+                "not in self._tickets",
+            ),
+        ),
         "own_limits",
     ),
+    Mutant(
+        "advice: several calls are open at once",
+        (("advicepace.py", "return self._sent_at is None and now", "return now"),),
+        "advice_calls",
+    ),
+    Mutant(
+        "advice: a call after one that was given up gets no more time",
+        (("advicepace.py", "timeout_s * 2.0**self._timeouts", "timeout_s"),),
+        "advice_calls",
+    ),
+    Mutant(
+        "advice: an answer replaces the tickets of the one before",
+        (
+            (
+                "stepadvice.py",
+                "        for incarnation in asked:\n",
+                "        self._tickets.clear()\n        for incarnation in asked:\n",
+            ),
+        ),
+        "advice_calls",
+    ),
+    Mutant(
+        "advice: the most urgent step is always asked about",
+        (("advicerequests.py", "if self._calls % 2 == 0:", "if True:"),),
+        "advice_calls",
+    ),
+    Mutant(
+        "advice: a rejected ticket is used again",
+        (("scheduler.py", 'if outcome.reason == "ticket":', "if False:"),),
+        "advice_calls",
+    ),
     Mutant(
         "native: limits: a gang's room is free for what is placed after it",
         (
