--- a/features/advice_calls.feature
+++ b/features/advice_calls.feature
@@ -42,6 +42,16 @@
     When 20 jobs come at once, all but the last are cancelled, and 2 seconds pass
     Then the last job is completed, and at most 1 of the others was asked about
 
+  Scenario: A gang that needs more boxes than one call names starts
+    Given a queue with advice on 120 boxes, which take one task each
+    When a gang of 120 tasks comes, and 10 seconds pass
+    Then each job is completed
+
+  Scenario: A gang starts although two thirds of the boxes are rejected
+    Given a queue with advice on 60 boxes, of which each third may run a step
+    When a gang of 18 tasks comes, and 10 seconds pass
+    Then each job is completed
+
   Scenario: A queue with many waiting steps does not keep those of another waiting
     Given two queues with advice on 24 boxes
     When 60 jobs of the first come at once, and then one of the second
--- a/src/granitetrestle/advicerequests.py
+++ b/src/granitetrestle/advicerequests.py
@@ -25,6 +25,8 @@
 
 # A call names no more boxes: it takes time for each.
 MAX_BOXES: t.Final = 24
+# What the service accepts in one call. A gang starts on all of its boxes together.
+MAX_GANG_BOXES: t.Final = 100
 # The service names this share of the boxes that are asked about, until it is learnt.
 INITIAL_ALLOWED_SHARE: t.Final = 0.5
 MIN_ALLOWED_SHARE: t.Final = 0.05
@@ -189,8 +191,10 @@
         self, entry: WaitingStep, boxes: t.Sequence[BoxView], missing: int
     ) -> t.Sequence[BoxView]:
         """Return as many of the boxes as the tasks need, counting on rejections."""
+        step = entry.spec
+        limit = MAX_GANG_BOXES if step.gang else MAX_BOXES
         queue = self._queues().get(entry.workflow.submission.queue)
-        limit = min(MAX_BOXES, _most_boxes(queue))
+        limit = min(limit, _most_boxes(queue))
         wanted = SPARE_FACTOR * missing + SPARE_BOXES
         chosen: list[BoxView] = []
         allowed_first = sorted(
@@ -265,6 +269,6 @@
 def _most_boxes(queue: Queue | None) -> int:
     """Return how many boxes a call may name so that its tickets are still of use."""
     if queue is None or not queue.advice_each_ms or not queue.advice_valid_ms:
-        return MAX_BOXES
+        return MAX_GANG_BOXES
     left_ms = MAX_VALIDITY_SHARE * queue.advice_valid_ms - queue.advice_decide_ms
     return max(1, math.floor(left_ms / queue.advice_each_ms))
