Steps of advice_calls.feature shadow no others, and prove fairness and refused tickets

Cause: "{seconds:d} seconds pass" also matched a step of three features of the project's own interface.

Change: another name.

--- a/features/advice_calls.feature
+++ b/features/advice_calls.feature
@@ -57,6 +57,11 @@
     When 60 jobs of the first come at once, and then one of the second
     Then the job of the second has started within 2 seconds
 
+  Scenario: A queue whose steps come without end does not keep those of another waiting
+    Given two queues with advice on 24 boxes
+    When 10 jobs of the first come a second without end, and one of the second after 5 seconds
+    Then the job of the second has started within 3 seconds
+
   Scenario: The step that waits longest gets its turn, however many more urgent ones come
     Given a queue with advice on 24 boxes, of which a call may name all
     When a job waits whose objective is far, and urgent ones come without end for 20 seconds
@@ -69,16 +74,16 @@
     And only boxes with room were asked about
 
   Scenario: A start that is rejected for its ticket asks again
-    Given a queue with advice on 24 boxes, of which a call may name all
+    Given a queue with advice on 4 boxes, which take one task each
     And the tickets of the first answer are not accepted
-    When 1 jobs come at once, and 5 seconds pass
+    When a job of 12 tasks comes, and 8 seconds pass
     Then each job is completed
     And at most 4 starts were rejected
 
   Scenario: A change of the leader in a burst costs its open call alone
     Given a queue with advice on 24 boxes, of which a call may name all
     When 20 jobs come at once, and the leader changes 3 times in 6 seconds
-    And 20 seconds pass
+    And the shard goes on for 20 seconds
     Then each job is completed
 
   Scenario: In random shards the service is called once at a time, and all work ends
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -107,7 +107,7 @@
     context.shard.advance(seconds)
 
 
-@when("{seconds:d} seconds pass")
+@when("the shard goes on for {seconds:d} seconds")
 def time_passes(context, seconds):
     context.shard.advance(seconds)
 
@@ -132,6 +132,26 @@
     context.shard.advance(seconds)
 
 
+@when(
+    "{rate:d} jobs of the first come a second without end, and one of the second after "
+    "{seconds:d} seconds"
+)
+def lasting_flood(context, rate, seconds):
+    shard, began = context.shard, context.shard.now
+    context.late = None
+    while shard.now - began < 4 * seconds:
+        shard.submit(queue="first")
+        if context.late is None and shard.now - began >= seconds:
+            context.late = shard.submit(queue="second")
+        shard.advance(1.0 / rate)
+
+
+@when("a job of {count:d} tasks comes, and {seconds:d} seconds pass")
+def wide_job(context, count, seconds):
+    context.shard.submit(count)
+    context.shard.advance(seconds)
+
+
 @when("{count:d} jobs of the first come at once, and then one of the second")
 def flood(context, count):
     shard = context.shard
