Whatever another writer leaves in a list costs that entry alone

Some answers of a single box to polls ended each leader too.

Cause: decoders checked shapes, not values. int() refuses thousands of digits with a ValueError that nobody caught; rows of polls were list[Any], so a text or a table reached the scheduler; integers of any length were accepted and could not be written again; a key with a line break can't be sent as a header. What is not foreseen ends a leadership, and the store gives the same record to each successor.

Change: types with ranges for all that others write (fieldtypes.py), rows included; what conversions raise is in DECODE_ERRORS; the feeds take any error of a decoder as the loss of that record, with one line and its trace; keys must be fit to be box ids; a page with a key that is no Unicode text is read item by item; a stored submission must be one that can be decided about; sockets to unusable addresses are closed; deadlines are finite.

Why it works: nothing leaves a decoder that can't be calculated with, sent or written, and no decoder's error leaves the loop over a list.

What a leader wrote is read as before.

--- a/src/granitetrestle/calls.py
+++ b/src/granitetrestle/calls.py
@@ -27,6 +27,8 @@
 DEFAULT_TIMEOUT_S = 2.0
 # An answer that takes more time than this share of the link would is given up.
 MIN_ANSWER_LINK_SHARE = 0.125
+# Python refuses to convert texts of thousands of digits.
+MAX_PORT_DIGITS = 5
 REQUEST_ID = "x-request-id"
 REFUSED_HEADER = b"x-refused"
 
@@ -39,7 +41,9 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
+        return False
+    return 0 < int(port) < 65536
 
 
 class Reply(t.NamedTuple):
--- a/src/granitetrestle/earlycancels.py
+++ b/src/granitetrestle/earlycancels.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from .errors import DECODE_ERRORS
+from .fieldtypes import Integer
 from .interfaces import Record
 from .shardtime import ShardTime
 
@@ -22,7 +24,7 @@
 MAX_KEPT: t.Final = 10_000
 
 _encode = msgspec.msgpack.Encoder().encode
-_times_ms = msgspec.msgpack.Decoder(int)
+_times_ms = msgspec.msgpack.Decoder(Integer)
 
 
 class EarlyCancels:
@@ -80,7 +82,7 @@
             if key.startswith(EARLY_CANCEL_KEY) and value is not None:
                 try:
                     cancelled_at = self._time.steady(_times_ms.decode(value), now)
-                except msgspec.DecodeError:
+                except DECODE_ERRORS:
                     cancelled_at = now
                 found[key.removeprefix(EARLY_CANCEL_KEY)] = cancelled_at
         self._kept = dict(sorted(found.items(), key=lambda item: item[1]))
--- a/src/granitetrestle/errors.py
+++ b/src/granitetrestle/errors.py
@@ -31,9 +31,15 @@
 ]
 
 
-# What msgspec raises for data that it can't decode; the last one if that is nested too
-# deeply, also in a field that is not read.
-DECODE_ERRORS: t.Final = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+# What decoding data of another program raises. RecursionError: it is nested too deeply,
+# also in a field that is not read. ValueError, which UnicodeDecodeError is too, and
+# OverflowError: a text or a number that can't be converted.
+DECODE_ERRORS: t.Final = (
+    msgspec.DecodeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class GranitetrestleError(Exception):
--- a/src/granitetrestle/feeds.py
+++ b/src/granitetrestle/feeds.py
@@ -24,6 +24,7 @@
 from .interfaces import RecordsGone
 from .interfaces import Store
 from .interfaces import StoreUnavailable
+from .leaderfailures import format_trace
 from .newestread import read_newest
 from .nodelog import NodeLog
 from .scheduler import Scheduler
@@ -61,7 +62,8 @@
 
 
 class _Feed(abc.ABC):
-    """Reads one topic continuously.
+    """Reads one topic continuously. A record that can't be decoded, for whatever reason,
+    costs that record: each successor would fail at it like this process.
 
     :param apply: carries out the scheduler's decisions.
     """
@@ -171,6 +173,11 @@
                 self._log.event("order_malformed", key=error.key, error=error.message)
                 unreadable.add(error.hall)
                 continue
+            except Exception as error:
+                inputs = {"error": repr(error), "trace": format_trace(error)}
+                self._log.event("order_malformed", key=record.key, **inputs)
+                unreadable.add("")
+                continue
             if isinstance(directive, Config):
                 self._apply(self._scheduler.apply_config(directive))
             elif directive is not None:
@@ -230,6 +237,9 @@
             except MalformedEntry as error:
                 self._log_rejected(error.key, error.message)
                 continue
+            except Exception as error:
+                self._log_rejected(record.key, repr(error), format_trace(error))
+                continue
             if entry is None:
                 self._rejected_keys.discard(record.key)
             else:
@@ -258,7 +268,12 @@
                 self._log_rejected(key, f"no such service: {entry.service}")
         return usable
 
-    def _log_rejected(self, key: str, reason: str) -> None:
+    def _log_rejected(self, key: str, reason: str, trace: str = "") -> None:
+        """Log once that an entry is not used.
+
+        :param trace: of an error that the decoder should not raise.
+        """
         if key not in self._rejected_keys:
             self._rejected_keys.add(key)
-            self._log.event("box_malformed", box=key, error=reason)
+            inputs = {"trace": trace} if trace else {}
+            self._log.event("box_malformed", box=key, error=reason, **inputs)
--- a/src/granitetrestle/interfaces.py
+++ b/src/granitetrestle/interfaces.py
@@ -125,11 +125,14 @@
     """A page of the newest records; the next page follows the last key of this one.
 
     :param end: the offset after the topic's last record when this page was made.
+    :param last_key: the key to continue at, if it differs from that of the last record,
+        which may be a key that is not Unicode text.
     """
 
     records: tuple[Record, ...]
     end: int
     more: bool
+    last_key: str | None = None
 
 
 class NewestUnavailable(t.NamedTuple):
--- a/src/granitetrestle/interference.py
+++ b/src/granitetrestle/interference.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from .fieldtypes import Real
 from .unloadedtails import UnloadedTails
 
 __all__ = ["Interference", "PairRow"]
@@ -49,11 +50,11 @@
     """
 
     best_effort: str
-    log_odds: float
-    low: float
-    low_variance: float
-    high: float
-    high_variance: float
+    log_odds: Real
+    low: Real
+    low_variance: Real
+    high: Real
+    high_variance: Real
 
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/src/granitetrestle/jobrecords.py
+++ b/src/granitetrestle/jobrecords.py
@@ -14,17 +14,20 @@
 
 import msgspec
 
+from .fieldtypes import Integer
 from .interfaces import Record
 from .longcheckpoints import LongCheckpoints
 from .shardtime import MAX_SHARD_TIME_MS
 from .shardtime import UNKNOWN_TIME
 from .shardtime import ShardTime
 from .workflows import DONE
+from .workflows import PENDING
 from .workflows import RUNNING
 from .workflows import STOPPING
 from .workflows import Submission
 from .workflows import Task
 from .workflows import Workflow
+from .workflows import WorkflowState
 
 __all__ = [
     "DEFAULT_MAX_RECORD_BYTES",
@@ -90,14 +93,14 @@
         in shard time.
     """
 
-    index: int
-    run: int
-    state: int
+    index: Integer
+    run: Integer
+    state: t.Annotated[int, msgspec.Meta(ge=PENDING, le=DONE)]
     box: str = ""
-    failed_runs: tuple[int, ...] = ()
+    failed_runs: tuple[Integer, ...] = ()
     checkpoint: str = ""
-    suspicion: int = 0
-    since_ms: int = UNKNOWN_TIME
+    suspicion: Integer = 0
+    since_ms: Integer = UNKNOWN_TIME
 
 
 class ObservedRow(TaskRow, frozen=True, array_like=True):
@@ -111,11 +114,11 @@
     :param evidence: as :attr:`.Task.evidence`.
     """
 
-    likely_crashes: int = 0
+    likely_crashes: Integer = 0
     proven: bool = False
-    idle_since_ms: int = UNKNOWN_TIME
-    boxes_lost: int = 0
-    evidence: int = 0
+    idle_since_ms: Integer = UNKNOWN_TIME
+    boxes_lost: Integer = 0
+    evidence: Integer = 0
 
 
 class JobRow(msgspec.Struct, frozen=True, array_like=True):
@@ -126,7 +129,9 @@
     """
 
     state: str
-    tasks: list[tuple[int, int, int, int, int, str, list[int], str]] = []
+    tasks: list[
+        tuple[Integer, Integer, Integer, Integer, Integer, str, list[Integer], str]
+    ] = []
 
 
 class EndedRow(msgspec.Struct, frozen=True, array_like=True):
@@ -135,9 +140,9 @@
     :param ended_ms: when it ended, in shard time.
     """
 
-    state: str
+    state: WorkflowState
     queue: str
-    ended_ms: int = UNKNOWN_TIME
+    ended_ms: Integer = UNKNOWN_TIME
 
 
 _encode = msgspec.msgpack.Encoder().encode
--- a/src/granitetrestle/jobrestore.py
+++ b/src/granitetrestle/jobrestore.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from .errors import DECODE_ERRORS
 from .errors import UnreadableRecord
 from .interfaces import Record
 from .jobrecords import ENDED_KEY
@@ -34,6 +35,7 @@
 from .workflows import Task
 from .workflows import Workflow
 from .workflows import WorkflowState
+from .workflows import has_valid_steps
 
 __all__ = ["NO_JOBS_APART", "JobsApart", "Restored", "restore_jobs"]
 
@@ -110,7 +112,7 @@
     restored = Restored({}, learned, leases_left, [], [], [], [], panel)
     for job, value in by_kind[SUBMISSION_KEY].items():
         submission = _read(_submissions, SUBMISSION_KEY + job, value, restored)
-        if submission is not None:
+        if submission is not None and _is_sound(submission, job, restored):
             restored.workflows[job] = _accepted(submission, job in without_tasks, now)
         yield
     ended_ms: dict[str, int] = {}
@@ -167,6 +169,18 @@
     return workflow
 
 
+def _is_sound(submission: Submission, job: str, restored: Restored) -> bool:
+    """Return whether a submission can be decided about; another writer's may not."""
+    reason = ""
+    if submission.job != job:
+        reason = f"is about job {submission.job[:80]!r}"
+    elif not has_valid_steps(submission):
+        reason = "has steps that can't be run"
+    if reason:
+        restored.unreadable.append(UnreadableRecord(SUBMISSION_KEY + job, reason))
+    return not reason
+
+
 Row = t.TypeVar("Row")
 
 
@@ -175,7 +189,7 @@
 ) -> Row | None:
     try:
         return decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         restored.unreadable.append(UnreadableRecord(key, str(error)))
         return None
 
@@ -190,7 +204,7 @@
     for key, value in records.items():
         try:
             latest_ms = max(latest_ms, decode_shard_time(value))
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             restored.unreadable.append(
                 UnreadableRecord(SHARD_TIME_KEY + key, str(error))
             )
@@ -199,7 +213,7 @@
 
 def _retired(job: str, row: EndedRow, now: float) -> Workflow:
     workflow = Workflow(Submission(job, row.queue, "", "", ()), now)
-    workflow.end(t.cast(WorkflowState, row.state), now)
+    workflow.end(row.state, now)
     workflow.retire()
     return workflow
 
--- a/src/granitetrestle/leaderfailures.py
+++ b/src/granitetrestle/leaderfailures.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from .fieldtypes import Epoch
 from .jobrestore import JobsApart
 from .shardstate import WaitingStep
 from .workflows import Submission
@@ -49,7 +50,7 @@
     :param calm: whether it led for a while without a failure.
     """
 
-    epoch: int
+    epoch: Epoch
     jobs: tuple[str, ...] = ()
     reason: str = ""
     held_back: tuple[str, ...] = ()
--- a/src/granitetrestle/longcheckpoints.py
+++ b/src/granitetrestle/longcheckpoints.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from .errors import DECODE_ERRORS
 from .errors import UnreadableRecord
 from .interfaces import Record
 from .slices import SlicedWork
@@ -116,7 +117,7 @@
                 continue
             try:
                 checkpoint = _checkpoint_rows.decode(value).checkpoint
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            except DECODE_ERRORS as error:
                 unreadable.append(UnreadableRecord(key, str(error)))
                 checkpoint = ""
             self._stored.setdefault(job_of(name), {})[name] = checkpoint
--- a/src/granitetrestle/lossrecords.py
+++ b/src/granitetrestle/lossrecords.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .fieldtypes import Integer
 from .interfaces import Record
 
 __all__ = [
@@ -31,8 +32,8 @@
 
     incarnation: str
     address: str
-    heard_ms: int
-    lost_ms: int
+    heard_ms: Integer
+    lost_ms: Integer
     suspects: tuple[str, ...]
     tried: bool
 
@@ -42,11 +43,11 @@
     :class:`.crashevidence.SuspectedLoss`."""
 
     task: str
-    run: int
+    run: Integer
     incarnation: str
     answered: bool
-    window_ms: int
-    number: int
+    window_ms: Integer
+    number: Integer
 
 
 class HistoryRow(msgspec.Struct, frozen=True, array_like=True):
@@ -56,8 +57,8 @@
     :param since_ms: since when losses have been observed.
     """
 
-    at_ms: int
-    since_ms: int
+    at_ms: Integer
+    since_ms: Integer
     losses: tuple[LossRow, ...]
     suspected: tuple[SuspectedRow, ...] = ()
 
--- a/src/granitetrestle/messages.py
+++ b/src/granitetrestle/messages.py
@@ -8,6 +8,9 @@
 
 from .errors import DECODE_ERRORS
 from .errors import FrameError
+from .fieldtypes import Epoch
+from .fieldtypes import Integer
+from .fieldtypes import Real
 from .records import Beat
 
 __all__ = [
@@ -53,7 +56,7 @@
     endpoint: str
     service: str
     address: str
-    slots: int
+    slots: Integer
 
 
 class LoansGranted(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -67,11 +70,11 @@
         does not know all endpoints yet, and they stay valid until they expire.
     """
 
-    shard: int
-    epoch: int
-    serial: int
-    answers: int
-    term_s: float
+    shard: Integer
+    epoch: Epoch
+    serial: Integer
+    answers: Integer
+    term_s: Real
     complete: bool
     loans: tuple[Loan, ...]
 
@@ -90,13 +93,13 @@
     :param demand: service -> slots that requests use or wait for.
     """
 
-    shard: int
-    epoch: int
-    number: int
-    applied: int
+    shard: Integer
+    epoch: Epoch
+    number: Integer
+    applied: Integer
     supports: bool
-    loans: dict[str, int]
-    demand: dict[str, int]
+    loans: dict[str, Integer]
+    demand: dict[str, Integer]
 
 
 class KeyAsked(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -109,7 +112,7 @@
     request: str
     account: str
     key: str
-    issued_at: float
+    issued_at: Real
 
 
 class KeyVerdict(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -143,10 +146,10 @@
     """
 
     hall: str
-    version: int
-    nodes: dict[str, int]
-    owners: dict[int, str]
-    services: dict[str, int]
+    version: Integer
+    nodes: dict[str, Integer]
+    owners: dict[Integer, str]
+    services: dict[str, Integer]
     evacuated: bool = False
 
 
@@ -166,7 +169,7 @@
     node: str
     address: str
     hall: str
-    cores: float = 1.0
+    cores: Real = 1.0
 
 
 class NodeStatus(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -195,14 +198,14 @@
     node: str
     address: str
     hall: str
-    epoch: int
+    epoch: Epoch
     leader: str
     store_ok: bool
     ready: bool
-    cores: float
+    cores: Real
     successors: tuple[str, ...] = ()
     taking_over: bool = False
-    leader_age_ms: int | None = None
+    leader_age_ms: Integer | None = None
     leader_address: str = ""
     subscribes: bool = False
     asks_members: bool = False
@@ -218,7 +221,7 @@
 class LeaderResigned(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """The leader stops; the receiver shall take over now."""
 
-    epoch: int
+    epoch: Epoch
 
 
 class CallForwarded(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -230,12 +233,12 @@
     :param reply_to: the sender's address for peers, IP:PORT.
     """
 
-    number: int
+    number: Integer
     method: str
     host: str
     path: str
     body: bytes
-    left_s: float
+    left_s: Real
     reply_to: str
 
 
@@ -247,10 +250,10 @@
         request.
     """
 
-    number: int
-    status: int
+    number: Integer
+    status: Integer
     body: bytes
-    retry_after_s: int
+    retry_after_s: Integer
     why: str = ""
 
 
--- a/src/granitetrestle/newestread.py
+++ b/src/granitetrestle/newestread.py
@@ -65,7 +65,7 @@
                 return NewestRecords(tuple(self._records), end)
 
     def _repeats_a_key(self, page: NewestPage) -> bool:
-        return not page.records or page.records[-1].key in self._last_keys
+        return not page.records or _last_key(page) in self._last_keys
 
     def _add_page(self, page: NewestPage) -> int:
         """Add a page; returns the offset from which changes must be read."""
@@ -75,7 +75,7 @@
         self._records += page.records
         self._pages += 1
         if page.records:
-            self._after = page.records[-1].key
+            self._after = _last_key(page)
             self._last_keys.add(self._after)
         return self._end
 
@@ -83,6 +83,10 @@
         return NewestUnavailable(reason, self._pages, len(self._records))
 
 
+def _last_key(page: NewestPage) -> str:
+    return page.records[-1].key if page.last_key is None else page.last_key
+
+
 async def read_newest(
     store: Store, topic: str, min_end: int = 0
 ) -> NewestRecords | NewestUnavailable:
--- a/src/granitetrestle/peerlink.py
+++ b/src/granitetrestle/peerlink.py
@@ -98,7 +98,7 @@
         try:
             socket = self._open(address)
         except zmq.ZMQError as error:
-            # Out of file descriptors: callers retry as for a lost message.
+            # Out of file descriptors, or no address: callers retry as for a lost message.
             self._not_opened += 1
             if self._not_opened == 1:
                 self.on_not_opened(node, str(error))
@@ -144,7 +144,11 @@
         # messages sent after its return would go over the dead connection.
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-        socket.connect(f"tcp://{address}")
+        try:
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            socket.close()
+            raise
         return socket
 
     def send(self, node: str, message: Message, trace: str = "") -> bool:
--- a/src/granitetrestle/platform/advice.py
+++ b/src/granitetrestle/platform/advice.py
@@ -17,16 +17,18 @@
 # A service that works accepts connections at once, however long its answers take.
 CONNECT_TIMEOUT_S: t.Final = 1.0
 OK: t.Final = 200
+MAX_VALID_MS: t.Final = 2**53
 
 
 class _Answer(msgspec.Struct):
     """``good`` has a row for each box that may run the step: its id and its ticket."""
 
-    good: list[list[str]] = []
-    valid_ms: float = 0.0
+    good: list[msgspec.Raw] = []
+    valid_ms: t.Annotated[float, msgspec.Meta(ge=0, le=MAX_VALID_MS)] = 0.0
 
 
 _answers = msgspec.json.Decoder(_Answer)
+_ticket_rows = msgspec.json.Decoder(list[str])
 
 
 class PlatformAdvisor(Advisor):
@@ -61,9 +63,15 @@
             answer = _answers.decode(reply.body)
         except DECODE_ERRORS as error:
             return AdviceUnavailable(f"malformed answer: {error}")
-        tickets = {
-            by_id[row[0]]: row[1]
-            for row in answer.good
-            if len(row) > 1 and row[0] in by_id
-        }
+        rows = filter(None, map(_ticket_row, answer.good))
+        tickets = {by_id[box]: ticket for box, ticket in rows if box in by_id}
         return Advice(tickets, answer.valid_ms / 1000.0)
+
+
+def _ticket_row(raw: msgspec.Raw) -> tuple[str, str] | None:
+    """Return a box's id and ticket, or ``None`` if the row has not both."""
+    try:
+        row = _ticket_rows.decode(raw)
+    except DECODE_ERRORS:
+        return None
+    return (row[0], row[1]) if len(row) > 1 else None
--- a/src/granitetrestle/platform/boxes.py
+++ b/src/granitetrestle/platform/boxes.py
@@ -13,6 +13,8 @@
 from ..calls import is_address
 from ..errors import DECODE_ERRORS
 from ..errors import MalformedEntry
+from ..fieldtypes import Integer
+from ..fieldtypes import Real
 from ..incarnations import box_id_of
 from ..incarnations import incarnation_name
 from ..incarnations import is_same_incarnation
@@ -57,6 +59,8 @@
 MAX_AMOUNT: t.Final = 2**40
 # Milliseconds since 1970 are far below this.
 MAX_BORN_MS: t.Final = 2**53
+# Keys of records about boxes add a prefix and a time of birth to this.
+MAX_BOX_ID_BYTES: t.Final = 200
 _Amount = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 _Born = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN_MS)]
 
@@ -79,7 +83,7 @@
     labels: list[str] = []
     remaining_ms: t.Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)] | None = None
     machine: str = ""
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: Real = 0.0
     born: _Born | None = None
 
 
@@ -89,14 +93,37 @@
     born: _Born | None = None
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    """A row of ``running``; older boxes don't measure."""
+
+    task: str
+    run: Integer
+    saved: str
+    percent: Real
+    measurement: Real = 0.0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    """A row of ``finished``."""
+
+    number: Integer
+    task: str
+    run: Integer
+    how: str
+    saved: str
+
+
 class _PollAnswer(msgspec.Struct):
-    clock_ms: int
-    running: list[list[t.Any]] = []
-    finished: list[list[t.Any]] = []
+    """An answer with a row that can't be read is malformed as a whole: without the row,
+    a run that goes on would count as not there, and would be started elsewhere."""
+
+    clock_ms: Integer
+    running: list[_RunningRow] = []
+    finished: list[_EndedRow] = []
 
 
 class _CommandAnswer(msgspec.Struct):
-    clock_ms: int = 0
+    clock_ms: Integer = 0
     reason: str = ""
 
 
@@ -118,6 +145,8 @@
         raw = _entries.decode(record.value)
     except DECODE_ERRORS as error:
         raise MalformedEntry(record.key, str(error)) from error
+    if not _is_box_id(record.key):
+        raise MalformedEntry(record.key, "the key can't be the id of a box")
     if not is_address(raw.address):
         raise MalformedEntry(record.key, f"address {raw.address!r} is not IP:PORT")
     leaving_in_ms = raw.remaining_ms
@@ -139,6 +168,11 @@
     )
 
 
+def _is_box_id(key: str) -> bool:
+    """Return whether a key can be sent in a header, and recorded under another key."""
+    return key.isprintable() and 0 < len(key.encode()) <= MAX_BOX_ID_BYTES
+
+
 class _Incarnation(Party):
     """One incarnation of a box, called with a leader's fencing token. A box that
     restarts may keep its id, so a call needs a connection over which the box has
@@ -232,7 +266,7 @@
             return _refusal_outcome(reply)
         try:
             return _decode_poll(reply.body)
-        except (*DECODE_ERRORS, IndexError, ValueError, TypeError) as error:
+        except DECODE_ERRORS as error:
             return BoxNoAnswer(f"malformed answer: {error}")
 
     async def start(
@@ -355,13 +389,14 @@
     return CommandRejected(answer.reason, answer.clock_ms)
 
 
-def _running_task(row: list[t.Any]) -> RunningTask:
-    measurement = float(row[4]) if len(row) > 4 else 0.0
-    return RunningTask(row[0], row[1], row[2], row[3], measurement)
-
-
 def _decode_poll(body: bytes) -> PollResult:
     raw = _poll_answers.decode(body)
-    running = tuple(map(_running_task, raw.running))
-    ended = tuple(EndedRun(*row[:5]) for row in raw.finished)
+    running = tuple(
+        RunningTask(row.task, row.run, row.saved, int(row.percent), row.measurement)
+        for row in raw.running
+    )
+    ended = tuple(
+        EndedRun(row.number, row.task, row.run, row.how, row.saved)
+        for row in raw.finished
+    )
     return PollResult(raw.clock_ms, running, ended, len(ended) >= MAX_ENDS_PER_POLL)
--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -9,6 +9,8 @@
 from ..errors import DECODE_ERRORS
 from ..errors import InvalidInput
 from ..errors import MalformedDirective
+from ..fieldtypes import Integer
+from ..fieldtypes import Real
 from ..interfaces import Config
 from ..interfaces import HallDirective
 from ..interfaces import Queue
@@ -24,6 +26,7 @@
 from ..jobcalls import NoSuchJob
 from ..jobcalls import SubmitJob
 from ..jobcalls import WaitingCount
+from ..workflows import MAX_TASKS
 from ..workflows import Step
 from ..workflows import Submission
 
@@ -44,7 +47,6 @@
 JOB_ID: t.Final = re.compile(r"[0-9a-f]{16}")
 MAX_SPEC_BYTES: t.Final = 4000
 MAX_STEPS: t.Final = 100
-MAX_TASKS: t.Final = 5000
 # JSON numbers above this lose precision in clients. Integers above 64 bits can't be
 # serialized: such a job crashes the leader that accepts it, and then its successor
 # when the client submits the job again.
@@ -72,9 +74,9 @@
 
 
 class _Advice(msgspec.Struct):
-    decide_ms: float = 0.0
-    each_ms: float = 0.0
-    valid_ms: float = 0.0
+    decide_ms: Real = 0.0
+    each_ms: Real = 0.0
+    valid_ms: Real = 0.0
 
 
 class _Route(msgspec.Struct):
@@ -85,10 +87,10 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 1
-    max_attempts: int = 3
-    extension: float = 1.5
-    target_latency_ms: float = 1000.0
+    priority: Integer = 1
+    max_attempts: Integer = 3
+    extension: Real = 1.5
+    target_latency_ms: Real = 1000.0
     advice: _Advice | None = None
 
 
@@ -98,11 +100,11 @@
 
 
 class _Limits(msgspec.Struct):
-    max_body_bytes: int = 262144
+    max_body_bytes: Integer = 262144
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: Integer
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -117,32 +119,32 @@
     """``anti_affinity`` is the maximum of the step's tasks on one box; ``fills`` marks
     best-effort tasks, which take only unused processor time."""
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0.0
-    depends_on: list[int] = []
+    count: Integer
+    cpu: Integer = 0
+    mem_mb: Integer = 0
+    gpu: Integer = 0
+    estimate_ms: Real = 0.0
+    depends_on: list[Integer] = []
     checkpointing: bool = False
     gang: bool = False
     rack_local: bool = False
     requirements: str | list[str] = ""
     affinity: str = ""
-    anti_affinity: int = 0
+    anti_affinity: Integer = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: float = 0.0
+    target_ms: Real = 0.0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Integer = 0
 
 
 class _Job(msgspec.Struct):
     steps: list[_Step]
     spec: str = ""
-    repeat_count: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repeat_count: Integer = 0
+    start_at_ms: Integer = 0
+    interval_ms: Integer = 0
 
 
 _configs = msgspec.json.Decoder(_Config)
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -24,6 +24,8 @@
 DEADLINE_HEADER: t.Final = b"deadline-ms"
 # For clients that send no deadline: the longest one in the platform's specification.
 DEFAULT_DEADLINE_S: t.Final = 3.0
+# A client that names a longer one, or none that is finite, is answered within this.
+MAX_DEADLINE_S: t.Final = 3600.0
 # Subtracted from a client's deadline, so that the answer arrives in time.
 ANSWER_SLACK_S: t.Final = 0.05
 MAX_BODY_BYTES: t.Final = 1024 * 1024
@@ -189,7 +191,8 @@
 
 def _deadline_s(headers: t.Mapping[bytes, bytes]) -> float:
     try:
-        return max(0.0, float(headers[DEADLINE_HEADER]) / 1000.0)
+        left_s = max(0.0, float(headers[DEADLINE_HEADER]) / 1000.0)
+        return min(MAX_DEADLINE_S, left_s)
     except (KeyError, ValueError):
         return DEFAULT_DEADLINE_S
 
--- a/src/granitetrestle/platform/settings.py
+++ b/src/granitetrestle/platform/settings.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from ..appendpace import DEFAULT_LINK_BYTES_PER_S
+from ..calls import is_address
 from ..errors import SettingsError
 from ..settings import Address
 
@@ -63,7 +64,7 @@
     """
     try:
         raw = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError([f"{path}: {error}"]) from error
     if not isinstance(raw, dict):
         raise SettingsError([f"{path}: not a JSON object"])
@@ -151,7 +152,7 @@
         if optional and not value:
             return None
         ip, _, port = str(value).rpartition(":")
-        if ip and port.isdigit() and 0 < int(port) < 65536:
+        if is_address(str(value)):
             return Address(ip, int(port))
         self._problems.append(f"{key}: {value!r} is not IP:PORT")
         return None
--- a/src/granitetrestle/platform/store.py
+++ b/src/granitetrestle/platform/store.py
@@ -1,7 +1,9 @@
 """Client of the platform's store: appends fenced by epoch, pages of the newest record
 of each key, and reads from an offset."""
 
+import base64
 import collections
+import json
 import struct
 import typing as t
 import urllib.parse
@@ -13,6 +15,7 @@
 from ..calls import Reply
 from ..errors import DECODE_ERRORS
 from ..errors import UnstorableRecord
+from ..fieldtypes import Integer
 from ..interfaces import MAX_KEY_BYTES
 from ..interfaces import Appended
 from ..interfaces import AppendRefused
@@ -46,6 +49,8 @@
 REFUSED: t.Final = frozenset({400, 413})
 CONFLICT: t.Final = 409
 GONE: t.Final = 410
+# How bytes of a key that are not Unicode text are kept until the next page is asked for.
+KEY_ERRORS: t.Final = "surrogateescape"
 
 
 class _Item(msgspec.Struct):
@@ -57,7 +62,7 @@
 
 
 class _Page(msgspec.Struct):
-    end: int
+    end: Integer
     items: list[_Item] = []
     more: bool = False
 
@@ -65,9 +70,9 @@
 class _AppendAnswer(msgspec.Struct):
     """``call_seq`` is the sequence number that the store expects next."""
 
-    end: int = 0
+    end: Integer = 0
     reason: str = ""
-    call_seq: int = 0
+    call_seq: Integer = 0
 
 
 _pages = msgspec.json.Decoder(_Page)
@@ -158,7 +163,7 @@
         try:
             page = _pages.decode(reply.body)
         except DECODE_ERRORS:
-            return StoreUnavailable("malformed answer")
+            return _decode_odd_page(reply.body)
         records = tuple(Record(item.key, item.value) for item in page.items)
         return NewestPage(records, page.end, page.more)
 
@@ -193,7 +198,7 @@
         new: bool = False,
     ) -> Reply | StoreUnavailable:
         self.calls += 1
-        target = f"{path}?{urllib.parse.urlencode(query)}"
+        target = f"{path}?{urllib.parse.urlencode(query, errors=KEY_ERRORS)}"
         headers = ((b"content-type", b"application/octet-stream"),)
         reply = await self._caller.call(
             self._address,
@@ -212,6 +217,46 @@
         return reply
 
 
+def _decode_odd_page(body: bytes) -> NewestPage | StoreUnavailable:
+    """Return a page of which an item can't be decoded like the others. Another writer's
+    key may be no Unicode text; if it made the page unreadable, nobody could lead."""
+    try:
+        page = json.loads(body.decode(errors=KEY_ERRORS))
+        end, more, items = page["end"], page.get("more", False), page.get("items", [])
+        keys = [item["key"] for item in items]
+        sound = type(end) is int and type(more) is bool
+        if not sound or not all(isinstance(key, str) for key in keys):
+            return StoreUnavailable("malformed answer")
+        records = tuple(
+            Record(_text(key), _odd_value(item))
+            for key, item in zip(keys, items, strict=True)
+        )
+        # A key that can't be sent can't be continued at.
+        last_key = keys[-1] if keys else None
+        if last_key is not None:
+            last_key.encode(errors=KEY_ERRORS)
+    except (*DECODE_ERRORS, AttributeError, KeyError, TypeError):
+        return StoreUnavailable("malformed answer")
+    return NewestPage(records, end, more, last_key)
+
+
+def _text(key: str) -> str:
+    """Return a key as :func:`decode_records` does."""
+    try:
+        return key.encode(errors=KEY_ERRORS).decode(errors="replace")
+    except UnicodeEncodeError:
+        return key.encode(errors="replace").decode()
+
+
+def _odd_value(item: t.Mapping[str, t.Any]) -> bytes:
+    """Return the value of an item, or one that no decoder accepts."""
+    value = item.get("value", "")
+    try:
+        return base64.b64decode(value, validate=True)
+    except (TypeError, ValueError):
+        return b""
+
+
 def encode_record(record: Record) -> bytes:
     """Return a keyed record in the store's binary format: length, key length, key,
     value.
@@ -237,11 +282,13 @@
         position += 4
         if position + length > len(data):
             raise struct.error("cut short")
-        key_end = position + 1 + data[position]
+        end = position + length
+        # Without a whole key it is about no key of ours, but counts as a record.
+        key_end = min(end, position + 1 + data[position]) if length else end
         # Other writers may use keys that are not UTF-8; such a record must not make the
         # rest unreadable.
         key = data[position + 1 : key_end].decode(errors="replace")
-        value = data[key_end : position + length]
+        value = data[key_end:end]
         records.append(Record(key, value or None))
-        position += length
+        position = end
     return records
--- a/src/granitetrestle/records.py
+++ b/src/granitetrestle/records.py
@@ -9,6 +9,8 @@
 
 from .errors import DECODE_ERRORS
 from .errors import FrameError
+from .fieldtypes import Integer
+from .fieldtypes import Real
 
 __all__ = [
     "AttemptEnded",
@@ -57,11 +59,11 @@
     """
 
     kind: JobKind
-    cores: float
-    memory_gb: float
-    accelerators: int = 0
-    tasks: int = 1
-    run_s: float = 0.0
+    cores: Real
+    memory_gb: Real
+    accelerators: Integer = 0
+    tasks: Integer = 1
+    run_s: Real = 0.0
     urgent: bool = False
     service: str = ""
 
@@ -73,7 +75,7 @@
     job: str
     account: str
     spec: JobSpec
-    shard: int
+    shard: Integer
 
 
 class JobCancelled(msgspec.Struct, frozen=True, tag=True):
@@ -90,9 +92,9 @@
     """
 
     task: str
-    attempt: int
-    shard: int
-    epoch: int
+    attempt: Integer
+    shard: Integer
+    epoch: Integer
     ending: Ending
     checkpoint: str = ""
 
@@ -105,9 +107,9 @@
     new epoch.
     """
 
-    shard: int
-    previous_epoch: int
-    seen_renewal: int
+    shard: Integer
+    previous_epoch: Integer
+    seen_renewal: Integer
     node: str
     incarnation: str
 
@@ -118,8 +120,8 @@
     :param heir: node that takes over; empty if the owner names none.
     """
 
-    shard: int
-    epoch: int
+    shard: Integer
+    epoch: Integer
     heir: str = ""
 
 
@@ -132,8 +134,8 @@
 
     node: str
     incarnation: str
-    number: int
-    config_offset: int
+    number: Integer
+    config_offset: Integer
     stopping: bool = False
 
 
@@ -152,7 +154,7 @@
     account: str
     column: str
     value: CellValue
-    seen_version: int
+    seen_version: Integer
 
 
 class TableEdited(msgspec.Struct, frozen=True, tag=True):
@@ -181,9 +183,9 @@
 class SnapshotChunk(msgspec.Struct, frozen=True, tag=True):
     """Chunk ``index`` of ``count`` of the snapshot after the record at ``upto``."""
 
-    upto: int
-    index: int
-    count: int
+    upto: Integer
+    index: Integer
+    count: Integer
     payload: bytes
 
 
@@ -209,15 +211,15 @@
     """
 
     writer: str
-    seq: int
+    seq: Integer
     facts: tuple[Fact, ...]
 
 
 class LogRecord(t.NamedTuple):
     """A batch with the offset and wall time (seconds) that the log assigned to it."""
 
-    offset: int
-    at: float
+    offset: Integer
+    at: Real
     batch: Batch
 
 
--- a/src/granitetrestle/registry.py
+++ b/src/granitetrestle/registry.py
@@ -7,6 +7,10 @@
 import msgspec
 
 from .calls import is_address
+from .errors import DECODE_ERRORS
+from .fieldtypes import Epoch
+from .fieldtypes import Integer
+from .fieldtypes import Real
 from .interfaces import Appended
 from .interfaces import NewestUnavailable
 from .interfaces import Record
@@ -32,7 +36,7 @@
 
     address: str
     hall: str
-    cores: float = 1.0
+    cores: Real = 1.0
 
 
 class LeaderEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -43,9 +47,9 @@
     :param address: where that process listens for its peers.
     """
 
-    epoch: int = 0
+    epoch: Epoch = 0
     node: str = ""
-    beat: int = 0
+    beat: Integer = 0
     incarnation: str = ""
     address: str = ""
 
@@ -118,7 +122,7 @@
                     nodes[key.removeprefix(NODE_KEY)] = _node_entry(value)
                 elif value and key.startswith(FAILURE_KEY):
                     failures.append(_failures.decode(value))
-            except (msgspec.DecodeError, UnicodeDecodeError):
+            except DECODE_ERRORS:
                 unreadable.append(key)
         return RegistryEntries(nodes, leader, tuple(unreadable), tuple(failures))
 
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -13,6 +13,7 @@
 from .boxindex import EligibleBoxes
 from .crashevidence import LossHistory
 from .earlycancels import EarlyCancels
+from .errors import DECODE_ERRORS
 from .errors import UnreadableRecord
 from .failurerate import FailureRate
 from .incarnations import box_id_of
@@ -301,7 +302,7 @@
         self.workflows.update(restored.workflows)
         try:
             self.losses.restore(records, self.find_task, now)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             restored.unreadable.append(UnreadableRecord(LOSSES_KEY, str(error)))
         for group in restored.groups:
             self._records.add_stored_group(group)
@@ -315,12 +316,12 @@
         self.withdrawn_leases.restore(restored.leases_left, now)
         try:
             self.witnesses.restore(restored.panel)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             restored.unreadable.append(UnreadableRecord(PANEL_KEY, str(error)))
         for image, value in restored.interference.items():
             try:
                 self.interference.restore(image, value)
-            except msgspec.DecodeError as error:
+            except DECODE_ERRORS as error:
                 key = INTERFERENCE_KEY + image
                 restored.unreadable.append(UnreadableRecord(key, str(error)))
         yield from self._prepare_restored()
--- a/src/granitetrestle/shardtime.py
+++ b/src/granitetrestle/shardtime.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from .fieldtypes import Integer
 from .interfaces import Record
 
 __all__ = [
@@ -27,7 +28,7 @@
 UNKNOWN_TIME: t.Final = -1
 
 _encode = msgspec.msgpack.Encoder().encode
-_decoder = msgspec.msgpack.Decoder(int)
+_decoder = msgspec.msgpack.Decoder(Integer)
 
 
 class ShardTime:
--- a/src/granitetrestle/statedigest.py
+++ b/src/granitetrestle/statedigest.py
@@ -19,6 +19,9 @@
 
 import msgspec
 
+from .errors import DECODE_ERRORS
+from .fieldtypes import Epoch
+from .fieldtypes import Integer
 from .interfaces import NewestRecords
 from .interfaces import Record
 
@@ -61,23 +64,23 @@
     :param total: exclusive or of the checksums of each key with its value.
     """
 
-    keys: int
-    total: int
+    keys: Integer
+    total: Integer
 
 
 class _StoredDigest(msgspec.Struct, frozen=True, array_like=True):
     """Stored form of a digest and a mark; older versions write the digest alone, and
     ignore the mark."""
 
-    keys: int
-    total: int
-    epoch: int = 0
-    end: int = 0
+    keys: Integer
+    total: Integer
+    epoch: Epoch = 0
+    end: Integer = 0
     resigned: bool = False
-    inherited_ms: int = 0
-    lease_ms: int = 0
-    inherited_ms_of: dict[str, int] | None = None
-    panel: int = 0
+    inherited_ms: Integer = 0
+    lease_ms: Integer = 0
+    inherited_ms_of: dict[str, Integer] | None = None
+    panel: Integer = 0
     panel_covers_earlier: bool = False
 
 
@@ -117,7 +120,7 @@
         unless a majority of the witnesses accepts its polls; older versions do not say so.
     """
 
-    epoch: int
+    epoch: Epoch
     by: str
     witnessed: bool = False
 
@@ -272,7 +275,7 @@
         return IncompleteRead(Verdict.NO_DIGEST, f"no digest with {actual.keys} keys")
     try:
         stored = _digest_decoder.decode(values[DIGEST_KEY] or b"")
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return IncompleteRead(Verdict.NO_DIGEST, f"unreadable digest: {error}")
     expected = StateDigest(stored.keys, stored.total)
     if actual == expected:
@@ -334,7 +337,7 @@
     value = next((r.value for r in records if r.key == DIGEST_KEY), None)
     try:
         stored = _digest_decoder.decode(value or b"")
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
     return stored if stored.epoch else None
 
@@ -361,7 +364,7 @@
 def _decode_claimant(value: bytes | None) -> _EpochClaimant | None:
     try:
         return _claimant_decoder.decode(value) if value else None
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/granitetrestle/withdrawnleases.py
+++ b/src/granitetrestle/withdrawnleases.py
@@ -14,6 +14,8 @@
 import msgspec
 
 from .decisions import ResumeLeases
+from .errors import DECODE_ERRORS
+from .fieldtypes import Integer
 from .interfaces import Record
 
 __all__ = ["LEASE_KEY", "WithdrawnLeases", "decode_lease_left"]
@@ -27,7 +29,7 @@
 class _LeaseRow(msgspec.Struct, frozen=True, array_like=True):
     """Stored form: how long the last lease may run from when the record is written."""
 
-    left_ms: int
+    left_ms: Integer
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -39,7 +41,7 @@
     written, or ``None`` for a record of an older version, which does not say it."""
     try:
         return _lease_rows.decode(value).left_ms / 1000.0
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/granitetrestle/witnesses.py
+++ b/src/granitetrestle/witnesses.py
@@ -20,6 +20,7 @@
 
 from .boxes import BoxView
 from .decisions import ConfirmPanel
+from .fieldtypes import Integer
 from .interfaces import Record
 
 __all__ = ["PANEL_KEY", "Panel", "Witnesses", "choose_members"]
@@ -40,7 +41,7 @@
     :param members: incarnations of boxes; empty if there is no panel.
     """
 
-    version: int = 0
+    version: Integer = 0
     members: tuple[str, ...] = ()
 
     @property
--- a/src/granitetrestle/workflows.py
+++ b/src/granitetrestle/workflows.py
@@ -6,11 +6,14 @@
 
 import msgspec
 
+from .fieldtypes import Integer
+from .fieldtypes import Real
 from .shardtime import UNKNOWN_TIME
 from .tasktimes import TaskTimes
 
 __all__ = [
     "DONE",
+    "MAX_TASKS",
     "PENDING",
     "RUNNING",
     "STARTING",
@@ -21,6 +24,7 @@
     "Task",
     "Workflow",
     "WorkflowState",
+    "has_valid_steps",
     "job_of",
     "parse_task_name",
 ]
@@ -33,6 +37,8 @@
 # The names that logs show, by state.
 STATE_NAMES: t.Final = ("pending", "starting", "running", "stopping", "done")
 FULL_PACE: t.Final = 100
+# Tasks of a job, over all its occurrences.
+MAX_TASKS: t.Final = 5000
 
 WorkflowState: t.TypeAlias = t.Literal[
     "queued", "running", "completed", "failed", "cancelled"
@@ -58,24 +64,24 @@
         unavailable at once.
     """
 
-    count: int
-    cpu: int = 0
-    memory_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    depends_on: tuple[int, ...] = ()
+    count: Integer
+    cpu: Integer = 0
+    memory_mb: Integer = 0
+    gpu: Integer = 0
+    estimate_ms: Integer = 0
+    depends_on: tuple[Integer, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     rack_local: bool = False
     required_labels: tuple[str, ...] = ()
     affinity: str = ""
-    per_box: int = 0
+    per_box: Integer = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: float = 0.0
+    target_ms: Real = 0.0
     best_effort: bool = False
-    max_unavailable: int = 0
+    max_unavailable: Integer = 0
 
 
 class Submission(msgspec.Struct, frozen=True, array_like=True):
@@ -97,11 +103,26 @@
     service: str
     spec: str
     steps: tuple[Step, ...]
-    repeat_count: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
-    accepted_ms: int = UNKNOWN_TIME
-    max_attempts: int = 0
+    repeat_count: Integer = 0
+    start_at_ms: Integer = 0
+    interval_ms: Integer = 0
+    accepted_ms: Integer = UNKNOWN_TIME
+    max_attempts: Integer = 0
+
+
+def has_valid_steps(submission: Submission) -> bool:
+    """Return whether the steps of a stored job can be decided about, as those of every
+    job that is accepted can."""
+    steps = submission.steps
+    tasks = sum(step.count for step in steps) * max(1, submission.repeat_count)
+    if not steps or tasks > MAX_TASKS:
+        return False
+    return all(
+        step.count > 0
+        and min(step.cpu, step.memory_mb, step.gpu, step.estimate_ms, step.per_box) >= 0
+        and all(0 <= earlier < number for earlier in step.depends_on)
+        for number, step in enumerate(steps)
+    )
 
 
 class Task:
--- a/src/granitetrestle_standins/boxserver.py
+++ b/src/granitetrestle_standins/boxserver.py
@@ -52,7 +52,9 @@
     and executes each some seconds later; ``POST /test/crash?s=S`` ends the incarnation
     and starts another after S seconds, under another id or, with ``keep=1``, under the
     same one; with ``list=S`` it is listed S seconds after its start; ``POST
-    /test/entry?state=STATE`` changes its list entry; ``POST /test/leave?how=HOW`` lets
+    /test/entry?state=STATE`` changes its list entry; ``POST
+    /test/odd?field=F&text=T&s=S`` puts T in place of a field of the answers to polls for
+    S seconds; ``POST /test/leave?how=HOW`` lets
     it leave for good, ``gone`` (connections are refused) or ``dark`` (calls remain
     unanswered), and returns when, and which incarnation did; ``POST /test/runs`` returns
     each run, with :meth:`.BoxModel.end_counts` as the last column; ``POST /test/facts``
@@ -92,6 +94,8 @@
         self._previous_id = ""
         self._list_at: float | None = None
         self._has_left = False
+        self._odd_field = self._odd_text = ""
+        self._odd_until = 0.0
         self._delayed_calls: set[asyncio.Task[None]] = set()
 
     @property
@@ -173,6 +177,9 @@
             pass
         elif path == "/test/silent":
             self._silent_until = now + float(query["s"])
+        elif path == "/test/odd":
+            self._odd_field, self._odd_text = query["field"], query["text"]
+            self._odd_until = now + float(query["s"])
         elif path == "/test/late":
             self._delayed_share = float(query["share"])
             self._delay_until = now + float(query["s"])
@@ -240,13 +247,22 @@
         else:
             _execute(model, path, command, now, arrived, True)
 
+    def _disguise(self, reply: Reply) -> Reply:
+        """Return the answer to a poll, with the odd field if there is one now."""
+        if time.monotonic() >= self._odd_until:
+            return reply
+        answer = json.loads(reply.body)
+        answer.pop(self._odd_field, None)
+        odd = f', "{self._odd_field}": {self._odd_text}}}'
+        return Reply(reply.status, (json.dumps(answer)[:-1] + odd).encode())
+
     async def _hold(self, body: t.Mapping[str, t.Any]) -> Reply:
         model = self.model
         deadline = time.monotonic() + body.get("wait_ms", 0) / 1000.0
         poll = _poll(model, body, time.monotonic())
         while isinstance(poll, PollResult):
             if poll.ended or time.monotonic() >= deadline:
-                return _poll_reply(model, poll)
+                return self._disguise(_poll_reply(model, poll))
             await asyncio.sleep(TICK_INTERVAL_S)
             now = time.monotonic()
             recheck = self._profile.rechecks_long_polls
