A successor serves by the last configuration while the operators' can't be read

Cause: the operators' topic, which keeps the newest record of a key alone, is the only place from which a leader knows the configuration.

Change: a leader that can't read it writes the one in force to the shard's records (o/), from which a successor takes it; the next one that can be read removes it. Nothing is written as long as configurations can be read.

The records of a shard that the hypothesis test draws have the prefixes that the code uses.

--- a/features/odd_input.feature
+++ b/features/odd_input.feature
@@ -16,6 +16,12 @@
   Scenario: An odd record of operators leaves the configuration in force
     Then of 400 odd records beside a sound configuration each leaves a leader deciding
 
+  Scenario: Successors serve by the last configuration while the operators' can't be read
+    Given 3 nodes on the platform with 4 boxes
+    When another writer leaves an odd record in the place of the configuration
+    Then a job completes at each of 3 leaders, one after the other
+    And a later configuration is in force, and none is kept any more
+
   Scenario: An odd record among those of processes leaves the others
     Then of 400 odd records of processes each leaves the sound one to be read
 
--- a/features/steps/odd_input_steps.py
+++ b/features/steps/odd_input_steps.py
@@ -50,6 +50,7 @@
 from granitetrestle.shardstate import SchedulerParameters
 from granitetrestle.workflows import Step
 from granitetrestle.workflows import Submission
+from granitetrestle_standins.nativeplatform import CONFIG as PLATFORM_CONFIG
 from granitetrestle_standins.nativestore import MemoryStore
 from granitetrestle_standins.nativestore import StoreModel
 from granitetrestle_standins.shardworld import CONFIG
@@ -373,7 +374,9 @@
         "l/": "withdrawnleases._lease_rows",
         "k/": "longcheckpoints._checkpoint_rows",
         "n/": "lossrecords._rows",
-        "c/": "earlycancels._times_ms",
+        "x/": "earlycancels._times_ms",
+        "c/": "shardtime._decoder",
+        "o/": "platform.front._configs",
     }
     names = st.sampled_from(
         ("", "x", "b" * 16, "b" * 16 + "/0.0.0", "b" * 16 + ".0.0.0", "/", "0.0", "@1")
@@ -383,12 +386,10 @@
         for prefix, kind in prefixes.items()
     ]
     panels = DECODERS["granitetrestle.witnesses._panels"]
-    times = DECODERS["granitetrestle.shardtime._decoder"]
+    marks = DECODERS["granitetrestle.statedigest._digest_decoder"]
     fixed = [
-        st.tuples(
-            st.sampled_from(("w/panel", "w/", "m/time", "m/", "m/state")), odd(kind)
-        )
-        for kind in (panels, times)
+        st.tuples(st.sampled_from(("w/panel", "w/")), odd(panels)),
+        st.tuples(st.sampled_from(("m/state", "m/taken", "m/")), odd(marks)),
     ]
     sound = Leader()
     sound.poll()
@@ -563,6 +564,37 @@
     time.sleep(1.5)
 
 
+@when("another writer leaves an odd record in the place of the configuration")
+def odd_config_written(context):
+    fields = {
+        "topic": "keyed.op",
+        "key": "config",
+        "value": base64.b64encode(b'{"version": "two"').decode(),
+    }
+    answer = context.cluster.store(f"/test/write?{urllib.parse.urlencode(fields)}")
+    assert answer.status == 200, answer
+    time.sleep(1.0)
+
+
+@then("a later configuration is in force, and none is kept any more")
+def later_config(context):
+    cluster = context.cluster
+    config = json.dumps({**PLATFORM_CONFIG, "version": 9})
+    cluster.order("config", urllib.parse.quote(config))
+
+    def versions():
+        return [
+            line["version"]
+            for line in cluster.log(cluster.leader())
+            if line["event"] == "config_in_force"
+        ]
+
+    cluster.wait(lambda: 9 in versions(), "version 9")
+    cluster.submit("00000000000000f9", [{"count": 1, "cpu": 1000, "mem_mb": 100}])
+    kept = json.loads(cluster.store("newest?topic=keyed.jobs&part=0").content)["items"]
+    assert not [item for item in kept if item["key"].startswith("o/")], kept
+
+
 @then("a job completes at each of {count:d} leaders, one after the other")
 def completes_at_each(context, count):
     cluster = context.cluster
--- a/src/granitetrestle/errors.py
+++ b/src/granitetrestle/errors.py
@@ -205,14 +205,18 @@
 
     :param key: the directive's key in the store.
     :param hall: the data hall that it names, or an empty string.
+    :param is_config: whether it stands in the place of the configuration.
     """
 
     code = "malformed_order"
 
-    def __init__(self, key: str, reason: str, hall: str = "") -> None:
+    def __init__(
+        self, key: str, reason: str, hall: str = "", is_config: bool = False
+    ) -> None:
         super().__init__(f"{key}: {reason}", "correct the directive and write it again")
         self.key = key
         self.hall = hall
+        self.is_config = is_config
 
 
 class UnreadableRecord(GranitetrestleError):
--- a/src/granitetrestle/feeds.py
+++ b/src/granitetrestle/feeds.py
@@ -105,6 +105,8 @@
         self._read_at = -1e9
         # Data halls with a directive that can't be read.
         self._unreadable: set[str] = set()
+        # The operators' record of the configuration in force.
+        self._config_record: Record | None = None
 
     @property
     def config(self) -> Config | None:
@@ -124,6 +126,10 @@
     def load(self, newest: NewestRecords) -> None:
         """See :meth:`_Feed.load`."""
         self._apply_records(newest)
+        kept = self._scheduler.state.kept_config.record
+        if self.config is None and kept is not None:
+            self._log.event("config_kept", key=kept.key)
+            self._decode([kept])
 
     async def follow(self) -> None:
         """See :meth:`_Feed.follow`."""
@@ -172,6 +178,8 @@
             except MalformedDirective as error:
                 self._log.event("order_malformed", key=error.key, error=error.message)
                 unreadable.add(error.hall)
+                if error.is_config and self._config_record is not None:
+                    self._scheduler.state.kept_config.keep(self._config_record)
                 continue
             except Exception as error:
                 inputs = {"error": repr(error), "trace": format_trace(error)}
@@ -180,6 +188,9 @@
                 continue
             if isinstance(directive, Config):
                 self._apply(self._scheduler.apply_config(directive))
+                self._config_record = record
+                if record != self._scheduler.state.kept_config.record:
+                    self._scheduler.state.kept_config.discard()
             elif directive is not None:
                 directives.append(directive)
         return directives, unreadable
--- a/src/granitetrestle/platform/front.py
+++ b/src/granitetrestle/platform/front.py
@@ -159,11 +159,11 @@
     :raises MalformedDirective: if it can't be decoded.
     """
     key, value = record
-    if key == CONFIG_KEY and value is not None:
+    if key == CONFIG_KEY:
         try:
-            return decode_config(value)
+            return decode_config(value or b"")
         except DECODE_ERRORS as error:
-            raise MalformedDirective(key, str(error)) from error
+            raise MalformedDirective(key, str(error), is_config=True) from error
     if not key.startswith(EVACUATE_PREFIX):
         return None
     hall = key.removeprefix(EVACUATE_PREFIX)
--- a/src/granitetrestle/shardstate.py
+++ b/src/granitetrestle/shardstate.py
@@ -28,6 +28,7 @@
 from .jobrestore import JobsApart
 from .jobrestore import Restored
 from .jobrestore import restore_jobs
+from .keptconfig import KeptConfig
 from .lossrecords import LOSSES_KEY
 from .mechanisms import Mechanism
 from .pacing import StepLoads
@@ -204,6 +205,7 @@
         self.early_cancels = EarlyCancels(self._time)
         self.losses = LossHistory(self._time)
         self._time_record: Record | None = None
+        self.kept_config = KeptConfig()
         self._records = JobRecords(self._time, parameters.record_bytes)
         self._interference_rows: dict[str, bytes] = {}
 
@@ -271,6 +273,7 @@
             or self.losses.waiting
             or leases.waiting
             or self.witnesses.waiting
+            or self.kept_config.waiting
             or self._time_record
         )
 
@@ -283,6 +286,7 @@
         records += self.losses.pop_records()
         records += self._records.pop_records()
         records += self.early_cancels.pop_records()
+        records += self.kept_config.pop_records()
         for image, value in self._interference_rows.items():
             records.append(Record(INTERFERENCE_KEY + image, value))
         self._interference_rows.clear()
@@ -299,6 +303,7 @@
             records, restored.workflows, restored.unreadable
         )
         self.early_cancels.restore(records, now)
+        self.kept_config.restore(records)
         self.workflows.update(restored.workflows)
         try:
             self.losses.restore(records, self.find_task, now)
