What was read is as old as the read, and a request is decided by the newest configuration

Cause: OperatorFeed dated a read by when its answer was processed, Session by the end of the take-over; FrontResponder decoded a request before the wait for the confirmation, and answered by that after it.

Change: a read is dated by its beginning, plus the wait if the store had nothing; the next read after records, and the first one after a take-over, don't wait, so that freshness does not lapse for it. A request is decoded again if the configuration changed during the wait, and 400 and 404 too come after the proof, by a fresh one.

--- a/src/granitetrestle/feeds.py
+++ b/src/granitetrestle/feeds.py
@@ -123,9 +123,13 @@
         """How many data halls have a directive that can't be read."""
         return len(self._unreadable)
 
-    def load(self, newest: NewestRecords) -> None:
-        """See :meth:`_Feed.load`."""
-        self._apply_records(newest)
+    def load(self, newest: NewestRecords, as_of: float | None = None) -> None:
+        """See :meth:`_Feed.load`.
+
+        :param as_of: when the read of these records began, on the steady clock; now if
+            it is not given.
+        """
+        self._apply_records(newest, steadyclock.now() if as_of is None else as_of)
         kept = self._scheduler.state.kept_config.record
         if self.config is None and kept is not None:
             self._log.event("config_kept", key=kept.key)
@@ -134,11 +138,14 @@
     async def follow(self) -> None:
         """See :meth:`_Feed.follow`."""
         store, topic = self._sources.store, self._sources.config_topic
-        wait_s = CONFIG_READ_WAIT_S
+        # What the take-over read may be out of date.
+        wait_s = 0.0
         while True:
             outcome: Records | NewestRecords | RecordsGone | StoreUnavailable | None
+            as_of = steadyclock.now()
             outcome = await store.read(topic, self._next_offset, wait_s)
             if isinstance(outcome, RecordsGone):
+                as_of = steadyclock.now()
                 outcome = await self._reload(topic)
             if outcome is None or isinstance(outcome, StoreUnavailable):
                 # Starts are held back until the store answers, so the next read must
@@ -146,12 +153,23 @@
                 wait_s = 0.0
                 await anyio.sleep(RETRY_INTERVAL_S)
                 continue
-            self._apply_records(outcome)
-            wait_s = CONFIG_READ_WAIT_S
+            if outcome.records:
+                # It was answered as soon as there was a record, and the next one must
+                # not wait: this one may be almost as old as a wait.
+                wait_s = 0.0
+            else:
+                # For the whole wait there was no record.
+                as_of = min(as_of + wait_s, steadyclock.now())
+                wait_s = CONFIG_READ_WAIT_S
+            self._apply_records(outcome, as_of)
 
-    def _apply_records(self, outcome: NewestRecords | Records) -> None:
+    def _apply_records(self, outcome: NewestRecords | Records, as_of: float) -> None:
         """Put configuration and directives in force; :class:`.NewestRecords` replace
-        all earlier directives."""
+        all earlier directives.
+
+        :param as_of: a time on the steady clock up to which all records are known. The
+            answer may be processed much later, if this process stood still meanwhile.
+        """
         self._next_offset = outcome.end
         directives, unreadable = self._decode(outcome.records)
         evacuation, now = self._scheduler.evacuation, time.monotonic()
@@ -162,8 +180,8 @@
             self._unreadable -= {directive.hall for directive in directives}
             self._unreadable |= unreadable
             self._apply(evacuation.apply_directives(directives, now))
-        self._read_at = steadyclock.now()
-        evacuation.record_read(now)
+        self._read_at = as_of
+        evacuation.record_read(now - (steadyclock.now() - as_of))
 
     def _decode(
         self, records: t.Iterable[Record]
--- a/src/granitetrestle/platform/server.py
+++ b/src/granitetrestle/platform/server.py
@@ -55,27 +55,22 @@
         self, session: Session, request: str, call: ClientCall
     ) -> ClientAnswer:
         """See :class:`..node.Responder`."""
-        if session.over:
-            # Nothing has been done yet, and the successor may accept the call.
-            raise Deposed
-        config = session.config
-        if config is None:
-            return _retry_later("no configuration yet")
-        method, host, path, body = call
-        try:
-            decoded = front.decode_call(self._index(config), method, host, path, body)
-            self._check_size(decoded)
-        except InvalidInput as error:
-            return ClientAnswer(400, error.message.encode(), why=error.message)
-        refusal = ""
-        if isinstance(decoded, SubmitJob) and session.store_unavailable:
-            refusal = "store away"
-        elif not session.serving:
-            refusal = "the configuration was not confirmed recently"
-        if refusal and not _is_submitted(session, decoded):
-            return _retry_later(refusal, session.retry_after_s)
-        if not await session.confirm() and not _is_submitted(session, decoded):
-            return _retry_later("store away", session.retry_after_s)
+        config: Config | None = None
+        while config is None or config is not session.config:
+            # A configuration that came into force during the wait for the confirmation
+            # may know the queue.
+            if session.over:
+                # Nothing has been done yet, and the successor may accept the call.
+                raise Deposed
+            config = session.config
+            if config is None:
+                return _retry_later("no configuration yet")
+            decoded = self._decode(config, call)
+            refusal = await _refusal(session, decoded)
+            if refusal and not _is_submitted(session, decoded):
+                return _retry_later(refusal, session.retry_after_s)
+        if isinstance(decoded, InvalidInput):
+            return ClientAnswer(400, decoded.message.encode(), why=decoded.message)
         if isinstance(decoded, front.UnknownQueue):
             return ClientAnswer(404)
         if self._is_of_other_queue(session, config, call, decoded):
@@ -86,6 +81,17 @@
         answer = front.encode_outcome(outcome)
         return ClientAnswer(answer.status, answer.body)
 
+    def _decode(
+        self, config: Config, call: ClientCall
+    ) -> front.DecodedCall | InvalidInput:
+        """Return the call that a request makes, or why it makes none."""
+        try:
+            decoded = front.decode_call(self._index(config), *call)
+            self._check_size(decoded)
+        except InvalidInput as error:
+            return error
+        return decoded
+
     def _is_of_other_queue(
         self,
         session: Session,
@@ -117,7 +123,17 @@
             )
 
 
-def _is_submitted(session: Session, decoded: front.DecodedCall) -> bool:
+async def _refusal(session: Session, decoded: front.DecodedCall | InvalidInput) -> str:
+    """Return why a call can't be answered now, or an empty string once this process is
+    proved to lead, by a configuration that is fresh."""
+    if isinstance(decoded, SubmitJob) and session.store_unavailable:
+        return "store away"
+    if session.serving and not await session.confirm():
+        return "store away"
+    return "" if session.serving else "the configuration was not confirmed recently"
+
+
+def _is_submitted(session: Session, decoded: front.DecodedCall | InvalidInput) -> bool:
     """Return whether the call submits a job that is already accepted, perhaps not yet
     durably. To refuse such a call would be wrong, since the job may run."""
     if not isinstance(decoded, SubmitJob):
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -252,7 +252,7 @@
 
     async def _take_over(self) -> bool:
         """Restore the predecessor's state; no other process can write meanwhile."""
-        started = time.monotonic()
+        started, read_from = time.monotonic(), steadyclock.now()
         read = await read_topics(
             self._sources, self._state_reader, self._log, self._epoch
         )
@@ -274,7 +274,7 @@
             for epoch in self._ended_epochs:
                 leases.record_process_end(epoch, now)
             self._apply([leases.inherited_event(now)])
-            self._operator_feed.load(read[self._sources.config_topic])
+            self._operator_feed.load(read[self._sources.config_topic], read_from)
             await in_slices(self._box_feed.loading(read[self._sources.box_topic]))
         self._log.event(
             "took_over",
