A leader answers a forwarded request once, however often it is sent while it is answered

What callers see: nothing but a leader that is slow for longer.

Change: requests that are being answered are known by process and number; a copy of one is counted (forwarded_again) and ignored. A copy that comes after the answer, as when that was lost, is answered as before. The part moves from node.py to forwardedcalls.py.

--- a/features/native_parts.feature
+++ b/features/native_parts.feature
@@ -155,6 +155,11 @@
     When a request with 0.05 seconds left is forwarded to it, and then one with 2 seconds
     Then the second is answered, and no answer to the first is sent
 
+  Scenario: A request that is forwarded again while it is answered is answered once
+    Given a leader whose answers take 0.5 seconds
+    When the same request is forwarded to it 3 times, and another one once
+    Then each is decided about once, and answered once
+
   Scenario: A process to which others forward requests as it starts does start
     Guards against the former leader ending with an AttributeError as it starts after a
     power loss of all machines: the others still take it for the leader, and forward it
--- a/features/steps/forwarded_steps.py
+++ b/features/steps/forwarded_steps.py
@@ -52,8 +52,10 @@
 class SlowResponder:
     def __init__(self, seconds):
         self.seconds = seconds
+        self.asked = []
 
     async def answer(self, session, request, call):
+        self.asked.append(call.path)
         await anyio.sleep(self.seconds)
         return ClientAnswer(200, call.path.encode())
 
@@ -85,7 +87,15 @@
     "and then one with {second:g} seconds"
 )
 def two_forwarded(context, first, second):
-    requests = ((1, first), (2, second))
+    forward(context, ((1, first), (2, second)))
+
+
+@when("the same request is forwarded to it 3 times, and another one once")
+def forwarded_again(context):
+    forward(context, ((1, 2.0), (1, 1.4), (2, 2.0), (1, 0.8)))
+
+
+def forward(context, requests):
     node = node_that_receives(
         context, [forwarded_request(*request) for request in requests]
     )
@@ -107,6 +117,13 @@
     assert answers == [("n2", 2)], answers
 
 
+@then("each is decided about once, and answered once")
+def answered_once(context):
+    answers = [(node, message.number) for node, message in context.peers.sent]
+    assert sorted(answers) == [("n2", 1), ("n2", 2)], answers
+    assert sorted(context.responder.asked) == ["/1", "/2"], context.responder.asked
+
+
 @when("a process starts to which others forward requests already")
 def starts_among_requests(context):
     context.responder = SlowResponder(0.0)
--- a/src/granitetrestle/node.py
+++ b/src/granitetrestle/node.py
@@ -10,6 +10,7 @@
 
 from .claiming import EpochClaimer
 from .failedleaders import FailedLeaders
+from .forwardedcalls import ForwardedCalls
 from .forwarding import ClientAnswer
 from .forwarding import ClientCall
 from .forwarding import Deposed
@@ -19,7 +20,6 @@
 from .handover import ask_to_take_over
 from .jobrestore import JobsApart
 from .leaderfailures import LeaderFailure
-from .leaderfailures import format_trace
 from .leaderfailures import jobs_apart
 from .leaderprocesses import LeaderProcesses
 from .messages import CallAnswered
@@ -55,10 +55,6 @@
 DRAIN_TIMEOUT_S: t.Final = 0.3
 # A process without a known leader for this long is not ready for new connections.
 LEADERLESS_TIMEOUT_S: t.Final = 1.5
-# The connection to the sender of a request opens only with the first answer to it.
-ANSWER_SEND_TIMEOUT_S: t.Final = 1.0
-ANSWER_RETRY_INTERVAL_S: t.Final = 0.01
-INTERNAL_ERROR: t.Final = 500
 
 
 class Node:
@@ -123,6 +119,7 @@
         self._attempting = False
         self._taking_over = False
         self._requests = itertools.count(1)
+        self._forwarded = ForwardedCalls(self._answer_locally, peers, log, metrics)
         self._forwarding = Forwarding(
             parameters.node,
             parameters.address,
@@ -220,7 +217,7 @@
                 self._record_ended_leaders(message, envelope.incarnation)
                 self._handle_status(message)
             elif isinstance(message, CallForwarded):
-                tasks.start_soon(self._answer_forwarded, sender, message)
+                self._forwarded.start(sender, message, tasks)
             elif isinstance(message, CallAnswered):
                 self._forwarding.record_answer(message)
             elif isinstance(message, LeaderResigned):
@@ -266,28 +263,6 @@
             self._leaderless_since = time.monotonic()
             self._log.event("leader_lost", epoch=self._leadership.epoch)
 
-    async def _answer_forwarded(self, sender: str, message: CallForwarded) -> None:
-        call = ClientCall(message.method, message.host, message.path, message.body)
-        answer: ClientAnswer | None = None
-        with anyio.move_on_after(message.left_s):
-            try:
-                answer = await self._answer_locally(call)
-            except Deposed:
-                # The sender forwards to the next leader; a refusal would end that.
-                return
-            except Exception as error:
-                inputs = {"method": call.method, "path": call.path}
-                self._log.event("call_failed", **inputs, trace=format_trace(error))
-                answer = ClientAnswer(INTERNAL_ERROR, why=repr(error))
-        if answer is None:
-            # The sender has answered its client at the deadline.
-            return
-        self._peers.connect(sender, message.reply_to)
-        answered = CallAnswered(message.number, *answer)
-        with anyio.move_on_after(ANSWER_SEND_TIMEOUT_S):
-            while not self._peers.send(sender, answered):
-                await anyio.sleep(ANSWER_RETRY_INTERVAL_S)
-
     async def _tick_loop(self, tasks: anyio.abc.TaskGroup) -> None:
         self._standstills.start()
         while True:
