Real processes meet the advice service over HTTP in the project's own suite

A stand-in for the service (adviceserver.py) handles one call of a machine at a time. A burst with a killed leader, and a service that is silent and then slow: no machine has two calls open (three in the second, as those that were given up are still handled).

--- a/features/advice_calls.feature
+++ b/features/advice_calls.feature
@@ -88,3 +88,13 @@
 
   Scenario: In random shards the service is called once at a time, and all work ends
     Then in 30 random shards with advice one call is open at a time, and all jobs end
+
+  Scenario: Real processes answer a burst whose calls the advice service can't handle in time
+    Given 3 nodes on the platform with 4 boxes, and advice that takes 100 and 20 ms a box
+    When 20 jobs are submitted at once, and the leader is killed after 2 seconds
+    Then every job completes, and no machine had two calls for advice open
+
+  Scenario: Real processes go on after the advice service was silent, and while it is slow
+    Given 3 nodes on the platform with 4 boxes, and advice that takes 20 and 5 ms a box
+    When 6 jobs are submitted while the service is silent for 5 seconds and then 8 times as slow
+    Then every job completes, and no machine had more than three calls for advice open
--- a/features/steps/advice_steps.py
+++ b/features/steps/advice_steps.py
@@ -1,6 +1,8 @@
 """Steps for calls to the advice service."""
 
+import json
 import random
+import time
 
 from behave import given
 from behave import then
@@ -10,6 +12,7 @@
 from hypothesis import strategies as st
 
 from advised_shard import AdvisedShard
+from granitetrestle_standins.nativecluster import NativeCluster
 
 TICK_S = 0.1
 
@@ -291,3 +294,58 @@
         assert not shard.unfinished(), (seed, shard.unfinished(), service.__dict__)
 
     play()
+
+
+@given(
+    "{nodes:d} nodes on the platform with {boxes:d} boxes, and advice that takes "
+    "{decide:d} and {each:d} ms a box"
+)
+def advised_cluster(context, nodes, boxes, decide, each):
+    platform = ("--advice", f"{decide},{each},5000")
+    context.cluster = NativeCluster(context.folder, nodes, boxes, platform)
+    context.cluster.ready()
+
+
+def submit_all(context, count):
+    step = [{"count": 2, "cpu": 200, "mem_mb": 10}]
+    context.jobs = [f"{number + 1:016x}" for number in range(count)]
+    for job in context.jobs:
+        context.cluster.submit(job, step)
+
+
+@when(
+    "{count:d} jobs are submitted at once, and the leader is killed after "
+    "{seconds:d} seconds"
+)
+def burst_and_kill(context, count, seconds):
+    submit_all(context, count)
+    time.sleep(seconds)
+    context.cluster.kill(context.cluster.leader())
+
+
+@when(
+    "{count:d} jobs are submitted while the service is silent for {seconds:d} seconds "
+    "and then {times:d} times as slow"
+)
+def silent_and_slow(context, count, seconds, times):
+    context.cluster.store(f"/test/advice?silent={seconds}&times={times}")
+    submit_all(context, count)
+
+
+@then("every job completes, and no machine had two calls for advice open")
+def all_complete(context):
+    complete(context, 1)
+
+
+@then("every job completes, and no machine had more than three calls for advice open")
+def all_complete_later(context):
+    complete(context, 3)
+
+
+def complete(context, most_open):
+    cluster = context.cluster
+    for job in context.jobs:
+        cluster.wait(lambda j=job: cluster.state(j) == "completed", job)
+    counts = json.loads(cluster.store("/test/advice").content)
+    assert counts["most_open"] <= most_open and not counts["refused"], counts
+    assert not cluster.failed_nodes(), cluster.failed_nodes()
--- a/src/granitetrestle_standins/adviceservice.py
+++ b/src/granitetrestle_standins/adviceservice.py
@@ -10,7 +10,7 @@
 from granitetrestle.interfaces import Advice
 from granitetrestle.interfaces import AdviceUnavailable
 
-__all__ = ["AdviceServiceModel", "Outcome"]
+__all__ = ["MAX_WAITING", "AdviceServiceModel", "Outcome"]
 
 MAX_WAITING: t.Final = 32
 
--- a/src/granitetrestle_standins/nativecluster.py
+++ b/src/granitetrestle_standins/nativecluster.py
@@ -215,6 +215,8 @@
             "limits": {"cpu_share": 1.0, "cores": 1},
             "something_new": {"a": 1},
         }
+        if "--advice" in self._platform:
+            settings["advice"] = self._store_address
         boot = self.folder / f"{name}.json"
         boot.write_text(json.dumps(settings))
         self._run_node(name)
--- a/src/granitetrestle_standins/nativeplatform.py
+++ b/src/granitetrestle_standins/nativeplatform.py
@@ -18,6 +18,7 @@
 from granitetrestle.interfaces import Record
 from granitetrestle.interfaces import Records
 from granitetrestle.interfaces import Writer
+from granitetrestle_standins.adviceserver import AdviceServer
 from granitetrestle_standins.boxprofiles import PLAIN_BOX
 from granitetrestle_standins.boxprofiles import BoxProfile
 from granitetrestle_standins.boxprofiles import EndsTold
@@ -215,6 +216,7 @@
     :param reading: the store's interpretation of its specification.
     :param profiles: profile of each box.
     :param spares: number of last boxes that are not listed at first.
+    :param advice: the advice service, at the store's port, if queues need it.
     """
 
     def __init__(
@@ -225,12 +227,15 @@
         profiles: t.Sequence[BoxProfile],
         draw: random.Random,
         spares: int = 0,
+        advice: AdviceServer | None = None,
     ) -> None:
         self._ip = ip
+        self._advice = advice
         self.store = StoreServer(StoreModel(reading, draw), draw)
         self.boxes: dict[int, BoxServer] = {}
         model = self.store.model
-        config = json.dumps(CONFIG).encode()
+        route = ROUTE if advice is None else {**ROUTE, "advice": advice.route}
+        config = json.dumps({**CONFIG, "routes": [route]}).encode()
         model.append("keyed.op", [Record("config", config)], None)
         for number, profile in enumerate(profiles):
             hall = f"hall-{1 + (1 + number) % 2}"
@@ -294,6 +299,10 @@
                 return list(self.boxes.values())[int(number)].hook(
                     f"/test/{hook}", query
                 )
+            if self._advice is not None and path == "/test/advice":
+                return self._advice.hook(query)
+            if self._advice is not None and path == "/api/advise":
+                return await self._advice.answer(scope["client"][0], body)
             return await self.store.handle(path, query, body)
         expected_id = dict(scope["headers"]).get(b"expect-instance", b"").decode()
         return await box.answer(path, expected_id, body)
@@ -333,6 +342,7 @@
         help="how plain boxes apply an acknowledged number",
     )
     parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--advice", help="DECIDE,EACH,VALID in ms, if queues need it")
     arguments = parser.parse_args()
     draw = random.Random(arguments.seed)
     reading = (
@@ -347,7 +357,10 @@
     profiles += _profiles(arguments.profiles, ends_told, arguments.spares, draw_spares)
     print(f"reading: {reading.name}; boxes: {arguments.profiles}", flush=True)
     address = (arguments.ip, arguments.port)
-    app = PlatformApp(*address, reading, profiles, draw, arguments.spares)
+    advice = None
+    if arguments.advice:
+        advice = AdviceServer(*map(float, arguments.advice.split(",")))
+    app = PlatformApp(*address, reading, profiles, draw, arguments.spares, advice)
     asyncio.run(_run(app, arguments.ip, arguments.port))
 
 
