Reading ahead of a slow store, and advice for boxes that long-running tasks may use

Found while reading the diff. With answers that take half a second, the age of a configuration reached the limit of 1.8 s just before each answer, now that reads are dated by their beginning: the wait at the store is shorter by what answers take. A reload is dated by its own beginning. Tickets for boxes that are reserved from long-running tasks kept their step from asking about others: reserved boxes are named only if no other has room. The figure of steps that wait for advice is zero once nothing waits.

Tests: "A configuration stays fresh while each answer of the store takes half a second"; stale_configuration, advice_calls, native_evacuation, hopeless_jobs, native_index, store_readings, native_silence pass.

--- a/features/stale_configuration.feature
+++ b/features/stale_configuration.feature
@@ -12,6 +12,10 @@
     Then its configuration is not fresh, until the next read is answered
     And that read did not wait for a record
 
+  Scenario: A configuration stays fresh while each answer of the store takes half a second
+    When a leader follows the configuration of such a store for 6 seconds
+    Then its configuration was fresh all the time
+
   Scenario Outline: A request that waits for the confirmation is decided by the newest configuration
     When a request <what> waits, and a configuration with its queue comes into force
     Then its answer is <status>
--- a/features/steps/stale_configuration_steps.py
+++ b/features/steps/stale_configuration_steps.py
@@ -106,6 +106,36 @@
     assert context.store.waits[0] == 0.0, context.store.waits
 
 
+class SlowStore:
+    """A store whose answers take half a second, beside the wait for a record."""
+
+    async def read(self, topic, start, wait_s):
+        """See :class:`.interfaces.Store`."""
+        await anyio.sleep(wait_s + 0.5)
+        return Records((), start)
+
+
+@when("a leader follows the configuration of such a store for {seconds:d} seconds")
+def slow_store(context, seconds):
+    async def follow():
+        feed = feed_of(SlowStore())
+        feed.load(NewestRecords((record(1, ROUTE),), 1))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(feed.follow)
+            for _ in range(seconds * 100):
+                await anyio.sleep(0.01)
+                context.fresh.append(feed.fresh)
+            tasks.cancel_scope.cancel()
+
+    context.fresh = []
+    anyio.run(follow)
+
+
+@then("its configuration was fresh all the time")
+def fresh_all_the_time(context):
+    assert all(context.fresh), context.fresh.count(False)
+
+
 class Leading:
     """A session in which a configuration comes into force during the confirmation."""
 
--- a/src/granitetrestle/advicecandidates.py
+++ b/src/granitetrestle/advicecandidates.py
@@ -45,16 +45,18 @@
         ]
         if not eligible:
             eligible = [box for box in quarantined if is_eligible(step, task, box)]
-    ranked: list[tuple[bool, bool, t.Any, BoxView]] = []
+    if step.long_running:
+        unreserved = [box for box in eligible if not headroom.is_reserved(box)]
+        eligible = unreserved or eligible
+    ranked: list[tuple[bool, t.Any, BoxView]] = []
     for box in eligible:
         rank = ranking.rank(box)
         if rank is not None:
-            reserved = step.long_running and headroom.is_reserved(box)
             off_rack = bool(step.affinity) and box.entry.rack != step.affinity
-            ranked.append((reserved, off_rack, rank, box))
-    ranked.sort(key=lambda row: row[:3])
+            ranked.append((off_rack, rank, box))
+    ranked.sort(key=lambda row: row[:2])
     others = sorted(
         [*pool.boxes.values(), *quarantined],
         key=lambda box: (-box.cpu_free, box.incarnation),
     )
-    return Candidates([row[3] for row in ranked], others)
+    return Candidates([row[2] for row in ranked], others)
--- a/src/granitetrestle/dispatch.py
+++ b/src/granitetrestle/dispatch.py
@@ -120,6 +120,7 @@
         :param limits: limits of starts in this pass.
         """
         waiting = self._state.waiting
+        self._advice.start_pass()
         if not waiting:
             return []
         self._state.index.refresh(now)
@@ -133,7 +134,6 @@
         self._unplaceable.clear()
         self._limits = limits
         self._order.start_pass(now)
-        self._advice.start_pass()
         self._room_takers.start_pass()
         order = sorted(
             waiting.items(), key=lambda item: self._order.sort_key(item[1], now)
--- a/src/granitetrestle/feeds.py
+++ b/src/granitetrestle/feeds.py
@@ -145,7 +145,7 @@
             as_of = steadyclock.now()
             outcome = await store.read(topic, self._next_offset, wait_s)
             if isinstance(outcome, RecordsGone):
-                as_of = steadyclock.now()
+                as_of, wait_s = steadyclock.now(), 0.0
                 outcome = await self._reload(topic)
             if outcome is None or isinstance(outcome, StoreUnavailable):
                 # Starts are held back until the store answers, so the next read must
@@ -158,9 +158,10 @@
                 # not wait: this one may be almost as old as a wait.
                 wait_s = 0.0
             else:
-                # For the whole wait there was no record.
+                # For the whole wait there was no record. What is known then ages while
+                # this answer and the next one are under way.
                 as_of = min(as_of + wait_s, steadyclock.now())
-                wait_s = CONFIG_READ_WAIT_S
+                wait_s = max(0.0, CONFIG_READ_WAIT_S - (steadyclock.now() - as_of))
             self._apply_records(outcome, as_of)
 
     def _apply_records(self, outcome: NewestRecords | Records, as_of: float) -> None:
