--- a/features/steps/odd_input_steps.py
+++ b/features/steps/odd_input_steps.py
@@ -21,6 +21,7 @@
 from granitetrestle import feeds
 from granitetrestle import messages
 from granitetrestle import registry
+from granitetrestle import steadyclock
 from granitetrestle.calls import Reply
 from granitetrestle.decisions import AskAdvice
 from granitetrestle.decisions import StartTask
@@ -266,7 +267,7 @@
         )
         config = Record("config", json.dumps(sound).encode())
         feed.load(NewestRecords((config, Record("other", b"x")), 1))
-        feed._apply_records(Records((Record(key, value),), 2))
+        feed._apply_records(Records((Record(key, value),), 2), steadyclock.now())
         assert leader.scheduler.state.config is not None
         assert len(log.events) <= 1, log.events
         leader.submit()
