Mutants follow the code that moved, and odd entries, reads and copies have their own

Cause: two mutants named text that changed ("decoding: what is nested too deeply passes", "crash: unreadable losses end a successor"). Twelve others named text that is not there on either; they are left.

Change: the two follow the code; six new ones take out the bound of a port's digits (with the feed behind it), the check of a box's key, the feed's loss of one record, the kept configuration, the date of a read, and the copy of a forwarded request.

--- a/tools/crash_mutants.py
+++ b/tools/crash_mutants.py
@@ -268,7 +268,7 @@
         (
             (
                 "shardstate.py",
-                "except msgspec.DecodeError as error:\n            restored.unreadable.append(UnreadableRecord(LOSSES_KEY",
+                "except DECODE_ERRORS as error:\n            restored.unreadable.append(UnreadableRecord(LOSSES_KEY",
                 "except KeyError as error:\n            restored.unreadable.append(UnreadableRecord(LOSSES_KEY",
             ),
         ),
--- a/tools/review_mutants.py
+++ b/tools/review_mutants.py
@@ -123,9 +123,52 @@
     ),
     Mutant(
         "decoding: what is nested too deeply passes",
-        (("errors.py", "UnicodeDecodeError, RecursionError)", "UnicodeDecodeError)"),),
+        (("errors.py", "    RecursionError,\n", ""),),
         "account_figures",
     ),
+    Mutant(
+        "odd entries: a port may have any number of digits",
+        (
+            ("calls.py", " and len(port) <= MAX_PORT_DIGITS", ""),
+            (
+                "feeds.py",
+                "except Exception as error:\n                self._log_rejected",
+                "except KeyError as error:\n                self._log_rejected",
+            ),
+        ),
+        "odd_input",
+    ),
+    Mutant(
+        "odd entries: any key is the id of a box",
+        (("platform/boxes.py", "if not _is_box_id(record.key):", "if False:"),),
+        "odd_input",
+    ),
+    Mutant(
+        "odd entries: an unforeseen error of a decoder ends the leader",
+        (
+            (
+                "feeds.py",
+                "except Exception as error:\n                self._log_rejected",
+                "except KeyError as error:\n                self._log_rejected",
+            ),
+        ),
+        "odd_input",
+    ),
+    Mutant(
+        "odd entries: no configuration is kept for a successor",
+        (("feeds.py", "kept_config.keep(self._config_record)", "kept_config"),),
+        "odd_input",
+    ),
+    Mutant(
+        "configuration: a read is dated by when it is processed",
+        (("feeds.py", "self._read_at = as_of", "self._read_at = steadyclock.now()"),),
+        "stale_configuration",
+    ),
+    Mutant(
+        "forwarded: each copy of a request is answered",
+        (("forwardedcalls.py", "if key in self._under_way:", "if False:"),),
+        "native_parts",
+    ),
     Mutant(
         "cancels: those of unknown jobs are not kept",
         (
