A leader that fails half way through a decision writes nothing of it

What callers saw: a job is refused with 503, and the same submission is answered 200 a moment later. Nobody had accepted it; the successors know it, and fail at it.

It found the record of the half decided job and wrote it. Errors of the session's own tasks left another turn of the loop, as their group cancels the others only then.

The new scenario, for a call and for a poll, failed 3 of 3 times each before the change and passed 3 of 3 after it.

--- a/features/failing_leaders.feature
+++ b/features/failing_leaders.feature
@@ -15,6 +15,17 @@
       | restores its progress        | failed  |
       | accepts it                   | refused |
 
+  # Guards against a job that is taken though its submission was refused.
+  Scenario Outline: Nothing is written of a decision that a leader makes half
+    Given a leader that has taken another job
+    When it fails half way through a job that it gets from <source>
+    Then the store holds nothing of that job, and only the other one after a take-over
+
+    Examples:
+      | source           |
+      | a client account |
+      | a poll of a box  |
+
   Scenario: Nothing is left of a job that was set aside but that it failed
     Given a process alone, and a job at which a leader fails when it sees its task on a box
     When jobs are submitted one after the other, and that one among them
--- a/src/granitetrestle/journal.py
+++ b/src/granitetrestle/journal.py
@@ -15,6 +15,7 @@
 import typing as t
 
 import anyio
+import anyio.lowlevel
 
 from .appendpace import DEFAULT_LINK_BYTES_PER_S
 from .appendpace import AppendPace
@@ -236,6 +237,8 @@
         while True:
             with anyio.move_on_after(CONFIRM_INTERVAL_S):
                 await self._wake.wait()
+            # A wait that is over already is not cancelled.
+            await anyio.lowlevel.checkpoint_if_cancelled()
             self._wake = anyio.Event()
             append_requested, self._append_requested = self._append_requested, False
             self._begun += 1
--- a/src/granitetrestle/session.py
+++ b/src/granitetrestle/session.py
@@ -6,7 +6,6 @@
 import typing as t
 
 import anyio
-import anyio.abc
 
 from . import steadyclock
 from .appendlog import AppendLog
@@ -14,6 +13,7 @@
 from .collector import freeze_allocations
 from .collector import unfreeze_allocations
 from .commandpaths import CommandPaths
+from .decidingtasks import DecidingTasks
 from .decisionlog import log_decision
 from .decisions import GATED
 from .decisions import AcknowledgeEnds
@@ -148,10 +148,9 @@
         self._budget = PollBudget(parameters.connections)
         self._load_logged_at = time.monotonic()
         self._callers: dict[str, PendingCall] = {}
-        self._tasks: anyio.abc.TaskGroup | None = None
+        self._tasks = DecidingTasks()
         # Whether the predecessor's state is restored, so that this session decides.
         self._deciding = False
-        self._over = False
         self._superseded = False
         # The error of a decision that was made for a caller.
         self._error: Exception | None = None
@@ -192,7 +191,7 @@
     @property
     def over(self) -> bool:
         """Whether this session has ended: requests belong to the successor."""
-        return self._over
+        return self._tasks.over
 
     @property
     def superseded(self) -> bool:
@@ -223,7 +222,7 @@
     def serving(self) -> bool:
         """Whether clients can be answered: the configuration is known and fresh."""
         known = self.config is not None and self._operator_feed.fresh
-        return known and not self._over
+        return known and not self._tasks.over
 
     async def run(self, ready: t.Callable[[], None]) -> None:
         """Decide until deposed or cancelled. An unexpected error ends the session: its
@@ -233,17 +232,17 @@
         """
         try:
             async with anyio.create_task_group() as tasks:
-                self._tasks = tasks
+                self._tasks.run_in(tasks)
                 if not await self._take_over():
                     return
                 self._deciding = True
-                tasks.start_soon(self._run_journal, tasks)
-                tasks.start_soon(self._operator_feed.follow)
-                tasks.start_soon(self._box_feed.follow)
-                tasks.start_soon(self._lag.run)
+                self._tasks.start(self._run_journal)
+                self._tasks.start(self._operator_feed.follow)
+                self._tasks.start(self._box_feed.follow)
+                self._tasks.start(self._lag.run)
                 ready()
         finally:
-            self._over = True
+            self._tasks.end()
             unfreeze_allocations()
             for caller in self._callers.values():
                 caller.changed.set()
@@ -291,19 +290,17 @@
         )
         return True
 
-    async def _run_journal(self, tasks: anyio.abc.TaskGroup) -> None:
+    async def _run_journal(self) -> None:
         met = await self._journal.run()
         self._step_down("store", type(met).__name__)
-        tasks.cancel_scope.cancel()
 
     def _step_down(self, where: str, met: str = "Fenced") -> None:
-        if not self._over:
-            self._over = self._superseded = True
+        if not self._tasks.over:
+            self._superseded = True
             self._log.event(
                 "stepped_down", epoch=self._epoch, met_newer_epoch=where, met=met
             )
-            if self._tasks is not None:
-                self._tasks.cancel_scope.cancel()
+            self._tasks.end()
 
     def _decide(self) -> list[Record]:
         now = time.monotonic()
@@ -332,7 +329,7 @@
             elif isinstance(decision, PaceTask):
                 self._send_command(decision)
             elif isinstance(decision, AskAdvice):
-                self._start(self._advise, decision)
+                self._tasks.start(self._advise, decision)
             elif isinstance(decision, StepDown):
                 self._step_down(decision.where)
         if self._scheduler.has_writes or self._scheduler.state.waiting:
@@ -355,13 +352,7 @@
             hall,
         )
         self._pollers[decision.incarnation] = poller
-        self._start(poller.run)
-
-    def _start(
-        self, function: t.Callable[..., t.Coroutine[t.Any, t.Any, None]], *args: t.Any
-    ) -> None:
-        assert self._tasks is not None
-        self._tasks.start_soon(function, *args)
+        self._tasks.start(poller.run)
 
     async def _advise(self, asked: AskAdvice) -> None:
         advice: Advice | AdviceUnavailable = AdviceUnavailable("no advisor is set")
@@ -399,9 +390,8 @@
 
     def _send_command(self, decision: StartTask | StopTask | PaceTask) -> None:
         poller = self._pollers.get(decision.incarnation)
-        if poller is None or self._tasks is None:
-            return
-        self._tasks.start_soon(poller.execute, decision)
+        if poller is not None:
+            self._tasks.start(poller.execute, decision)
 
     def _answer(self, decision: AnswerCall, unrecorded: t.Collection[str]) -> None:
         caller = self._callers.get(decision.request)
@@ -416,7 +406,7 @@
 
         :raises Deposed: if this session ended first; the call may have been accepted.
         """
-        if self._over:
+        if self._tasks.over:
             raise Deposed
         job = call.submission.job if isinstance(call, SubmitJob) else ""
         caller = self._callers[request] = PendingCall(job)
@@ -424,7 +414,7 @@
             self._decide_for_caller(
                 lambda: self._scheduler.handle_call(request, call, time.monotonic())
             )
-            while caller.outcome is None and not self._over:
+            while caller.outcome is None and not self._tasks.over:
                 await caller.changed.wait()
         finally:
             del self._callers[request]
@@ -437,9 +427,8 @@
         try:
             self._apply(decide())
         except Exception as error:
-            self._error, self._over = error, True
-            if self._tasks is not None:
-                self._tasks.cancel_scope.cancel()
+            self._error = error
+            self._tasks.end()
 
     def observe_epoch(self, epoch: int) -> None:
         """Record that other processes follow an epoch. If it is newer, the store must
@@ -459,7 +448,7 @@
             return True
         asked = steadyclock.now()
         while self._journal.status.confirmed_at < asked:
-            if self._over:
+            if self._tasks.over:
                 raise Deposed
             if self.store_unavailable:
                 return False
@@ -476,7 +465,7 @@
         await self.drain()
         self._scheduler.resign(time.monotonic())
         self._journal.request_append()
-        while not self._journal.resignation_kept and not self._over:
+        while not self._journal.resignation_kept and not self._tasks.over:
             await anyio.sleep(RETRY_INTERVAL_S / 10)
 
     def record_process_end(self, epoch: int) -> None:
@@ -494,5 +483,5 @@
         follow them without end."""
         batch = self._journal.next_batch
         self._journal.request_append()
-        while not self._journal.is_complete(batch) and not self._over:
+        while not self._journal.is_complete(batch) and not self._tasks.over:
             await anyio.sleep(RETRY_INTERVAL_S / 10)
