Boxes that are never without a task don't count against it as its victims

Cause: the loss of a box is weighed against the rate at which boxes are lost by chance, and losses under the task itself are left out of that rate. On boxes that are hardly ever without the task none is left to count. For a gang the rate was that of a single box.

Change: the rate of a gang counts for each of its boxes. Losses under the same task at the same address, or anywhere under a gang on most boxes, may be those of faulty boxes, which are as likely to be lost at any time since the last loss as just after a start. A suspect of such losses is tried once its boxes have been up for a while, so that a crash tells.

Why it works: a culprit crashes its boxes just after its starts, however long they were up; its losses weigh less than before only while they follow each other at once.

--- a/features/crash_evidence.feature
+++ b/features/crash_evidence.feature
@@ -179,3 +179,24 @@
     Given a shard of 12 boxes among models
     When a long-running job's box is cut off 4 times in a row 0.2 seconds after the start, until its lease is over and its entry gone
     Then the job runs, without evidence against it
+
+  # Guards against sound jobs that are shown as failed: no loss under them counted as chance.
+  Scenario Outline: A job is not given up as its boxes crash in turn and none is without it
+    Given shards of 8 boxes among models, one of them with a label
+    When <what> is submitted, and its boxes crash one at a time, 20 times
+    Then its job is not shown as failed, and is <state>
+
+    Examples:
+      | what                                          | state     |
+      | a gang on all boxes                           | completed |
+      | a long-running task that only one box can run | running   |
+
+  Scenario Outline: What crashes the only boxes that it can run on is given up as well
+    Given shards of 8 boxes among models, one of them with a label
+    When <what> is submitted that crashes a box with each start
+    Then its job is shown as failed, and it has crashed at most 5 boxes
+
+    Examples:
+      | what                                          |
+      | a gang on all boxes                           |
+      | a long-running task that only one box can run |
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -438,13 +438,13 @@
         lose(context.history, 100.0 - number)
     records = written(context.history, 100.0)
     sooner = succeed(records, (), 105.0)
-    assert sooner.last_unexplained(context.task) > -math.inf
+    assert sooner.last_unexplained(context.task, BOXES) > -math.inf
     context.successor = succeed(records, (), 100.0 + later_s)
 
 
 @then("the successor knows of no loss")
 def no_loss_known(context):
-    assert context.successor.last_unexplained(context.task) == -math.inf
+    assert context.successor.last_unexplained(context.task, BOXES) == -math.inf
     assert context.successor.known_until == -math.inf
 
 
--- a/src/granitetrestle/crashevidence.py
+++ b/src/granitetrestle/crashevidence.py
@@ -19,6 +19,10 @@
 from .boxlosses import LossWeight
 from .boxlosses import SuspectedLoss
 from .interfaces import Record
+from .lossprobabilities import boxes_exposed
+from .lossprobabilities import probability_after
+from .lossprobabilities import probability_of_crashing
+from .lossprobabilities import weight_of
 from .lossrecords import LOSSES_KEY
 from .lossrecords import HistoryRow
 from .lossrecords import LossRow
@@ -47,8 +51,6 @@
 MEMORY_S: t.Final = 15.0
 # Box-seconds without a loss that are assumed before any are observed.
 PRIOR_BOX_S: t.Final = 60.0
-# Probability that a task of which nothing is known crashes boxes.
-PRIOR_CRASHING: t.Final = 0.003
 # For how long a box is usually lost under a task that crashes it by its start.
 USUAL_WINDOW_S: t.Final = 0.15
 # A leader had heard of a box this long before it started a task there, at most.
@@ -215,13 +217,25 @@
                     del self._suspected[name]
         return due
 
-    def last_unexplained(self, task: Task) -> float:
+    def last_unexplained(self, task: Task, boxes: int) -> float:
         """Return when a box was last lost that neither ``task`` nor another suspect is
         known to have crashed, ``-inf`` if none was lately."""
+        latest = -math.inf
         for noted in reversed(self._noted.values()):
             if task not in noted.suspects and noted.unexplained:
-                return noted.loss.latest
-        return -math.inf
+                latest = noted.loss.latest
+                break
+        last = self._last_loss(task)
+        if last is not None and self._related_losses(task, last, boxes):
+            return max(latest, last.latest)
+        return latest
+
+    def _last_loss(self, task: Task) -> BoxLoss | None:
+        """Return the last loss under a task, if it was lately."""
+        for noted in reversed(self._noted.values()):
+            if any(suspect is task for suspect in noted.suspects):
+                return noted.loss
+        return None
 
     def lost_at(self, address: str) -> int:
         """Return how many boxes were lost lately at an address."""
@@ -241,17 +255,19 @@
         recent = len(around.recent) - sum(x in around.recent for x in own)
         here = around.here - sum(x in around.recent for x in own if loss.is_at(x))
         together = len(around.together) - sum(x in around.together for x in own)
+        exposed = boxes_exposed(suspected.task, boxes)
         rate = max(
-            self._rate(recent, boxes, loss.latest),
+            exposed * self._rate(recent, boxes, loss.latest),
             # A single box may be lost again and again for a cause of its own.
             (here - 1) / MEMORY_S,
         )
         probability = (
             rate * suspected.window_s
+            + self._probability_of_faulty_boxes(suspected, boxes)
             + min(together, self._mean_together(together)) / max(1, boxes - 1)
-            + sum(_probability_of_crashing(task) for task in suspected.companions)
+            + sum(probability_of_crashing(task) for task in suspected.companions)
         )
-        decibans = _decibans(probability)
+        decibans = weight_of(probability)
         # The boxes of earlier losses may have answered since.
         number = min(suspected.number, suspected.task.suspicion)
         if not suspected.answered:
@@ -262,6 +278,26 @@
         weight = decibans - CHANCE_DECIBANS if number > 1 else 0
         return LossWeight(weight, together, recent, boxes)
 
+    def _probability_of_faulty_boxes(
+        self, suspected: SuspectedLoss, boxes: int
+    ) -> float:
+        loss = suspected.loss
+        related = self._related_losses(suspected.task, loss, boxes)
+        return probability_after(related, suspected.window_s, loss.latest)
+
+    def _related_losses(self, task: Task, loss: BoxLoss, boxes: int) -> list[float]:
+        """Return when boxes were lost under a task shortly before a loss that are the only
+        ones to tell how often that box is lost by chance: those at its address, and all
+        those of a gang that runs on most boxes."""
+        on_most = 2 * boxes_exposed(task, boxes) >= boxes
+        return [
+            noted.loss.latest
+            for noted in self._noted.values()
+            if loss.latest - MEMORY_S <= noted.loss.latest < loss.latest
+            and (on_most or loss.is_at(noted.loss))
+            and any(suspect is task for suspect in noted.suspects)
+        ]
+
     def _mean_together(self, together: int) -> float:
         """Return with how many others a box is lost, on average of the recent losses and
         one that was lost together with some."""
@@ -278,8 +314,12 @@
         in decibans."""
         recent = sum(now - x.latest <= MEMORY_S for x in self._unexplained_losses())
         own = sum(now - x.latest <= MEMORY_S for x in self._own_losses(task))
-        probability = self._rate(recent - own, boxes, now) * USUAL_WINDOW_S
-        return _decibans(probability) - CHANCE_DECIBANS
+        rate = self._rate(recent - own, boxes, now) * boxes_exposed(task, boxes)
+        probability = rate * USUAL_WINDOW_S
+        if (last := self._last_loss(task)) is not None:
+            related = self._related_losses(task, last._replace(latest=now), boxes)
+            probability += probability_after(related, USUAL_WINDOW_S, now)
+        return weight_of(probability) - CHANCE_DECIBANS
 
     def _unexplained_losses(self) -> list[BoxLoss]:
         """Return the losses that no suspect is known to have caused."""
@@ -444,13 +484,3 @@
 ) -> tuple[Task, ...]:
     found = (find_task(name) for name in names)
     return tuple(task for task in found if task is not None)
-
-
-def _decibans(probability: float) -> int:
-    return max(0, int(-10.0 * math.log10(min(1.0, probability))))
-
-
-def _probability_of_crashing(task: Task) -> float:
-    """Return the probability that a task crashes boxes, by what is known of it."""
-    odds: float = PRIOR_CRASHING * 10.0 ** (task.evidence / 10.0)
-    return min(1.0, odds)
--- a/src/granitetrestle/crashloops.py
+++ b/src/granitetrestle/crashloops.py
@@ -243,7 +243,7 @@
             return True
         if len(self._trials) >= self._max_isolated:
             return False
-        calm_s = self._now - self._losses.last_unexplained(task)
+        calm_s = self._now - self._losses.last_unexplained(task, self._boxes)
         hopeful = task.evidence < LIKELY_DECIBANS and task.suspicion <= HOPEFUL_LOSSES
         if calm_s >= (CALM_S if hopeful else MEMORY_S):
             return True
