Random shards give all boxes their room back at the end, also those that are down

Its only box, b3, was down, restarted 0.2 s later with the 1,000 thousandths that it had been shrunk to, and the tasks need 2,000 each.

The run now gives room to boxes that are down, too; the check stays as it is.

--- a/features/random_shard.py
+++ b/features/random_shard.py
@@ -68,10 +68,8 @@
         self.world.advance(0.3)
         for _ in range(60):
             self._run_event(self._draw.choice(self._events))
-        for number, entry in enumerate(sorted(self.world.entries)):
-            # In the end all tasks must have room.
-            if self.world.entries[entry].cpu < FULL_CPU:
-                self.world.resize_box(number, FULL_CPU)
+        # In the end all tasks must have room.
+        self.world.resize_all(FULL_CPU)
         self.world.settle(300.0)
 
     def _run_event(self, event):
--- a/src/granitetrestle_standins/modelboxes.py
+++ b/src/granitetrestle_standins/modelboxes.py
@@ -114,10 +114,19 @@
         """Change the listed capacity; the box itself refuses no start."""
         incarnation = self._pick(choice)
         if incarnation is not None:
-            entry = self.entries[incarnation]
-            previous = max(entry.cpu, self._recent_capacity(incarnation))
-            self._earlier_capacity[incarnation] = previous, self.now + CAPACITY_GRACE_S
-            self.entries[incarnation] = entry._replace(cpu=cpu)
+            self._resize(incarnation, cpu)
+
+    def resize_all(self, least_cpu: int) -> None:
+        """Give each box a capacity, if it has less. One that is down restarts with it."""
+        for incarnation, entry in list(self.entries.items()):
+            if entry.cpu < least_cpu:
+                self._resize(incarnation, least_cpu)
+
+    def _resize(self, incarnation: str, cpu: int) -> None:
+        entry = self.entries[incarnation]
+        previous = max(entry.cpu, self._recent_capacity(incarnation))
+        self._earlier_capacity[incarnation] = previous, self.now + CAPACITY_GRACE_S
+        self.entries[incarnation] = entry._replace(cpu=cpu)
 
     def cut_box(self, choice: int, seconds: float) -> None:
         """Cut a box off from every scheduler process; its tasks keep running."""
