--- a/src/granitetrestle/crashevidence.py
+++ b/src/granitetrestle/crashevidence.py
@@ -220,7 +220,10 @@
 
     def last_unexplained(self, task: Task, boxes: int) -> float:
         """Return when a box was last lost that neither ``task`` nor another suspect is
-        known to have crashed, ``-inf`` if none was lately."""
+        known to have crashed, or that may be faulty itself, ``-inf`` if none was lately.
+
+        :param boxes: number of boxes.
+        """
         latest = -math.inf
         for noted in reversed(self._noted.values()):
             if task not in noted.suspects and noted.unexplained:
