--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -17,6 +17,7 @@
 from granitetrestle.calls import Caller
 from granitetrestle.calls import CallFailure
 from granitetrestle.calls import Reply
+from granitetrestle.decidingtasks import DecidingTasks
 from granitetrestle.forwarding import ClientCall
 from granitetrestle.interfaces import Config
 from granitetrestle.interfaces import Queue
@@ -242,7 +243,7 @@
         """A session with only the attributes that ``confirm`` reads."""
 
         def __init__(self):
-            self._over = False
+            self._tasks = DecidingTasks()
             self._operator_feed = self
             self._journal = self
             self._leader_lease = JournalLeaderLease(
@@ -444,7 +445,7 @@
         append succeeds at once."""
 
         def __init__(self):
-            self._over = False
+            self._tasks = DecidingTasks()
             self._journal = self
             self._parameters = SchedulerParameters()
             self._leader_lease = JournalLeaderLease(
